--- /dev/null
+++ b/foxtailshunt/__init__.py
@@ -0,0 +1,1 @@
+"""A router for servers that own keys exclusively."""
--- /dev/null
+++ b/foxtailshunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the programs, one module a program."""
--- /dev/null
+++ b/foxtailshunt/config/__init__.py
@@ -0,0 +1,30 @@
+"""The operators' configuration file and a process's settings file."""
+
+from foxtailshunt.config._configuration import (
+    Configuration,
+    EntryLimits,
+    FloorShares,
+    Operation,
+    QueueLimits,
+    Rank,
+    Service,
+    Upstream,
+    UpstreamLimits,
+)
+from foxtailshunt.config._file import configuration_from_json
+from foxtailshunt.config._settings import Settings, load_settings
+
+__all__ = [
+    "Configuration",
+    "EntryLimits",
+    "FloorShares",
+    "Operation",
+    "QueueLimits",
+    "Rank",
+    "Service",
+    "Settings",
+    "Upstream",
+    "UpstreamLimits",
+    "configuration_from_json",
+    "load_settings",
+]
--- /dev/null
+++ b/foxtailshunt/protocol/__init__.py
@@ -0,0 +1,48 @@
+"""The inner protocol between entries, dispatchers and assigners.
+
+Messages are the structs of ``foxtailshunt.thrift``; the code in ``gen`` is generated from it and
+committed.
+"""
+
+from foxtailshunt.protocol._client import ClientPool, PeerClient
+from foxtailshunt.protocol._server import ProtocolServer
+from foxtailshunt.protocol.gen.ttypes import (
+    AssentItem,
+    AssentReply,
+    AssentRequest,
+    CancelReply,
+    CancelRequest,
+    ExecuteReply,
+    ExecuteRequest,
+    Header,
+    Member,
+    RefuseReply,
+    RefuseRequest,
+    SyncReply,
+    SyncRequest,
+    UpstreamReport,
+    ZoneVersion,
+)
+from foxtailshunt.protocol.gen.ttypes import Fence as FenceMessage
+
+__all__ = [
+    "AssentItem",
+    "AssentReply",
+    "AssentRequest",
+    "CancelReply",
+    "CancelRequest",
+    "ClientPool",
+    "ExecuteReply",
+    "ExecuteRequest",
+    "FenceMessage",
+    "Header",
+    "Member",
+    "PeerClient",
+    "ProtocolServer",
+    "RefuseReply",
+    "RefuseRequest",
+    "SyncReply",
+    "SyncRequest",
+    "UpstreamReport",
+    "ZoneVersion",
+]
--- /dev/null
+++ b/foxtailshunt/protocol/_client.py
@@ -0,0 +1,180 @@
+"""Clients of the inner protocol: one connection, and a pool of connections to one peer."""
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from types import ModuleType
+from typing import Any, TypeVar
+
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
+
+T = TypeVar("T")
+
+# l_onoff = 1, l_linger = 0: close() resets the connection and drops unsent data.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class PeerClient:
+    """One connection to a peer's Thrift service; used by one thread at a time.
+
+    :param service: the generated service module, for example ``gen.Dispatcher``.
+    :param address: host and port of the peer.
+    """
+
+    def __init__(self, service: ModuleType, address: tuple[str, int]) -> None:
+        self.address = address
+        self._socket = TSocket(*address)
+        self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
+        self._client = service.Client(TCompactProtocol(self._transport))
+
+    def open(self) -> None:
+        """Connect.
+
+        :raises PeerUnreachableError: nothing was sent.
+        """
+        self._socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
+        try:
+            self._transport.open()
+            self._socket.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except (TException, OSError) as exc:
+            raise PeerUnreachableError(f"cannot connect to {self.address}: {exc}", sent=False)
+
+    def call(self, method: str, req: Any, timeout_s: float) -> Any:
+        """Send one request and wait for its reply.
+
+        :param method: name of the service's method.
+        :param req: its request struct.
+        :param timeout_s: seconds to wait on the socket.
+        :returns: its reply struct.
+        :raises PeerUnreachableError: the message may have reached the peer; the connection was
+            reset and must not be used again.
+        """
+        self._socket.setTimeout(timeout_s * 1000)
+        try:
+            return getattr(self._client, method)(req)
+        except (TException, OSError, EOFError, ValueError, TypeError, struct.error) as exc:
+            self.reset()
+            raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
+
+    def reset(self) -> None:
+        """Close by reset, so that the kernel delivers nothing that is still unsent."""
+        handle = self._socket.handle
+        if handle is not None:
+            try:
+                handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            except OSError:
+                pass
+        self._transport.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._transport.close()
+
+
+class ClientPool:
+    """Keeps idle connections to any number of peers; a call takes one for itself.
+
+    :param service: the generated service module.
+    :param max_idle: idle connections kept for each peer.
+    """
+
+    def __init__(self, service: ModuleType, max_idle: int) -> None:
+        self._service = service
+        self._max_idle = max_idle
+        self._lock = threading.Lock()
+        self._idle: dict[tuple[str, int], list[PeerClient]] = {}
+
+    def call(self, address: tuple[str, int], method: str, req: Any, timeout_s: float) -> Any:
+        """Call a peer on an idle connection, or on a new one.
+
+        An idle connection that the peer has closed is found by a readability check before the
+        request is sent on it, and replaced.
+
+        :param address: host and port of the peer.
+        :param method: name of the service's method.
+        :param req: its request struct.
+        :param timeout_s: seconds to wait for the reply.
+        :returns: the reply struct.
+        :raises PeerUnreachableError: ``sent`` tells whether the peer may have seen the request.
+        """
+        client = self._take(address)
+        reply = client.call(method, req, timeout_s)
+        self._put_back(client)
+        return reply
+
+    def forget(self, address: tuple[str, int]) -> None:
+        """Reset all idle connections to a peer."""
+        with self._lock:
+            clients = self._idle.pop(address, [])
+        for client in clients:
+            client.reset()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            clients = [client for idle in self._idle.values() for client in idle]
+            self._idle.clear()
+        for client in clients:
+            client.close()
+
+    def _take(self, address: tuple[str, int]) -> PeerClient:
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                client = idle.pop() if idle else None
+            if client is None:
+                client = PeerClient(self._service, address)
+                client.open()
+                return client
+            if client_is_quiet(client):
+                return client
+            client.reset()
+
+    def _put_back(self, client: PeerClient) -> None:
+        with self._lock:
+            idle = self._idle.setdefault(client.address, [])
+            if len(idle) < self._max_idle:
+                idle.append(client)
+                return
+        client.close()
+
+
+def client_is_quiet(client: PeerClient) -> bool:
+    """Return whether an idle connection is open with nothing to read.
+
+    :param client: an idle client.
+    :returns: False if the peer closed the connection or sent something nobody asked for.
+    """
+    handle = client._socket.handle
+    if handle is None:
+        return False
+    return is_quiet(handle)
+
+
+def is_quiet(sock: socket.socket) -> bool:
+    """Return whether a socket is open and has nothing to read.
+
+    :param sock: the socket.
+    """
+    timeout = sock.gettimeout()
+    sock.setblocking(False)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(timeout)
+    return False
+
+
+#: A factory of clients, for parts that are handed one.
+ClientFactory = Callable[[tuple[str, int]], PeerClient]
--- /dev/null
+++ b/foxtailshunt/protocol/_server.py
@@ -0,0 +1,147 @@
+"""The server side of the inner protocol: one thread for each connection."""
+
+import socket
+import threading
+from collections.abc import Callable
+from types import ModuleType
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TTransport import TFramedTransport, TTransportException
+
+from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.protocol._limits import MAX_FRAME_BYTES
+
+_BACKLOG = 512
+_BAD_FRAME_TYPES = (TTransportException.SIZE_LIMIT, TTransportException.NEGATIVE_SIZE)
+_ACCEPT_POLL_S = 0.1
+_DRAIN_POLL_S = 0.02
+
+
+class ProtocolServer:
+    """Serves one Thrift service on one address, one thread for each connection.
+
+    A malformed or oversized frame closes its connection, is counted, and disturbs no other.
+
+    :param service: the generated service module.
+    :param handler: the object whose methods answer the calls.
+    :param address: host and port to listen on.
+    :param on_bad_frame: called for each malformed or oversized frame.
+    :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        service: ModuleType,
+        handler: Any,
+        address: tuple[str, int],
+        on_bad_frame: Callable[[], None],
+    ) -> None:
+        self._processor = service.Processor(handler)
+        self._on_bad_frame = on_bad_frame
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._connections: set[socket.socket] = set()
+        self._active = 0
+        self._listener = _listen(address)
+        self._thread = threading.Thread(target=self._accept_loop, name="accept", daemon=True)
+
+    def start(self) -> None:
+        """Start accepting connections."""
+        self._thread.start()
+
+    def stop(self, grace_s: float) -> None:
+        """Stop accepting, let calls in progress end, then close all connections.
+
+        :param grace_s: longest time to wait for calls in progress, in seconds.
+        """
+        self._stopping.set()
+        self._thread.join()
+        self._listener.close()
+        waited = threading.Event()
+        for _ in range(int(grace_s / _DRAIN_POLL_S)):
+            with self._lock:
+                if self._active == 0:
+                    break
+            waited.wait(_DRAIN_POLL_S)
+        with self._lock:
+            connections = list(self._connections)
+        for conn in connections:
+            _shut_down(conn)
+
+    def _accept_loop(self) -> None:
+        self._listener.settimeout(_ACCEPT_POLL_S)
+        while not self._stopping.is_set():
+            try:
+                conn, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                continue
+            conn.settimeout(None)
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            thread = threading.Thread(target=self._serve, args=(conn,), name="peer", daemon=True)
+            thread.start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with self._lock:
+            self._connections.add(conn)
+        try:
+            self._serve_calls(conn)
+        finally:
+            with self._lock:
+                self._connections.discard(conn)
+            conn.close()
+
+    def _serve_calls(self, conn: socket.socket) -> None:
+        sock = TSocket()
+        sock.setHandle(conn)
+        transport = TFramedTransport(sock, MAX_FRAME_BYTES)
+        protocol = TCompactProtocol(transport)
+        while True:
+            try:
+                transport.readFrame()
+            except TTransportException as exc:
+                if exc.type in _BAD_FRAME_TYPES:
+                    self._on_bad_frame()
+                return
+            except OSError:
+                return
+            with self._lock:
+                self._active += 1
+            try:
+                self._processor.process(protocol, protocol)
+            except OSError:
+                return
+            except TTransportException:
+                self._on_bad_frame()
+                return
+            except (TException, EOFError, ValueError, TypeError, IndexError, KeyError):
+                self._on_bad_frame()
+                return
+            finally:
+                with self._lock:
+                    self._active -= 1
+
+
+def _listen(address: tuple[str, int]) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address)
+        listener.listen(_BACKLOG)
+    except OSError as exc:
+        listener.close()
+        raise FoxtailshuntError(
+            ResultCode.ADDRESS_IN_USE, f"cannot listen on {address[0]}:{address[1]}: {exc}"
+        )
+    return listener
+
+
+def _shut_down(conn: socket.socket) -> None:
+    try:
+        conn.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
--- /dev/null
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -0,0 +1,152 @@
+/* The inner protocol: messages between entries, dispatchers and assigners.
+ * Compact protocol over framed transport. Times are milliseconds of remaining time, never wall time. */
+namespace py foxtailshunt.protocol.gen
+
+/* A strictly rising pair: the assigner's term, then the table version inside it. */
+struct Fence {
+  1: required i64 term,
+  2: required i64 version,
+}
+
+struct Header {
+  1: required string name,
+  2: required string value,
+}
+
+/* One running process of the system. boot_id changes at each start of the process. */
+struct Member {
+  1: required string instance_id,
+  2: required string role,
+  3: required string zone,
+  4: required string host,
+  5: required i32 port,
+  6: required string boot_id,
+  7: required bool stopping,
+  8: required i64 cfg_version,
+  9: required string operator_address,
+}
+
+/* What a dispatcher knows of one upstream that it dispatches for. */
+struct UpstreamReport {
+  1: required string upstream_id,
+  /* The highest fence that the upstream confirmed with everything outside the grant released. */
+  2: optional Fence confirmed_fence,
+  /* True once no grant of this dispatcher under a lower fence can still be in force. */
+  3: required bool lapsed,
+  4: required Fence fence,
+  5: required bool reachable,
+  6: required bool draining,
+  7: required double load,
+  8: required map<string, double> key_load,
+  9: required i32 in_flight,
+  10: required i32 queued,
+}
+
+struct ZoneVersion {
+  1: required string zone,
+  2: required Fence fence,
+}
+
+/* Heartbeat and long poll in one: the answer comes at once if the callee knows anything newer. */
+struct SyncRequest {
+  1: required Member sender,
+  2: required i64 cfg_version,
+  3: required list<ZoneVersion> tables,
+  4: required i64 members_version,
+  5: required i32 wait_ms,
+  6: required list<UpstreamReport> reports,
+}
+
+struct SyncReply {
+  1: required string boot_id,
+  2: required bool active,
+  3: required i64 cfg_version,
+  /* JSON documents as they stand in the platform's store; absent where nothing is newer. */
+  4: optional string cfg_document,
+  5: required list<string> table_documents,
+  6: required i64 members_version,
+  7: optional list<Member> members,
+  8: required i64 store_age_ms,
+}
+
+struct AssentItem {
+  1: required string upstream_id,
+  2: required Fence fence,
+}
+
+struct AssentRequest {
+  1: required string zone,
+  2: required string dispatcher_id,
+  3: required string dispatcher_boot_id,
+  /* The incarnation of the witness that the dispatcher's table names. */
+  4: required string witness_boot_id,
+  5: required Fence table_fence,
+  6: required list<AssentItem> items,
+}
+
+struct AssentReply {
+  1: required i32 code,
+  2: required list<string> granted,
+  3: required Fence table_fence,
+}
+
+struct RefuseRequest {
+  1: required string zone,
+  2: required string witness_boot_id,
+  3: required Fence table_fence,
+  /* The lowest fence that the witness may assent to from now on, by upstream. */
+  4: required list<AssentItem> floors,
+}
+
+struct RefuseReply {
+  1: required i32 code,
+  2: required string witness_boot_id,
+}
+
+struct ExecuteRequest {
+  1: required string request_id,
+  2: required string service_name,
+  3: required string operation,
+  4: required string rank,
+  5: required string key,
+  6: required i32 slot,
+  7: required string upstream_id,
+  8: required Fence fence,
+  9: required i32 attempt,
+  10: required i32 remaining_ms,
+  11: required string method,
+  12: required string target,
+  13: required list<Header> headers,
+  14: required binary body,
+}
+
+struct ExecuteReply {
+  1: required string request_id,
+  2: required i32 code,
+  3: required i32 status,
+  4: required list<Header> headers,
+  5: required binary body,
+  6: required string upstream_id,
+  7: required string detail,
+}
+
+struct CancelRequest {
+  1: required string request_id,
+  2: required string upstream_id,
+}
+
+struct CancelReply {
+  1: required string request_id,
+  2: required i32 code,
+}
+
+service Dispatcher {
+  ExecuteReply execute(1: ExecuteRequest req),
+  CancelReply cancel(1: CancelRequest req),
+  AssentReply assent(1: AssentRequest req),
+  RefuseReply refuse(1: RefuseRequest req),
+}
+
+service Assigner {
+  SyncReply sync(1: SyncRequest req),
+}
--- /dev/null
+++ b/foxtailshunt/protocol/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Dispatcher', 'Assigner']
--- /dev/null
+++ b/foxtailshunt/telemetry/_operator_server.py
@@ -0,0 +1,77 @@
+"""The operator port: ``/metrics``, ``/health`` and ``/dump`` over HTTP."""
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot import wsgi
+
+from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.ownership import Address
+from foxtailshunt.telemetry._metrics import Metrics
+
+_THREADS = 2
+_MAX_REQUEST_BYTES = 16_384
+_TIMEOUT_S = 5
+
+#: Returns the state of the process as a JSON document.
+DumpSource = Callable[[], dict[str, Any]]
+
+
+class OperatorServer:
+    """Serves operators on the address of the settings.
+
+    :param address: host and port.
+    :param metrics: rendered at ``/metrics``.
+    :param dump: called for ``/dump``.
+    :param health: called for ``/health``; true if the process can do its job.
+    :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
+    """
+
+    def __init__(
+        self, address: Address, metrics: Metrics, dump: DumpSource, health: Callable[[], bool]
+    ) -> None:
+        self._metrics = metrics
+        self._dump = dump
+        self._health = health
+        self._server = wsgi.Server(address, self._application, numthreads=_THREADS)
+        self._server.max_request_header_size = _MAX_REQUEST_BYTES
+        self._server.max_request_body_size = _MAX_REQUEST_BYTES
+        self._server.timeout = _TIMEOUT_S
+        try:
+            self._server.prepare()
+        except OSError as exc:
+            raise FoxtailshuntError(
+                ResultCode.ADDRESS_IN_USE, f"cannot listen on {address[0]}:{address[1]}: {exc}"
+            )
+        self._thread = threading.Thread(target=self._server.serve, name="operator", daemon=True)
+
+    def start(self) -> None:
+        """Start serving."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        status, content_type, body = self._answer(environ["PATH_INFO"])
+        headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
+        start_response(status, headers)
+        return [body]
+
+    def _answer(self, path: str) -> tuple[str, str, bytes]:
+        if path == "/metrics":
+            body, headers = self._metrics.render()
+            return "200 OK", headers["Content-Type"], body
+        if path == "/health":
+            healthy = self._health()
+            status = "200 OK" if healthy else "503 Service Unavailable"
+            return status, "application/json", json.dumps({"healthy": healthy}).encode()
+        if path == "/dump":
+            body = json.dumps(self._dump(), indent=1, default=str).encode()
+            return "200 OK", "application/json", body
+        return "404 Not Found", "text/plain", b"try /metrics, /health or /dump\n"
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,87 @@
+"""Runs the formatter, the linter and the features, and prints the summary line."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BIN = ROOT / ".venv" / "bin"
+CODE = ["foxtailshunt", "standins", "features", "scripts"]
+CHECKS = [
+    [str(BIN / "black"), "--check", "--quiet", *CODE],
+    [str(BIN / "ruff"), "check", "--quiet", *CODE],
+]
+KNOWN_RED_TAG = "known_red"
+
+
+def run_checks() -> int:
+    """Run formatter and linter and return how many failed."""
+    failed = 0
+    for command in CHECKS:
+        result = subprocess.run(command, cwd=ROOT, check=False)
+        print(f"{Path(command[0]).name}: {'ok' if result.returncode == 0 else 'FAILED'}")
+        failed += result.returncode != 0
+    return failed
+
+
+def run_features(arguments: list[str]) -> list[dict]:
+    """Run behave and return its JSON report.
+
+    :param arguments: further arguments of behave, such as the features to run.
+    """
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [str(BIN / "behave"), "--format", "json", "--outfile", report.name]
+        command += ["--format", "progress"]
+        command += ["--no-capture", *arguments]
+        subprocess.run(command, cwd=ROOT, check=False)
+        text = Path(report.name).read_text(encoding="utf-8")
+    return json.loads(text) if text.strip() else []
+
+
+def count_scenarios(report: list[dict]) -> tuple[int, int, int, list[str]]:
+    """Return passed, failed and skipped scenarios, and the names of known red ones that failed.
+
+    :param report: behave's JSON report.
+    """
+    passed = failed = skipped = 0
+    known_red: list[str] = []
+    for feature in report:
+        for scenario in feature.get("elements", []):
+            if scenario["type"] == "background":
+                continue
+            status = scenario.get("status", "skipped")
+            if status == "passed":
+                passed += 1
+            elif status in ("skipped", "untested"):
+                skipped += 1
+            elif KNOWN_RED_TAG in scenario["tags"] + feature.get("tags", []):
+                known_red.append(f"{feature['name']}: {scenario['name']}")
+            else:
+                failed += 1
+    return passed, failed, skipped, known_red
+
+
+def main(arguments: list[str]) -> int:
+    """Run everything.
+
+    :param arguments: further arguments of behave.
+    :returns: the exit code.
+    """
+    check_failures = run_checks()
+    report = run_features(arguments)
+    passed, failed, skipped, known_red = count_scenarios(report)
+    for name in known_red:
+        print(f"known red (KNOWN-RED.txt): {name}")
+    passed += len(CHECKS) - check_failures
+    failed += check_failures
+    if not report:
+        print("behave reported nothing")
+        failed += 1
+    print(f"{passed} passed, {failed} failed, {skipped + len(known_red)} skipped")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
