--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -4,7 +4,7 @@
 committed.
 """
 
-from foxtailshunt.protocol._client import ClientPool, PeerClient
+from foxtailshunt.protocol._client import ClientPool, PeerClient, is_quiet
 from foxtailshunt.protocol._server import ProtocolServer
 from foxtailshunt.protocol.gen.ttypes import (
     AssentItem,
@@ -45,4 +45,5 @@
     "SyncRequest",
     "UpstreamReport",
     "ZoneVersion",
+    "is_quiet",
 ]
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -82,6 +82,10 @@
   4: required string witness_boot_id,
   5: required Fence table_fence,
   6: required list<AssentItem> items,
+  /* Rises with each request of this dispatcher; a release never undoes an assent asked for later. */
+  7: optional i64 sequence,
+  /* Upstreams that this dispatcher has stopped sending to for good under its earlier assents. */
+  8: optional list<string> released,
 }
 
 struct AssentReply {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -970,17 +970,21 @@
      - witness_boot_id
      - table_fence
      - items
+     - sequence
+     - released
 
     """
 
 
-    def __init__(self, zone=None, dispatcher_id=None, dispatcher_boot_id=None, witness_boot_id=None, table_fence=None, items=None,):
+    def __init__(self, zone=None, dispatcher_id=None, dispatcher_boot_id=None, witness_boot_id=None, table_fence=None, items=None, sequence=None, released=None,):
         self.zone = zone
         self.dispatcher_id = dispatcher_id
         self.dispatcher_boot_id = dispatcher_boot_id
         self.witness_boot_id = witness_boot_id
         self.table_fence = table_fence
         self.items = items
+        self.sequence = sequence
+        self.released = released
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1028,6 +1032,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.released = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.released.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1061,8 +1080,19 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter43 in self.items:
-                iter43.write(oprot)
+            for iter49 in self.items:
+                iter49.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 7)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.released is not None:
+            oprot.writeFieldBegin('released', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.released))
+            for iter50 in self.released:
+                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1127,10 +1157,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.granted = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.granted.append(_elem49)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.granted.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1157,8 +1187,8 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.granted))
-            for iter50 in self.granted:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter57 in self.granted:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_fence is not None:
@@ -1234,11 +1264,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.floors = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = AssentItem()
-                        _elem56.read(iprot)
-                        self.floors.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = AssentItem()
+                        _elem63.read(iprot)
+                        self.floors.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1267,8 +1297,8 @@
         if self.floors is not None:
             oprot.writeFieldBegin('floors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.floors))
-            for iter57 in self.floors:
-                iter57.write(oprot)
+            for iter64 in self.floors:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1479,11 +1509,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Header()
-                        _elem63.read(iprot)
-                        self.headers.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Header()
+                        _elem70.read(iprot)
+                        self.headers.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1553,8 +1583,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter64 in self.headers:
-                iter64.write(oprot)
+            for iter71 in self.headers:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1657,11 +1687,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Header()
-                        _elem70.read(iprot)
-                        self.headers.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = Header()
+                        _elem77.read(iprot)
+                        self.headers.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1705,8 +1735,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter71 in self.headers:
-                iter71.write(oprot)
+            for iter78 in self.headers:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1977,6 +2007,8 @@
     (4, TType.STRING, 'witness_boot_id', 'UTF8', None, ),  # 4
     (5, TType.STRUCT, 'table_fence', [Fence, None], None, ),  # 5
     (6, TType.LIST, 'items', (TType.STRUCT, [AssentItem, None], False), None, ),  # 6
+    (7, TType.I64, 'sequence', None, None, ),  # 7
+    (8, TType.LIST, 'released', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(AssentReply)
 AssentReply.thrift_spec = (
--- a/foxtailshunt/upstream/__init__.py
+++ b/foxtailshunt/upstream/__init__.py
@@ -3,6 +3,8 @@
 This package is the only code that knows the upstreams' protocol.
 """
 
+from foxtailshunt.upstream._directory import UpstreamDirectory
+from foxtailshunt.upstream._http_upstream import HttpUpstream
 from foxtailshunt.upstream._interface import (
     CancelOutcome,
     ClockReading,
@@ -20,8 +22,10 @@
     "ClockReading",
     "Grant",
     "GrantReply",
+    "HttpUpstream",
     "UpstreamClient",
     "UpstreamConnectionError",
+    "UpstreamDirectory",
     "WorkOutcome",
     "WorkReply",
     "WorkRequest",
