--- a/foxtailshunt/membership/_view.py
+++ b/foxtailshunt/membership/_view.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from foxtailshunt.config import Configuration, configuration_from_json
 from foxtailshunt.errors import DocumentError
@@ -10,6 +11,16 @@
 from foxtailshunt.telemetry import Metrics, log_state_change
 
 
+@dataclass(frozen=True, slots=True)
+class CfgRecord:
+    """A configuration document and its version."""
+
+    #: The version.
+    version: int
+    #: The content of the operators' file.
+    document: str
+
+
 class View:
     """Holds the newest documents that reached this process; safe to use from any thread.
 
@@ -24,7 +35,7 @@
         self._changed = threading.Condition()
         self._change_number = 0
         self._cfg: Configuration | None = None
-        self._cfg_document: str | None = None
+        self._cfg_record: CfgRecord | None = None
         self._tables: dict[str, Table] = {}
         self._table_documents: dict[str, str] = {}
         self._members: tuple[Member, ...] = ()
@@ -44,7 +55,13 @@
     @property
     def cfg_document(self) -> str | None:
         """Return the document of the configuration in force."""
-        return self._cfg_document
+        record = self._cfg_record
+        return record.document if record else None
+
+    @property
+    def cfg_record(self) -> CfgRecord | None:
+        """Return document and version of the configuration in force, which belong together."""
+        return self._cfg_record
 
     @property
     def members(self) -> tuple[Member, ...]:
@@ -98,7 +115,7 @@
         with self._changed:
             if version <= self.cfg_version:
                 return False
-            self._cfg_document = document
+            self._cfg_record = CfgRecord(version, document)
             self._cfg = cfg
             self._bump()
         self._metrics.set_gauge(
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -1,5 +1,6 @@
 """Clients of the inner protocol: one connection, and a pool of connections to one peer."""
 
+import logging
 import socket
 import struct
 import threading
@@ -17,6 +18,9 @@
 
 T = TypeVar("T")
 
+# The library logs each refused connection with a traceback; callers get the error and count it.
+logging.getLogger("thrift").setLevel(logging.CRITICAL)
+
 # l_onoff = 1, l_linger = 0: close() resets the connection and drops unsent data.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -55,6 +55,9 @@
   4: required i64 members_version,
   5: required i32 wait_ms,
   6: required list<UpstreamReport> reports,
+  /* Documents that the callee asked for in its last reply. */
+  7: optional string cfg_document,
+  8: optional list<string> table_documents,
 }
 
 struct SyncReply {
@@ -67,6 +70,11 @@
   6: required i64 members_version,
   7: optional list<Member> members,
   8: required i64 store_age_ms,
+  /* The callee's availability zone. */
+  9: optional string zone,
+  /* What the caller knows in a newer version and shall send with its next request. */
+  10: optional bool wants_cfg,
+  11: optional list<string> wanted_tables,
 }
 
 struct AssentItem {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -591,17 +591,21 @@
      - members_version
      - wait_ms
      - reports
+     - cfg_document
+     - table_documents
 
     """
 
 
-    def __init__(self, sender=None, cfg_version=None, tables=None, members_version=None, wait_ms=None, reports=None,):
+    def __init__(self, sender=None, cfg_version=None, tables=None, members_version=None, wait_ms=None, reports=None, cfg_document=None, table_documents=None,):
         self.sender = sender
         self.cfg_version = cfg_version
         self.tables = tables
         self.members_version = members_version
         self.wait_ms = wait_ms
         self.reports = reports
+        self.cfg_document = cfg_document
+        self.table_documents = table_documents
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -655,6 +659,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.cfg_document = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.table_documents = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.table_documents.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -676,8 +695,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter21 in self.tables:
-                iter21.write(oprot)
+            for iter27 in self.tables:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members_version is not None:
@@ -691,8 +710,19 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter22 in self.reports:
-                iter22.write(oprot)
+            for iter28 in self.reports:
+                iter28.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cfg_document is not None:
+            oprot.writeFieldBegin('cfg_document', TType.STRING, 7)
+            oprot.writeString(self.cfg_document.encode('utf-8') if sys.version_info[0] == 2 else self.cfg_document)
+            oprot.writeFieldEnd()
+        if self.table_documents is not None:
+            oprot.writeFieldBegin('table_documents', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.table_documents))
+            for iter29 in self.table_documents:
+                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -736,11 +766,14 @@
      - members_version
      - members
      - store_age_ms
+     - zone
+     - wants_cfg
+     - wanted_tables
 
     """
 
 
-    def __init__(self, boot_id=None, active=None, cfg_version=None, cfg_document=None, table_documents=None, members_version=None, members=None, store_age_ms=None,):
+    def __init__(self, boot_id=None, active=None, cfg_version=None, cfg_document=None, table_documents=None, members_version=None, members=None, store_age_ms=None, zone=None, wants_cfg=None, wanted_tables=None,):
         self.boot_id = boot_id
         self.active = active
         self.cfg_version = cfg_version
@@ -749,6 +782,9 @@
         self.members_version = members_version
         self.members = members
         self.store_age_ms = store_age_ms
+        self.zone = zone
+        self.wants_cfg = wants_cfg
+        self.wanted_tables = wanted_tables
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -782,10 +818,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.table_documents = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.table_documents.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.table_documents.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -797,11 +833,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype32, _size29) = iprot.readListBegin()
-                    for _i33 in range(_size29):
-                        _elem34 = Member()
-                        _elem34.read(iprot)
-                        self.members.append(_elem34)
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = Member()
+                        _elem41.read(iprot)
+                        self.members.append(_elem41)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -810,6 +846,26 @@
                     self.store_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.wants_cfg = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.wanted_tables = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted_tables.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -839,8 +895,8 @@
         if self.table_documents is not None:
             oprot.writeFieldBegin('table_documents', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.table_documents))
-            for iter35 in self.table_documents:
-                oprot.writeString(iter35.encode('utf-8') if sys.version_info[0] == 2 else iter35)
+            for iter48 in self.table_documents:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members_version is not None:
@@ -850,14 +906,29 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter36 in self.members:
-                iter36.write(oprot)
+            for iter49 in self.members:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_age_ms is not None:
             oprot.writeFieldBegin('store_age_ms', TType.I64, 8)
             oprot.writeI64(self.store_age_ms)
             oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 9)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.wants_cfg is not None:
+            oprot.writeFieldBegin('wants_cfg', TType.BOOL, 10)
+            oprot.writeBool(self.wants_cfg)
+            oprot.writeFieldEnd()
+        if self.wanted_tables is not None:
+            oprot.writeFieldBegin('wanted_tables', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.wanted_tables))
+            for iter50 in self.wanted_tables:
+                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1020,11 +1091,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = AssentItem()
-                        _elem42.read(iprot)
-                        self.items.append(_elem42)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = AssentItem()
+                        _elem56.read(iprot)
+                        self.items.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1061,8 +1132,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter43 in self.items:
-                iter43.write(oprot)
+            for iter57 in self.items:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1127,10 +1198,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.granted = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.granted.append(_elem49)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.granted.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1157,8 +1228,8 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.granted))
-            for iter50 in self.granted:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter64 in self.granted:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_fence is not None:
@@ -1234,11 +1305,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.floors = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = AssentItem()
-                        _elem56.read(iprot)
-                        self.floors.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = AssentItem()
+                        _elem70.read(iprot)
+                        self.floors.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1267,8 +1338,8 @@
         if self.floors is not None:
             oprot.writeFieldBegin('floors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.floors))
-            for iter57 in self.floors:
-                iter57.write(oprot)
+            for iter71 in self.floors:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1479,11 +1550,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Header()
-                        _elem63.read(iprot)
-                        self.headers.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = Header()
+                        _elem77.read(iprot)
+                        self.headers.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1553,8 +1624,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter64 in self.headers:
-                iter64.write(oprot)
+            for iter78 in self.headers:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1657,11 +1728,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Header()
-                        _elem70.read(iprot)
-                        self.headers.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = Header()
+                        _elem84.read(iprot)
+                        self.headers.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1705,8 +1776,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter71 in self.headers:
-                iter71.write(oprot)
+            for iter85 in self.headers:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1949,6 +2020,8 @@
     (4, TType.I64, 'members_version', None, None, ),  # 4
     (5, TType.I32, 'wait_ms', None, None, ),  # 5
     (6, TType.LIST, 'reports', (TType.STRUCT, [UpstreamReport, None], False), None, ),  # 6
+    (7, TType.STRING, 'cfg_document', 'UTF8', None, ),  # 7
+    (8, TType.LIST, 'table_documents', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(SyncReply)
 SyncReply.thrift_spec = (
@@ -1961,6 +2034,9 @@
     (6, TType.I64, 'members_version', None, None, ),  # 6
     (7, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 7
     (8, TType.I64, 'store_age_ms', None, None, ),  # 8
+    (9, TType.STRING, 'zone', 'UTF8', None, ),  # 9
+    (10, TType.BOOL, 'wants_cfg', None, None, ),  # 10
+    (11, TType.LIST, 'wanted_tables', (TType.STRING, 'UTF8', False), None, ),  # 11
 )
 all_structs.append(AssentItem)
 AssentItem.thrift_spec = (
