--- a/foxtailshunt/ownership/authority/_candidacy.py
+++ b/foxtailshunt/ownership/authority/_candidacy.py
@@ -1,7 +1,6 @@
 """Decides for which upstreams this dispatcher asks to be the sender."""
 
 import threading
-from collections.abc import Callable
 
 from foxtailshunt.membership import View
 from foxtailshunt.ownership._records import Table, UpstreamRow
@@ -9,9 +8,9 @@
 from foxtailshunt.ownership.authority._witness import ASSENT_LAPSE_S, Witness
 from foxtailshunt.timing import Clock
 
-#: Time that a dispatcher waits for each one listed before it once the holder seems gone, in seconds.
+#: Time that a dispatcher waits for each one listed before it, in seconds.
 TAKEOVER_STEP_S = 0.2
-#: Time for which a dispatcher that is not listed first asks without becoming the sender, in seconds.
+#: Time for which a dispatcher not listed first asks without becoming the sender, in seconds.
 CONTENTION_S = 0.3
 #: Time for which it then asks no more, so that what it was assented to lapses, in seconds.
 CONTENTION_BACKOFF_S = ASSENT_LAPSE_S
--- a/foxtailshunt/ownership/authority/_witness.py
+++ b/foxtailshunt/ownership/authority/_witness.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from foxtailshunt.errors import ResultCode
-from foxtailshunt.ownership.authority._messages import fence_from_message, fence_to_message
 from foxtailshunt.ownership._periods import ASSENT_PERIOD_S, surely_lapsed_after
 from foxtailshunt.ownership._records import ZERO_FENCE, Fence
+from foxtailshunt.ownership.authority._messages import fence_from_message, fence_to_message
 from foxtailshunt.protocol import AssentItem, AssentReply, AssentRequest, RefuseReply, RefuseRequest
 from foxtailshunt.telemetry import Metrics, log_state_change
 from foxtailshunt.timing import Clock
--- a/foxtailshunt/upstream/_answer_reader.py
+++ b/foxtailshunt/upstream/_answer_reader.py
@@ -3,8 +3,8 @@
 import io
 import socket
 import time
-from typing import Any
 from http.client import HTTPResponse
+from typing import Any
 
 
 class DeadlineSocket:
