Let an entry mark request ids that it drew itself

A dispatcher whose memory of an upstream is young answers MEMORY_TOO_YOUNG for each request that must not repeat, since the id may have run before. An id drawn by the entry for this one request has no earlier attempt, so such a request need not wait. Additive, optional, false by default.

--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -118,6 +118,8 @@
   12: required string target,
   13: required list<Header> headers,
   14: required binary body,
+  /* True if the entry drew the request id itself, so that no earlier request can carry it. */
+  15: optional bool drawn_by_entry = false,
 }
 
 struct ExecuteReply {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1386,11 +1386,12 @@
      - target
      - headers
      - body
+     - drawn_by_entry
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, operation=None, rank=None, key=None, slot=None, upstream_id=None, fence=None, attempt=None, remaining_ms=None, method=None, target=None, headers=None, body=None,):
+    def __init__(self, request_id=None, service_name=None, operation=None, rank=None, key=None, slot=None, upstream_id=None, fence=None, attempt=None, remaining_ms=None, method=None, target=None, headers=None, body=None, drawn_by_entry=False,):
         self.request_id = request_id
         self.service_name = service_name
         self.operation = operation
@@ -1405,6 +1406,7 @@
         self.target = target
         self.headers = headers
         self.body = body
+        self.drawn_by_entry = drawn_by_entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1492,6 +1494,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.drawn_by_entry = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1561,6 +1568,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 14)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.drawn_by_entry is not None:
+            oprot.writeFieldBegin('drawn_by_entry', TType.BOOL, 15)
+            oprot.writeBool(self.drawn_by_entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2016,6 +2027,7 @@
     (12, TType.STRING, 'target', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 13
     (14, TType.STRING, 'body', 'BINARY', None, ),  # 14
+    (15, TType.BOOL, 'drawn_by_entry', None, False, ),  # 15
 )
 all_structs.append(ExecuteReply)
 ExecuteReply.thrift_spec = (
