--- a/foxtailshunt/upstream/_answer_reader.py
+++ b/foxtailshunt/upstream/_answer_reader.py
@@ -17,13 +17,30 @@
     def __init__(self, sock: socket.socket, deadline: float) -> None:
         self._sock = sock
         self._deadline = deadline
+        self._reader: _AnswerReader | None = None
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return a buffered reader of the socket.
 
         :param mode: ignored; the reader is binary.
         """
-        return io.BufferedReader(_DeadlineReader(self._sock, self._deadline))
+        self._reader = _AnswerReader(_DeadlineReader(self._sock, self._deadline))
+        return self._reader
+
+    @property
+    def has_more(self) -> bool:
+        """Return whether bytes came after the end of the answer that was read."""
+        return self._reader is None or self._reader.has_more
+
+
+class _AnswerReader(io.BufferedReader):
+    has_more = False
+
+    def close(self) -> None:
+        if not self.closed:
+            self.raw.end()  # type: ignore[attr-defined]
+            self.has_more = bool(self.peek(1))
+        super().close()
 
 
 class _DeadlineReader(io.RawIOBase):
@@ -32,11 +49,17 @@
         self._sock = sock
         self._raw = sock.makefile("rb", buffering=0)
         self._deadline = deadline
+        self._ended = False
+
+    def end(self) -> None:
+        self._ended = True
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: Any) -> int | None:
+        if self._ended:
+            return None
         remaining_s = self._deadline - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError("the answer took too long")
--- a/foxtailshunt/upstream/_connection.py
+++ b/foxtailshunt/upstream/_connection.py
@@ -149,7 +149,7 @@
     def _read_answer(self, deadline: float) -> HttpAnswer:
         response = self._http.read_response(deadline)
         body = read_whole_body(response, MAX_ANSWER_BYTES)
-        if response.will_close:
+        if response.will_close or self._http.has_more:
             self.close()
         return HttpAnswer(response.status, tuple(response.getheaders()), body)
 
@@ -159,6 +159,11 @@
 
     _pending: list[bytes]
     _deadline: float
+    _source: DeadlineSocket | None = None
+
+    @property
+    def has_more(self) -> bool:
+        return self._source is None or self._source.has_more
 
     def buffer_request(self, req: HttpRequest) -> None:
         self._pending = []
@@ -184,5 +189,6 @@
         return http.client.HTTPConnection.getresponse(self)
 
     def response_class(self, sock: socket.socket, method: str) -> http.client.HTTPResponse:
-        reader: Any = DeadlineSocket(sock, self._deadline)
-        return http.client.HTTPResponse(reader, method=method)
+        self._source = DeadlineSocket(sock, self._deadline)
+        source: Any = self._source
+        return http.client.HTTPResponse(source, method=method)
