--- a/features/steps/witness_steps.py
+++ b/features/steps/witness_steps.py
@@ -4,7 +4,7 @@
 from behave.model import Row
 from behave.runner import Context
 
-from features.steps.ownership_fakes import FakeClock, fence_of
+from features.ownership_support import FakeClock, fence_of
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, Witness, fence_to_message
 from foxtailshunt.ownership.authority._witness import MAX_UPSTREAMS
