Serve requests by rank at the dispatcher

A request runs on its caller's thread: validated, met by the memory of request ids, queued by rank at its upstream, sent under the right to send, retried inside its deadline and budget. An exact limit holds for requests in flight; a slot whose request may still be at the upstream stays taken until the deadline there has surely passed.

A not-run result is returned only where no attempt may have run; a later refusal does not hide an earlier lost answer. The memory of a key counts from the moment at which the right to send for its slot was first seen in force without a gap, so that a key gained from another upstream's dispatcher, a lapsed right and a paused process all start it anew.

--- /dev/null
+++ b/features/dispatch.feature
@@ -0,0 +1,184 @@
+Feature: Running requests at an upstream
+
+  Background:
+    Given a dispatcher of one upstream
+
+  Scenario Outline: What an attempt's end means for a request
+    Given the upstream answers <attempts> and cancellations with <cancel>
+    When a request of <operation> comes
+    Then its code is <code> after <sends> sends and <cancels> cancellations
+
+    Examples: the request ran
+      | operation | attempts | cancel  | code | sends | cancels |
+      | check     | ran      | unknown | OK   | 1     | 0       |
+      | issue     | ran      | unknown | OK   | 1     | 0       |
+
+    Examples: proved not run; any request is retried
+      | operation | attempts           | cancel  | code                | sends | cancels |
+      | check     | refused ran        | unknown | OK                  | 2     | 0       |
+      | issue     | refused ran        | unknown | OK                  | 2     | 0       |
+      | issue     | shed ran           | unknown | OK                  | 2     | 0       |
+      | issue     | not-sent ran       | unknown | OK                  | 2     | 0       |
+      | check     | not-sent ran       | unknown | OK                  | 2     | 0       |
+      | issue     | expired            | unknown | TOO_LATE            | 1     | 0       |
+      | check     | expired ran        | unknown | OK                  | 2     | 0       |
+      | issue     | cancelled          | unknown | CANCELLED           | 1     | 0       |
+      | issue     | refused*9          | unknown | REFUSED_BY_UPSTREAM | 6     | 0       |
+      | check     | shed*9             | unknown | REFUSED_BY_UPSTREAM | 6     | 0       |
+      | check     | not-sent*9         | unknown | NO_OWNER            | 6     | 0       |
+
+    Examples: it may have run; only an idempotent request is retried
+      | operation | attempts           | cancel  | code                     | sends | cancels |
+      | check     | lost ran           | unknown | OK                       | 2     | 0       |
+      | issue     | lost ran           | unknown | UPSTREAM_CONNECTION_LOST | 1     | 1       |
+      | issue     | lost ran           | ran     | UPSTREAM_CONNECTION_LOST | 1     | 1       |
+      | issue     | lost ran           | fails   | UPSTREAM_CONNECTION_LOST | 1     | 1       |
+      | check     | mismatch ran       | unknown | OK                       | 2     | 0       |
+      | issue     | mismatch ran       | unknown | ANSWER_MISMATCH          | 1     | 1       |
+      | check     | silent ran         | unknown | OK                       | 2     | 0       |
+      | check     | silent*9           | unknown | DEADLINE_EXCEEDED        | 3     | 1       |
+      | issue     | silent ran         | unknown | DEADLINE_EXCEEDED        | 1     | 1       |
+      | issue     | silent ran         | ran     | DEADLINE_EXCEEDED        | 1     | 1       |
+      | issue     | silent ran         | fails   | DEADLINE_EXCEEDED        | 1     | 1       |
+      | check     | lost*9             | unknown | UPSTREAM_CONNECTION_LOST | 6     | 0       |
+
+    Examples: a cancellation that the upstream confirms proves that it was not run
+      | operation | attempts           | cancel    | code     | sends | cancels |
+      | issue     | silent             | cancelled | TOO_LATE | 1     | 1       |
+      | issue     | lost               | cancelled | TOO_LATE | 1     | 1       |
+      | issue     | mismatch           | cancelled | TOO_LATE | 1     | 1       |
+
+    Examples: an earlier attempt may have run, so a later refusal proves nothing
+      | operation | attempts           | cancel  | code                     | sends | cancels |
+      | check     | lost refused*9     | unknown | UPSTREAM_CONNECTION_LOST | 6     | 0       |
+      | check     | lost expired*9     | unknown | UPSTREAM_CONNECTION_LOST | 6     | 0       |
+      | check     | silent cancelled   | unknown | DEADLINE_EXCEEDED        | 2     | 0       |
+
+  Scenario Outline: Requests that are turned away without being sent
+    Given <condition>
+    When a request of <operation> comes
+    Then its code is <code> after 0 sends and 0 cancellations
+
+    Examples:
+      | condition                                  | operation | code             |
+      | no configuration                           | check     | NO_CONFIG        |
+      | the dispatcher stops                       | check     | STOPPING         |
+      | nothing                                    | absent    | NO_ROUTE         |
+      | no time left                               | check     | TOO_LATE         |
+      | another upstream id                        | check     | NO_OWNER         |
+      | a slot that the upstream does not own      | check     | NO_OWNER         |
+      | a request id that is no UUIDv7             | issue     | BAD_REQUEST      |
+      | a request id from the future               | issue     | BAD_REQUEST      |
+      | a request id older than the memory         | issue     | MEMORY_TOO_YOUNG |
+      | a request id older than the right          | issue     | MEMORY_TOO_YOUNG |
+      | a request id within the skew of the right  | issue     | MEMORY_TOO_YOUNG |
+      | the right missing as NO_OWNER              | check     | NO_OWNER         |
+      | the right missing as NOT_DISPATCHER        | check     | NOT_DISPATCHER   |
+      | the upstream leaving for 3 s               | check     | NO_OWNER         |
+
+  Scenario Outline: Conditions that do not turn a request away
+    Given <condition>
+    When a request of <operation> comes
+    Then its code is OK after 1 sends and 0 cancellations
+
+    Examples:
+      | condition                                      | operation |
+      | a request id that is no UUIDv7                 | check     |
+      | a request id within the skew drawn by the entry | issue    |
+      | the right missing for 1000 ms                  | check     |
+      | the upstream leaving for 1 s                   | check     |
+
+  Scenario Outline: The right lapses while the request is at the upstream
+    Given an upstream that <checks> fences and answers <answer> after the right lapsed
+    When a request of issue comes
+    Then its code is <code> after 1 sends and <cancels> cancellations
+
+    Examples:
+      | checks         | answer    | code          | cancels |
+      | checks         | ran       | OK            | 0       |
+      | does not check | ran       | ASSENT_LAPSED | 0       |
+      | does not check | cancelled | CANCELLED     | 0       |
+      | checks         | lost      | ASSENT_LAPSED | 1       |
+
+  Scenario Outline: A repeated request id meets its first
+    Given the upstream answers <attempts> and cancellations with unknown
+    When a request of <operation> comes <times> times under one id
+    Then the codes are <codes> after <sends> sends
+
+    Examples:
+      | operation | attempts    | times | codes                                             | sends |
+      | issue     | ran         | 3     | OK OK_REPEATED OK_REPEATED                        | 1     |
+      | issue     | lost        | 2     | UPSTREAM_CONNECTION_LOST UPSTREAM_CONNECTION_LOST | 1     |
+      | issue     | silent      | 2     | DEADLINE_EXCEEDED DEADLINE_EXCEEDED               | 1     |
+      | issue     | expired ran | 3     | TOO_LATE OK OK_REPEATED                           | 2     |
+      | check     | ran ran     | 2     | OK OK                                             | 2     |
+
+  Scenario: An id under which something else was asked
+    When a request of issue comes
+    And a request of issue for another key comes under the same id
+    Then its code is BAD_REQUEST after 1 sends and 0 cancellations
+
+  Scenario: A repeat of a running request waits and then says so
+    Given a request of issue is at the upstream
+    When it is repeated with 50 ms left
+    Then the repeat's code is STILL_RUNNING
+    And the first ends with OK after 1 sends
+
+  Scenario: A repeat of a running request gets its answer
+    Given a request of issue is at the upstream
+    When it is repeated with 10000 ms left and the first is answered
+    Then the repeat's code is OK_REPEATED
+    And the first ends with OK after 1 sends
+
+  Scenario: A lost right starts the memory anew
+    Given the upstream answers ran and cancellations with unknown
+    When the right is lost and obtained again
+    And a request of issue comes whose id is from before
+    Then its code is MEMORY_TOO_YOUNG after 0 sends and 0 cancellations
+
+  Scenario: A pause starts the memory anew
+    When the process is paused for 10 s
+    And a request of issue comes whose id is from before
+    Then its code is MEMORY_TOO_YOUNG after 0 sends and 0 cancellations
+
+  Scenario: A key gained from another upstream starts its memory anew
+    When the upstream gains the request's slot from another
+    And a request of issue comes whose id is from before
+    Then its code is MEMORY_TOO_YOUNG after 0 sends and 0 cancellations
+
+  Scenario: A known answer outlives a lost right
+    When a request of issue comes
+    And the right is lost and obtained again
+    And a request of issue comes again under the same id
+    Then its code is OK_REPEATED after 1 sends and 0 cancellations
+
+  Scenario: A waiting request is cancelled
+    Given a request of check is at the upstream
+    And another request of check waits
+    When the waiting request is cancelled
+    Then the cancellation's code is CANCELLED
+    And the waiting request ends with CANCELLED after 1 sends
+
+  Scenario: A waiting request's key moves away
+    Given a request of check is at the upstream
+    And another request of check waits
+    When the table takes its slot from the upstream
+    Then the waiting request ends with NO_OWNER after 1 sends
+
+  Scenario: A stop lets requests in progress end
+    Given a request of check is at the upstream
+    And another request of check waits
+    When the dispatcher drains while the requests are answered
+    Then the waiting request ends with OK after 2 sends
+
+  Scenario: The deadline on the upstream's clock
+    Given the upstream's clock was read 100 ms ago
+    When a request of issue comes with 1000 ms left
+    Then it is sent with a deadline of 1070 ms after the reading and a timeout of 970 ms
+
+  Scenario: Another incarnation of the upstream starts slowly
+    Given the upstream has 2 slots
+    When a request of check comes
+    And the upstream starts anew
+    And a request of check comes
+    Then 1 request may be in flight
