--- a/features/ownership_support/_fake_upstream.py
+++ b/features/ownership_support/_fake_upstream.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from foxtailshunt.ownership import ZERO_FENCE, Fence
+from features.ownership_support._fakes import FakeClock
+from foxtailshunt.ownership import ZERO_FENCE
 from foxtailshunt.timing import Clock
 from foxtailshunt.upstream import ClockReading, Grant, GrantReply, UpstreamConnectionError
 
@@ -31,7 +32,7 @@
         #: Slots of work in progress.
         self.working: set[int] = set()
         self.received: list[Grant] = []
-        self._highest_fence = ZERO_FENCE
+        self.highest_fence = ZERO_FENCE
         self._held: _Held | None = None
 
     @property
@@ -40,7 +41,7 @@
 
     def restart(self) -> None:
         self.boot_number += 1
-        self._highest_fence = ZERO_FENCE
+        self.highest_fence = ZERO_FENCE
         self._held = None
         self.working.clear()
 
@@ -57,14 +58,15 @@
         until_ms = self._until_ms(grant)
         if until_ms is None:
             return self._reply(False, received_at)
-        self._highest_fence = max(self._highest_fence, grant.fence)
+        self.highest_fence = max(self.highest_fence, grant.fence)
         held = self._held
-        if held is None or grant.fence != held.grant.fence or until_ms > held.until_ms:
+        is_late = held is not None and grant.fence == held.grant.fence and until_ms <= held.until_ms
+        if not (self.checks_fences and is_late):
             self._held = _Held(grant, until_ms)
         return self._reply(self._now_ms() < until_ms, received_at)
 
     def _may_take(self, grant: Grant) -> bool:
-        return grant.fence >= self._highest_fence or not self.checks_fences
+        return grant.fence >= self.highest_fence or not self.checks_fences
 
     def _until_ms(self, grant: Grant) -> float | None:
         if not self.checks_fences:
@@ -78,12 +80,14 @@
         released = not self.checks_fences or self.working <= held
         reading = ClockReading(self.boot_id, int(self._now_ms()), received_at)
         return GrantReply(
-            accepted, accepted and released, self._fence(), reading, self.draining, self.warming
+            accepted,
+            accepted and released,
+            self.highest_fence,
+            reading,
+            self.draining,
+            self.warming,
         )
 
-    def _fence(self) -> Fence:
-        return self._highest_fence
-
     def _now_ms(self) -> float:
         return self.clock.now() * _MS_PER_S
 
@@ -95,17 +99,31 @@
     :param clock: the dispatcher's clock, moved by a timeout.
     """
 
-    def __init__(self, upstream: FakeUpstream, clock: Clock) -> None:
+    def __init__(self, upstream: FakeUpstream, clock: FakeClock) -> None:
+        #: Time that the next call takes, in seconds.
+        self.duration_s = 0.0
         self.address = ("127.0.0.1", 9000)
         self.fault = ""
+        #: Grants left in the sockets of a frozen upstream.
+        self.left: list[Grant] = []
         self._upstream = upstream
         self._clock = clock
 
+    def thaw(self) -> None:
+        """Let the upstream read what was left in its sockets."""
+        self.fault = ""
+        for grant in self.left:
+            self._upstream.take(grant, self._clock.now())
+        self.left.clear()
+
     def send_grant(self, grant: Grant, timeout_s: float) -> GrantReply:
         if self.fault == "refuses":
             raise UpstreamConnectionError("refused", sent=False, refused=True)
         if self.fault == "is frozen":
+            self.left.append(grant)
             raise UpstreamConnectionError("timeout", sent=True, refused=False)
+        self._clock.time += self.duration_s
+        self.duration_s = 0.0
         reply = self._upstream.take(grant, self._clock.now())
         if self.fault == "loses answers":
             raise UpstreamConnectionError("timeout", sent=True, refused=False)
