Add the platform client, and stand-ins for the platform and upstreams

Nothing could be run without a platform and upstreams to meet. The client implements Platform over HTTP and tells apart calls without effect, calls with one, and calls of which this is unknown; every close of its connections is a reset, so that the kernel delivers no call that was given up. As the HTTP shape gives no revision in the answer to a compare-and-swap, the client reads it back.

The stand-ins keep what docs/INTERFACES.md says, take faults over HTTP, and the upstream records grants and runs for a checker.

--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -3,6 +3,17 @@
 This package is the only code that knows the platform's protocol.
 """
 
+from foxtailshunt.platform._ambiguous_write import write_with_token
+from foxtailshunt.platform._backoff import Backoff
+from foxtailshunt.platform._http_platform import HttpPlatform
 from foxtailshunt.platform._interface import InstanceState, InstanceStatus, Platform, StoreRecord
 
-__all__ = ["InstanceState", "InstanceStatus", "Platform", "StoreRecord"]
+__all__ = [
+    "Backoff",
+    "HttpPlatform",
+    "InstanceState",
+    "InstanceStatus",
+    "Platform",
+    "StoreRecord",
+    "write_with_token",
+]
--- /dev/null
+++ b/standins/http/__init__.py
@@ -0,0 +1,27 @@
+"""The small HTTP server that the stand-ins share."""
+
+from standins.http._answers import (
+    Answer,
+    CutAnswer,
+    DroppedAnswer,
+    SilentAnswer,
+    WholeAnswer,
+    json_answer,
+)
+from standins.http._process import AddressParam, serve_until_terminated
+from standins.http._request import Request
+from standins.http._server import Handler, HttpServer
+
+__all__ = [
+    "AddressParam",
+    "Answer",
+    "CutAnswer",
+    "DroppedAnswer",
+    "Handler",
+    "HttpServer",
+    "Request",
+    "SilentAnswer",
+    "WholeAnswer",
+    "json_answer",
+    "serve_until_terminated",
+]
--- /dev/null
+++ b/standins/http/_request.py
@@ -0,0 +1,41 @@
+"""One HTTP request as a handler sees it."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One whole HTTP request."""
+
+    #: HTTP method.
+    method: str
+    #: Path without the query.
+    path: str
+    #: Query as it came, without the question mark.
+    query: str
+    #: Headers by lower-case name.
+    headers: dict[str, str]
+    #: Body.
+    body: bytes
+    #: IP number that the connection comes from.
+    caller_ip: str
+
+    def query_value(self, name: str) -> str | None:
+        """Return the first value of a query parameter, or None.
+
+        :param name: the parameter.
+        """
+        return parse_qs(self.query).get(name, [None])[0]
+
+    def json_body(self) -> dict[str, Any]:
+        """Return the JSON object in the body; an empty body is an empty object.
+
+        :raises ValueError: the body is no JSON object.
+        """
+        value = json.loads(self.body or b"{}")
+        if not isinstance(value, dict):
+            raise ValueError("the body is no JSON object")
+        return value
--- /dev/null
+++ b/standins/http/_server.py
@@ -0,0 +1,159 @@
+"""An HTTP server on cheroot whose handler may also drop, cut or withhold answers."""
+
+import select
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from functools import singledispatch
+from http.client import responses
+
+from cheroot.server import Gateway, HTTPRequest, HTTPServer
+
+from standins.http._answers import Answer, CutAnswer, DroppedAnswer, SilentAnswer, WholeAnswer
+from standins.http._request import Request
+
+#: Called on the connection's worker thread for each request.
+Handler = Callable[[Request], Answer]
+
+_IDLE_TIMEOUT_S = 300
+_LISTEN_BACKLOG = 512
+_MAX_HEADER_BYTES = 65_536
+_PRUNE_EVERY = 32
+# l_onoff = 1, l_linger = 0: close() resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class HttpServer:
+    """Serves a handler over HTTP/1.1 with keep-alive.
+
+    :param address: host and port; port 0 takes a free one.
+    :param handler: answers requests; called from many threads.
+    :param threads: number of worker threads, which bounds the requests answered at one time.
+    """
+
+    def __init__(self, address: tuple[str, int], handler: Handler, threads: int) -> None:
+        self._withheld = _WithheldConnections()
+        self._server = HTTPServer(address, _gateway_class(handler, self._withheld), threads)
+        self._server.timeout = _IDLE_TIMEOUT_S
+        self._server.request_queue_size = _LISTEN_BACKLOG
+        self._server.max_request_header_size = _MAX_HEADER_BYTES
+        self._server.keep_alive_conn_limit = None
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port that the server listens on."""
+        host, port = self._server.bind_addr[:2]
+        return host, port
+
+    def start(self) -> None:
+        """Start serving on threads of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting, let requests in progress end, close all connections."""
+        self._server.stop()
+        self._thread.join()
+        self._withheld.reset_all()
+
+    def reset_withheld(self) -> None:
+        """Reset the connections that a :class:`SilentAnswer` left open."""
+        self._withheld.reset_all()
+
+
+class _WithheldConnections:
+    """Sockets that stay open without an answer."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._sockets: list[socket.socket] = []
+
+    def add(self, sock: socket.socket) -> None:
+        with self._lock:
+            self._sockets.append(sock)
+            if len(self._sockets) % _PRUNE_EVERY == 0:
+                self._prune()
+
+    def reset_all(self) -> None:
+        with self._lock:
+            sockets = self._sockets
+            self._sockets = []
+        for sock in sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sock.close()
+
+    def _prune(self) -> None:
+        poll = select.poll()
+        for sock in self._sockets:
+            poll.register(sock, select.POLLRDHUP)
+        closed = {number for number, _ in poll.poll(0)}
+        for sock in self._sockets:
+            if sock.fileno() in closed:
+                sock.close()
+        self._sockets = [sock for sock in self._sockets if sock.fileno() >= 0]
+
+
+def _gateway_class(handler: Handler, withheld: _WithheldConnections) -> type[Gateway]:
+    class HandlerGateway(Gateway):
+        def respond(self) -> None:
+            req = self.req
+            answer = handler(_read_request(req))
+            req.sent_headers = True
+            _send(answer, req, withheld)
+
+    return HandlerGateway
+
+
+def _read_request(req: HTTPRequest) -> Request:
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in req.inheaders.items()
+    }
+    return Request(
+        method=req.method.decode("latin-1"),
+        path=req.path.decode(),
+        query=req.qs.decode("latin-1"),
+        headers=headers,
+        body=req.rfile.read(),
+        caller_ip=req.conn.remote_addr,
+    )
+
+
+@singledispatch
+def _send(answer: Answer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    raise TypeError(f"no way to send {type(answer).__name__}")
+
+
+@_send.register
+def _(answer: WholeAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    req.conn.wfile.write(_head(answer, req.close_connection) + answer.body)
+
+
+@_send.register
+def _(answer: CutAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    body = answer.whole.body
+    req.close_connection = True
+    req.conn.wfile.write(_head(answer.whole, False) + body[: len(body) // 2])
+
+
+@_send.register
+def _(answer: DroppedAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    req.close_connection = True
+
+
+@_send.register
+def _(answer: SilentAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    req.close_connection = True
+    req.conn.linger = True
+    withheld.add(req.conn.socket)
+
+
+def _head(answer: WholeAnswer, close: bool) -> bytes:
+    lines = [f"HTTP/1.1 {answer.status} {responses.get(answer.status, 'Unknown')}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    lines.append(f"Content-Length: {len(answer.body)}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
