--- a/features/ownership_support/__init__.py
+++ b/features/ownership_support/__init__.py
@@ -4,6 +4,7 @@
 from features.ownership_support._fake_upstream import FakeClient, FakeUpstream
 from features.ownership_support._fakes import FakeClock, FakeLoad, fence_of
 from features.ownership_support._rig import DispatcherRig
+from features.ownership_support._scripted_assigner import ScriptedAssigner, random_host
 
 __all__ = [
     "ZONE",
@@ -12,8 +13,10 @@
     "FakeClock",
     "FakeLoad",
     "FakeUpstream",
+    "ScriptedAssigner",
     "config_document",
     "fence_of",
+    "random_host",
     "row_of",
     "table_document",
 ]
--- a/features/ownership_support/_documents.py
+++ b/features/ownership_support/_documents.py
@@ -10,21 +10,26 @@
 SLOT_COUNT = 16
 
 
-def config_document(upstreams: Iterable[str], checks_fences: bool = True) -> str:
-    """Return a configuration of one service whose operations last at most 0.5 s."""
+def config_document(
+    upstreams: Iterable[str],
+    checks_fences: bool = True,
+    deadline_ms: int = 500,
+    addresses: dict[str, str] | None = None,
+) -> str:
+    """Return a configuration of one service with one operation."""
     operation = {
         "name": "issue",
         "method": "POST",
         "path": "/beacons/{key}",
         "rank": "careful",
         "idempotent": False,
-        "deadline_ms": 500,
+        "deadline_ms": deadline_ms,
     }
     models = [
         {
             "id": upstream_id,
             "zone": ZONE,
-            "address": f"127.0.0.1:{9000 + number}",
+            "address": (addresses or {}).get(upstream_id, f"127.0.0.1:{9000 + number}"),
             "checks_fences": checks_fences,
         }
         for number, upstream_id in enumerate(upstreams)
--- a/foxtailshunt/dispatcher/_authority.py
+++ b/foxtailshunt/dispatcher/_authority.py
@@ -136,6 +136,9 @@
         """Return the state for operators."""
         return {"witness": self.witness.dump(), "upstreams": self._dump_upstreams()}
 
+    def _wake_grant(self, upstream_id: str) -> None:
+        self._grants.wake(upstream_id)
+
     def _dump_upstreams(self) -> dict[str, object]:
         table = self._view.table(self._zone)
         upstream_ids = sorted(table.rows) if table else []
