--- a/foxtailshunt/config/_address.py
+++ b/foxtailshunt/config/_address.py
@@ -14,9 +14,7 @@
     :raises ValueError: the text is not an address.
     """
     host, separator, port = text.rpartition(":")
-    octets = host.split(".")
-    valid_host = len(octets) == 4 and all(o.isdigit() and int(o) < 256 for o in octets)
-    if not separator or not valid_host:
+    if not separator or not _is_host(host):
         raise ValueError(f"'{text}' is not an IPv4 address and port such as 127.0.0.1:8080")
     if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
         raise ValueError(f"'{text}' has no port from 1 to {_MAX_PORT}")
@@ -31,6 +29,17 @@
     return f"{address[0]}:{address[1]}"
 
 
+def _is_host(text: str) -> bool:
+    octets = text.split(".")
+    return len(octets) == 4 and all(o.isdigit() and int(o) < 256 for o in octets)
+
+
+def _check_host(text: str) -> str:
+    if not _is_host(text):
+        raise ValueError(f"'{text}' is not an IPv4 number such as 127.0.0.1")
+    return text
+
+
 def _check_address(text: str) -> str:
     parse_address(text)
     return text
@@ -38,3 +47,6 @@
 
 #: A validated ``host:port`` text in a model.
 AddressText = Annotated[str, AfterValidator(_check_address)]
+
+#: A validated IP number in a model.
+HostText = Annotated[str, AfterValidator(_check_host)]
--- a/foxtailshunt/config/_settings.py
+++ b/foxtailshunt/config/_settings.py
@@ -5,7 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from foxtailshunt.config._address import AddressText, parse_address
+from foxtailshunt.config._address import AddressText, HostText, parse_address
 from foxtailshunt.config._file import Name, describe_validation_error
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.ownership import Address
@@ -20,6 +20,13 @@
     listen: AddressText
     #: Where the program serves operators.
     operator: AddressText
+    #: The address that others are told to use, where it is not ``listen``.
+    advertise: AddressText | None = None
+
+    @property
+    def advertised_address(self) -> Address:
+        """Return the address that peers use as host and port."""
+        return parse_address(self.advertise or self.listen)
 
     @property
     def listen_address(self) -> Address:
@@ -51,6 +58,8 @@
     platform: Annotated[tuple[AddressText, ...], Field(min_length=1, strict=False)]
     #: Addresses of assigners to contact first, of any zone.
     peers: Annotated[tuple[AddressText, ...], Field(strict=False)] = ()
+    #: The IP number that outgoing connections come from; None leaves it to the system.
+    source_host: HostText | None = None
 
     @property
     def platform_addresses(self) -> tuple[Address, ...]:
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -26,10 +26,14 @@
 
     :param service: the generated service module, for example ``gen.Dispatcher``.
     :param address: host and port of the peer.
+    :param source_host: the IP number that the connection comes from; None leaves it to the system.
     """
 
-    def __init__(self, service: ModuleType, address: tuple[str, int]) -> None:
+    def __init__(
+        self, service: ModuleType, address: tuple[str, int], source_host: str | None = None
+    ) -> None:
         self.address = address
+        self._source = (source_host, 0) if source_host else None
         self._socket = TSocket(*address)
         self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
         self._client = service.Client(TCompactProtocol(self._transport))
@@ -39,12 +43,12 @@
 
         :raises PeerUnreachableError: nothing was sent.
         """
-        self._socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
         try:
-            self._transport.open()
-            self._socket.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except (TException, OSError) as exc:
+            handle = socket.create_connection(self.address, CONNECT_TIMEOUT_S, self._source)
+        except OSError as exc:
             raise PeerUnreachableError(f"cannot connect to {self.address}: {exc}", sent=False)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket.setHandle(handle)
 
     def call(self, method: str, req: Any, timeout_s: float) -> Any:
         """Send one request and wait for its reply.
@@ -83,9 +87,11 @@
 
     :param service: the generated service module.
     :param max_idle: idle connections kept for each peer.
+    :param source_host: the IP number that connections come from; None leaves it to the system.
     """
 
-    def __init__(self, service: ModuleType, max_idle: int) -> None:
+    def __init__(self, service: ModuleType, max_idle: int, source_host: str | None = None) -> None:
+        self._source_host = source_host
         self._service = service
         self._max_idle = max_idle
         self._lock = threading.Lock()
@@ -130,7 +136,7 @@
                 idle = self._idle.get(address)
                 client = idle.pop() if idle else None
             if client is None:
-                client = PeerClient(self._service, address)
+                client = PeerClient(self._service, address, self._source_host)
                 client.open()
                 return client
             if client_is_quiet(client):
--- /dev/null
+++ b/standins/fleet/__init__.py
@@ -0,0 +1,15 @@
+"""Starts whole fleets of stand-ins and programs as plain processes on loopback."""
+
+from standins.fleet._fleet import Fleet, FleetOptions
+from standins.fleet._layout import InstanceLayout, Layout, UpstreamLayout
+from standins.fleet._process import ManagedProcess, ProcessFailedError
+
+__all__ = [
+    "Fleet",
+    "FleetOptions",
+    "InstanceLayout",
+    "Layout",
+    "ManagedProcess",
+    "ProcessFailedError",
+    "UpstreamLayout",
+]
--- /dev/null
+++ b/standins/fleet/_process.py
@@ -0,0 +1,107 @@
+"""One child process of a fleet."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+
+
+class ProcessFailedError(Exception):
+    """A process of the fleet ended or did not become ready.
+
+    :param name: name of the process.
+    :param detail: the end of its log.
+    """
+
+    def __init__(self, name: str, detail: str) -> None:
+        super().__init__(f"{name} failed:\n{detail}")
+
+
+class ManagedProcess:
+    """A process that the fleet started; signals go to it by process id.
+
+    :param name: unique in the fleet; names the log file.
+    :param arguments: arguments of the Python interpreter.
+    :param log_dir: where its standard error goes.
+    """
+
+    def __init__(self, name: str, arguments: list[str], log_dir: Path) -> None:
+        self.name = name
+        self._arguments = arguments
+        self._log_path = log_dir / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._frozen = False
+
+    @property
+    def pid(self) -> int:
+        """Return the process id of the running process."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process is running."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while running."""
+        return self._process.poll() if self._process else None
+
+    def start(self) -> None:
+        """Start the process."""
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *self._arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=_ROOT,
+            )
+        self._frozen = False
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.running:
+            self._process.kill()
+        self._wait()
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully; does not wait."""
+        if self.running:
+            self._process.terminate()
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        os.kill(self.pid, signal.SIGSTOP)
+        self._frozen = True
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+        self._frozen = False
+
+    def wait(self, timeout_s: float) -> int:
+        """Wait for the end of the process.
+
+        :param timeout_s: longest wait in seconds.
+        :returns: the exit code.
+        :raises ProcessFailedError: the process is still running.
+        """
+        try:
+            return self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise ProcessFailedError(self.name, f"still running after {timeout_s} s")
+
+    def log(self) -> str:
+        """Return what the process has written to its log."""
+        if not self._log_path.exists():
+            return ""
+        return self._log_path.read_text(encoding="utf-8", errors="replace")
+
+    def _wait(self) -> None:
+        if self._process is not None:
+            self._process.wait()
