--- /dev/null
+++ b/standins/load/__main__.py
@@ -0,0 +1,18 @@
+"""A load process: reads a specification on standard input, writes its result on standard output."""
+
+import json
+import sys
+
+from standins.load._sender import Sender
+from standins.load._spec import load_spec_from_json
+
+
+def main() -> None:
+    """Run one load process."""
+    sender = Sender(load_spec_from_json(sys.stdin.read()))
+    summaries = sender.run()
+    print(json.dumps({name: summary.to_dict() for name, summary in summaries.items()}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/traffic/__init__.py
@@ -0,0 +1,18 @@
+"""Callers: single requests, replay of recorded traces, and load."""
+
+from standins.traffic._caller import Answer, Caller, CallerRequest, OperationCatalog
+from standins.traffic._request_id import new_request_id
+from standins.traffic._trace import ReplayResult, TraceLine, count_by_code, read_trace, replay_trace
+
+__all__ = [
+    "Answer",
+    "Caller",
+    "CallerRequest",
+    "OperationCatalog",
+    "ReplayResult",
+    "TraceLine",
+    "count_by_code",
+    "new_request_id",
+    "read_trace",
+    "replay_trace",
+]
--- /dev/null
+++ b/standins/traffic/_caller.py
@@ -0,0 +1,180 @@
+"""One caller: sends requests to an entry and checks that each answer is whole and its own."""
+
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+
+from foxtailshunt.errors import Family, ResultCode, family_of
+from foxtailshunt.ownership import Address
+
+_CONNECT_TIMEOUT_S = 2.0
+_ANSWER_MARGIN_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request of a caller."""
+
+    #: Name of the service.
+    service: str
+    #: Name of the operation.
+    operation: str
+    #: The key.
+    key: str
+    #: Named in ``X-Request-Id``; None leaves it to the entry.
+    request_id: str | None
+    #: Body.
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got."""
+
+    #: The numbered code, or None if no HTTP answer arrived.
+    code: ResultCode | None
+    #: HTTP status; 0 if no answer arrived.
+    status: int
+    #: The upstream that ran the request, where it ran.
+    owner: str
+    #: Number of the run at the upstream, where it ran.
+    run: int
+    #: True unless the answer belongs to another request or is cut short.
+    right: bool
+    #: Time from sending to the whole answer, in seconds.
+    elapsed_s: float
+    #: What was wrong or what the entry said.
+    detail: str
+
+    @property
+    def family(self) -> Family:
+        """Return what the answer says about the request's effect."""
+        return family_of(self.code) if self.code is not None else Family.UNKNOWN
+
+
+class OperationCatalog:
+    """Methods, paths, ranks and deadlines by service and operation, from a configuration file.
+
+    :param document: the configuration file's content.
+    """
+
+    def __init__(self, document: str) -> None:
+        self._operations: dict[tuple[str, str], dict[str, Any]] = {}
+        for service in json.loads(document)["services"]:
+            for operation in service["operations"]:
+                self._operations[service["name"], operation["name"]] = operation
+
+    def method_and_path(self, req: CallerRequest) -> tuple[str, str]:
+        """Return the method and target of a request; a path that nobody serves if it is unknown.
+
+        :param req: the request.
+        """
+        operation = self._operations.get((req.service, req.operation))
+        if operation is None:
+            return "GET", f"/{req.operation}/{req.key}"
+        return operation["method"], operation["path"].replace("{key}", req.key)
+
+    def rank(self, req: CallerRequest) -> str:
+        """Return the rank of a request; empty if its operation is unknown.
+
+        :param req: the request.
+        """
+        operation = self._operations.get((req.service, req.operation))
+        return operation["rank"] if operation else ""
+
+    def deadline_s(self, req: CallerRequest) -> float:
+        """Return the deadline of a request in seconds.
+
+        :param req: the request.
+        """
+        operation = self._operations.get((req.service, req.operation))
+        return operation["deadline_ms"] / 1000 if operation else _ANSWER_MARGIN_S
+
+    def idempotent(self, req: CallerRequest) -> bool:
+        """Return whether a request may run more than once.
+
+        :param req: the request.
+        """
+        operation = self._operations.get((req.service, req.operation))
+        return bool(operation and operation["idempotent"])
+
+
+class Caller:
+    """Sends requests to one entry over keep-alive connections; safe to use from any thread.
+
+    :param entry: the entry's address.
+    :param catalog: the operations.
+    :param connections: most connections kept.
+    """
+
+    def __init__(self, entry: Address, catalog: OperationCatalog, connections: int = 1) -> None:
+        self._catalog = catalog
+        self._pool = urllib3.HTTPConnectionPool(
+            entry[0], entry[1], maxsize=connections, retries=False
+        )
+
+    def send(self, req: CallerRequest) -> Answer:
+        """Send a request and wait for the whole answer.
+
+        :param req: the request.
+        """
+        method, path = self._catalog.method_and_path(req)
+        headers = {"X-Request-Id": req.request_id} if req.request_id else {}
+        read_s = self._catalog.deadline_s(req) + _ANSWER_MARGIN_S
+        started = time.monotonic()
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=req.body or None,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=read_s),
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            elapsed_s = time.monotonic() - started
+            return Answer(None, 0, "", 0, True, elapsed_s, f"{type(exc).__name__}: {exc}")
+        elapsed_s = time.monotonic() - started
+        return _check_answer(req, response, elapsed_s)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+
+def _check_answer(
+    req: CallerRequest, response: urllib3.BaseHTTPResponse, elapsed_s: float
+) -> Answer:
+    code_text = response.headers.get("X-Result-Code", "")
+    if not code_text.isdigit():
+        detail = f"HTTP {response.status} without a result code"
+        return Answer(None, response.status, "", 0, True, elapsed_s, detail)
+    code = ResultCode(int(code_text))
+    answered_id = response.headers.get("X-Request-Id", "")
+    if req.request_id is not None and answered_id != req.request_id:
+        return Answer(code, response.status, "", 0, False, elapsed_s, f"id {answered_id}")
+    if family_of(code) is not Family.RAN:
+        detail = response.data.decode(errors="replace")
+        return Answer(code, response.status, "", 0, True, elapsed_s, detail)
+    return _check_body(req, code, response, answered_id, elapsed_s)
+
+
+def _check_body(
+    req: CallerRequest,
+    code: ResultCode,
+    response: urllib3.BaseHTTPResponse,
+    answered_id: str,
+    elapsed_s: float,
+) -> Answer:
+    try:
+        body = json.loads(response.data)
+        wanted = (req.key, answered_id, hashlib.sha256(req.body).hexdigest())
+        got = (body["key"], body["request_id"], body["body_sha256"])
+        owner, run = body["upstream"], body["run"]
+    except (ValueError, KeyError, TypeError) as exc:
+        return Answer(code, response.status, "", 0, False, elapsed_s, f"malformed body: {exc}")
+    detail = "" if got == wanted else f"answer to another request: {got}"
+    return Answer(code, response.status, owner, run, got == wanted, elapsed_s, detail)
--- /dev/null
+++ b/standins/traffic/_trace.py
@@ -0,0 +1,150 @@
+"""Recorded traces of callers' requests, and their replay against stated outcomes."""
+
+import json
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.ownership import Address
+from standins.traffic._caller import Answer, Caller, CallerRequest, OperationCatalog
+from standins.traffic._request_id import new_request_id
+
+_WORKERS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class TraceLine:
+    """One recorded request and its stated outcome."""
+
+    #: Milliseconds after the start of the trace.
+    at_ms: int
+    #: Who called.
+    caller: str
+    #: Name of the service.
+    service: str
+    #: Name of the operation.
+    operation: str
+    #: The key.
+    key: str
+    #: Name of the expected result code.
+    expect: str
+    #: Index of the line whose request id is sent again, or None.
+    repeat_of: int | None = None
+    #: A request id to send as it stands, or None to draw one.
+    request_id: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayResult:
+    """What became of one line."""
+
+    #: The line.
+    line: TraceLine
+    #: The answer.
+    answer: Answer
+
+    @property
+    def as_stated(self) -> bool:
+        """Return whether the answer is the caller's own, whole, and of the stated code."""
+        code = self.answer.code
+        return self.answer.right and code is not None and code.name == self.line.expect
+
+
+def read_trace(path: Path) -> list[TraceLine]:
+    """Read a trace of one JSON object a line.
+
+    :param path: the file.
+    """
+    with path.open(encoding="utf-8") as lines:
+        return [TraceLine(**json.loads(line)) for line in lines if line.strip()]
+
+
+def replay_trace(
+    trace: list[TraceLine],
+    entries: list[Address],
+    catalog: OperationCatalog,
+    on_result: Callable[[ReplayResult], None],
+    seed: int,
+) -> list[ReplayResult]:
+    """Send each line at its time, entry by entry in turn; a repeat goes to another entry.
+
+    A repeat is sent once the line that it repeats was answered.
+
+    :param trace: the lines.
+    :param entries: callers' addresses of the entries.
+    :param catalog: the operations.
+    :param on_result: called for each line in order of completion.
+    :param seed: of the request ids.
+    :returns: a result for each line, in the order of the trace.
+    """
+    replay = _Replay(trace, entries, catalog, on_result, seed)
+    return replay.run()
+
+
+class _Replay:
+    def __init__(
+        self,
+        trace: list[TraceLine],
+        entries: list[Address],
+        catalog: OperationCatalog,
+        on_result: Callable[[ReplayResult], None],
+        seed: int,
+    ) -> None:
+        self._trace = trace
+        self._callers = [Caller(entry, catalog, _WORKERS) for entry in entries]
+        self._on_result = on_result
+        self._random = random.Random(seed)
+        self._futures: list[Future[ReplayResult]] = []
+        self._ids: list[str] = []
+        self._lock = threading.Lock()
+
+    def run(self) -> list[ReplayResult]:
+        started = time.monotonic()
+        with ThreadPoolExecutor(_WORKERS) as pool:
+            for index, line in self._paced(started):
+                self._ids.append(self._request_id_of(line))
+                self._futures.append(pool.submit(self._send, index, line))
+            results = [future.result() for future in self._futures]
+        for caller in self._callers:
+            caller.close()
+        return results
+
+    def _paced(self, started: float) -> Iterator[tuple[int, TraceLine]]:
+        for index, line in enumerate(self._trace):
+            delay_s = started + line.at_ms / 1000 - time.monotonic()
+            if delay_s > 0:
+                time.sleep(delay_s)
+            yield index, line
+
+    def _request_id_of(self, line: TraceLine) -> str:
+        if line.repeat_of is not None:
+            return self._ids[line.repeat_of]
+        return line.request_id or new_request_id(self._random)
+
+    def _send(self, index: int, line: TraceLine) -> ReplayResult:
+        if line.repeat_of is not None:
+            self._futures[line.repeat_of].result()
+        caller = self._callers[index % len(self._callers)]
+        req = CallerRequest(line.service, line.operation, line.key, self._ids[index])
+        result = ReplayResult(line, caller.send(req))
+        with self._lock:
+            self._on_result(result)
+        return result
+
+
+def count_by_code(results: list[ReplayResult]) -> dict[str, int]:
+    """Return how many results have each code.
+
+    :param results: the results.
+    """
+    counts: dict[str, int] = {}
+    for result in results:
+        code: ResultCode | None = result.answer.code
+        name = code.name if code is not None else "NO_ANSWER"
+        counts[name] = counts.get(name, 0) + 1
+    return counts
