--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -3,7 +3,6 @@
 import sys
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
 import click
 
 from standins.fleet import Fleet, FleetOptions
