--- a/standins/fleet/__init__.py
+++ b/standins/fleet/__init__.py
@@ -3,6 +3,7 @@
 from standins.fleet._fleet import Fleet, FleetOptions
 from standins.fleet._layout import InstanceLayout, Layout, UpstreamLayout
 from standins.fleet._process import ManagedProcess, ProcessFailedError
+from standins.fleet._wait import wait_for
 
 __all__ = [
     "Fleet",
@@ -12,4 +13,5 @@
     "ManagedProcess",
     "ProcessFailedError",
     "UpstreamLayout",
+    "wait_for",
 ]
--- /dev/null
+++ b/standins/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system; run by ``scripts/measure``."""
--- /dev/null
+++ b/standins/measuring/__main__.py
@@ -0,0 +1,47 @@
+"""The command line of ``scripts/measure``."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+
+from standins.measuring._churn import measure_churn
+from standins.measuring._ownership import measure_ownership
+from standins.measuring._service import measure_service
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+
+Measurement = Callable[[Path, Callable[[str], None]], dict]
+
+
+@click.group()
+def main() -> None:
+    """Measure the system; the last line of the output is one JSON object."""
+
+
+def _run(measurement: Measurement) -> None:
+    result = measurement(_ROOT, lambda line: click.echo(line, err=True))
+    click.echo(json.dumps(result))
+
+
+@main.command()
+def ownership() -> None:
+    """Losses, overlaps, configuration, balance and store calls."""
+    _run(measure_ownership)
+
+
+@main.command()
+def churn() -> None:
+    """Replace every instance once under load."""
+    _run(measure_churn)
+
+
+@main.command()
+def service() -> None:
+    """Goodput and latency by rank against the baseline."""
+    _run(measure_service)
+
+
+if __name__ == "__main__":
+    main()
