--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -41,6 +41,8 @@
     platform_arguments: tuple[str, ...] = ()
     #: Further arguments of each upstream stand-in.
     upstream_arguments: tuple[str, ...] = ()
+    #: Whether the programs run under the sampling profiler.
+    profiled: bool = False
 
 
 class Fleet:
@@ -79,6 +81,11 @@
         """Return the folder of the upstreams' records."""
         return self.directory / "records"
 
+    @property
+    def platform_text(self) -> str:
+        """Return the platform's address as the command line takes it."""
+        return _text(self.layout.platform_known)
+
     @property
     def entries(self) -> list[Address]:
         """Return the callers' address of every entry."""
@@ -131,8 +138,18 @@
         path = self.settings_path(instance)
         path.write_text(json.dumps(self.layout.settings_of(instance), indent=1), encoding="utf-8")
         code = f"from foxtailshunt.cli.{program} import main; main()"
+        if self.options.profiled:
+            code = self._profiled(code, self.profile_path(instance, program))
         return self.start_process(process_name(instance, program), ["-c", code, str(path)])
 
+    def profile_path(self, instance: InstanceLayout, program: str) -> Path:
+        """Return the file that takes the profile of a program.
+
+        :param instance: an instance of the layout.
+        :param program: ``entry``, ``dispatcher`` or ``assigner``.
+        """
+        return self.directory / f"{process_name(instance, program)}.profile.json"
+
     def settings_path(self, instance: InstanceLayout) -> Path:
         """Return the settings file of an instance.
 
@@ -179,8 +196,7 @@
         :param path: the file.
         :raises ProcessFailedError: the command failed.
         """
-        platform = _text(self.layout.platform_known)
-        result = self.run_operator("apply", str(path), "--platform", platform)
+        result = self.run_operator("apply", str(path), "--platform", self.platform_text)
         if result.returncode != 0:
             raise ProcessFailedError("apply", result.stdout + result.stderr)
 
@@ -213,6 +229,27 @@
         """
         return self.processes[process_name(instance, program)]
 
+    def kill_instance(self, instance: InstanceLayout) -> None:
+        """End all programs of an instance at once.
+
+        :param instance: an instance of the layout.
+        """
+        for program in PROGRAMS:
+            self.process(instance, program).kill()
+
+    def control(self, address: Address, path: str, document: object) -> None:
+        """Change the behaviour of a stand-in.
+
+        :param address: where the stand-in listens.
+        :param path: of its control document.
+        :param document: the new content.
+        :raises ProcessFailedError: the stand-in refused it.
+        """
+        url = f"http://{_text(address)}{path}"
+        response = self.http.request("PUT", url, body=json.dumps(document), timeout=5.0)
+        if response.status != 200:
+            raise ProcessFailedError(url, response.data.decode())
+
     def close(self) -> None:
         """End every process that was started and remove the files."""
         for process in self.processes.values():
@@ -235,6 +272,11 @@
 
         wait_for(answers, name)
 
+    @staticmethod
+    def _profiled(code: str, path: Path) -> str:
+        imports = "from pathlib import Path; from standins.measuring._sampler import Sampler"
+        return f"{imports}; Sampler(Path({str(path)!r})).start(); {code}"
+
     def _all_slots_routed(self, address: Address) -> bool:
         cfg = json.loads(self.layout.document)
         wanted = {service["name"]: service["slots"] for service in cfg["services"]}
--- a/standins/fleet/_process.py
+++ b/standins/fleet/_process.py
@@ -46,6 +46,11 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def frozen(self) -> bool:
+        """Return whether the process is paused."""
+        return self._frozen
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, or None while running."""
--- a/standins/measuring/__main__.py
+++ b/standins/measuring/__main__.py
@@ -6,8 +6,10 @@
 
 import click
 
+from standins.measuring._capacity import measure_capacity
 from standins.measuring._churn import measure_churn
 from standins.measuring._ownership import measure_ownership
+from standins.measuring._path import measure_path
 from standins.measuring._service import measure_service
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
@@ -43,5 +45,17 @@
     _run(measure_service)
 
 
+@main.command()
+def path() -> None:
+    """What the two hops add to a direct call, and what each costs."""
+    _run(measure_path)
+
+
+@main.command()
+def capacity() -> None:
+    """Slopes of control's cost over the sizes that drive it."""
+    _run(measure_capacity)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/standins/measuring/_process_stats.py
@@ -0,0 +1,43 @@
+"""Processor time and memory of processes, and bytes on the loopback interface."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_USER_TIME_FIELD = 11
+_SYSTEM_TIME_FIELD = 12
+_RESIDENT_FIELD = 1
+_RECEIVED_FIELD = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStats:
+    """What a process has used so far."""
+
+    #: Processor time in seconds.
+    cpu_s: float
+    #: Resident memory in bytes.
+    resident_bytes: int
+
+
+def read_process_stats(pid: int) -> ProcessStats:
+    """Return what a process has used.
+
+    :param pid: the process id.
+    """
+    # The command's name stands in parentheses and may hold blanks; the fields follow it.
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[_USER_TIME_FIELD]) + int(fields[_SYSTEM_TIME_FIELD])
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[_RESIDENT_FIELD])
+    return ProcessStats(ticks / _TICKS_PER_S, pages * _PAGE_BYTES)
+
+
+def read_loopback_bytes() -> int:
+    """Return the bytes that the loopback interface has carried, headers included."""
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        name, _, values = line.partition(":")
+        if name.strip() == "lo":
+            return int(values.split()[_RECEIVED_FIELD])
+    raise LookupError("no loopback interface")
