--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -4,7 +4,7 @@
 committed.
 """
 
-from foxtailshunt.protocol._client import ClientPool, PeerClient
+from foxtailshunt.protocol._client import ClientPool, MismatchedReplyError, PeerClient
 from foxtailshunt.protocol._server import ProtocolServer
 from foxtailshunt.protocol.gen.ttypes import (
     AssentItem,
@@ -37,6 +37,7 @@
     "FenceMessage",
     "Header",
     "Member",
+    "MismatchedReplyError",
     "PeerClient",
     "ProtocolServer",
     "RefuseReply",
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -3,11 +3,12 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 from types import ModuleType
-from typing import Any, TypeVar
+from typing import Any
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport
@@ -15,11 +16,21 @@
 from foxtailshunt.errors import PeerUnreachableError
 from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 
-T = TypeVar("T")
-
 # l_onoff = 1, l_linger = 0: close() resets the connection and drops unsent data.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+_CALL_ERRORS = (TException, OSError, EOFError, ValueError, TypeError, IndexError, struct.error)
+
+
+class MismatchedReplyError(PeerUnreachableError):
+    """A peer's reply did not answer the request; the connection was reset.
+
+    :param message: what was called.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
 
 class PeerClient:
     """One connection to a peer's Thrift service; used by one thread at a time.
@@ -30,9 +41,11 @@
 
     def __init__(self, service: ModuleType, address: tuple[str, int]) -> None:
         self.address = address
+        #: When the connection was last put aside, in seconds of the monotonic clock.
+        self.idle_since = 0.0
         self._socket = TSocket(*address)
         self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
-        self._client = service.Client(TCompactProtocol(self._transport))
+        self._client = service.Client(TCompactProtocolAccelerated(self._transport))
 
     def open(self) -> None:
         """Connect.
@@ -59,7 +72,7 @@
         self._socket.setTimeout(timeout_s * 1000)
         try:
             return getattr(self._client, method)(req)
-        except (TException, OSError, EOFError, ValueError, TypeError, struct.error) as exc:
+        except _CALL_ERRORS as exc:
             self.reset()
             raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
 
@@ -91,7 +104,15 @@
         self._lock = threading.Lock()
         self._idle: dict[tuple[str, int], list[PeerClient]] = {}
 
-    def call(self, address: tuple[str, int], method: str, req: Any, timeout_s: float) -> Any:
+    def call(
+        self,
+        address: tuple[str, int],
+        method: str,
+        req: Any,
+        timeout_s: float,
+        max_idle_s: float | None = None,
+        accepts: Callable[[Any], bool] | None = None,
+    ) -> Any:
         """Call a peer on an idle connection, or on a new one.
 
         An idle connection that the peer has closed is found by a readability check before the
@@ -101,11 +122,18 @@
         :param method: name of the service's method.
         :param req: its request struct.
         :param timeout_s: seconds to wait for the reply.
+        :param max_idle_s: a connection that was idle for longer is reset and replaced.
+        :param accepts: returns whether a reply answers the request; a connection that brought
+            another reply is reset.
         :returns: the reply struct.
         :raises PeerUnreachableError: ``sent`` tells whether the peer may have seen the request.
+        :raises MismatchedReplyError: the reply was not accepted.
         """
-        client = self._take(address)
+        client = self._take(address, max_idle_s)
         reply = client.call(method, req, timeout_s)
+        if accepts is not None and not accepts(reply):
+            client.reset()
+            raise MismatchedReplyError(f"{method} at {address} was answered by another reply")
         self._put_back(client)
         return reply
 
@@ -124,7 +152,7 @@
         for client in clients:
             client.close()
 
-    def _take(self, address: tuple[str, int]) -> PeerClient:
+    def _take(self, address: tuple[str, int], max_idle_s: float | None) -> PeerClient:
         while True:
             with self._lock:
                 idle = self._idle.get(address)
@@ -133,11 +161,12 @@
                 client = PeerClient(self._service, address)
                 client.open()
                 return client
-            if client_is_quiet(client):
+            if _is_young(client, max_idle_s) and client_is_quiet(client):
                 return client
             client.reset()
 
     def _put_back(self, client: PeerClient) -> None:
+        client.idle_since = time.monotonic()
         with self._lock:
             idle = self._idle.setdefault(client.address, [])
             if len(idle) < self._max_idle:
@@ -146,6 +175,10 @@
         client.close()
 
 
+def _is_young(client: PeerClient, max_idle_s: float | None) -> bool:
+    return max_idle_s is None or time.monotonic() - client.idle_since <= max_idle_s
+
+
 def client_is_quiet(client: PeerClient) -> bool:
     """Return whether an idle connection is open with nothing to read.
 
