Make the test of the connection bound independent of timing

Cause: all four requests had the same timeout, so a waiting one could get a connection that had just timed out; seen red once in 4 runs. Now two requests hold their connections longer than the others wait. The expected result is unchanged. Conclusion: the same outcome whatever the order of the threads.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -85,7 +85,7 @@
 
   Scenario: Connections are bounded and one is kept for grants
     Given an upstream of 3 connections that answers work with silence
-    When 4 requests are sent at one time
+    When 2 requests occupy its connections and 2 more are sent
     Then 2 of them fail after sending and 2 before
     And a grant sent meanwhile is answered
 
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -22,6 +22,7 @@
 )
 
 _TIMEOUT_S = 0.3
+_BUSY_S = 3.0
 _WAIT_S = 20.0
 _CLOSED_PORT = 1
 _READING = ClockReading("boot-1", 5000, 0.0)
@@ -70,9 +71,11 @@
     def send_work(self, req: WorkRequest) -> None:
         self.result = self.call(lambda: self.client.send_work(req))
 
-    def send_many(self, count: int) -> list[threading.Thread]:
+    def send_many(self, count: int, timeout_s: float) -> list[threading.Thread]:
+        req = replace(_WORK, timeout_s=timeout_s)
+
         def send() -> None:
-            self.results.append(self.call(lambda: self.client.send_work(_WORK)))
+            self.results.append(self.call(lambda: self.client.send_work(req)))
 
         threads = [threading.Thread(target=send) for _ in range(count)]
         for thread in threads:
@@ -192,11 +195,12 @@
     context.subject.upstream.silence_all()
 
 
-@when("{count:d} requests are sent at one time")
-def send_many(context: Context, count: int) -> None:
+@when("2 requests occupy its connections and 2 more are sent")
+def send_many(context: Context) -> None:
     subject = context.subject
-    threads = subject.send_many(count)
+    threads = subject.send_many(2, _BUSY_S)
     _wait_until(lambda: len(subject.upstream.requests) == 2)
+    threads += subject.send_many(2, _TIMEOUT_S)
     subject.result = subject.call(lambda: subject.client.send_grant(_GRANT, _WAIT_S))
     for thread in threads:
         thread.join()
