Add a fault-injecting proxy for single links

Partitions, silent connections and late bytes have to be made between each pair of processes. One process holds many links; faults are set by method or over HTTP by patterns of link names.

--- /dev/null
+++ b/standins/proxy/__main__.py
@@ -0,0 +1,22 @@
+"""Runs proxies of many links as a process."""
+
+import click
+
+from standins.http import AddressParam, HttpServer, serve_until_terminated
+from standins.proxy._handler import ProxyHandler
+from standins.proxy._link_set import LinkSet
+
+_THREADS = 4
+
+
+@click.command()
+@click.option("--listen", type=AddressParam(), required=True, help="Address of the HTTP control.")
+def main(listen: tuple[str, int]) -> None:
+    """Serve links that are added and disturbed over HTTP."""
+    links = LinkSet()
+    serve_until_terminated(HttpServer(listen, ProxyHandler(links), _THREADS))
+    links.close()
+
+
+if __name__ == "__main__":
+    main()
