Let processes call from their own address and be known by an advertised one

Cause: the proxies of a fleet tell callers apart by their IP number, so that a zone can be cut off from others; a process therefore has to call from its own address. Conclusion: the settings' source_host and advertise reach every client and member; the proxy of one link is split so that one listener can serve many callers' links.

--- a/foxtailshunt/cli/_program.py
+++ b/foxtailshunt/cli/_program.py
@@ -10,6 +10,7 @@
 
 from foxtailshunt.config import Settings, load_settings
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.network import set_source_host
 from foxtailshunt.telemetry import log_state_change, start_logging
 
 #: Exit code for a bad settings file or an address in use.
@@ -48,6 +49,7 @@
         signal.signal(number, lambda *_: stop_requested.set())
     try:
         settings = load_settings(settings_path)
+        set_source_host(settings.source_host)
         start_logging(name, settings.instance_id)
         program = make_program(settings)
     except FoxtailshuntError as exc:
--- a/foxtailshunt/dispatcher/_program.py
+++ b/foxtailshunt/dispatcher/_program.py
@@ -104,7 +104,7 @@
         log_state_change("dispatcher.handover_cut_short")
 
     def _make_member(self) -> Member:
-        host, port = self._settings.dispatcher.listen_address
+        host, port = self._settings.dispatcher.advertised_address
         return Member(
             instance_id=self._settings.instance_id,
             role=_ROLE,
--- a/foxtailshunt/entry/_program.py
+++ b/foxtailshunt/entry/_program.py
@@ -62,7 +62,7 @@
         self._operator.stop()
 
     def _make_member(self) -> Member:
-        host, port = self._settings.entry.listen_address
+        host, port = self._settings.entry.advertised_address
         return Member(
             instance_id=self._settings.instance_id,
             role=_ROLE,
--- a/foxtailshunt/platform/_http_calls.py
+++ b/foxtailshunt/platform/_http_calls.py
@@ -10,6 +10,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from foxtailshunt.errors import StoreUnavailableError, StoreUnknownError
+from foxtailshunt.network import source_address
 from foxtailshunt.ownership import Address
 
 _CONNECTIONS = 64
@@ -100,5 +101,10 @@
 def _make_pool(address: Address) -> HTTPConnectionPool:
     host, port = address
     return HTTPConnectionPool(
-        host, port, maxsize=_CONNECTIONS, block=False, socket_options=_SOCKET_OPTIONS
+        host,
+        port,
+        maxsize=_CONNECTIONS,
+        block=False,
+        source_address=source_address(),
+        socket_options=_SOCKET_OPTIONS,
     )
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -15,6 +15,7 @@
 from thrift.transport.TTransport import TFramedTransport
 
 from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.network import source_address
 from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 
 # The library logs each refused connection with a traceback; callers get the error and count it.
@@ -41,14 +42,10 @@
 
     :param service: the generated service module, for example ``gen.Dispatcher``.
     :param address: host and port of the peer.
-    :param source_host: the IP number that the connection comes from; None leaves it to the system.
     """
 
-    def __init__(
-        self, service: ModuleType, address: tuple[str, int], source_host: str | None = None
-    ) -> None:
+    def __init__(self, service: ModuleType, address: tuple[str, int]) -> None:
         self.address = address
-        self._source = (source_host, 0) if source_host else None
         #: When the connection was last put aside, in seconds of the monotonic clock.
         self.idle_since = 0.0
         self._socket = TSocket(*address)
@@ -61,7 +58,7 @@
         :raises PeerUnreachableError: nothing was sent.
         """
         try:
-            handle = socket.create_connection(self.address, CONNECT_TIMEOUT_S, self._source)
+            handle = socket.create_connection(self.address, CONNECT_TIMEOUT_S, source_address())
         except OSError as exc:
             raise PeerUnreachableError(f"cannot connect to {self.address}: {exc}", sent=False)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -104,11 +101,9 @@
 
     :param service: the generated service module.
     :param max_idle: idle connections kept for each peer.
-    :param source_host: the IP number that connections come from; None leaves it to the system.
     """
 
-    def __init__(self, service: ModuleType, max_idle: int, source_host: str | None = None) -> None:
-        self._source_host = source_host
+    def __init__(self, service: ModuleType, max_idle: int) -> None:
         self._service = service
         self._max_idle = max_idle
         self._lock = threading.Lock()
@@ -168,7 +163,7 @@
                 idle = self._idle.get(address)
                 client = idle.pop() if idle else None
             if client is None:
-                client = PeerClient(self._service, address, self._source_host)
+                client = PeerClient(self._service, address)
                 client.open()
                 return client
             if _is_young(client, max_idle_s) and client_is_quiet(client):
--- a/foxtailshunt/upstream/_connection.py
+++ b/foxtailshunt/upstream/_connection.py
@@ -11,6 +11,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from foxtailshunt.network import source_address
 from foxtailshunt.ownership import Address
 from foxtailshunt.protocol import is_quiet
 from foxtailshunt.upstream._answer_reader import DeadlineSocket, read_whole_body
@@ -77,7 +78,11 @@
         #: True if its last call ran out of time.
         self.timed_out = False
         self._http = _BufferedConnection(
-            address[0], address[1], timeout=CONNECT_TIMEOUT_S, socket_options=_SOCKET_OPTIONS
+            address[0],
+            address[1],
+            timeout=CONNECT_TIMEOUT_S,
+            source_address=source_address(),
+            socket_options=_SOCKET_OPTIONS,
         )
         self._socket: socket.socket | None = None
 
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -16,6 +16,7 @@
 from foxtailshunt.ownership import Address
 from standins.fleet._layout import InstanceLayout, Layout, UpstreamLayout
 from standins.fleet._process import ManagedProcess, ProcessFailedError
+from standins.fleet._proxy import FleetProxy
 from standins.fleet._wait import wait_for
 
 PROGRAMS = ("assigner", "dispatcher", "entry")
@@ -58,6 +59,7 @@
         self.layout = Layout(cfg_path, net, options.instances_per_zone, options.proxied)
         self.directory = Path(tempfile.mkdtemp(prefix="foxtailshunt-"))
         self.processes: dict[str, ManagedProcess] = {}
+        self._proxy: FleetProxy | None = None
         self.http = urllib3.PoolManager(num_pools=200, maxsize=4, retries=False)
 
     def __enter__(self) -> "Fleet":
@@ -81,6 +83,13 @@
         """Return the folder of the upstreams' records."""
         return self.directory / "records"
 
+    @property
+    def proxy(self) -> FleetProxy:
+        """Return the proxies of a proxied fleet."""
+        if self._proxy is None:
+            raise LookupError("the fleet runs without proxies")
+        return self._proxy
+
     @property
     def platform_text(self) -> str:
         """Return the platform's address as the command line takes it."""
@@ -103,6 +112,8 @@
         """Write the files, and start the platform and upstream stand-ins and the proxy."""
         self.records_dir.mkdir()
         self.cfg_path.write_text(self.layout.document, encoding="utf-8")
+        if self.options.proxied:
+            self._proxy = FleetProxy(self.layout)
         self._start_platform()
         for upstream in self.layout.upstreams:
             self.start_upstream(upstream)
@@ -254,6 +265,8 @@
         """End every process that was started and remove the files."""
         for process in self.processes.values():
             process.kill()
+        if self._proxy is not None:
+            self._proxy.close()
         self.http.clear()
         shutil.rmtree(self.directory, ignore_errors=True)
 
--- a/standins/proxy/__init__.py
+++ b/standins/proxy/__init__.py
@@ -20,6 +20,7 @@
 )
 from standins.proxy._link_set import LinkSet
 from standins.proxy._proxy import FaultProxy
+from standins.proxy._shared_proxy import SharedProxy
 
 __all__ = [
     "Cut",
@@ -31,6 +32,7 @@
     "Pass",
     "Refuse",
     "Scope",
+    "SharedProxy",
     "Silence",
     "Truncate",
     "fault_from_dict",
--- a/standins/proxy/_proxy.py
+++ b/standins/proxy/_proxy.py
@@ -1,26 +1,9 @@
 """The proxy of one link."""
 
-import socket
-import threading
-from functools import singledispatchmethod
-
-from standins.proxy._connection import ProxiedConnection
-from standins.proxy._faults import (
-    Cut,
-    Delay,
-    Direction,
-    Fault,
-    Pass,
-    Refuse,
-    Scope,
-    Silence,
-    Truncate,
-)
-from standins.proxy._lane import reset
+from standins.proxy._faults import Fault, Refuse
+from standins.proxy._link import Link
 from standins.proxy._listener import Listener
 
-_CONNECT_TIMEOUT_S = 5
-
 
 class FaultProxy:
     """Forwards connections to a target and injects the faults that are set.
@@ -37,12 +20,8 @@
         target: tuple[str, int],
         source_host: str | None = None,
     ) -> None:
-        self._target = target
-        self._source = (source_host, 0) if source_host else None
-        self._lock = threading.Lock()
-        self._connections: set[ProxiedConnection] = set()
-        self._fault: Fault = Pass()
-        self._listener = Listener(listen, self._start)
+        self._link = Link(target, source_host)
+        self._listener = Listener(listen, self._link.take)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -52,23 +31,19 @@
     @property
     def fault(self) -> Fault:
         """Return the fault that was set last."""
-        return self._fault
+        return self._link.fault
 
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
-        return len(self._connections)
+        return self._link.connection_count
 
     def set_fault(self, fault: Fault) -> None:
         """Replace the link's fault.
 
         :param fault: the fault from now on.
         """
-        with self._lock:
-            self._fault = fault
-            self._clear()
-            for connection in self._connections:
-                self._meet(fault, connection)
+        self._link.set_fault(fault)
         if isinstance(fault, Refuse):
             self._listener.close()
         else:
@@ -77,78 +52,4 @@
     def close(self) -> None:
         """Refuse connections and reset those that are open."""
         self._listener.close()
-        with self._lock:
-            for connection in self._connections:
-                connection.cut()
-
-    def _clear(self) -> None:
-        for connection in self._connections:
-            connection.delay(0)
-            connection.truncate(None)
-
-    @singledispatchmethod
-    def _meet(self, fault: Fault, connection: ProxiedConnection) -> None:
-        raise TypeError(f"no fault: {type(fault).__name__}")
-
-    @_meet.register
-    def _(self, fault: Pass | Refuse, connection: ProxiedConnection) -> None:
-        return
-
-    @_meet.register
-    def _(self, fault: Cut, connection: ProxiedConnection) -> None:
-        connection.cut()
-
-    @_meet.register
-    def _(self, fault: Silence, connection: ProxiedConnection) -> None:
-        connection.silence(fault.direction)
-
-    @_meet.register
-    def _(self, fault: Delay, connection: ProxiedConnection) -> None:
-        connection.delay(fault.delay_ms / 1000)
-
-    @_meet.register
-    def _(self, fault: Truncate, connection: ProxiedConnection) -> None:
-        connection.truncate(fault.byte_count)
-
-    def _start(self, caller: socket.socket) -> None:
-        thread = threading.Thread(
-            target=self._run, args=(caller,), name="proxy-to-target", daemon=True
-        )
-        thread.start()
-
-    def _run(self, caller: socket.socket) -> None:
-        try:
-            target = None if self._hides_target() else self._connect()
-        except OSError:
-            reset(caller)
-            caller.close()
-            return
-        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = ProxiedConnection(caller, target)
-        with self._lock:
-            if self._meets_new_connections():
-                self._meet(self._fault, connection)
-            self._connections.add(connection)
-        connection.run()
-        with self._lock:
-            self._connections.discard(connection)
-
-    def _meets_new_connections(self) -> bool:
-        fault = self._fault
-        if isinstance(fault, Silence):
-            return fault.scope is Scope.ALL
-        return not isinstance(fault, Cut)
-
-    def _hides_target(self) -> bool:
-        fault = self._fault
-        if not isinstance(fault, Silence) or fault.scope is not Scope.ALL:
-            return False
-        return fault.direction.includes(Direction.TO_TARGET)
-
-    def _connect(self) -> socket.socket:
-        sock = socket.create_connection(
-            self._target, timeout=_CONNECT_TIMEOUT_S, source_address=self._source
-        )
-        sock.settimeout(None)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
+        self._link.cut()
