--- /dev/null
+++ b/features/steps/result_codes_steps.py
@@ -0,0 +1,52 @@
+"""Steps for the table of result codes."""
+
+from pathlib import Path
+
+from behave import given, then
+from behave.runner import Context
+
+from foxtailshunt.entry import status_of
+from foxtailshunt.errors import Family, ResultCode, family_of
+
+_PAGE = Path(__file__).resolve().parents[2] / "docs" / "RESULT-CODES.md"
+
+
+class CodePage:
+    """The rows of the page's table."""
+
+    def __init__(self, text: str) -> None:
+        lines = [line for line in text.splitlines() if line.startswith("| ") and "---" not in line]
+        self.rows = [[cell.strip() for cell in line.strip("|").split("|")] for line in lines[1:]]
+
+
+def expected_cells(code: ResultCode) -> list[str]:
+    family = family_of(code)
+    if family is Family.RAN:
+        return [family.value, "the upstream's", "-"]
+    if family is Family.INTERNAL:
+        return [family.value, "-", "-"]
+    status = status_of(code)
+    return [family.value, str(status.status), "yes" if status.retry_after else "-"]
+
+
+@given("the table of docs/RESULT-CODES.md")
+def read_page(context: Context) -> None:
+    context.page = CodePage(_PAGE.read_text(encoding="utf-8"))
+
+
+@then("it has one row for each code, in order")
+def check_codes(context: Context) -> None:
+    listed = [(row[0], row[1]) for row in context.page.rows]
+    assert listed == [(str(int(code)), code.name) for code in ResultCode]
+
+
+@then("each row's family, HTTP status and Retry-After are those that the entry answers with")
+def check_statuses(context: Context) -> None:
+    for row, code in zip(context.page.rows, ResultCode, strict=True):
+        assert row[2:5] == expected_cells(code), row
+
+
+@then("each row has a meaning and says what to do")
+def check_words(context: Context) -> None:
+    for row in context.page.rows:
+        assert len(row) == 7 and row[5].endswith(".") and row[6], row
--- a/foxtailshunt/config/__init__.py
+++ b/foxtailshunt/config/__init__.py
@@ -12,9 +12,17 @@
     UpstreamLimits,
 )
 from foxtailshunt.config._file import configuration_from_json
+from foxtailshunt.config._record import (
+    CONFIG_KEY,
+    ConfigRecord,
+    config_record_from_json,
+    config_record_to_json,
+)
 from foxtailshunt.config._settings import Settings, load_settings
 
 __all__ = [
+    "CONFIG_KEY",
+    "ConfigRecord",
     "Configuration",
     "EntryLimits",
     "FloorShares",
@@ -25,6 +33,8 @@
     "Settings",
     "Upstream",
     "UpstreamLimits",
+    "config_record_from_json",
+    "config_record_to_json",
     "configuration_from_json",
     "load_settings",
 ]
