--- a/standins/fleet/_layout.py
+++ b/standins/fleet/_layout.py
@@ -98,6 +98,11 @@
         self.instances = self._make_instances(instances_per_zone)
         self.upstreams = self._make_upstreams()
 
+    @property
+    def slot_counts(self) -> dict[str, int]:
+        """Return the number of slots by service."""
+        return {service["name"]: service["slots"] for service in self._cfg["services"]}
+
     @property
     def platform_known(self) -> Address:
         """Return the platform's address as the settings name it."""
