--- /dev/null
+++ b/foxtailshunt/assigner/_zone_assigner.py
@@ -0,0 +1,82 @@
+"""The thread that is a zone's assigner whenever this process holds the lease."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from foxtailshunt.assigner._active_term import ActiveTerm, ZoneParts
+from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.platform import Backoff
+from foxtailshunt.telemetry import log_state_change
+
+_STEP_INTERVAL_S = 0.05
+_FIRST_RETRY_S = 0.05
+_RETRY_LIMIT_S = 2.0
+_STOP_TIMEOUT_S = 2.0
+
+
+class ZoneAssigner:
+    """Runs one :class:`ActiveTerm` after another while the lease is held.
+
+    :param parts: what the terms work with.
+    :param leaving: returns the upstreams that the platform lists as leaving.
+    """
+
+    def __init__(self, parts: ZoneParts, leaving: Callable[[], frozenset[str]]) -> None:
+        self._parts = parts
+        self._leaving = leaving
+        self._stopping = False
+        self._wakeup = threading.Event()
+        self._term: ActiveTerm | None = None
+        self._backoff = Backoff(_FIRST_RETRY_S, _RETRY_LIMIT_S, random.Random())
+        self._thread = threading.Thread(target=self._run, name="assigner", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop after the step in progress."""
+        self._stopping = True
+        self._wakeup.set()
+        self._thread.join(_STOP_TIMEOUT_S)
+
+    def wake(self) -> None:
+        """Let the next step begin at once."""
+        self._wakeup.set()
+
+    def dump(self) -> dict[str, object] | None:
+        """Return the state of the term in progress, None if there is none."""
+        term = self._term
+        return term.dump() if term else None
+
+    def _run(self) -> None:
+        while not self._stopping:
+            if self._parts.lease.held:
+                self._run_term()
+            self._pause()
+
+    def _run_term(self) -> None:
+        term = ActiveTerm(self._parts)
+        self._term = term
+        try:
+            term.take_over()
+            self._backoff.reset()
+            while not self._stopping:
+                term.step(self._leaving())
+                self._pause()
+        except FoxtailshuntError as exc:
+            log_state_change("term.ended", code=exc.code.name, reason=exc.message)
+            self._parts.metrics.count(
+                "foxtailshunt_terms_ended_total",
+                "Terms as the active assigner that ended.",
+                {"code": exc.code.name},
+            )
+            self._wakeup.wait(self._backoff.next_delay_s())
+        finally:
+            self._term = None
+            term.stop()
+
+    def _pause(self) -> None:
+        self._wakeup.wait(_STEP_INTERVAL_S)
+        self._wakeup.clear()
