Give the stand-ins' steps names of their own

Steps are shared by all features, so general ones such as 'it is answered' would clash with those of the programs. No check was changed.

--- a/features/fault_proxy.feature
+++ b/features/fault_proxy.feature
@@ -7,8 +7,8 @@
   Scenario Outline: A fault meets open and new connections as it says
     Given a connection is open on the link
     When the link's fault is <fault>
-    Then the open connection <open>
-    And a new connection <new>
+    Then the link's open connection <open>
+    And a new connection on the link <new>
 
     Examples:
       | fault                                                                | open        | new           |
@@ -26,8 +26,8 @@
   Scenario Outline: What reaches the target under silence
     Given a connection is open on the link
     When the link's fault is <fault>
-    And the open connection sends a request
-    Then the server <seen> the request
+    And the link's open connection sends a request
+    Then the link's server <seen> the request
 
     Examples:
       | fault                                         | seen     |
@@ -38,8 +38,8 @@
     Given a connection is open on the link
     When the link's fault is <fault>
     And the link's fault is {"kind": "pass"}
-    Then the open connection <open>
-    And a new connection echoes
+    Then the link's open connection <open>
+    And a new connection on the link echoes
 
     Examples:
       | fault                             | open      |
@@ -50,8 +50,8 @@
   Scenario Outline: Closings pass unless the link is silent
     Given a connection is open on the link
     When the link's fault is <fault>
-    And the open connection closes by <way>
-    Then the server <seen>
+    And the link's open connection closes by <way>
+    Then the link's server <seen>
 
     Examples:
       | fault               | way      | seen                      |
@@ -63,16 +63,16 @@
   Scenario: Delayed bytes arrive once the delay is over
     Given a connection is open on the link
     When the link's fault is {"kind": "delay", "delay_ms": 3000}
-    And the open connection sends a request
-    Then the server has not received the request at once
-    But the server receives the request
+    And the link's open connection sends a request
+    Then the link's server has not received the request at once
+    But the link's server receives the request
 
   Scenario: A target that refuses shows as a reset
-    When the server has stopped
-    Then a new connection is reset
+    When the link's server has stopped
+    Then a new connection on the link is reset
 
   Scenario: Faults are set by pairs of links over HTTP
     Given a proxy process with links a/1, a/2 and b/1 to the server
-    When the process is told to refuse on a/*
+    When the proxy process is told to refuse on a/*
     Then connections on a/1 and a/2 are refused and on b/1 echo
-    And an unknown fault is answered 400
+    And an unknown fault is answered by the proxy process with 400
--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -6,10 +6,10 @@
     Given a stand-in platform and a client of it
 
   Scenario Outline: A compare-and-swap writes only at the expected revision
-    Given the key holds <content>
-    When the client writes at <expected>
-    Then the write ends with <outcome>
-    And the key holds <value>
+    Given the platform's key holds <content>
+    When the platform's client writes at <expected>
+    Then the platform's write ends with <outcome>
+    And the platform's key holds <value>
 
     Examples:
       | content | expected             | outcome     | value   |
@@ -20,12 +20,12 @@
       | old     | another revision     | CONFLICT    | old     |
 
   Scenario Outline: A failed call tells whether it had an effect
-    Given the key holds old
+    Given the platform's key holds old
     And the platform's faults are <faults>
-    When the client writes at the current revision
-    Then the write ends with <outcome>
-    And the client counted a cas with result <outcome>
-    And after the faults the key holds <value>
+    When the platform's client writes at the current revision
+    Then the platform's write ends with <outcome>
+    And the platform's client counted a cas with result <outcome>
+    And after the platform's faults its key holds <value>
 
     Examples:
       | faults                     | outcome           | value   |
@@ -36,23 +36,23 @@
 
   Scenario: Nobody listens at the platform's address
     When the platform has stopped
-    And the client writes at revision 0
-    Then the write ends with STORE_UNAVAILABLE
+    And the platform's client writes at revision 0
+    Then the platform's write ends with STORE_UNAVAILABLE
 
   Scenario: An outage of one caller leaves the others alone
     Given the platform's faults are {"caller_outages": {"127.0.0.77": "refuse503"}}
-    When the client writes at revision 0
-    Then the write ends with a revision
+    When the platform's client writes at revision 0
+    Then the platform's write ends with a revision
 
   Scenario: A connection that went silent is not used again
     Given the platform's faults are {"outage": "hang"}
-    When the client reads
-    Then the read ends with STORE_UNAVAILABLE
-    And after the faults the key holds nothing
+    When the platform's client reads
+    Then the platform's read ends with STORE_UNAVAILABLE
+    And after the platform's faults its key holds nothing
 
   Scenario Outline: A value over the size limit is refused
-    When the client writes a value of <size> bytes at revision 0
-    Then the write ends with <outcome>
+    When the platform's client writes a value of <size> bytes at revision 0
+    Then the platform's write ends with <outcome>
 
     Examples:
       | size    | outcome    |
@@ -60,75 +60,75 @@
       | 1000001 | OVERSIZED  |
 
   Scenario: A platform refuses an oversized value of a client that sends it
-    When an operator puts 1000001 bytes past the client
+    When 1000001 bytes are put to the platform past the client
     Then the platform answers 413
-    And the key holds nothing
+    And the platform's key holds nothing
 
   Scenario: A watch returns when the key changes
-    Given the key holds old
-    When the client watches from the current revision
-    And another client writes the key
-    Then the watch returns the other's value
+    Given the platform's key holds old
+    When the platform's client watches from the current revision
+    And another client writes the platform's key
+    Then the platform's watch returns the other's value
 
   Scenario: A watch of a missing key returns when it appears
-    When the client watches from no revision
-    And another client writes the key
-    Then the watch returns the other's value
+    When the platform's client watches from no revision
+    And another client writes the platform's key
+    Then the platform's watch returns the other's value
 
   Scenario: Waiting watches leave room for other calls
-    When 50 clients watch the key
-    Then the key holds nothing
+    When 50 clients watch the platform's key
+    Then the platform's key holds nothing
     And the platform counted 50 watches
 
   Scenario: A key is free once its holder's lease has lapsed
-    Given another client holds the key under a lease of 0.5 s that it does not renew
-    Then the client acquires the key in the end
-    And the lapsed lease cannot be renewed
+    Given another client holds the platform's key under a lease of 0.5 s that it does not renew
+    Then the platform's client acquires the key in the end
+    And the platform's lapsed lease cannot be renewed
 
   Scenario: A key is free once its holder closes its lease
-    Given another client holds the key under a lease of 300 s
-    When the client tries to acquire the key
-    Then the key is refused
+    Given another client holds the platform's key under a lease of 300 s
+    When the platform's client tries to acquire the key
+    Then the platform's key is refused
     When the other client closes its lease
-    Then the client acquires the key in the end
+    Then the platform's client acquires the key in the end
 
   Scenario: Calls over the platform's limits have no effect
     Given a stand-in platform that takes 1 write a second
-    When the client writes 20 keys
-    Then some writes ended with STORE_UNAVAILABLE
-    And just the keys whose writes succeeded exist
+    When the platform's client writes 20 keys
+    Then some of the platform's writes ended with STORE_UNAVAILABLE
+    And just the platform's keys whose writes succeeded exist
 
   Scenario: The list of instances lags
     Given a stand-in platform whose list lags 0.5 s
     When the platform lists i1 as live and i2 as leaving
-    Then the client sees no instances
-    And the client sees i1 as live and i2 as leaving in the end
+    Then the platform's client sees no instances
+    And the platform's client sees i1 as live and i2 as leaving in the end
 
   Scenario Outline: A lost answer is resolved by reading back
-    Given the key holds old
+    Given the platform's key holds old
     And the platform's faults are <faults>
     And <rival>
-    When the client writes with a token
-    Then the write ends with <outcome>
-    And the key holds <value>
+    When the platform's client writes with a token
+    Then the platform's write ends with <outcome>
+    And the platform's key holds <value>
 
     Examples:
       | faults                   | rival                                       | outcome       | value   |
-      | {}                       | nobody else writes                          | a revision    | written |
-      | {"lose_next_answers": 1} | nobody else writes                          | a revision    | written |
-      | {"lose_next_answers": 9} | nobody else writes                          | a revision    | written |
-      | {}                       | a rival writes before the client            | CONFLICT      | rival   |
-      | {}                       | a rival writes after the client             | STORE_UNKNOWN | rival   |
-      | {}                       | the client's first write is held up         | a revision    | written |
-      | {}                       | the client's first write never arrives      | a revision    | written |
-      | {}                       | a rival writes in place of the client's     | STORE_UNKNOWN | rival   |
+      | {}                       | nobody else writes to the platform                          | a revision    | written |
+      | {"lose_next_answers": 1} | nobody else writes to the platform                          | a revision    | written |
+      | {"lose_next_answers": 9} | nobody else writes to the platform                          | a revision    | written |
+      | {}                       | a rival writes to the platform before the client            | CONFLICT      | rival   |
+      | {}                       | a rival writes to the platform after the client             | STORE_UNKNOWN | rival   |
+      | {}                       | the client's first write to the platform is held up         | a revision    | written |
+      | {}                       | the client's first write to the platform never arrives      | a revision    | written |
+      | {}                       | a rival writes to the platform in place of the client's     | STORE_UNKNOWN | rival   |
 
   Scenario: A write that stays unresolved is given up
     Given the platform's faults are {"outage": "hang"}
-    When the client writes with a token and little patience
-    Then the write ends with STORE_UNKNOWN
+    When the platform's client writes with a token and little patience
+    Then the platform's write ends with STORE_UNKNOWN
 
   Scenario: Delays between retries grow to a limit and start again after a success
     When 6 delays are drawn from a backoff of 0.1 s up to 1 s
-    Then their bounds were 0.1, 0.2, 0.4, 0.8, 1.0 and 1.0 s
-    And after a reset the bound is 0.1 s
+    Then the backoff's bounds were 0.1, 0.2, 0.4, 0.8, 1.0 and 1.0 s
+    And after a reset the backoff's bound is 0.1 s
--- a/features/records_checker.feature
+++ b/features/records_checker.feature
@@ -6,9 +6,9 @@
   are seconds.
 
   Scenario Outline: One owner at any moment
-    Given <records>
+    Given the records <records>
     When the records are checked
-    Then the violations are <violations>
+    Then the records' violations are <violations>
 
     Examples: slots
       | records                                                | violations        |
@@ -37,14 +37,14 @@
       | grant u1 0-9 0..10; grant u1 5-9 2..12; lost u1 3 k r1 1..5; grant u2 3-3 4..14 | none |
 
   Scenario: A pinned key is compared with its slot's owner by the number of slots
-    Given grant u1 0-9 0..10; grant u2 +k 2..20
+    Given the records grant u1 0-9 0..10; grant u2 +k 2..20
     When the records are checked for a service of 10 slots
-    Then the violations are key k at u1, u2
+    Then the records' violations are key k at u1, u2
 
   Scenario Outline: No run outside a grant
-    Given <records>
+    Given the records <records>
     When the records are checked
-    Then the violations are <violations>
+    Then the records' violations are <violations>
 
     Examples:
       | records                                               | violations     |
@@ -62,9 +62,9 @@
       | grant u1 0-9 0..10; lost u1 3 k r1 9..11              | none           |
 
   Scenario Outline: What must not repeat runs once
-    Given <records>
+    Given the records <records>
     When the records are checked with once-* as ids that must not repeat
-    Then the violations are <violations>
+    Then the records' violations are <violations>
 
     Examples:
       | records                                                                      | violations |
@@ -75,10 +75,10 @@
       | grant u1 0-9 0..10; run u1 3 k free-1 1..2; run u1 3 k free-1 4..5           | none       |
 
   Scenario Outline: An accepted assignment survives
-    Given <records>
-    And the accepted assignments <accepted>
+    Given the records <records>
+    And the records' accepted assignments <accepted>
     When the records are checked
-    Then the violations are <violations>
+    Then the records' violations are <violations>
 
     Examples:
       | records                                                    | accepted               | violations        |
@@ -92,14 +92,14 @@
       | grant u1 +k 1..10; grant u2 +k 21..30                      | u1 +k at 0; u2 +k at 20 | none             |
 
   Scenario: Records survive being written and read
-    Given a file with one record of each kind and a line that was cut short
-    When the file is read
+    Given a record file with one record of each kind and a line that was cut short
+    When the record file is read
     Then the records are those that were written
 
   Scenario Outline: The command line tells violations by its exit code
-    Given a file of <records>
-    When the command line checks it
-    Then its exit code is <code> and its last line is <line>
+    Given a record file of <records>
+    When the records command checks the file
+    Then the records command's exit code is <code> and its last line is <line>
 
     Examples:
       | records                                  | code | line                                              |
--- a/features/standin_upstream.feature
+++ b/features/standin_upstream.feature
@@ -4,9 +4,9 @@
 
   Scenario Outline: Grants are taken into force by fence, reading and incarnation
     Given a stand-in upstream that <checks>
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When a grant of slots 0 to 9 under fence <fence> with <reading> arrives
-    Then it answers <status> with accepted <accepted> and highest fence <highest>
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream is sent a grant of slots 0 to 9 under fence <fence> with <reading>
+    Then the stand-in upstream answers <status> with accepted <accepted> and highest fence <highest>
 
     Examples:
       | checks               | fence | reading                     | status | accepted | highest |
@@ -22,9 +22,9 @@
 
   Scenario Outline: Work is taken under a grant that covers it
     Given a stand-in upstream that <checks>
-    And it took a grant of slots 0 to 9 without key x and with key p under fence 2.5
-    When work on key <key> of slot <slot> under fence <fence> arrives with <detail>
-    Then it is answered <status> as <outcome>
+    And the stand-in upstream took a grant of slots 0 to 9 without x and with p under fence 2.5
+    When the stand-in upstream is sent work on key <key>, slot <slot>, fence <fence>, with <detail>
+    Then the stand-in's work is answered <status> as <outcome>
 
     Examples:
       | checks           | key | slot | fence | detail                   | status | outcome |
@@ -41,15 +41,15 @@
 
   Scenario: Work without any grant is refused
     Given a stand-in upstream that checks fences
-    When work on key a of slot 3 under fence 2.5 arrives with nothing special
-    Then it is answered 409 as refused
+    When the stand-in upstream is sent work on key a, slot 3, fence 2.5, with nothing special
+    Then the stand-in's work is answered 409 as refused
 
   Scenario Outline: Grant, deadline and cancellation are looked at again before the effect
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When long work is in progress and <event>
-    Then it is answered <status> as <outcome>
-    And the records show the run with effect <effect>
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream has long work in progress and <event>
+    Then the stand-in's work is answered <status> as <outcome>
+    And the stand-in's records show the run with effect <effect>
 
     Examples:
       | event                            | status | outcome   | effect |
@@ -63,17 +63,17 @@
 
   Scenario: A release is confirmed once work outside the new grant has ended
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When long work is in progress and its slot is taken back
-    Then the release is not confirmed
-    And work on the slot that was taken back is refused
-    And the release is confirmed once the work has ended
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream has long work in progress and its slot is taken back
+    Then the stand-in's release is not confirmed
+    And the stand-in's work on the slot that was taken back is refused
+    And the stand-in's release is confirmed once the work has ended
 
   Scenario Outline: A cancellation tells what became of the request
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When <request> is cancelled
-    Then the cancellation is answered <answer>
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream is asked to cancel <request>
+    Then the stand-in's cancellation is answered <answer>
 
     Examples:
       | request                   | answer    |
@@ -84,9 +84,9 @@
 
   Scenario Outline: Work beyond the slots is shed unless it may wait
     Given a stand-in upstream with 2 slots and a queue of <queue>
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When 3 pieces of long work arrive together
-    Then <ran> of them ran and <shed> were shed
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When 3 pieces of long work arrive at the stand-in upstream together
+    Then <ran> of the stand-in's pieces ran and <shed> were shed
 
     Examples:
       | queue | ran | shed |
@@ -95,24 +95,24 @@
 
   Scenario Outline: Faults that are switched on
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    And its switches are <switches>
-    When work on key a of slot 3 under fence 2.5 arrives with nothing special
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    And the stand-in's switches are <switches>
+    When the stand-in upstream is sent work on key a, slot 3, fence 2.5, with nothing special
     Then <result>
-    And the next work is answered as it should be
+    And the stand-in's next work is answered as it should be
 
     Examples:
       | switches                                 | result                            |
-      | {"shed_next": 1}                         | it is answered 503 as shed        |
-      | {"cross_next": 1}                        | the answer is another request's   |
-      | {"cut_next": 1}                          | the answer breaks off             |
-      | {"late_next": 1, "answer_late_ms": 9000} | the answer is late, but work was done |
+      | {"shed_next": 1}                         | the stand-in's work is answered 503 as shed        |
+      | {"cross_next": 1}                        | the stand-in's answer is another request's   |
+      | {"cut_next": 1}                          | the stand-in's answer breaks off             |
+      | {"late_next": 1, "answer_late_ms": 9000} | the stand-in's answer is late, but work was done |
 
   Scenario Outline: Health may lag or mislead, grants tell the truth
     Given a stand-in upstream whose health is <mode>
-    When its switches are set to {"drain": true}
-    Then its health shows draining <shown>
-    And the answer to a grant shows draining true
+    When the stand-in's switches are set to {"drain": true}
+    Then the stand-in's health shows draining <shown>
+    And the stand-in's answer to a grant shows draining true
 
     Examples:
       | mode       | shown |
@@ -122,13 +122,13 @@
 
   Scenario: A stop lets work in progress end
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When long work is in progress and the upstream is asked to stop
-    Then it is answered 200 as ran
-    And the upstream has ended with exit code 0
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream has long work in progress and the upstream is asked to stop
+    Then the stand-in's work is answered 200 as ran
+    And the stand-in upstream has ended with exit code 0
 
   Scenario: An answer belongs to its request throughout
     Given a stand-in upstream that checks fences
-    And it took a grant of slots 0 to 9 under fence 2.5
-    When work on key a of slot 3 under fence 2.5 arrives with nothing special
-    Then the answer names its request, key, operation and body
+    And the stand-in upstream took a grant of slots 0 to 9 under fence 2.5
+    When the stand-in upstream is sent work on key a, slot 3, fence 2.5, with nothing special
+    Then the stand-in's answer names its request, key, operation and body
--- a/features/steps/fault_proxy_steps.py
+++ b/features/steps/fault_proxy_steps.py
@@ -151,12 +151,12 @@
     context.link.proxy.set_fault(fault_from_dict(json.loads(fault)))
 
 
-@when("the open connection sends a request")
+@when("the link's open connection sends a request")
 def send_request(context: Context) -> None:
     context.link.open_connection.sendall(_REQUEST)
 
 
-@when("the open connection closes by {way}")
+@when("the link's open connection closes by {way}")
 def close_connection(context: Context, way: str) -> None:
     conn = context.link.open_connection
     if way == "a reset":
@@ -164,22 +164,22 @@
     conn.close()
 
 
-@when("the server has stopped")
+@when("the link's server has stopped")
 def stop_server(context: Context) -> None:
     context.link.server.stop()
 
 
-@when("the process is told to refuse on a/*")
+@when("the proxy process is told to refuse on a/*")
 def refuse_links(context: Context) -> None:
     assert control(context, "/faults", {"a/*": {"kind": "refuse"}}).json() == {"a/*": 2}
 
 
-@then("the open connection {behaviour}")
+@then("the link's open connection {behaviour}")
 def check_open_connection(context: Context, behaviour: str) -> None:
     check_behaviour(context.link.open_connection, behaviour)
 
 
-@then("a new connection is refused")
+@then("a new connection on the link is refused")
 def check_refused(context: Context) -> None:
     try:
         context.link.connect()
@@ -188,30 +188,30 @@
     raise AssertionError("the connection was accepted")
 
 
-@then("a new connection {behaviour}")
+@then("a new connection on the link {behaviour}")
 def check_new_connection(context: Context, behaviour: str) -> None:
     with context.link.connect() as conn:
         check_behaviour(conn, behaviour)
 
 
-@then("the server receives the request")
+@then("the link's server receives the request")
 def check_received(context: Context) -> None:
     assert context.link.server.wait_for(_REQUEST.decode())
 
 
-@then("the server misses the request")
-@then("the server has not received the request at once")
+@then("the link's server misses the request")
+@then("the link's server has not received the request at once")
 def check_missed(context: Context) -> None:
     time.sleep(_SILENCE_S)
     assert context.link.server.received == b""
 
 
-@then("the server sees the connection {ending}")
+@then("the link's server sees the connection {ending}")
 def check_ending(context: Context, ending: str) -> None:
     assert context.link.server.wait_for(ending), context.link.server.endings
 
 
-@then("the server sees nothing")
+@then("the link's server sees nothing")
 def check_no_ending(context: Context) -> None:
     time.sleep(_SILENCE_S)
     assert context.link.server.endings == []
@@ -229,7 +229,7 @@
         check_behaviour(conn, "echoes")
 
 
-@then("an unknown fault is answered {status:d}")
+@then("an unknown fault is answered by the proxy process with {status:d}")
 def check_unknown_fault(context: Context, status: int) -> None:
     response = control(context, "/faults", {"a/*": {"kind": "no such fault"}})
     assert response.status == status
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -140,7 +140,7 @@
     replace_platform(context, ["--list-lag-s", str(lag_s)])
 
 
-@given("the key holds {content}")
+@given("the platform's key holds {content}")
 def fill_key(context: Context, content: str) -> None:
     if content != "nothing":
         context.platform.other.compare_and_swap(_KEY, content, 0)
@@ -151,42 +151,42 @@
     assert context.platform.put("/standin/faults", json.loads(faults)) == 200
 
 
-@given("nobody else writes")
+@given("nobody else writes to the platform")
 def let_client_write(context: Context) -> None:
     context.platform.writer = context.platform.client
 
 
-@given("a rival writes before the client")
+@given("a rival writes to the platform before the client")
 def let_rival_win(context: Context) -> None:
     context.platform.writer = RacingPlatform(context.platform, _RIVAL, "answered")
 
 
-@given("a rival writes after the client")
+@given("a rival writes to the platform after the client")
 def let_rival_overwrite(context: Context) -> None:
     context.platform.writer = RacingPlatform(context.platform, None, "overwritten")
 
 
-@given("the client's first write is held up")
+@given("the client's first write to the platform is held up")
 def hold_up_write(context: Context) -> None:
     context.platform.writer = RacingPlatform(context.platform, None, "late")
 
 
-@given("the client's first write never arrives")
+@given("the client's first write to the platform never arrives")
 def lose_write(context: Context) -> None:
     context.platform.writer = RacingPlatform(context.platform, None, "none")
 
 
-@given("a rival writes in place of the client's")
+@given("a rival writes to the platform in place of the client's")
 def replace_write(context: Context) -> None:
     context.platform.writer = RacingPlatform(context.platform, _RIVAL, "none")
 
 
-@when("the client writes at {expected}")
+@when("the platform's client writes at {expected}")
 def write(context: Context, expected: str) -> None:
     write_value(context, _WRITTEN, expected)
 
 
-@when("the client writes a value of {size:d} bytes at revision 0")
+@when("the platform's client writes a value of {size:d} bytes at revision 0")
 def write_large(context: Context, size: int) -> None:
     write_value(context, "x" * size, "revision 0")
 
@@ -206,12 +206,12 @@
         return 1
 
 
-@when("the client writes with a token")
+@when("the platform's client writes with a token")
 def write_token(context: Context) -> None:
     write_patiently(context, _PATIENCE_S)
 
 
-@when("the client writes with a token and little patience")
+@when("the platform's client writes with a token and little patience")
 def write_token_impatiently(context: Context) -> None:
     write_patiently(context, 1.0)
 
@@ -238,49 +238,51 @@
     context.platform.process.stop()
 
 
-@when("the client reads")
+@when("the platform's client reads")
 def read(context: Context) -> None:
     subject = context.platform
     subject.attempt(lambda: subject.client.read(_KEY).revision)
 
 
-@when("an operator puts 1000001 bytes past the client")
+@when("1000001 bytes are put to the platform past the client")
 def put_past_client(context: Context) -> None:
     context.platform.outcome = context.platform.put(f"/v1/kv/{_KEY}?cas=0", b"x" * 1_000_001)
 
 
-@when("the client watches from the current revision")
+@when("the platform's client watches from the current revision")
 def watch_key(context: Context) -> None:
     context.platform.watch(context.platform.revision("the current revision"))
 
 
-@when("the client watches from no revision")
+@when("the platform's client watches from no revision")
 def watch_missing_key(context: Context) -> None:
     context.platform.watch(0)
 
 
-@when("{count:d} clients watch the key")
+@when("{count:d} clients watch the platform's key")
 def watch_often(context: Context, count: int) -> None:
     for _ in range(count):
         context.platform.watch(0)
 
 
-@when("another client writes the key")
+@when("another client writes the platform's key")
 def write_by_other(context: Context) -> None:
     subject = context.platform
     assert wait_until(lambda: subject.counts()["watch"] > 0)
     subject.other.compare_and_swap(_KEY, _OTHERS, subject.revision("the current revision"))
 
 
-@given("another client holds the key under a lease of {ttl_s:g} s that it does not renew")
-@given("another client holds the key under a lease of {ttl_s:g} s")
+@given(
+    "another client holds the platform's key under a lease of {ttl_s:g} s that it does not renew"
+)
+@given("another client holds the platform's key under a lease of {ttl_s:g} s")
 def hold_key(context: Context, ttl_s: float) -> None:
     other = context.platform.other
     context.lease_id = other.open_lease(ttl_s)
     assert other.acquire(_KEY, _OTHERS, context.lease_id)
 
 
-@when("the client tries to acquire the key")
+@when("the platform's client tries to acquire the key")
 def try_acquire(context: Context) -> None:
     context.own_lease_id = context.platform.client.open_lease(300)
     context.acquired = context.platform.client.acquire(_KEY, _WRITTEN, context.own_lease_id)
@@ -291,7 +293,7 @@
     context.platform.other.close_lease(context.lease_id)
 
 
-@when("the client writes {count:d} keys")
+@when("the platform's client writes {count:d} keys")
 def write_keys(context: Context, count: int) -> None:
     context.outcomes = {}
     for number in range(count):
@@ -317,12 +319,12 @@
     context.delays = [context.backoff.next_delay_s() for _ in range(count)]
 
 
-@then("the write ends with a revision")
+@then("the platform's write ends with a revision")
 def check_written(context: Context) -> None:
     assert context.platform.outcome == context.platform.other.read(_KEY).revision
 
 
-@then("the {call} ends with {code:w}")
+@then("the platform's {call:w} ends with {code:w}")
 def check_outcome(context: Context, call: str, code: str) -> None:
     assert context.platform.outcome == code, context.platform.outcome
 
@@ -332,26 +334,26 @@
     assert context.platform.outcome == status, context.platform.outcome
 
 
-@then("the key holds {content}")
+@then("the platform's key holds {content}")
 def check_content(context: Context, content: str) -> None:
     assert context.platform.content() == content, context.platform.content()
 
 
-@then("after the faults the key holds {content}")
+@then("after the platform's faults its key holds {content}")
 def check_content_after_faults(context: Context, content: str) -> None:
     set_faults(context, "{}")
     record = context.platform.client.read(_KEY)
     assert (record.value if record else "nothing") == content, record
 
 
-@then("the client counted a {call:w} with result {code}")
+@then("the platform's client counted a {call:w} with result {code}")
 def check_counted(context: Context, call: str, code: str) -> None:
     labels = {"call": call, "result": code.lower()}
     counted = context.platform.metrics.counter_value("foxtailshunt_store_calls_total", labels)
     assert counted == 1, counted
 
 
-@then("the watch returns the other's value")
+@then("the platform's watch returns the other's value")
 def check_watch(context: Context) -> None:
     context.platform.watchers[0].join(_PATIENCE_S)
     assert [record and record.value for record in context.platform.watched] == [_OTHERS]
@@ -363,7 +365,7 @@
     assert context.platform.watched == []
 
 
-@then("the client acquires the key in the end")
+@then("the platform's client acquires the key in the end")
 def check_acquired(context: Context) -> None:
     client = context.platform.client
     lease_id = client.open_lease(300)
@@ -371,24 +373,24 @@
     check_content(context, _WRITTEN)
 
 
-@then("the lapsed lease cannot be renewed")
+@then("the platform's lapsed lease cannot be renewed")
 def check_lapsed(context: Context) -> None:
     assert not context.platform.other.renew_lease(context.lease_id)
 
 
-@then("the key is refused")
+@then("the platform's key is refused")
 def check_refused(context: Context) -> None:
     assert not context.acquired
     check_content(context, _OTHERS)
 
 
-@then("some writes ended with STORE_UNAVAILABLE")
+@then("some of the platform's writes ended with STORE_UNAVAILABLE")
 def check_some_limited(context: Context) -> None:
     assert "STORE_UNAVAILABLE" in context.outcomes.values()
     assert context.platform.counts()["limited"] > 0
 
 
-@then("just the keys whose writes succeeded exist")
+@then("just the platform's keys whose writes succeeded exist")
 def check_keys(context: Context) -> None:
     existing = {key for key in context.outcomes if context.platform.other.read(key)}
     succeeded = {key for key, outcome in context.outcomes.items() if isinstance(outcome, int)}
@@ -396,12 +398,12 @@
     assert existing
 
 
-@then("the client sees no instances")
+@then("the platform's client sees no instances")
 def check_no_instances(context: Context) -> None:
     assert context.platform.client.list_instances() == ()
 
 
-@then("the client sees i1 as live and i2 as leaving in the end")
+@then("the platform's client sees i1 as live and i2 as leaving in the end")
 def check_instances(context: Context) -> None:
     def seen() -> list[tuple[str, str]]:
         return [(i.name, i.state.value) for i in context.platform.client.list_instances()]
@@ -409,12 +411,12 @@
     assert wait_until(lambda: seen() == [("i1", "live"), ("i2", "leaving")])
 
 
-@then("their bounds were 0.1, 0.2, 0.4, 0.8, 1.0 and 1.0 s")
+@then("the backoff's bounds were 0.1, 0.2, 0.4, 0.8, 1.0 and 1.0 s")
 def check_bounds(context: Context) -> None:
     assert context.delays == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0], context.delays
 
 
-@then("after a reset the bound is {first_s:g} s")
+@then("after a reset the backoff's bound is {first_s:g} s")
 def check_reset(context: Context, first_s: float) -> None:
     context.backoff.reset()
     assert context.backoff.next_delay_s() == first_s
--- a/features/steps/records_checker_steps.py
+++ b/features/steps/records_checker_steps.py
@@ -136,17 +136,17 @@
     context.written = records
 
 
-@given("grant {rest}")
-def take_records(context: Context, rest: str) -> None:
-    context.records = RecordsSubject(records_of(f"grant {rest}"))
+@given("the records {text}")
+def take_records(context: Context, text: str) -> None:
+    context.records = RecordsSubject(records_of(text))
 
 
-@given("the accepted assignments {accepted}")
+@given("the records' accepted assignments {accepted}")
 def take_assignments(context: Context, accepted: str) -> None:
     context.records.accepted = [assignment_of(part) for part in accepted.split("; ")]
 
 
-@given("a file with one record of each kind and a line that was cut short")
+@given("a record file with one record of each kind and a line that was cut short")
 def write_each_kind(context: Context) -> None:
     text = "start u1 0; grant u1 0-9!x+p 0..10; run u1 3 k r1 1..2; lost u1 3 k r2 1..2"
     keep_in_file(context, records_of(text))
@@ -154,7 +154,7 @@
         file.write('{"type":"run","upst')
 
 
-@given("a file of {records}")
+@given("a record file of {records}")
 def write_file(context: Context, records: str) -> None:
     keep_in_file(context, records_of(records))
 
@@ -174,18 +174,18 @@
     context.records.check(must_not_repeat=lambda request_id: request_id.startswith("once-"))
 
 
-@when("the file is read")
+@when("the record file is read")
 def read_file(context: Context) -> None:
     context.read = read_records([context.path])
 
 
-@when("the command line checks it")
+@when("the records command checks the file")
 def run_command(context: Context) -> None:
     command = [sys.executable, "-m", "standins.records", str(context.path)]
     context.result = subprocess.run(command, capture_output=True, text=True, check=False)
 
 
-@then("the violations are {expected}")
+@then("the records' violations are {expected}")
 def check_violations(context: Context, expected: str) -> None:
     found = [words_for(violation) for violation in context.records.violations]
     assert found == ([] if expected == "none" else expected.split("; ")), found
@@ -196,7 +196,7 @@
     assert context.read == context.written
 
 
-@then("its exit code is {code:d} and its last line is {line}")
+@then("the records command's exit code is {code:d} and its last line is {line}")
 def check_command(context: Context, code: int, line: str) -> None:
     assert context.result.returncode == code, context.result
     assert context.result.stdout.splitlines()[-1] == line, context.result.stdout
--- a/features/steps/standin_upstream_steps.py
+++ b/features/steps/standin_upstream_steps.py
@@ -166,24 +166,26 @@
     start_upstream(context, ["--health", mode])
 
 
-@given("it took a grant of slots 0 to 9 under fence {fence}")
+@given("the stand-in upstream took a grant of slots 0 to 9 under fence {fence}")
 def take_grant(context: Context, fence: str) -> None:
     assert context.upstream.grant_now(fence_of(fence), [[0, 10]])["accepted"]
 
 
-@given("it took a grant of slots 0 to 9 without key x and with key p under fence {fence}")
+@given(
+    "the stand-in upstream took a grant of slots 0 to 9 without x and with p under fence {fence}"
+)
 def take_detailed_grant(context: Context, fence: str) -> None:
     answer = context.upstream.grant_now(fence_of(fence), [[0, 10]], pins=("p",), excluded=("x",))
     assert answer["accepted"]
 
 
-@given("its switches are {switches}")
-@when("its switches are set to {switches}")
+@given("the stand-in's switches are {switches}")
+@when("the stand-in's switches are set to {switches}")
 def set_switches(context: Context, switches: str) -> None:
     context.upstream.switch(json.loads(switches))
 
 
-@when("a grant of slots 0 to 9 under fence {fence} with {reading} arrives")
+@when("the stand-in upstream is sent a grant of slots 0 to 9 under fence {fence} with {reading}")
 def send_grant(context: Context, fence: str, reading: str) -> None:
     upstream = context.upstream
     now = upstream.reading()
@@ -196,7 +198,9 @@
     upstream.grant(fence_of(fence), [[0, 10]], reading_ms, boot_id)
 
 
-@when("work on key {key} of slot {slot:d} under fence {fence} arrives with {detail}")
+@when(
+    "the stand-in upstream is sent work on key {key}, slot {slot:d}, fence {fence}, with {detail}"
+)
 def send_work(context: Context, key: str, slot: int, fence: str, detail: str) -> None:
     upstream = context.upstream
     details = {
@@ -247,7 +251,7 @@
 }
 
 
-@when("long work is in progress and {event}")
+@when("the stand-in upstream has long work in progress and {event}")
 def interrupt_work(context: Context, event: str) -> None:
     upstream = context.upstream
     reading_ms = upstream.reading()["reading_ms"]
@@ -256,7 +260,7 @@
     _EVENTS[event](upstream)
 
 
-@when("{request} is cancelled")
+@when("the stand-in upstream is asked to cancel {request}")
 def cancel_request(context: Context, request: str) -> None:
     upstream = context.upstream
     upstream.request_id = str(uuid.uuid4())
@@ -269,7 +273,7 @@
     context.cancel_answer = upstream.cancel()
 
 
-@when("{count:d} pieces of long work arrive together")
+@when("{count:d} pieces of long work arrive at the stand-in upstream together")
 def send_much_work(context: Context, count: int) -> None:
     upstream = context.upstream
     start = threading.Barrier(count)
@@ -283,12 +287,14 @@
     context.outcomes = [future.result() for future in futures]
 
 
-@then("{ran:d} of them ran and {shed:d} were shed")
+@then("{ran:d} of the stand-in's pieces ran and {shed:d} were shed")
 def check_outcomes(context: Context, ran: int, shed: int) -> None:
     assert sorted(context.outcomes) == ["ran"] * ran + ["shed"] * shed, context.outcomes
 
 
-@then("it answers {status:d} with accepted {accepted} and highest fence {highest}")
+@then(
+    "the stand-in upstream answers {status:d} with accepted {accepted} and highest fence {highest}"
+)
 def check_grant(context: Context, status: int, accepted: str, highest: str) -> None:
     upstream = context.upstream
     answer = upstream.answer
@@ -297,7 +303,7 @@
     assert Fence(*answer["highest_fence"]) == fence_of(highest), answer
 
 
-@then("it is answered {status:d} as {outcome}")
+@then("the stand-in's work is answered {status:d} as {outcome}")
 def check_work(context: Context, status: int, outcome: str) -> None:
     response = context.upstream.work.result()
     assert response.status == status, response.status
@@ -305,49 +311,49 @@
     assert response.headers["X-Request-Id"] == context.upstream.request_id
 
 
-@then("the records show the run with effect {effect}")
+@then("the stand-in's records show the run with effect {effect}")
 def check_run_record(context: Context, effect: str) -> None:
     upstream = context.upstream
     effects = [run.effect for run in upstream.runs() if run.request_id == upstream.request_id]
     assert effects == [effect == "true"], effects
 
 
-@then("the release is not confirmed")
+@then("the stand-in's release is not confirmed")
 def check_unconfirmed(context: Context) -> None:
     answer = context.upstream.answer
     assert answer["accepted"] and not answer["released"], answer
 
 
-@then("work on the slot that was taken back is refused")
+@then("the stand-in's work on the slot that was taken back is refused")
 def check_taken_back(context: Context) -> None:
     assert context.upstream.send_work("b", 3, "2.6").headers["X-Outcome"] == "refused"
 
 
-@then("the release is confirmed once the work has ended")
+@then("the stand-in's release is confirmed once the work has ended")
 def check_confirmed(context: Context) -> None:
     assert context.upstream.work.result().headers["X-Outcome"] == "ran"
     assert context.upstream.grant_now(Fence(2, 6), [[5, 10]])["released"]
 
 
-@then("the cancellation is answered {answer}")
+@then("the stand-in's cancellation is answered {answer}")
 def check_cancel(context: Context, answer: str) -> None:
     assert context.cancel_answer == answer, context.cancel_answer
 
 
-@then("the answer is another request's")
+@then("the stand-in's answer is another request's")
 def check_crossed(context: Context) -> None:
     response = context.upstream.work.result()
     assert response.headers["X-Request-Id"] != context.upstream.request_id
     assert response.json()["request_id"] == response.headers["X-Request-Id"]
 
 
-@then("the answer breaks off")
+@then("the stand-in's answer breaks off")
 def check_cut(context: Context) -> None:
     failure = context.upstream.work.exception()
     assert isinstance(failure, urllib3.exceptions.ProtocolError), failure
 
 
-@then("the answer is late, but work was done")
+@then("the stand-in's answer is late, but work was done")
 def check_late(context: Context) -> None:
     upstream = context.upstream
     while not upstream.runs():
@@ -356,30 +362,30 @@
     assert upstream.runs()[0].effect
 
 
-@then("the next work is answered as it should be")
+@then("the stand-in's next work is answered as it should be")
 def check_next_work(context: Context) -> None:
     send_work(context, "a", 3, "2.5", "nothing special")
     check_work(context, 200, "ran")
 
 
-@then("its health shows draining {shown}")
+@then("the stand-in's health shows draining {shown}")
 def check_health(context: Context, shown: str) -> None:
     health = context.upstream.call("GET", "/health", b"").json()
     assert health["draining"] is (shown == "true"), health
     assert health["ready"] is not health["draining"], health
 
 
-@then("the answer to a grant shows draining true")
+@then("the stand-in's answer to a grant shows draining true")
 def check_draining(context: Context) -> None:
     assert context.upstream.reading()["draining"] is True
 
 
-@then("the upstream has ended with exit code {code:d}")
+@then("the stand-in upstream has ended with exit code {code:d}")
 def check_exit(context: Context, code: int) -> None:
     assert context.upstream.process.wait() == code
 
 
-@then("the answer names its request, key, operation and body")
+@then("the stand-in's answer names its request, key, operation and body")
 def check_answer(context: Context) -> None:
     upstream = context.upstream
     value = upstream.work.result().json()
