--- a/features/steps/assigner_steps.py
+++ b/features/steps/assigner_steps.py
@@ -87,7 +87,7 @@
     context.zone.platform.compare_and_swap(CONFIG_KEY, record, 0)
 
 
-@step("each slot has one owner")
+@step("each of the zone's slots has one owner")
 def check_owned(context: Context) -> None:
     context.zone.before = context.zone.settled_table()
 
@@ -99,7 +99,7 @@
     context.zone.assigners.pop(context.zone.stopped).stop()
 
 
-@when("{upstream_id} is lost while its grants may still be in force")
+@when("upstream {upstream_id} is lost while its grants may still be in force")
 def lose_upstream(context: Context, upstream_id: str) -> None:
     for dispatcher in context.zone.dispatchers.values():
         dispatcher.held_back.add(upstream_id)
@@ -107,24 +107,24 @@
         dispatcher.agent.wake()
 
 
-@when("the grants of {upstream_id} have lapsed")
+@when("the grants of upstream {upstream_id} have lapsed")
 def lapse(context: Context, upstream_id: str) -> None:
     for dispatcher in context.zone.dispatchers.values():
         dispatcher.held_back.discard(upstream_id)
         dispatcher.agent.wake()
 
 
-@when("the platform lists {upstream_id} as leaving")
+@when("the memory platform lists {upstream_id} as leaving")
 def leave(context: Context, upstream_id: str) -> None:
     context.zone.platform.leaving = (upstream_id,)
 
 
-@when("dispatcher {name} is lost")
+@when("the zone's dispatcher {name} is lost")
 def lose_dispatcher(context: Context, name: str) -> None:
     context.zone.dispatchers.pop(name).stop()
 
 
-@when("the answers to the next {count:d} writes are lost")
+@when("the answers to the memory platform's next {count:d} writes are lost")
 def lose_answers(context: Context, count: int) -> None:
     context.zone.platform.answers_to_lose = count
 
@@ -147,59 +147,59 @@
     zone.new_term = term + 1
 
 
-@when("the store goes down until no assigner is active")
+@when("the memory platform goes down until no assigner is active")
 def store_down(context: Context) -> None:
     zone = context.zone
     zone.platform.is_down = True
     wait_until(lambda: not any(p.dump()["lease"]["held"] for p in zone.assigners.values()))
 
 
-@when("the store comes back and the platform lists {upstream_id} as leaving")
+@when("the memory platform comes back and lists {upstream_id} as leaving")
 def store_back(context: Context, upstream_id: str) -> None:
     context.zone.platform.is_down = False
     context.zone.platform.leaving = (upstream_id,)
 
 
-@then("each upstream owns {least:d} or {most:d} slots")
+@then("each upstream of the zone owns {least:d} or {most:d} slots")
 def check_balance(context: Context, least: int, most: int) -> None:
     counts = slots_by_upstream(context.zone.table())
     assert set(counts.values()) == {least, most}, counts
 
 
-@then("each dispatcher is first for {count:d} upstreams")
+@then("each dispatcher of the zone is first for {count:d} upstreams")
 def check_firsts(context: Context, count: int) -> None:
     expected = dict.fromkeys(context.zone.dispatchers, count)
     wait_until(lambda: context.zone.firsts() == expected)
 
 
-@then("each dispatcher but {name} is first for {count:d} upstreams")
+@then("each dispatcher of the zone but {name} is first for {count:d} upstreams")
 def check_other_firsts(context: Context, name: str, count: int) -> None:
     assert name not in context.zone.dispatchers
     check_firsts(context, count)
 
 
-@then("the witnesses are the {count:d} dispatchers")
+@then("the zone's witnesses are the {count:d} dispatchers")
 def check_witnesses(context: Context, count: int) -> None:
     expected = sorted(d.member.boot_id for d in context.zone.dispatchers.values())
     assert len(expected) == count
     wait_until(lambda: context.zone.table().witness_sets == (tuple(expected),))
 
 
-@then("the other one is active with a higher term")
+@then("the zone's other assigner is active with a higher term")
 def check_next_active(context: Context) -> None:
     zone = context.zone
     wait_until(lambda: zone.active() is not None)
     wait_until(lambda: zone.table().fence.term > zone.before.fence.term)
 
 
-@then("no slot has moved")
+@then("no slot of the zone has moved")
 def check_not_moved(context: Context) -> None:
     zone = context.zone
     for name, row in zone.table().rows.items():
         assert row.slots == zone.before.rows[name].slots, name
 
 
-@then("no slot of another upstream has moved")
+@then("no slot of the zone's other upstream has moved")
 def check_others_kept(context: Context) -> None:
     zone = context.zone
     for name, row in zone.table().rows.items():
@@ -207,7 +207,7 @@
         assert name == "u0" or kept <= row.slots, name
 
 
-@then("the slots of {upstream_id} have no owner")
+@then("the zone's slots of {upstream_id} have no owner")
 def check_unowned(context: Context, upstream_id: str) -> None:
     zone = context.zone
     zone.first = zone.before
@@ -218,13 +218,13 @@
     assert [transit.slots for transit in zone.table().transits] == [held]
 
 
-@then("the upstreams own {text} slots")
+@then("the zone's upstreams own {text} slots")
 def check_counts(context: Context, text: str) -> None:
     expected = {name: int(count) for name, count in (part.split(":") for part in text.split())}
     wait_until(lambda: slots_by_upstream(context.zone.table()) == expected)
 
 
-@then("the term has not changed")
+@then("the zone's term has not changed")
 def check_term(context: Context) -> None:
     zone = context.zone
     assert zone.platform.answers_to_lose == 0
@@ -239,12 +239,12 @@
     wait_until(lambda: metrics.counter_value(name, {"outcome": "conflict"}) == 1)
 
 
-@then("the table in the store is of the new term or a later one")
+@then("the zone's table in the store is of the new term or a later one")
 def check_new_term(context: Context) -> None:
     assert context.zone.table().fence.term >= context.zone.new_term
 
 
-@then("a new dispatcher still gets the table")
+@then("a new dispatcher of the zone still gets the table")
 def check_served(context: Context) -> None:
     zone = context.zone
     dispatcher = zone.add_dispatcher("d9")
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -90,33 +90,33 @@
     return Fence(int(term), int(version))
 
 
-@given("a registry")
+@given("a member registry")
 def make_registry(context: Context) -> None:
     context.registry = RegistrySubject()
 
 
-@when('it hears the calls "{calls}"')
+@when('the member registry hears the calls "{calls}"')
 def play_calls(context: Context, calls: str) -> None:
     for call in calls.split():
         context.registry.play(call)
 
 
-@then('its members are "{members}"')
+@then('the registered members are "{members}"')
 def check_members(context: Context, members: str) -> None:
     assert context.registry.members() == members, context.registry.members()
 
 
-@then('its members are ""')
+@then('the registered members are ""')
 def check_no_members(context: Context) -> None:
     assert context.registry.members() == "", context.registry.members()
 
 
-@then("its members changed {count:d} times")
+@then("the registered members changed {count:d} times")
 def check_version(context: Context, count: int) -> None:
     assert context.registry.registry.version == count, context.registry.registry.version
 
 
-@given("assigners {text}")
+@given("syncing assigners {text}")
 def start_assigners(context: Context, text: str) -> None:
     context.spread = SpreadSubject(context)
     for part in text.split(", "):
@@ -124,34 +124,34 @@
         context.spread.add(words[0], words[1], words[2] if len(words) > 2 else None)
 
 
-@given("an assigner {name} in {zone}")
+@given("a syncing assigner {name} in {zone}")
 def start_assigner(context: Context, name: str, zone: str) -> None:
     context.spread = SpreadSubject(context)
     context.spread.add(name, zone, None)
 
 
-@given("a dispatcher of wanaka with configuration {version:d} that starts from {seed}")
+@given("a syncing dispatcher of wanaka with configuration {version:d} that starts from {seed}")
 def start_dispatcher(context: Context, version: int, seed: str) -> None:
     context.spread.add_dispatcher(seed, version)
 
 
-@when("{name} is given configuration {version:d} and a table of zone {zone} with fence {fence}")
+@when("assigner {name} is given configuration {version:d} and table {fence} of {zone}")
 def give(context: Context, name: str, version: int, zone: str, fence: str) -> None:
     context.spread.give(name, version, zone, _fence(fence))
 
 
-@when("{name} holds the lease")
+@when("assigner {name} holds the lease")
 def hold_lease(context: Context, name: str) -> None:
     context.spread.nodes[name].active = True
 
 
-@when("a and c stop")
+@when("assigners a and c stop")
 def stop_nodes(context: Context) -> None:
     context.spread.nodes["a"].stop()
     context.spread.nodes["c"].stop()
 
 
-@when("the dispatcher reports an upstream and wakes")
+@when("the syncing dispatcher reports an upstream and wakes")
 def report(context: Context) -> None:
     fence = FenceMessage(1, 1)
     dispatcher = context.spread.dispatcher
@@ -159,7 +159,7 @@
     dispatcher.agent.wake()
 
 
-@then("a, b and c have configuration {version:d} and the table of {zone} with fence {fence}")
+@then("assigners a, b and c have configuration {version:d} and table {fence} of {zone}")
 def check_spread(context: Context, version: int, zone: str, fence: str) -> None:
     spread = context.spread
     for name in "abc":
@@ -167,23 +167,23 @@
         wait_until(lambda view=view: spread.has(view, version, zone, _fence(fence)))
 
 
-@then("a has configuration {version:d}")
+@then("assigner a has configuration {version:d}")
 def check_cfg(context: Context, version: int) -> None:
     wait_until(lambda: context.spread.nodes["a"].view.cfg_version == version)
 
 
-@then("the dispatcher has configuration {version:d}")
+@then("the syncing dispatcher has configuration {version:d}")
 def check_dispatcher_cfg(context: Context, version: int) -> None:
     wait_until(lambda: context.spread.dispatcher.view.cfg_version == version)
 
 
-@then("the dispatcher's active assigner is {name}")
+@then("the syncing dispatcher's active assigner is {name}")
 def check_active(context: Context, name: str) -> None:
     address = context.spread.nodes[name].address
     wait_until(lambda: context.spread.dispatcher.agent.active_assigner == address)
 
 
-@then("{name} has the report")
+@then("assigner {name} has the report")
 def check_report(context: Context, name: str) -> None:
     node = context.spread.nodes[name]
     wait_until(lambda: any(report.upstream_id == "u1" for report in node.reports))
