--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,26 @@
+"""Hooks of the features: every fleet ends with its scenario."""
+
+from behave.model import Scenario
+from behave.runner import Context
+
+
+def before_scenario(context: Context, scenario: Scenario) -> None:
+    """Start without a fleet.
+
+    :param context: behave's context.
+    :param scenario: the scenario.
+    """
+    context.subject = None
+
+
+def after_scenario(context: Context, scenario: Scenario) -> None:
+    """End the scenario's fleet, and show its logs if the scenario failed.
+
+    :param context: behave's context.
+    :param scenario: the scenario.
+    """
+    if context.subject is None:
+        return
+    if scenario.status.name == "failed":
+        context.subject.print_logs()
+    context.subject.close()
--- a/foxtailshunt/assigner/_program.py
+++ b/foxtailshunt/assigner/_program.py
@@ -90,12 +90,15 @@
     def dump(self) -> dict[str, Any]:
         """Return the state of the process for operators."""
         return {
+            "program": ASSIGNER_ROLE,
             "instance": self._settings.instance_id,
             "zone": self._settings.zone,
             "boot_id": self._boot_id,
+            "stopping": self._stopping,
+            "active": self._lease.held,
             "lease": self._lease.dump(),
             "store_age_s": self._store_age_s(),
-            "config_version": self.view.cfg_version,
+            "cfg_version": self.view.cfg_version,
             "tables": {
                 zone: [fence.term, fence.version]
                 for zone, fence in sorted(self.view.table_fences().items())
@@ -147,13 +150,13 @@
             make_reports=list,
             zone=settings.zone,
             metrics=self._metrics,
-            own_address=address,
+            own_address=settings.assigner.advertised_address,
             clock=self._clock,
             registry=self._registry,
         )
 
     def _member(self) -> Member:
-        host, port = self._settings.assigner.listen_address
+        host, port = self._settings.assigner.advertised_address
         return Member(
             instance_id=self._settings.instance_id,
             role=ASSIGNER_ROLE,
--- a/standins/fleet/_layout.py
+++ b/standins/fleet/_layout.py
@@ -125,11 +125,10 @@
             "zone": instance.zone,
             "platform": [_text(self.platform_known)],
             "peers": peers,
+            "source_host": instance.host,
         }
         for program in ("entry", "dispatcher", "assigner"):
             document[program] = self._program_settings(instance, program)
-        if self.proxied:
-            document["source_host"] = instance.host
         return document
 
     def upstreams_of(self, zone: str) -> list[UpstreamLayout]:
--- a/standins/measuring/_proof.py
+++ b/standins/measuring/_proof.py
@@ -41,7 +41,10 @@
     :param outcomes: what callers were told.
     """
     records = read_records(sorted(fleet.records_dir.glob("*.jsonl")))
-    violations = check_records(records, slot_counts=fleet.layout.slot_counts).violations
+    report = check_records(records, slot_counts=fleet.layout.slot_counts)
+    if not report.holding_count or not report.effect_count:
+        raise ValueError("the records hold no grants or no work; nothing can be proved")
+    violations = report.violations
     effects = [r.request_id for r in records if isinstance(r, RunRecord) and r.effect]
     findings = audit_outcomes(outcomes, effects)
     faults = [finding.fault for finding in findings]
