--- a/foxtailshunt/assigner/__init__.py
+++ b/foxtailshunt/assigner/__init__.py
@@ -8,8 +8,10 @@
 from foxtailshunt.assigner._assignment import distribute, quotas, surplus
 from foxtailshunt.assigner._decision_log import DecisionLog
 from foxtailshunt.assigner._dispatcher_lists import choose_dispatchers
+from foxtailshunt.assigner._hot_keys import HotKeyWatch
 from foxtailshunt.assigner._lease_keeper import LeaseKeeper
 from foxtailshunt.assigner._live_dispatchers import LiveDispatchers
+from foxtailshunt.assigner._load_weights import LoadWeights
 from foxtailshunt.assigner._placement import (
     Placement,
     choose_rehomed,
@@ -37,10 +39,12 @@
     "AssignerProgram",
     "ConfigWatcher",
     "DecisionLog",
+    "HotKeyWatch",
     "InstancePoll",
     "LeaseKeeper",
     "LeaseLostError",
     "LiveDispatchers",
+    "LoadWeights",
     "PinPlan",
     "Placement",
     "PlanInput",
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -4,8 +4,10 @@
 
 from foxtailshunt.assigner._ability import AbilityWatch
 from foxtailshunt.assigner._decision_log import DecisionLog, describe_change, slots_moved
+from foxtailshunt.assigner._hot_keys import HotKeyWatch
 from foxtailshunt.assigner._lease_keeper import LeaseKeeper
 from foxtailshunt.assigner._live_dispatchers import LiveDispatchers
+from foxtailshunt.assigner._load_weights import LoadWeights
 from foxtailshunt.assigner._placement_keeper import PlacementKeeper
 from foxtailshunt.assigner._plan_input import PlanInput, UpstreamStates
 from foxtailshunt.assigner._planner import plan_table
@@ -82,6 +84,8 @@
         self._transits = TransitWatch(zone, parts.reports, parts.refuse_client, clock)
         self._witnesses = WitnessWatch(zone, parts.refuse_client, clock)
         self._ability = AbilityWatch(zone, clock)
+        self._hot_keys = HotKeyWatch(parts.reports, clock)
+        self._weights = LoadWeights(parts.reports, clock)
         self._table: Table | None = None
         self._dispatchers_moved_at = clock.now()
         self._stepped_at = clock.now()
@@ -140,6 +144,7 @@
             "upstreams": self._upstreams.dump(),
             "transits": self._transits.dump(),
             "witnesses": self._witnesses.dump(),
+            "hot_keys_on_their_way": self._hot_keys.dump(),
             "placements": self._placements.dump(),
         }
 
@@ -147,23 +152,31 @@
         self, cfg: Configuration, table: Table, states: UpstreamStates, able: dict[str, bool]
     ) -> PlanInput:
         live = self._parts.dispatchers.of(table)
+        senders = self._parts.reports.senders(table.rows)
+        usable = states.ready - states.draining
         return PlanInput(
             cfg=cfg,
             zone=self._parts.zone,
             homed=self._placements.homed(),
             giving=self._placements.choose(cfg, able),
             states=states,
-            weights={},
+            weights=self._weights.update(table, cfg, usable),
             finished=self._transits.finished(table, cfg),
             live_dispatchers=live,
-            dispatcher_moves=self._dispatcher_moves(table),
+            senders=senders,
+            dispatcher_moves=self._dispatcher_moves(table, senders),
             witness_sets=self._witnesses.next_sets(table, live),
+            pins=self._hot_keys.plan(table, cfg, usable),
         )
 
-    def _dispatcher_moves(self, table: Table) -> int:
+    def _dispatcher_moves(self, table: Table, senders: dict[str, str]) -> int:
         if not table.witness_sets:
             # No dispatcher can work yet, so a move costs nothing.
             return len(table.rows)
+        listed = {name: row.dispatchers for name, row in table.rows.items()}
+        if any(sender not in listed[name] for name, sender in senders.items()):
+            # A handover is in progress.
+            return 0
         now = self._parts.clock.now()
         return 1 if now - self._dispatchers_moved_at >= DISPATCHER_MOVE_INTERVAL_S else 0
 
--- a/foxtailshunt/assigner/_dispatcher_lists.py
+++ b/foxtailshunt/assigner/_dispatcher_lists.py
@@ -7,15 +7,21 @@
 
 
 def choose_dispatchers(
-    current: dict[str, tuple[str, ...]], live: tuple[str, ...], moves: int
+    current: dict[str, tuple[str, ...]],
+    live: tuple[str, ...],
+    senders: dict[str, str],
+    moves: int,
 ) -> dict[str, tuple[str, ...]]:
     """Return the dispatchers of each upstream.
 
-    Lost dispatchers are dropped and the next in order follows. Free places are filled with the
-    dispatchers that are named least. First places are then evened out.
+    Lost dispatchers are dropped and the next in order follows. A listed dispatcher that is the
+    sender comes first. Free places are filled with the dispatchers that are named least. First
+    places are then evened out: the sender is left out of the list, which makes it hand over, and
+    is not named again before it has.
 
     :param current: instance ids of each upstream's dispatchers now.
     :param live: instance ids of the live dispatchers.
+    :param senders: the dispatcher that sends to each upstream, where known.
     :param moves: most first places to move for balance.
     :returns: instance ids of each upstream's dispatchers, the sender first.
     """
@@ -23,14 +29,24 @@
         name: [instance_id for instance_id in current[name] if instance_id in live]
         for name in sorted(current)
     }
+    _put_senders_first(lists, senders)
     _fill_first_places(lists, live)
-    _fill_other_places(lists, live)
+    _fill_other_places(lists, live, senders)
     for _ in range(moves):
         if not _move_first_place(lists, live):
             break
+    _fill_other_places(lists, live, senders)
     return {name: tuple(names) for name, names in lists.items()}
 
 
+def _put_senders_first(lists: dict[str, list[str]], senders: dict[str, str]) -> None:
+    for name, names in lists.items():
+        sender = senders.get(name)
+        if sender in names:
+            names.remove(sender)
+            names.insert(0, sender)
+
+
 def _firsts(lists: dict[str, list[str]], live: tuple[str, ...]) -> Counter[str]:
     firsts = Counter(dict.fromkeys(live, 0))
     firsts.update(names[0] for names in lists.values() if names)
@@ -52,14 +68,18 @@
             firsts[chosen] += 1
 
 
-def _fill_other_places(lists: dict[str, list[str]], live: tuple[str, ...]) -> None:
+def _fill_other_places(
+    lists: dict[str, list[str]], live: tuple[str, ...], senders: dict[str, str]
+) -> None:
     named: Counter[str] = Counter()
     for names in lists.values():
         named.update(names)
-    for names in lists.values():
+    for name, names in lists.items():
         del names[DISPATCHERS_PER_UPSTREAM:]
-        while len(names) < min(DISPATCHERS_PER_UPSTREAM, len(live)):
-            chosen = _least(named, [name for name in live if name not in names])
+        free = [other for other in live if other not in names and other != senders.get(name)]
+        for _ in range(min(DISPATCHERS_PER_UPSTREAM - len(names), len(free))):
+            chosen = _least(named, free)
+            free.remove(chosen)
             names.append(chosen)
             named[chosen] += 1
 
@@ -75,8 +95,8 @@
     candidates = [name for name, names in lists.items() if names[0] == most]
     chosen = min(candidates, key=lambda name: (least not in lists[name], name))
     names = lists[chosen]
+    names.remove(most)
     if least in names:
         names.remove(least)
     names.insert(0, least)
-    del names[DISPATCHERS_PER_UPSTREAM:]
     return True
--- a/foxtailshunt/assigner/_plan_input.py
+++ b/foxtailshunt/assigner/_plan_input.py
@@ -72,6 +72,8 @@
     finished: frozenset[TransitKey]
     #: The live dispatchers.
     live_dispatchers: tuple[ProcessRef, ...]
+    #: The dispatcher that sends to each upstream, where known.
+    senders: dict[str, str]
     #: Most dispatchers' first places to move for balance.
     dispatcher_moves: int
     #: Witness sets of the next table.
--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -174,7 +174,7 @@
     if not live:
         return
     current = {name: row.dispatchers for name, row in draft.rows.items()}
-    chosen = choose_dispatchers(current, live, inputs.dispatcher_moves)
+    chosen = choose_dispatchers(current, live, inputs.senders, inputs.dispatcher_moves)
     for upstream_id, dispatchers in chosen.items():
         if dispatchers != current[upstream_id]:
             draft.set_dispatchers(upstream_id, dispatchers)
--- a/foxtailshunt/assigner/_refusal_round.py
+++ b/foxtailshunt/assigner/_refusal_round.py
@@ -83,7 +83,7 @@
         for boot_id in sorted({boot_id for members in self._sets for boot_id in members}):
             if boot_id in self._refs:
                 threading.Thread(
-                    target=self._ask, args=(boot_id,), name="refuse", daemon=True
+                    target=self._ask, args=(boot_id,), name=f"refuse-{boot_id}", daemon=True
                 ).start()
 
     def stop(self) -> None:
--- a/foxtailshunt/assigner/_report_book.py
+++ b/foxtailshunt/assigner/_report_book.py
@@ -95,27 +95,34 @@
         if changed:
             self._on_change()
 
-    def all_of(self, upstream_id: str, dispatcher_ids: Iterable[str]) -> list[Report]:
-        """Return the last reports of some dispatchers on one upstream.
+    def all_of(self, upstream_id: str) -> list[Report]:
+        """Return the last report of each dispatcher on one upstream.
 
         :param upstream_id: the upstream.
-        :param dispatcher_ids: instance ids in order.
         """
         with self._lock:
-            by_dispatcher = self._reports.get(upstream_id, {})
-            return [by_dispatcher[name] for name in dispatcher_ids if name in by_dispatcher]
+            return list(self._reports.get(upstream_id, {}).values())
 
-    def current(self, upstream_id: str, dispatcher_ids: Iterable[str]) -> Report | None:
-        """Return the report to go by: of the first dispatcher in order that reported recently.
+    def current(self, upstream_id: str) -> Report | None:
+        """Return the newest report on an upstream, None if there is no recent one.
+
+        A dispatcher reports only while it is the upstream's sender.
 
         :param upstream_id: the upstream.
-        :param dispatcher_ids: instance ids in order.
         """
-        oldest = self._clock.now() - MEMBER_TIMEOUT_S
-        for report in self.all_of(upstream_id, dispatcher_ids):
-            if report.received_at >= oldest:
-                return report
-        return None
+        reports = self.all_of(upstream_id)
+        newest = max(reports, key=lambda report: report.received_at, default=None)
+        if newest is None or newest.received_at < self._clock.now() - MEMBER_TIMEOUT_S:
+            return None
+        return newest
+
+    def senders(self, upstream_ids: Iterable[str]) -> dict[str, str]:
+        """Return the instance id of the dispatcher that sends to each upstream, where known.
+
+        :param upstream_ids: the upstreams.
+        """
+        current = {name: self.current(name) for name in upstream_ids}
+        return {name: report.dispatcher_id for name, report in current.items() if report}
 
     def forget_others(self, upstream_ids: Iterable[str]) -> None:
         """Drop reports on upstreams that are no longer in the table.
--- a/foxtailshunt/assigner/_transits.py
+++ b/foxtailshunt/assigner/_transits.py
@@ -7,15 +7,21 @@
 from foxtailshunt.assigner._report_book import ReportBook
 from foxtailshunt.config import Configuration
 from foxtailshunt.ownership import ZERO_FENCE, Fence, Table, Transit
-from foxtailshunt.ownership._periods import ASSENT_PERIOD_S, GRANT_TTL_S, surely_lapsed_after
+from foxtailshunt.ownership._periods import (
+    ASSENT_PERIOD_S,
+    GRANT_TIMEOUT_S,
+    GRANT_TTL_S,
+    surely_lapsed_after,
+)
 from foxtailshunt.protocol import AssentItem, FenceMessage, RefuseRequest
 from foxtailshunt.telemetry import log_state_change
 from foxtailshunt.timing import Clock
 
 #: Time without a dispatcher's report after which the witnesses are asked to refuse, in seconds.
 REPORT_TIMEOUT_S = 1.0
-#: Longest time that a grant travels to an upstream that counts it from its arrival, in seconds.
-GRANT_DELAY_BOUND_S = 1.0
+
+# The longest deadline that the configuration allows.
+_MAX_DEADLINE_S = 600.0
 
 _SETTLE_S = surely_lapsed_after(ASSENT_PERIOD_S) + surely_lapsed_after(GRANT_TTL_S)
 
@@ -60,9 +66,9 @@
         for transit in table.transits:
             key = TransitKey.of(transit)
             watched = self._watched.setdefault(key, _Watched(now))
-            if self._is_released(table, transit) or self._is_refused(watched):
+            if self._is_released(transit) or self._is_refused(watched):
                 result.add(key)
-            elif watched.refusals is None and self._needs_refusals(table, transit, watched):
+            elif watched.refusals is None and self._needs_refusals(transit, watched):
                 watched.refusals = self._start_refusals(table, transit, cfg)
         return frozenset(result)
 
@@ -92,30 +98,24 @@
                 if watched.refusals is not None:
                     watched.refusals.stop()
 
-    def _is_released(self, table: Table, transit: Transit) -> bool:
-        reports = self._reports_on(table, transit)
+    def _is_released(self, transit: Transit) -> bool:
+        reports = self._reports.all_of(transit.upstream_id)
         return any(report.proves_release(transit) for report in reports)
 
     def _is_refused(self, watched: _Watched) -> bool:
         return watched.refusals is not None and watched.refusals.succeeded()
 
-    def _reports_on(self, table: Table, transit: Transit) -> list:
-        row = table.rows.get(transit.upstream_id)
-        return self._reports.all_of(transit.upstream_id, row.dispatchers) if row else []
-
-    def _needs_refusals(self, table: Table, transit: Transit, watched: _Watched) -> bool:
+    def _needs_refusals(self, transit: Transit, watched: _Watched) -> bool:
         now = self._clock.now()
         if now - watched.since < REPORT_TIMEOUT_S:
             return False
         return not any(
             report.fence >= transit.fence and now - report.received_at < REPORT_TIMEOUT_S
-            for report in self._reports_on(table, transit)
+            for report in self._reports.all_of(transit.upstream_id)
         )
 
     def _start_refusals(self, table: Table, transit: Transit, cfg: Configuration) -> RefusalRound:
-        settle_s = _SETTLE_S
-        if not _checks_fences(cfg, transit.upstream_id):
-            settle_s += GRANT_DELAY_BOUND_S
+        settle_s = _SETTLE_S + _extra_settle_s(cfg, transit)
         floor = AssentItem(transit.upstream_id, _message_of(transit.fence))
         refusals = RefusalRound(
             sets=table.witness_sets,
@@ -130,13 +130,20 @@
         return refusals
 
 
-def _checks_fences(cfg: Configuration, upstream_id: str) -> bool:
-    return any(
-        upstream.checks_fences
-        for service in cfg.services.values()
-        for upstream in service.upstreams
-        if upstream.upstream_id == upstream_id
-    )
+def _extra_settle_s(cfg: Configuration, transit: Transit) -> float:
+    """Return the further wait for an upstream that does not check fences, in seconds.
+
+    Such an upstream counts a grant from its arrival, which its dispatcher bounds by resetting the
+    connection, and works on after the grant's end.
+    """
+    service = cfg.services.get(transit.service)
+    if service is None:
+        return _MAX_DEADLINE_S
+    by_id = {upstream.upstream_id: upstream for upstream in service.upstreams}
+    upstream = by_id.get(transit.upstream_id)
+    if upstream is not None and upstream.checks_fences:
+        return 0.0
+    return GRANT_TIMEOUT_S + max(operation.deadline_s for operation in service.operations)
 
 
 def _message_of(fence: Fence) -> FenceMessage:
--- a/foxtailshunt/assigner/_upstream_watch.py
+++ b/foxtailshunt/assigner/_upstream_watch.py
@@ -50,8 +50,8 @@
             name: self._watched.get(name, _Watched(_Reach.NEW, now)) for name in table.rows
         }
         draining = set(leaving)
-        for upstream_id, row in table.rows.items():
-            report = self._reports.current(upstream_id, row.dispatchers)
+        for upstream_id in table.rows:
+            report = self._reports.current(upstream_id)
             watched = self._watched[upstream_id]
             if report is not None:
                 self._move(upstream_id, _Reach.READY if report.reachable else _Reach.LOST, now)
