--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1041,17 +1041,21 @@
      - witness_boot_id
      - table_fence
      - items
+     - sequence
+     - released
 
     """
 
 
-    def __init__(self, zone=None, dispatcher_id=None, dispatcher_boot_id=None, witness_boot_id=None, table_fence=None, items=None,):
+    def __init__(self, zone=None, dispatcher_id=None, dispatcher_boot_id=None, witness_boot_id=None, table_fence=None, items=None, sequence=None, released=None,):
         self.zone = zone
         self.dispatcher_id = dispatcher_id
         self.dispatcher_boot_id = dispatcher_boot_id
         self.witness_boot_id = witness_boot_id
         self.table_fence = table_fence
         self.items = items
+        self.sequence = sequence
+        self.released = released
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1099,6 +1103,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.released = []
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.released.append(_elem62)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1132,8 +1151,19 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter57 in self.items:
-                iter57.write(oprot)
+            for iter63 in self.items:
+                iter63.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 7)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.released is not None:
+            oprot.writeFieldBegin('released', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.released))
+            for iter64 in self.released:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1198,10 +1228,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.granted = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.granted.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.granted.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1228,8 +1258,8 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.granted))
-            for iter64 in self.granted:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter71 in self.granted:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_fence is not None:
@@ -1305,11 +1335,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.floors = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = AssentItem()
-                        _elem70.read(iprot)
-                        self.floors.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = AssentItem()
+                        _elem77.read(iprot)
+                        self.floors.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1338,8 +1368,8 @@
         if self.floors is not None:
             oprot.writeFieldBegin('floors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.floors))
-            for iter71 in self.floors:
-                iter71.write(oprot)
+            for iter78 in self.floors:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1457,11 +1487,12 @@
      - target
      - headers
      - body
+     - drawn_by_entry
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, operation=None, rank=None, key=None, slot=None, upstream_id=None, fence=None, attempt=None, remaining_ms=None, method=None, target=None, headers=None, body=None,):
+    def __init__(self, request_id=None, service_name=None, operation=None, rank=None, key=None, slot=None, upstream_id=None, fence=None, attempt=None, remaining_ms=None, method=None, target=None, headers=None, body=None, drawn_by_entry=False,):
         self.request_id = request_id
         self.service_name = service_name
         self.operation = operation
@@ -1476,6 +1507,7 @@
         self.target = target
         self.headers = headers
         self.body = body
+        self.drawn_by_entry = drawn_by_entry
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1550,11 +1582,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = Header()
-                        _elem77.read(iprot)
-                        self.headers.append(_elem77)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = Header()
+                        _elem84.read(iprot)
+                        self.headers.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1563,6 +1595,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.drawn_by_entry = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1624,14 +1661,18 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter78 in self.headers:
-                iter78.write(oprot)
+            for iter85 in self.headers:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
             oprot.writeFieldBegin('body', TType.STRING, 14)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.drawn_by_entry is not None:
+            oprot.writeFieldBegin('drawn_by_entry', TType.BOOL, 15)
+            oprot.writeBool(self.drawn_by_entry)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1728,11 +1769,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = Header()
-                        _elem84.read(iprot)
-                        self.headers.append(_elem84)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = Header()
+                        _elem91.read(iprot)
+                        self.headers.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1776,8 +1817,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter85 in self.headers:
-                iter85.write(oprot)
+            for iter92 in self.headers:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2053,6 +2094,8 @@
     (4, TType.STRING, 'witness_boot_id', 'UTF8', None, ),  # 4
     (5, TType.STRUCT, 'table_fence', [Fence, None], None, ),  # 5
     (6, TType.LIST, 'items', (TType.STRUCT, [AssentItem, None], False), None, ),  # 6
+    (7, TType.I64, 'sequence', None, None, ),  # 7
+    (8, TType.LIST, 'released', (TType.STRING, 'UTF8', False), None, ),  # 8
 )
 all_structs.append(AssentReply)
 AssentReply.thrift_spec = (
@@ -2092,6 +2135,7 @@
     (12, TType.STRING, 'target', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 13
     (14, TType.STRING, 'body', 'BINARY', None, ),  # 14
+    (15, TType.BOOL, 'drawn_by_entry', None, False, ),  # 15
 )
 all_structs.append(ExecuteReply)
 ExecuteReply.thrift_spec = (
