--- /dev/null
+++ b/features/ownership_support/model/_rules.py
@@ -0,0 +1,77 @@
+"""The rules of ownership, each of which a test can leave out."""
+
+from dataclasses import dataclass, replace
+
+from features.ownership_support._fake_upstream import FakeUpstream
+from features.ownership_support._rig import LedgerFactory
+from foxtailshunt.ownership import Fence
+from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, GRANT_LAPSE_S, AssentLedger
+from foxtailshunt.upstream import Grant
+
+
+class _AlwaysHeldLedger(AssentLedger):
+    """Lets every dispatcher send, whatever the witnesses say."""
+
+    def holds(self, upstream_id: str) -> bool:
+        return True
+
+    def holds_fence(self, upstream_id: str, fence: Fence) -> bool:
+        return True
+
+    def held_since(self, upstream_id: str) -> float | None:
+        return 0.0
+
+    def last_held_since(self, upstream_id: str) -> float | None:
+        return 0.0
+
+
+class _AnyFenceLedger(AssentLedger):
+    """Takes an assent for an older fence as one for the newest."""
+
+    def holds_fence(self, upstream_id: str, fence: Fence) -> bool:
+        return self.holds(upstream_id)
+
+
+class _BrokenRunLedger(AssentLedger):
+    """Forgets that an earlier dispatcher's grants may still be in force."""
+
+    def held_since(self, upstream_id: str) -> float | None:
+        return 0.0 if self.holds(upstream_id) else None
+
+    def last_held_since(self, upstream_id: str) -> float | None:
+        return 0.0
+
+
+class _ArrivalUpstream(FakeUpstream):
+    """Counts a grant's life from its arrival."""
+
+    def _until_ms(self, grant: Grant) -> float | None:
+        return self._now_ms() + grant.ttl_ms
+
+
+@dataclass(frozen=True)
+class Rules:
+    """What the model's parts are made of."""
+
+    #: Counts assents.
+    make_ledger: LedgerFactory = AssentLedger
+    #: Takes grants.
+    upstream_class: type[FakeUpstream] = FakeUpstream
+    #: Whether the assigner has witnesses refuse old fences before it takes an upstream's slots.
+    has_refusals: bool = True
+    #: Time that it waits then, in seconds.
+    wait_after_refusals_s: float = ASSENT_LAPSE_S + GRANT_LAPSE_S
+
+
+_ALL = Rules()
+
+#: The rules by what is left out.
+RULES = {
+    "nothing": _ALL,
+    "assents": replace(_ALL, make_ledger=_AlwaysHeldLedger),
+    "the wait after refusals": replace(_ALL, wait_after_refusals_s=0.0),
+    "refusals": replace(_ALL, has_refusals=False),
+    "counting grants from readings": replace(_ALL, upstream_class=_ArrivalUpstream),
+    "assents for the row's own fence": replace(_ALL, make_ledger=_AnyFenceLedger),
+    "the wait for an earlier dispatcher": replace(_ALL, make_ledger=_BrokenRunLedger),
+}
