--- /dev/null
+++ b/features/steps/protocol_steps.py
@@ -0,0 +1,325 @@
+"""Steps for the inner protocol: the committed code, and bad frames at the server."""
+
+import inspect
+import re
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import ModuleType
+
+from behave import given, then, when
+from behave.runner import Context
+from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TApplicationException, TMessageType, TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from foxtailshunt.protocol import (
+    CancelReply,
+    CancelRequest,
+    PeerClient,
+    ProtocolServer,
+    gen,
+)
+from foxtailshunt.protocol.gen import Assigner, Dispatcher, ttypes
+
+_FILE = Path(gen.__file__).parent.parent / "foxtailshunt.thrift"
+_WAIT_S = 20.0
+_SERVICES = {"Dispatcher": Dispatcher, "Assigner": Assigner}
+_BASE_TYPES = {
+    "bool": TType.BOOL,
+    "double": TType.DOUBLE,
+    "i32": TType.I32,
+    "i64": TType.I64,
+    "string": TType.STRING,
+    "binary": TType.STRING,
+}
+_DEFAULTS = {"": None, "false": False, "true": True}
+_FIELD = re.compile(r"(\d+): (required|optional) (\S+(?: \S+)??) (\w+)(?: = (\w+))?,")
+_METHOD = re.compile(r"(\w+) (\w+)\(1: (\w+) req\),")
+
+
+class GeneratedCodeSubject:
+    """The protocol's file, read with small patterns, beside the committed code."""
+
+    def __init__(self) -> None:
+        text = re.sub(r"/\*.*?\*/", "", _FILE.read_text(), flags=re.DOTALL)
+        self.structs = dict(re.findall(r"struct (\w+) \{(.*?)\}", text, re.DOTALL))
+        self.services = dict(re.findall(r"service (\w+) \{(.*?)\}", text, re.DOTALL))
+
+    def expected_spec(self, name: str) -> dict[int, tuple]:
+        """Return a struct's fields as the generated code lists them."""
+        fields = _FIELD.findall(self.structs[name])
+        assert len(fields) == self.structs[name].count(":"), name
+        return {
+            int(number): (int(number), *self._spec_type(type_name), _DEFAULTS[default], field)
+            for number, _, type_name, field, default in fields
+        }
+
+    def _spec_type(self, name: str) -> tuple[int, object]:
+        if name in _BASE_TYPES:
+            encoding = {"string": "UTF8", "binary": "BINARY"}.get(name)
+            return _BASE_TYPES[name], encoding
+        if name in self.structs:
+            return TType.STRUCT, [getattr(ttypes, name), None]
+        if match := re.fullmatch(r"list<(\w+)>", name):
+            return TType.LIST, (*self._spec_type(match[1]), False)
+        if match := re.fullmatch(r"map<(\w+), ?(\w+)>", name):
+            return TType.MAP, (*self._spec_type(match[1]), *self._spec_type(match[2]), False)
+        raise AssertionError(name)
+
+
+def _generated_spec(name: str) -> dict[int, tuple]:
+    spec = getattr(ttypes, name).thrift_spec
+    return {
+        entry[0]: (entry[0], entry[1], entry[3], entry[4], entry[2])
+        for entry in spec
+        if entry is not None
+    }
+
+
+def _required_fields(name: str) -> set[str]:
+    source = inspect.getsource(getattr(ttypes, name).validate)
+    return set(re.findall(r"Required field (\w+) is unset", source))
+
+
+class _Echo:
+    """Answers cancellations; holds them while told to."""
+
+    def __init__(self) -> None:
+        self.may_answer = threading.Event()
+        self.may_answer.set()
+        self.calls = threading.Semaphore(0)
+
+    def cancel(self, req: CancelRequest) -> CancelReply:
+        self.calls.release()
+        self.may_answer.wait(_WAIT_S)
+        return CancelReply(request_id=req.request_id, code=400)
+
+
+class ProtocolServerSubject:
+    """A server with a client that was connected before anything bad happened."""
+
+    def __init__(self) -> None:
+        self.echo = _Echo()
+        self.bad_frames = 0
+        self.server = ProtocolServer(Dispatcher, self.echo, ("127.0.0.1", 0), self._count)
+        self.server.start()
+        self.address = self.server._listener.getsockname()
+        self.client = self.connect()
+        self.answers: list[CancelReply] = []
+        self.error: Exception | None = None
+
+    def connect(self) -> PeerClient:
+        client = PeerClient(Dispatcher, self.address)
+        client.open()
+        return client
+
+    def is_answered(self, client: PeerClient) -> bool:
+        reply = client.call("cancel", CancelRequest("r1", "u1"), _WAIT_S)
+        return reply == CancelReply("r1", 400)
+
+    def _count(self) -> None:
+        self.bad_frames += 1
+
+
+def _frame(body: bytes) -> bytes:
+    return struct.pack("!i", len(body)) + body
+
+
+def _message(write_body: Callable[[TCompactProtocol], None], protocol_class: type) -> bytes:
+    buffer = TMemoryBuffer()
+    protocol = protocol_class(buffer)
+    protocol.writeMessageBegin("cancel", TMessageType.CALL, 1)
+    write_body(protocol)
+    protocol.writeMessageEnd()
+    return buffer.getvalue()
+
+
+def _cancel_message(protocol_class: type = TCompactProtocol) -> bytes:
+    args = Dispatcher.cancel_args(req=CancelRequest("r1", "u1"))
+    return _message(args.write, protocol_class)
+
+
+def _empty_request(protocol: TCompactProtocol) -> None:
+    protocol.writeStructBegin("cancel_args")
+    protocol.writeFieldBegin("req", TType.STRUCT, 1)
+    protocol.writeStructBegin("CancelRequest")
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    protocol.writeFieldEnd()
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+
+
+def _huge_list(protocol: TCompactProtocol) -> None:
+    protocol.writeStructBegin("cancel_args")
+    protocol.writeFieldBegin("req", TType.LIST, 1)
+    protocol.writeListBegin(TType.STRING, 2_000_000_000)
+
+
+_BAD_FRAMES: dict[str, bytes] = {
+    "a frame of 5 MB": struct.pack("!i", 5_000_000) + bytes(5_000_000),
+    "a frame of negative size": struct.pack("!i", -1),
+    "an HTTP request": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    "a frame of random bytes": _frame(bytes(range(7, 107, 3))),
+    "an empty frame": _frame(b""),
+    "a call cut short inside its frame": _frame(_cancel_message()[:-4]),
+    "a call without its required fields": _frame(_message(_empty_request, TCompactProtocol)),
+    "a call whose text is not UTF-8": _frame(_cancel_message().replace(b"r1", b"\xff\xfe")),
+    "a call whose list claims 2 billion": _frame(_message(_huge_list, TCompactProtocol)),
+    "a call of the binary protocol": _frame(_cancel_message(TBinaryProtocol)),
+    "half a frame, then closes": _frame(_cancel_message())[:9],
+}
+
+
+@given("the protocol's file and the committed code")
+def read_protocol(context: Context) -> None:
+    context.subject = GeneratedCodeSubject()
+
+
+@then("every struct of the file has the same fields, types and defaults in the code")
+def check_structs(context: Context) -> None:
+    subject = context.subject
+    assert len(subject.structs) > 10
+    for name, body in subject.structs.items():
+        assert _generated_spec(name) == subject.expected_spec(name), name
+        required = {field for _, need, _, field, _ in _FIELD.findall(body) if need == "required"}
+        assert _required_fields(name) == required, name
+
+
+@then("the code has no struct that the file does not name")
+def check_no_more(context: Context) -> None:
+    generated = {
+        name
+        for name, value in vars(ttypes).items()
+        if inspect.isclass(value) and value.__module__ == ttypes.__name__
+    }
+    assert generated == context.subject.structs.keys()
+
+
+@then("every service of the file has the same methods in the code")
+def check_services(context: Context) -> None:
+    subject = context.subject
+    assert subject.services.keys() == _SERVICES.keys()
+    for name, body in subject.services.items():
+        assert _methods_of(_SERVICES[name]) == {
+            method: (request, reply) for reply, method, request in _METHOD.findall(body)
+        }
+
+
+def _methods_of(service: ModuleType) -> dict[str, tuple[str, str]]:
+    names = [name for name in vars(service.Iface) if not name.startswith("_")]
+    return {
+        name: (_struct_of(service, name, "args", 1), _struct_of(service, name, "result", 0))
+        for name in names
+    }
+
+
+def _struct_of(service: ModuleType, method: str, part: str, number: int) -> str:
+    return getattr(service, f"{method}_{part}").thrift_spec[number][3][0].__name__
+
+
+@given("a server of the inner protocol with an open connection")
+def start_server(context: Context) -> None:
+    context.subject = ProtocolServerSubject()
+    context.add_cleanup(context.subject.server.stop, 0.0)
+    assert context.subject.is_answered(context.subject.client)
+
+
+@when("another connection sends {frame}")
+def send_frame(context: Context, frame: str) -> None:
+    context.conn = socket.create_connection(context.subject.address, _WAIT_S)
+    try:
+        context.conn.sendall(_BAD_FRAMES[frame])
+    except ConnectionError:
+        return
+    if frame.endswith("closes"):
+        context.conn.shutdown(socket.SHUT_WR)
+
+
+@then("the server closes it")
+def check_closed(context: Context) -> None:
+    try:
+        assert context.conn.recv(1) == b""
+    except ConnectionError:
+        pass
+    context.conn.close()
+
+
+@then("the server has counted {count:d} bad frames")
+def check_counted(context: Context, count: int) -> None:
+    assert context.subject.bad_frames == count, context.subject.bad_frames
+
+
+@then("the open connection is still answered")
+def check_answered(context: Context) -> None:
+    assert context.subject.is_answered(context.subject.client)
+
+
+@then("a new connection is answered")
+def check_new_answered(context: Context) -> None:
+    assert context.subject.is_answered(context.subject.connect())
+
+
+@when("another connection calls a method that the service does not have")
+def call_unknown(context: Context) -> None:
+    client = context.subject.connect()
+    client._client._oprot.writeMessageBegin("vanish", TMessageType.CALL, 1)
+    Dispatcher.cancel_args(req=CancelRequest("r1", "u1")).write(client._client._oprot)
+    client._client._oprot.writeMessageEnd()
+    client._client._oprot.trans.flush()
+    try:
+        client._client.recv_cancel()
+    except TApplicationException as exc:
+        context.subject.error = exc
+
+
+@then("the caller gets an error that names the method")
+def check_error(context: Context) -> None:
+    assert "vanish" in str(context.subject.error), context.subject.error
+
+
+@when("a call is in progress and the server is stopped")
+def stop_during_call(context: Context) -> None:
+    subject = context.subject
+    subject.echo.may_answer.clear()
+    while subject.echo.calls.acquire(blocking=False):
+        pass
+    caller = threading.Thread(
+        target=lambda: subject.answers.append(
+            subject.client.call("cancel", CancelRequest("r1", "u1"), _WAIT_S)
+        )
+    )
+    caller.start()
+    assert subject.echo.calls.acquire(timeout=_WAIT_S)
+    stopper = threading.Thread(target=subject.server.stop, args=(_WAIT_S,))
+    stopper.start()
+    _wait_until_refused(subject.address)
+    subject.echo.may_answer.set()
+    caller.join()
+    stopper.join()
+
+
+@then("the call is answered")
+def check_call_answered(context: Context) -> None:
+    assert context.subject.answers == [CancelReply("r1", 400)]
+
+
+@then("a new connection is refused")
+def check_refused(context: Context) -> None:
+    _wait_until_refused(context.subject.address)
+
+
+def _wait_until_refused(address: tuple[str, int]) -> None:
+    deadline = time.monotonic() + _WAIT_S
+    while time.monotonic() < deadline:
+        try:
+            socket.create_connection(address, _WAIT_S).close()
+        except ConnectionRefusedError:
+            return
+        time.sleep(0.02)
+    raise AssertionError("the server still listens")
