Let requests wait for the right to send without holding a slot

A request whose key's grant was missing held its slot while it waited, so keys on their way to an upstream could have stalled the keys that it already served. Now such a request stays in its queue and is passed over; it is turned away after 1.5 s without a grant, 0.3 s after the assents were last held, and at once where the right was never held or is being handed over.

The deadline sent to the upstream is shortened by the bound on clock rates, so that it has surely passed there when the attempt ends here. A confirmed cancellation is taken as proof of not run only from then on: before, a request left in a socket may yet arrive, and the upstream may have confirmed the end of an earlier attempt.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -42,11 +42,12 @@
       | issue     | silent ran         | fails   | DEADLINE_EXCEEDED        | 1     | 1       |
       | check     | lost*9             | unknown | UPSTREAM_CONNECTION_LOST | 6     | 0       |
 
-    Examples: a cancellation that the upstream confirms proves that it was not run
-      | operation | attempts           | cancel    | code     | sends | cancels |
-      | issue     | silent             | cancelled | TOO_LATE | 1     | 1       |
-      | issue     | lost               | cancelled | TOO_LATE | 1     | 1       |
-      | issue     | mismatch           | cancelled | TOO_LATE | 1     | 1       |
+    Examples: a confirmed cancellation proves that it was not run, but only after the deadline
+      | operation | attempts           | cancel    | code                     | sends | cancels |
+      | issue     | silent             | cancelled | TOO_LATE                 | 1     | 1       |
+      | issue     | refused silent     | cancelled | TOO_LATE                 | 2     | 1       |
+      | issue     | lost               | cancelled | UPSTREAM_CONNECTION_LOST | 1     | 1       |
+      | issue     | mismatch           | cancelled | ANSWER_MISMATCH          | 1     | 1       |
 
     Examples: an earlier attempt may have run, so a later refusal proves nothing
       | operation | attempts           | cancel  | code                     | sends | cancels |
@@ -72,8 +73,6 @@
       | a request id older than the memory         | issue     | MEMORY_TOO_YOUNG |
       | a request id older than the right          | issue     | MEMORY_TOO_YOUNG |
       | a request id within the skew of the right  | issue     | MEMORY_TOO_YOUNG |
-      | the right missing as NO_OWNER              | check     | NO_OWNER         |
-      | the right missing as NOT_DISPATCHER        | check     | NOT_DISPATCHER   |
       | the upstream leaving for 3 s               | check     | NO_OWNER         |
 
   Scenario Outline: Conditions that do not turn a request away
@@ -85,9 +84,38 @@
       | condition                                      | operation |
       | a request id that is no UUIDv7                 | check     |
       | a request id within the skew drawn by the entry | issue    |
-      | the right missing for 1000 ms                  | check     |
       | the upstream leaving for 1 s                   | check     |
 
+  Scenario Outline: Requests wait for the right to send, for a bounded time
+    Given the right <condition>
+    When a request of check comes while time goes on
+    Then its code is <code> after <sends> sends and 0 cancellations
+
+    Examples:
+      | condition                          | code           | sends |
+      | missing for its grant for 1000 ms  | OK             | 1     |
+      | missing for its grant for 60000 ms | NO_OWNER       | 0     |
+      | lapsed for 200 ms                  | OK             | 1     |
+      | lapsed for 60000 ms                | NOT_DISPATCHER | 0     |
+
+  Scenario Outline: Requests are turned away at once where waiting is of no use
+    Given the right <condition>
+    When a request of check comes
+    Then its code is NOT_DISPATCHER after 0 sends and 0 cancellations
+
+    Examples:
+      | condition               |
+      | closed for a handover   |
+      | never held              |
+
+  Scenario: A key whose grant is missing does not hold up others
+    Given the right to send for key k is missing
+    And a request of check waits
+    When a request of check for another key comes
+    Then its code is OK after 1 sends and 0 cancellations
+    When the waiting request is cancelled
+    Then the waiting request ends with CANCELLED after 1 sends
+
   Scenario Outline: The right lapses while the request is at the upstream
     Given an upstream that <checks> fences and answers <answer> after the right lapsed
     When a request of issue comes
@@ -174,7 +202,7 @@
   Scenario: The deadline on the upstream's clock
     Given the upstream's clock was read 100 ms ago
     When a request of issue comes with 1000 ms left
-    Then it is sent with a deadline of 1070 ms after the reading and a timeout of 970 ms
+    Then it is sent with a deadline of 1028 ms after the reading and a timeout of 970 ms
 
   Scenario: Another incarnation of the upstream starts slowly
     Given the upstream has 2 slots
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -134,13 +134,24 @@
     def execute(self, req: ExecuteRequest) -> None:
         self.replies.append(self.service.execute(req))
 
+    def execute_ticking(self, req: ExecuteRequest) -> None:
+        """Execute on a thread while the clock and the timer go on."""
+        replies = self.start(req)
+        while not replies:
+            self.timer.tick()
+            self.clock.time_s += 0.02
+            time.sleep(_POLL_S)
+        self.replies += replies
+
     def codes(self) -> list[str]:
         return [ResultCode(reply.code).name for reply in self.replies]
 
     def start(self, req: ExecuteRequest) -> list[ExecuteReply]:
         """Execute on a thread and return the list that will hold the reply."""
         replies: list[ExecuteReply] = []
-        thread = threading.Thread(target=lambda: replies.append(self.service.execute(req)))
+        thread = threading.Thread(
+            target=lambda: replies.append(self.service.execute(req)), daemon=True
+        )
         thread.start()
         self.threads.append(thread)
         return replies
@@ -243,20 +254,38 @@
     context.dispatch.drawn_by_entry = True
 
 
-@given("the right missing as {code:w}")
-def take_right(context: Context, code: str) -> None:
-    context.dispatch.right.held = False
-    context.dispatch.right.code = ResultCode[code]
+@given("the right missing for its grant for {duration:d} ms")
+def delay_grant(context: Context, duration: int) -> None:
+    subject = context.dispatch
+    subject.right.missing_until = subject.clock.now() + duration / 1000
     context.remaining_ms = 10_000
 
 
-@given("the right missing for {duration:d} ms")
-def delay_right(context: Context, duration: int) -> None:
+@given("the right lapsed for {duration:d} ms")
+def lapse_right(context: Context, duration: int) -> None:
     subject = context.dispatch
-    subject.right.missing_until = subject.clock.now() + duration / 1000
+    subject.right.lapsed_until = subject.clock.now() + duration / 1000
     context.remaining_ms = 10_000
 
 
+@given("the right closed for a handover")
+def close_right(context: Context) -> None:
+    context.dispatch.right.closed = True
+
+
+@given("the right never held")
+def never_hold(context: Context) -> None:
+    subject = context.dispatch
+    subject.right.held = False
+    subject.service = subject.make_service()
+    subject.wait_s(1.0)
+
+
+@given("the right to send for key {key:w} is missing")
+def miss_key(context: Context, key: str) -> None:
+    context.dispatch.right.missing_keys.add((_SLOT, key))
+
+
 @given("the upstream leaving for {duration:d} s")
 def let_leave(context: Context, duration: int) -> None:
     context.dispatch.put_row(draining=True)
@@ -288,6 +317,7 @@
     assert subject.upstream.arrivals.acquire(timeout=_BOUND_S)
 
 
+@given("a request of {operation:w} waits")
 @given("another request of {operation:w} waits")
 def queue_request(context: Context, operation: str) -> None:
     subject = context.dispatch
@@ -304,11 +334,18 @@
     subject.execute(subject.request(operation, getattr(context, "remaining_ms", 1000)))
 
 
+@when("a request of {operation:w} comes while time goes on")
+def send_ticking(context: Context, operation: str) -> None:
+    subject = context.dispatch
+    subject.execute_ticking(subject.request(operation, getattr(context, "remaining_ms", 1000)))
+
+
 @when("a request of {operation:w} comes with {remaining:d} ms left")
 def send_with_time(context: Context, operation: str, remaining: int) -> None:
     context.dispatch.execute(context.dispatch.request(operation, remaining))
 
 
+@when("a request of {operation:w} for another key comes")
 @when("a request of {operation:w} for another key comes under the same id")
 def send_other_key(context: Context, operation: str) -> None:
     context.dispatch.execute(context.dispatch.request(operation, key="other"))
--- a/features/steps/turn_queue_steps.py
+++ b/features/steps/turn_queue_steps.py
@@ -5,6 +5,7 @@
 
 from foxtailshunt.config import FloorShares, QueueLimits, Rank
 from foxtailshunt.dispatch._in_flight_limit import InFlightLimit
+from foxtailshunt.dispatch._right_gate import Readiness
 from foxtailshunt.dispatch._turn import Turn, TurnState
 from foxtailshunt.dispatch._turn_queue import TurnQueue
 
@@ -25,6 +26,16 @@
         return self.time_s
 
 
+class SwitchedGate:
+    """Finds every request ready but those of chosen keys."""
+
+    def __init__(self) -> None:
+        self.readiness: dict[str, Readiness] = {}
+
+    def assess(self, turn: Turn) -> Readiness:
+        return self.readiness.get(turn.key, Readiness.READY)
+
+
 class QueueSubject:
     """A queue, the turn that holds its slot, and the turns that joined since."""
 
@@ -33,7 +44,8 @@
         limit = InFlightLimit(self.clock, 1, 0.0)
         floors = FloorShares(careful, deferrable)
         lengths = QueueLimits(length, length, length)
-        self.queue = TurnQueue(self.clock, limit, floors, lengths)
+        self.gate = SwitchedGate()
+        self.queue = TurnQueue(self.clock, limit, floors, lengths, self.gate)
         self.service_s = dict.fromkeys(Rank, 0.1)
         self.joined: list[Turn] = []
         self.served = ""
--- a/foxtailshunt/dispatch/_attempt_window.py
+++ b/foxtailshunt/dispatch/_attempt_window.py
@@ -4,7 +4,7 @@
 
 from foxtailshunt.dispatch._call import Call
 from foxtailshunt.ownership import SendPermission
-from foxtailshunt.ownership._periods import surely_lapsed_after
+from foxtailshunt.ownership._periods import surely_in_force_for
 
 #: Part of the remaining time kept for a cancellation and the reply.
 _RESERVE_FRACTION = 0.1
@@ -28,12 +28,10 @@
 
     #: Longest wait for the answer, in seconds.
     timeout_s: float
-    #: When the wait ends.
+    #: When the wait ends; the deadline at the upstream has surely passed by then.
     ends_at: float
     #: Deadline in milliseconds after the upstream's clock reading.
     deadline_after_reading_ms: int
-    #: When the deadline has surely passed on the upstream's clock.
-    surely_over_at: float
     #: True if no time is kept for another attempt.
     is_last: bool
     #: Longest wait for the answer to a cancellation, in seconds.
@@ -59,14 +57,11 @@
     is_last = not may_retry or 2 * short_s > timeout_s
     if not is_last:
         timeout_s = short_s
-    since_reading_s = now - permission.reading_received_at
-    deadline_ms = int((since_reading_s + timeout_s) * _MS_PER_S)
-    over_s = surely_lapsed_after(deadline_ms / _MS_PER_S)
+    after_reading_s = now - permission.reading_received_at + timeout_s
     return AttemptWindow(
         timeout_s=timeout_s,
         ends_at=now + timeout_s,
-        deadline_after_reading_ms=deadline_ms,
-        surely_over_at=permission.reading_received_at + over_s,
+        deadline_after_reading_ms=int(surely_in_force_for(after_reading_s) * _MS_PER_S),
         is_last=is_last,
         cancel_timeout_s=reserve_s,
     )
--- a/foxtailshunt/dispatch/_floor_credits.py
+++ b/foxtailshunt/dispatch/_floor_credits.py
@@ -40,18 +40,19 @@
         """
         return self._credit.get(rank, 0.0)
 
-    def below_floor(self, has_waiting: Callable[[Rank], bool]) -> Rank | None:
-        """Return the rank that is furthest below its floor and has work, or None.
+    def below_floor(self, has_waiting: Callable[[Rank], bool]) -> list[Rank]:
+        """Return the ranks with waiting requests that are not above their floors, lowest first.
 
         :param has_waiting: tells whether a rank has waiting requests.
         """
-        best = None
-        for rank, credit in self._credit.items():
-            if not self._shares[rank] or credit < -_TOLERANCE_SLOT_S or not has_waiting(rank):
-                continue
-            if best is None or credit > self._credit[best]:
-                best = rank
-        return best
+        ranks = [
+            rank
+            for rank, credit in self._credit.items()
+            if self._shares[rank] and credit >= -_TOLERANCE_SLOT_S and has_waiting(rank)
+        ]
+        if len(ranks) > 1:
+            ranks.sort(key=self._credit.__getitem__, reverse=True)
+        return ranks
 
     def charge(
         self, rank: Rank, cost_s: float, by_floor: bool, has_waiting: Callable[[Rank], bool]
--- a/foxtailshunt/dispatch/_right_gate.py
+++ b/foxtailshunt/dispatch/_right_gate.py
@@ -1,27 +1,44 @@
-"""Waiting for the right to send while it is briefly not in force."""
+"""Which requests may be sent, and how long the others wait for the right to send."""
+
+from enum import Enum
+from typing import Protocol
 
 from foxtailshunt.dispatch._turn import Turn
 from foxtailshunt.errors import ResultCode
-from foxtailshunt.ownership import SendPermission, SendRight
+from foxtailshunt.ownership import SendRight
 from foxtailshunt.timing import Clock
 
-#: How long requests wait for a grant from the moment that it was first missed, in seconds: the time
-#: that an earlier dispatcher's grant takes to lapse, and one renewal.
+#: How long a request waits for a grant that covers its key, in seconds: the time that an earlier
+#: dispatcher's grant takes to lapse, and some renewals.
 _GRANT_WAIT_S = 1.5
-#: How long requests wait for assents from the moment that they were first missed, in seconds.
+#: How long requests wait for assents after these were last held, in seconds.
 _ASSENT_WAIT_S = 0.3
-#: Time between two checks of a missing right, in seconds.
-_RECHECK_INTERVAL_S = 0.01
-#: Time without a check after which a missing right counts as newly missed, in seconds.
-_FORGET_AFTER_S = 1.0
 
-_WAIT_S = {ResultCode.NO_OWNER: _GRANT_WAIT_S, ResultCode.NOT_DISPATCHER: _ASSENT_WAIT_S}
 
+class Readiness(Enum):
+    """Whether a request may be sent."""
+
+    #: It may be sent now.
+    READY = "ready"
+    #: It may not, but probably soon.
+    WAIT = "wait"
+    #: It may not, and waiting here is of no use.
+    LOST = "lost"
 
-class RightGate:
-    """Holds requests of one upstream back, for a bounded time, while the right is missing.
 
-    The requests that hold a turn check again at short intervals; the others wait in the queue.
+class TurnGate(Protocol):
+    """Tells which requests may be sent."""
+
+    def assess(self, turn: Turn) -> Readiness:
+        """Return whether a request may be sent.
+
+        :param turn: the request's turn; its ``miss_code`` is set unless it is ready.
+        """
+        ...
+
+
+class RightGate:
+    """Asks the right to send of one upstream, and bounds the wait for it.
 
     :param clock: the clock.
     :param right: tells whether this dispatcher may send.
@@ -32,31 +49,32 @@
         self._clock = clock
         self._right = right
         self._upstream_id = upstream_id
-        self._missed_since: float | None = None
-        self._checked_at = 0.0
+        self._held_at: float | None = None
 
-    def wait(self, turn: Turn) -> SendPermission | ResultCode:
-        """Return the permission to send now, or why there is none.
+    def note_held(self) -> None:
+        """Note that this dispatcher is the upstream's only sender at this moment."""
+        self._held_at = self._clock.now()
 
-        :param turn: a granted turn.
+    def assess(self, turn: Turn) -> Readiness:
+        """Return whether a request may be sent.
+
+        :param turn: the request's turn; its ``miss_code`` is set unless it is ready.
         """
-        while True:
-            answer = self._right.check(self._upstream_id, turn.slot, turn.key)
-            if not isinstance(answer, ResultCode):
-                self._missed_since = None
-                return answer
-            now = self._clock.now()
-            if now >= self._give_up_at(answer, now):
-                return answer
-            if turn.cancel_requested:
-                return ResultCode.CANCELLED
-            if now + turn.shortest_s >= turn.deadline_at:
-                return ResultCode.TOO_LATE
-            turn.wait(_RECHECK_INTERVAL_S)
-
-    def _give_up_at(self, answer: ResultCode, now: float) -> float:
-        missed_since = self._missed_since
-        if missed_since is None or now - self._checked_at > _FORGET_AFTER_S:
-            missed_since = self._missed_since = now
-        self._checked_at = now
-        return missed_since + _WAIT_S.get(answer, 0.0)
+        answer = self._right.check(self._upstream_id, turn.slot, turn.key)
+        if not isinstance(answer, ResultCode):
+            turn.missed_since = None
+            return Readiness.READY
+        now = self._clock.now()
+        turn.miss_code = answer
+        if turn.missed_since is None:
+            turn.missed_since = now
+        give_up_at = self._give_up_at(answer, turn.missed_since)
+        return Readiness.LOST if give_up_at is None or now >= give_up_at else Readiness.WAIT
+
+    def _give_up_at(self, answer: ResultCode, missed_since: float) -> float | None:
+        if answer is ResultCode.NO_OWNER:
+            return missed_since + _GRANT_WAIT_S
+        if self._held_at is None or self._right.holds_assent(self._upstream_id):
+            # Never held here, or held and being handed over to another dispatcher.
+            return None
+        return self._held_at + _ASSENT_WAIT_S
--- a/foxtailshunt/dispatch/_sender.py
+++ b/foxtailshunt/dispatch/_sender.py
@@ -21,6 +21,7 @@
 from foxtailshunt.dispatch._dispatch_metrics import DispatchMetrics
 from foxtailshunt.dispatch._outcome import Outcome
 from foxtailshunt.dispatch._retry_budget import RetryBudget
+from foxtailshunt.dispatch._turn import TurnState
 from foxtailshunt.errors import Family, ResultCode
 from foxtailshunt.ownership import SendPermission, SendRight
 from foxtailshunt.timing import Clock
@@ -148,26 +149,38 @@
     def _attempt_with_right(
         self, call: Call, skew_s: float, progress: "_Progress"
     ) -> AttemptResult:
-        refusal = call.state.refusal(call.turn)
-        if refusal is not None:
-            return _end_with(refusal, "the key moved")
-        permission = call.state.gate.wait(call.turn)
+        permission = self._await_right(call)
         if isinstance(permission, ResultCode):
             return _end_with(permission, "no right to send")
         if self._is_memory_too_young(call, skew_s):
             return _end_with(
                 ResultCode.MEMORY_TOO_YOUNG, "another dispatcher may have run this request id"
             )
-        if call.turn.cancel_requested:
-            return _end_with(ResultCode.CANCELLED, "the caller went away")
         call.state.note_permission(permission)
         return self._attempt(call, permission, progress)
 
+    def _await_right(self, call: Call) -> SendPermission | ResultCode:
+        """Return the permission to send now; the turn waits again while there is none."""
+        turn = call.turn
+        while True:
+            if turn.cancel_requested:
+                return ResultCode.CANCELLED
+            refusal = call.state.refusal(turn)
+            if refusal is not None:
+                return refusal
+            permission = self._right.check(call.state.upstream_id, turn.slot, turn.key)
+            if not isinstance(permission, ResultCode):
+                return permission
+            call.state.queue.requeue(turn)
+            call.state.queue.wait(turn)
+            if turn.state is TurnState.REJECTED:
+                return turn.code or permission
+
     def _is_memory_too_young(self, call: Call, skew_s: float) -> bool:
         if call.issued_at is None or call.req.drawn_by_entry:
             return False
         since = call.state.memory_since(call.turn.slot, call.turn.key)
-        return call.issued_at < since + skew_s
+        return call.issued_at <= since + skew_s
 
     def _attempt(
         self, call: Call, permission: SendPermission, progress: "_Progress"
@@ -220,14 +233,20 @@
     def _after_cancel(
         self, call: Call, window: AttemptWindow, progress: "_Progress", result: AttemptResult
     ) -> AttemptResult:
-        """Cancel a request that may still be at the upstream, unless it is to be sent again."""
-        progress.busy_until = max(progress.busy_until, window.surely_over_at)
+        """Cancel a request that may still be at the upstream, unless it is to be sent again.
+
+        A confirmed cancellation frees the slot. It proves that the request was not run only once
+        the deadline has passed at the upstream: before that, a request left in a socket may yet
+        arrive, and the upstream may have confirmed the end of an earlier attempt.
+        """
+        progress.busy_until = max(progress.busy_until, window.ends_at)
         if call.operation.idempotent and result.follow is Follow.RETRY_IDEMPOTENT:
             return result
         answer = self.cancel(call.state.upstream_id, call.req.request_id, window.cancel_timeout_s)
         if answer is not CancelOutcome.UNKNOWN:
             progress.busy_until = 0.0
-        return GIVEN_UP if answer is CancelOutcome.CANCELLED else result
+        is_over = result is TIMED_OUT and answer is CancelOutcome.CANCELLED
+        return GIVEN_UP if is_over else result
 
     def _with_right_checked(self, call: Call, result: AttemptResult) -> AttemptResult:
         """Return a result, or that the right lapsed while the request was at the upstream.
--- a/foxtailshunt/dispatch/_service.py
+++ b/foxtailshunt/dispatch/_service.py
@@ -21,7 +21,7 @@
 from foxtailshunt.timing import Clock, TimerService
 
 #: Time between two refreshes of queues, limits and memory eras, in seconds.
-_REFRESH_INTERVAL_S = 0.05
+_REFRESH_INTERVAL_S = 0.02
 #: Time between two updates of gauges, in seconds.
 _GAUGE_INTERVAL_S = 1.0
 #: Most request ids remembered.
--- a/foxtailshunt/dispatch/_turn.py
+++ b/foxtailshunt/dispatch/_turn.py
@@ -33,12 +33,15 @@
         "_wakeup",
         "by_floor",
         "cancel_requested",
+        "charged_s",
         "code",
         "deadline_at",
         "expected_s",
         "granted_at",
         "joined_at",
         "key",
+        "miss_code",
+        "missed_since",
         "rank",
         "request_id",
         "shortest_s",
@@ -71,6 +74,12 @@
         self.state = TurnState.WAITING
         #: Why it was rejected.
         self.code: ResultCode | None = None
+        #: Since when its request may not be sent, in seconds of the monotonic clock, or None.
+        self.missed_since: float | None = None
+        #: Why its request could not be sent when that was last asked.
+        self.miss_code = ResultCode.NO_OWNER
+        #: Slot-seconds charged to its rank so far.
+        self.charged_s = 0.0
         #: True if it was granted ahead of a higher rank because of its floor.
         self.by_floor = False
         #: True once the caller gave the request up.
--- a/foxtailshunt/dispatch/_turn_queue.py
+++ b/foxtailshunt/dispatch/_turn_queue.py
@@ -4,13 +4,15 @@
 import itertools
 import math
 import threading
-from collections import deque
 from collections.abc import Callable
 
 from foxtailshunt.config import FloorShares, QueueLimits, Rank
 from foxtailshunt.dispatch._floor_credits import FloorCredits
 from foxtailshunt.dispatch._in_flight_limit import InFlightLimit
+from foxtailshunt.dispatch._rank_queues import RankQueues
+from foxtailshunt.dispatch._right_gate import Readiness, TurnGate
 from foxtailshunt.dispatch._turn import Turn, TurnState
+from foxtailshunt.dispatch._wait_estimate import HIGHER_RANKS, expected_wait_s
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.timing import Clock
 
@@ -22,28 +24,34 @@
     """Grants turns at one upstream; safe to use from any thread.
 
     A free slot goes to a rank below its floor first, then to urgent, careful and deferrable work,
-    oldest first. A slot is never left idle while something waits.
+    oldest first. A turn whose request may not be sent at the moment waits without a slot and is
+    passed over. A slot is never left idle while something else waits.
 
     :param clock: the clock.
     :param limit: how many turns may be held at one time.
     :param floors: shares of the lower ranks.
     :param lengths: longest queue of each rank.
+    :param gate: tells which requests may be sent.
     """
 
     def __init__(
-        self, clock: Clock, limit: InFlightLimit, floors: FloorShares, lengths: QueueLimits
+        self,
+        clock: Clock,
+        limit: InFlightLimit,
+        floors: FloorShares,
+        lengths: QueueLimits,
+        gate: TurnGate,
     ) -> None:
         self._clock = clock
         self._limit = limit
+        self._gate = gate
         self._lock = threading.Lock()
         self._credits = FloorCredits(floors)
         self._floors = floors
-        self._waiting: dict[Rank, deque[Turn]] = {rank: deque() for rank in Rank}
-        self._waiting_s: dict[Rank, float] = dict.fromkeys(Rank, 0.0)
+        self._queues = RankQueues(lengths)
         self._held: set[Turn] = set()
         self._lingering: list[tuple[float, int, Turn]] = []
         self._sequence = itertools.count()
-        self._set_lengths(lengths)
 
     def configure(self, floors: FloorShares, lengths: QueueLimits) -> None:
         """Take other shares and lengths into use.
@@ -54,7 +62,7 @@
         with self._lock:
             self._floors = floors
             self._credits.set_shares(floors)
-            self._set_lengths(lengths)
+            self._queues.set_lengths(lengths)
 
     def join(self, turn: Turn) -> None:
         """Grant a turn, let it wait, or reject it at once.
@@ -64,17 +72,27 @@
         with self._lock:
             now = self._clock.now()
             turn.joined_at = now
-            if self._has_free_slot(now) and not any(self._waiting.values()):
-                self._grant(turn, now, by_floor=False)
+            code = self._refusal(turn, now)
+            if code is not None:
+                self._reject(turn, code)
                 return
-            if len(self._waiting[turn.rank]) >= self._lengths[turn.rank]:
-                self._reject(turn, ResultCode.QUEUE_FULL)
-                return
-            if now + self._expected_wait_s(turn.rank, now) + turn.expected_s > turn.deadline_at:
-                self._reject(turn, ResultCode.TOO_LATE)
-                return
-            self._waiting[turn.rank].append(turn)
-            self._waiting_s[turn.rank] += turn.expected_s
+            self._queues.append(turn)
+            self._grant_next(now)
+
+    def requeue(self, turn: Turn) -> None:
+        """Take a granted turn's slot back because its request may not be sent after all.
+
+        :param turn: the turn; it is the next of its rank, or rejected.
+        """
+        with self._lock:
+            now = self._clock.now()
+            self._held.discard(turn)
+            self._charge(turn, -turn.charged_s)
+            turn.state = TurnState.WAITING
+            if self._gate.assess(turn) is Readiness.LOST:
+                self._reject(turn, turn.miss_code)
+            else:
+                self._queues.put_first(turn)
             self._grant_next(now)
 
     def wait(self, turn: Turn) -> None:
@@ -98,32 +116,23 @@
         with self._lock:
             if turn.state is not TurnState.WAITING:
                 return False
-            self._remove(turn)
+            self._queues.remove(turn)
             self._reject(turn, code)
             return True
 
-    def withdraw_where(self, code_for: Callable[[Turn], ResultCode | None]) -> int:
+    def withdraw_where(self, code_for: Callable[[Turn], ResultCode | None]) -> None:
         """Reject each waiting turn that a function gives a code for.
 
         :param code_for: returns why a turn is to be rejected, or None to keep it.
-        :returns: how many were rejected.
         """
         with self._lock:
-            waiting = [turn for turns in self._waiting.values() for turn in turns]
-            rejected = 0
-            for turn in waiting:
-                code = code_for(turn)
-                if code is not None:
-                    self._remove(turn)
-                    self._reject(turn, code)
-                    rejected += 1
-            return rejected
+            self._withdraw_where(code_for)
 
     def release(self, turn: Turn) -> float:
         """Give a granted turn's slot back.
 
         :param turn: the turn.
-        :returns: how long it held the slot, in seconds; 0 if it lingers.
+        :returns: how long it held the slot, in seconds; 0 if it holds none.
         """
         with self._lock:
             if turn.state is not TurnState.GRANTED:
@@ -147,78 +156,88 @@
             self._release_lingering_until(math.inf, self._clock.now())
 
     def refresh(self) -> None:
-        """Grant what the passing of time allows; called at short intervals."""
+        """Grant and reject what the passing of time asks for; called at short intervals."""
         with self._lock:
             now = self._clock.now()
             self._release_lingering_until(now, now)
+            if any(self._gate.assess(turn) is not Readiness.READY for turn in self._queues.heads()):
+                self._withdraw_where(self._code_if_lost)
             self._grant_next(now)
 
     def held(self) -> tuple[Turn, ...]:
-        """Return the turns whose requests may be at the upstream."""
-        with self._lock:
-            return tuple(self._held)
+        """Return the turns whose requests may be at the upstream; takes no lock."""
+        return tuple(self._held)
 
     def in_flight(self) -> int:
-        """Return how many requests may be at the upstream."""
+        """Return how many requests may be at the upstream; takes no lock."""
         return len(self._held)
 
     def queued(self, rank: Rank) -> int:
-        """Return how many requests of a rank wait.
+        """Return how many requests of a rank wait; takes no lock.
 
         :param rank: the rank.
         """
-        return len(self._waiting[rank])
-
-    def _set_lengths(self, lengths: QueueLimits) -> None:
-        self._lengths = {
-            Rank.URGENT: lengths.urgent,
-            Rank.CAREFUL: lengths.careful,
-            Rank.DEFERRABLE: lengths.deferrable,
-        }
+        return self._queues.count(rank)
+
+    def _refusal(self, turn: Turn, now: float) -> ResultCode | None:
+        if self._gate.assess(turn) is Readiness.LOST:
+            return turn.miss_code
+        if self._queues.is_full(turn.rank):
+            return ResultCode.QUEUE_FULL
+        if self._has_free_slot(now):
+            return None
+        limit = self._limit.value(now)
+        wait_s = expected_wait_s(self._queues, self._floors, limit, turn.rank)
+        return ResultCode.TOO_LATE if now + wait_s + turn.expected_s > turn.deadline_at else None
 
     def _has_free_slot(self, now: float) -> bool:
         return len(self._held) < self._limit.value(now)
 
-    def _has_waiting(self, rank: Rank) -> bool:
-        return bool(self._waiting[rank])
-
     def _grant_next(self, now: float) -> None:
         while self._has_free_slot(now):
-            floor_rank = self._credits.below_floor(self._has_waiting)
-            rank = floor_rank or next(filter(self._has_waiting, Rank), None)
-            if rank is None:
+            turn = self._next_ready()
+            if turn is None:
                 return
-            turn = self._waiting[rank][0]
-            self._remove(turn)
-            if turn.deadline_at - now <= turn.shortest_s:
+            self._queues.remove(turn)
+            if turn.deadline_at - now <= turn.shortest_s and turn.joined_at < now:
                 self._reject(turn, ResultCode.TOO_LATE)
             else:
-                self._grant(turn, now, any(map(self._has_waiting, _HIGHER[rank])))
+                self._grant(turn, now)
+
+    def _next_ready(self) -> Turn | None:
+        has_waiting = self._queues.has_waiting
+        for rank in (*self._credits.below_floor(has_waiting), *Rank):
+            for turn in self._queues.turns(rank):
+                if self._gate.assess(turn) is Readiness.READY:
+                    return turn
+        return None
 
-    def _grant(self, turn: Turn, now: float, by_floor: bool) -> None:
+    def _grant(self, turn: Turn, now: float) -> None:
         turn.state = TurnState.GRANTED
         turn.granted_at = now
-        turn.by_floor = by_floor
-        if not turn.expected_s:
-            turn.expected_s = _UNKNOWN_COST_S
+        turn.by_floor = any(map(self._queues.has_waiting, HIGHER_RANKS[turn.rank]))
+        turn.charged_s = turn.expected_s or _UNKNOWN_COST_S
         self._held.add(turn)
-        self._credits.charge(turn.rank, turn.expected_s, by_floor, self._has_waiting)
+        self._charge(turn, turn.charged_s)
         turn.wake()
 
+    def _charge(self, turn: Turn, cost_s: float) -> None:
+        self._credits.charge(turn.rank, cost_s, turn.by_floor, self._queues.has_waiting)
+
     def _reject(self, turn: Turn, code: ResultCode) -> None:
         turn.state = TurnState.REJECTED
         turn.code = code
         turn.wake()
 
-    def _remove(self, turn: Turn) -> None:
-        waiting = self._waiting[turn.rank]
-        if waiting[0] is turn:
-            waiting.popleft()
-        else:
-            waiting.remove(turn)
-        self._waiting_s[turn.rank] = (
-            self._waiting_s[turn.rank] - turn.expected_s if waiting else 0.0
-        )
+    def _withdraw_where(self, code_for: Callable[[Turn], ResultCode | None]) -> None:
+        for turn in self._queues.all_turns():
+            code = code_for(turn)
+            if code is not None:
+                self._queues.remove(turn)
+                self._reject(turn, code)
+
+    def _code_if_lost(self, turn: Turn) -> ResultCode | None:
+        return turn.miss_code if self._gate.assess(turn) is Readiness.LOST else None
 
     def _release_lingering_until(self, at: float, now: float) -> None:
         while self._lingering and self._lingering[0][0] <= at:
@@ -228,30 +247,6 @@
         turn.state = TurnState.RELEASED
         self._held.discard(turn)
         held_s = now - turn.granted_at
-        correction_s = held_s - turn.expected_s
-        self._credits.charge(turn.rank, correction_s, turn.by_floor, self._has_waiting)
+        self._charge(turn, held_s - turn.charged_s)
         self._grant_next(now)
         return held_s
-
-    def _expected_wait_s(self, rank: Rank, now: float) -> float:
-        limit = self._limit.value(now)
-        own_s = self._waiting_s[rank]
-        if rank is Rank.URGENT:
-            return own_s / (limit * (1 - sum(map(self._floor_in_use, _SHARES))))
-        ahead_s = own_s + sum(self._waiting_s[higher] for higher in _HIGHER[rank])
-        share = _SHARES[rank](self._floors)
-        return min(ahead_s / limit, own_s / (limit * share) if share else ahead_s / limit)
-
-    def _floor_in_use(self, rank: Rank) -> float:
-        return _SHARES[rank](self._floors) if self._waiting[rank] else 0.0
-
-
-_HIGHER: dict[Rank, tuple[Rank, ...]] = {
-    Rank.URGENT: (),
-    Rank.CAREFUL: (Rank.URGENT,),
-    Rank.DEFERRABLE: (Rank.URGENT, Rank.CAREFUL),
-}
-_SHARES: dict[Rank, Callable[[FloorShares], float]] = {
-    Rank.CAREFUL: lambda floors: floors.careful,
-    Rank.DEFERRABLE: lambda floors: floors.deferrable,
-}
--- a/foxtailshunt/dispatch/_upstream_state.py
+++ b/foxtailshunt/dispatch/_upstream_state.py
@@ -34,12 +34,14 @@
         self.service = service
         limits = service.limits
         self.limit = InFlightLimit(clock, limits.slots, limits.slow_start_s)
-        self.queue = TurnQueue(clock, self.limit, service.floors, service.queues)
         self.budget = RetryBudget(service.retry_budget)
-        self.gate = RightGate(clock, right, upstream_id)
+        self._gate = RightGate(clock, right, upstream_id)
+        self.queue = TurnQueue(clock, self.limit, service.floors, service.queues, self._gate)
         self._clock = clock
         self._right = right
         self._lock = threading.Lock()
+        # Taken last and held for no call to other parts, which may ask for the load.
+        self._measure_lock = threading.Lock()
         self._times = ServiceTimes()
         self._meter = LoadMeter()
         self._era = MemoryEra(clock, lambda key: slot_of_key(key, service.slot_count))
@@ -103,9 +105,10 @@
         :param turn: the request's turn.
         :param operation: the operation.
         """
-        with self._lock:
+        with self._measure_lock:
             turn.expected_s = self._times.mean_s(operation)
             turn.shortest_s = self._times.low_s(operation)
+        with self._lock:
             self._turns.setdefault(turn.request_id, []).append(turn)
         self.queue.join(turn)
 
@@ -167,7 +170,7 @@
         :param operation: its operation.
         :param duration_s: time from sending to the whole answer, in seconds.
         """
-        with self._lock:
+        with self._measure_lock:
             self._times.record(operation, duration_s)
 
     def high_service_time_s(self, operation: str) -> float | None:
@@ -175,7 +178,7 @@
 
         :param operation: the operation.
         """
-        with self._lock:
+        with self._measure_lock:
             return self._times.high_s(operation)
 
     def release(self, turn: Turn) -> None:
@@ -184,12 +187,14 @@
         :param turn: the turn.
         """
         held_s = self.queue.release(turn)
-        with self._lock:
+        with self._measure_lock:
             self._meter.record(turn.key, held_s, self._clock.now())
 
     def refresh(self) -> None:
         """Do what the passing of time asks for; called at short intervals."""
         is_held = self._right.holds_assent(self.upstream_id)
+        if is_held:
+            self._gate.note_held()
         with self._lock:
             self._era.observe(is_held, self._may_send)
         if self._draining_since is not None:
@@ -199,7 +204,7 @@
     def load(self) -> UpstreamLoad:
         """Return the load as reports need it."""
         now = self._clock.now()
-        with self._lock:
+        with self._measure_lock:
             load = self._meter.load(now)
             key_load = self._meter.key_load(now)
         queued = sum(map(self.queue.queued, Rank))
