--- /dev/null
+++ b/standins/proxy/_proxy.py
@@ -0,0 +1,55 @@
+"""The proxy of one link."""
+
+from standins.proxy._faults import Fault, Refuse
+from standins.proxy._link import Link
+from standins.proxy._listener import Listener
+
+
+class FaultProxy:
+    """Forwards connections to a target and injects the faults that are set.
+
+    :param listen: host and port to listen on; port 0 takes a free one.
+    :param target: host and port of the target.
+    :param source_host: IP number that connections to the target come from; None for any.
+    :raises OSError: the address to listen on cannot be bound.
+    """
+
+    def __init__(
+        self,
+        listen: tuple[str, int],
+        target: tuple[str, int],
+        source_host: str | None = None,
+    ) -> None:
+        self._link = Link(target, source_host)
+        self._listener = Listener(listen, self._link.take)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port that callers connect to."""
+        return self._listener.address
+
+    @property
+    def fault(self) -> Fault:
+        """Return the fault that was set last."""
+        return self._link.fault
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return self._link.connection_count
+
+    def set_fault(self, fault: Fault) -> None:
+        """Replace the link's fault.
+
+        :param fault: the fault from now on.
+        """
+        self._link.set_fault(fault)
+        if isinstance(fault, Refuse):
+            self._listener.close()
+        else:
+            self._listener.open()
+
+    def close(self) -> None:
+        """Refuse connections and reset those that are open."""
+        self._listener.close()
+        self._link.cut()
