--- a/features/steps/turn_queue_steps.py
+++ b/features/steps/turn_queue_steps.py
@@ -53,7 +53,7 @@
     def join(self, letter: str, left_s: float = _NO_HURRY_S) -> Turn:
         rank = _RANKS[letter]
         cost_s = self.service_s[rank]
-        turn = Turn("id", rank, 0, "key", self.clock.now() + left_s, cost_s, cost_s)
+        turn = Turn("id", rank, 0, "key", self.clock.now() + left_s, cost_s)
         self.queue.join(turn)
         self.joined.append(turn)
         return turn
@@ -104,7 +104,8 @@
 
 @when("{letters:w} join with {left:d} ms left while the slot is taken")
 def join_behind(context: Context, letters: str, left: int) -> None:
-    context.holder = context.queue.join("U")
+    if not context.queue.joined:
+        context.holder = context.queue.join("U")
     for letter in letters:
         context.queue.join(letter, left / 1000)
 
@@ -114,6 +115,11 @@
     context.queue.join(letter, left / 1000)
 
 
+@when("{duration:d} ms pass")
+def pass_time(context: Context, duration: int) -> None:
+    context.queue.clock.time_s += duration / 1000
+
+
 @when("the slot is freed after {delay:d} ms")
 def free_slot(context: Context, delay: int) -> None:
     context.queue.clock.time_s += delay / 1000
--- a/features/turn_queue.feature
+++ b/features/turn_queue.feature
@@ -40,6 +40,20 @@
       | 50     | UUUCC   | 350      | 2        | TOO_LATE   |
       | 50     | CCCUU   | 350      | 0        | TOO_LATE   |
 
+  Scenario Outline: Urgent work that is overloaded for long waits for a part of its time only
+    Given a queue with 1 slot, 50 places a rank and service times of 100 ms
+    When <before> join with 60000 ms left while the slot is taken
+    And <passed> ms pass
+    And <joining> join with 1000 ms left while the slot is taken
+    Then <rejected> are rejected as TOO_LATE
+
+    Examples:
+      | before | passed | joining | rejected |
+      | UUU    | 999    | UUUU    | 0        |
+      | UUU    | 1000   | UUUU    | 4        |
+      | UU     | 1000   | UUUU    | 3        |
+      | CCC    | 1000   | CCCC    | 0        |
+
   Scenario: A request whose time ran out while it waited is not sent
     Given a queue with 1 slot, 10 places a rank and service times of 100 ms
     When UU join with 250 ms left while the slot is taken
--- a/foxtailshunt/dispatch/_rank_queues.py
+++ b/foxtailshunt/dispatch/_rank_queues.py
@@ -16,8 +16,13 @@
     def __init__(self, lengths: QueueLimits) -> None:
         self._turns: dict[Rank, deque[Turn]] = {rank: deque() for rank in Rank}
         self._expected_s: dict[Rank, float] = dict.fromkeys(Rank, 0.0)
+        self._busy_since: dict[Rank, float] = dict.fromkeys(Rank, 0.0)
+        self._count = 0
         self.set_lengths(lengths)
 
+    def __len__(self) -> int:
+        return self._count
+
     def set_lengths(self, lengths: QueueLimits) -> None:
         """Take other lengths into use.
 
@@ -57,6 +62,14 @@
         """
         return self._expected_s[rank]
 
+    def busy_since(self, rank: Rank) -> float:
+        """Return since when a rank's queue, if not empty now, has not been empty.
+
+        :param rank: the rank.
+        :returns: seconds of the monotonic clock.
+        """
+        return self._busy_since[rank]
+
     def turns(self, rank: Rank) -> Iterator[Turn]:
         """Yield a rank's turns, oldest first.
 
@@ -78,7 +91,7 @@
         :param turn: the turn.
         """
         self._turns[turn.rank].append(turn)
-        self._expected_s[turn.rank] += turn.expected_s
+        self._note_added(turn)
 
     def put_first(self, turn: Turn) -> None:
         """Add a turn as the oldest of its rank.
@@ -86,7 +99,7 @@
         :param turn: the turn.
         """
         self._turns[turn.rank].appendleft(turn)
-        self._expected_s[turn.rank] += turn.expected_s
+        self._note_added(turn)
 
     def remove(self, turn: Turn) -> None:
         """Take a turn out.
@@ -99,5 +112,12 @@
         else:
             turns.remove(turn)
         self._expected_s[turn.rank] -= turn.expected_s
+        self._count -= 1
         if not turns:
             self._expected_s[turn.rank] = 0.0
+
+    def _note_added(self, turn: Turn) -> None:
+        if len(self._turns[turn.rank]) == 1:
+            self._busy_since[turn.rank] = turn.joined_at
+        self._expected_s[turn.rank] += turn.expected_s
+        self._count += 1
--- a/foxtailshunt/dispatch/_sender.py
+++ b/foxtailshunt/dispatch/_sender.py
@@ -266,7 +266,7 @@
             return False
         if result.follow is Follow.RETRY_IDEMPOTENT and not call.operation.idempotent:
             return False
-        if self._clock.now() + _FIRST_PAUSE_S + call.turn.shortest_s >= call.turn.deadline_at:
+        if self._clock.now() + _FIRST_PAUSE_S + call.turn.expected_s >= call.turn.deadline_at:
             return False
         if not progress.spend(call.state.budget):
             self._metrics.count_budget_exhausted(call.service.name)
--- a/foxtailshunt/dispatch/_service_times.py
+++ b/foxtailshunt/dispatch/_service_times.py
@@ -2,22 +2,20 @@
 
 from collections import deque
 
-_WINDOW = 128
+_WINDOW = 64
 _REFRESH_EVERY = 16
-_LOW_QUANTILE = 0.1
 _HIGH_QUANTILE = 0.99
 
 
 class _OperationTimes:
     """The last service times of one operation."""
 
-    __slots__ = ("_since_refresh", "count", "high_s", "low_s", "mean_s", "samples")
+    __slots__ = ("_since_refresh", "count", "high_s", "mean_s", "samples")
 
     def __init__(self) -> None:
         self.samples: deque[float] = deque(maxlen=_WINDOW)
         self.count = 0
         self.mean_s = 0.0
-        self.low_s = 0.0
         self.high_s = 0.0
         self._since_refresh = 0
 
@@ -33,7 +31,6 @@
         ordered = sorted(self.samples)
         last = len(ordered) - 1
         self.mean_s = sum(ordered) / len(ordered)
-        self.low_s = ordered[int(last * _LOW_QUANTILE)]
         self.high_s = ordered[int(last * _HIGH_QUANTILE)]
 
 
@@ -62,14 +59,6 @@
         times = self._operations.get(operation)
         return times.mean_s if times else 0.0
 
-    def low_s(self, operation: str) -> float:
-        """Return the 10th percentile, 0 before the first request.
-
-        :param operation: the operation.
-        """
-        times = self._operations.get(operation)
-        return times.low_s if times else 0.0
-
     def high_s(self, operation: str) -> float | None:
         """Return the 99th percentile, None before enough requests.
 
--- a/foxtailshunt/dispatch/_turn.py
+++ b/foxtailshunt/dispatch/_turn.py
@@ -26,7 +26,6 @@
     :param key: the key.
     :param deadline_at: when its answer is due, in seconds of the monotonic clock.
     :param expected_s: time that the upstream is expected to take, in seconds.
-    :param shortest_s: time below which the upstream hardly ever answers, in seconds.
     """
 
     __slots__ = (
@@ -44,7 +43,6 @@
         "missed_since",
         "rank",
         "request_id",
-        "shortest_s",
         "slot",
         "state",
     )
@@ -57,7 +55,6 @@
         key: str,
         deadline_at: float,
         expected_s: float = 0.0,
-        shortest_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.rank = rank
@@ -65,7 +62,6 @@
         self.key = key
         self.deadline_at = deadline_at
         self.expected_s = expected_s
-        self.shortest_s = shortest_s
         #: When it joined the queue, in seconds of the monotonic clock.
         self.joined_at = 0.0
         #: When it was granted, in seconds of the monotonic clock.
--- a/foxtailshunt/dispatch/_turn_queue.py
+++ b/foxtailshunt/dispatch/_turn_queue.py
@@ -12,7 +12,7 @@
 from foxtailshunt.dispatch._rank_queues import RankQueues
 from foxtailshunt.dispatch._right_gate import Readiness, TurnGate
 from foxtailshunt.dispatch._turn import Turn, TurnState
-from foxtailshunt.dispatch._wait_estimate import HIGHER_RANKS, expected_wait_s
+from foxtailshunt.dispatch._wait_estimate import HIGHER_RANKS, can_be_served
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.timing import Clock
 
@@ -75,9 +75,11 @@
             code = self._refusal(turn, now)
             if code is not None:
                 self._reject(turn, code)
-                return
-            self._queues.append(turn)
-            self._grant_next(now)
+            elif self._is_next(turn, now):
+                self._grant(turn, now)
+            else:
+                self._queues.append(turn)
+                self._grant_next(now)
 
     def requeue(self, turn: Turn) -> None:
         """Take a granted turn's slot back because its request may not be sent after all.
@@ -187,19 +189,22 @@
         if self._has_free_slot(now):
             return None
         limit = self._limit.value(now)
-        wait_s = expected_wait_s(self._queues, self._floors, limit, turn.rank)
-        return ResultCode.TOO_LATE if now + wait_s + turn.expected_s > turn.deadline_at else None
+        in_time = can_be_served(self._queues, self._floors, limit, turn, now)
+        return None if in_time else ResultCode.TOO_LATE
+
+    def _is_next(self, turn: Turn, now: float) -> bool:
+        return not self._queues and turn.missed_since is None and self._has_free_slot(now)
 
     def _has_free_slot(self, now: float) -> bool:
         return len(self._held) < self._limit.value(now)
 
     def _grant_next(self, now: float) -> None:
-        while self._has_free_slot(now):
+        while self._queues and self._has_free_slot(now):
             turn = self._next_ready()
             if turn is None:
                 return
             self._queues.remove(turn)
-            if turn.deadline_at - now <= turn.shortest_s and turn.joined_at < now:
+            if turn.deadline_at - now < turn.expected_s:
                 self._reject(turn, ResultCode.TOO_LATE)
             else:
                 self._grant(turn, now)
--- a/foxtailshunt/dispatch/_upstream_state.py
+++ b/foxtailshunt/dispatch/_upstream_state.py
@@ -107,7 +107,6 @@
         """
         with self._measure_lock:
             turn.expected_s = self._times.mean_s(operation)
-            turn.shortest_s = self._times.low_s(operation)
         with self._lock:
             self._turns.setdefault(turn.request_id, []).append(turn)
         self.queue.join(turn)
