--- a/foxtailshunt/dispatch/_retry_budget.py
+++ b/foxtailshunt/dispatch/_retry_budget.py
@@ -4,6 +4,8 @@
 
 _INITIAL_TOKENS = 5.0
 _MAX_TOKENS = 20.0
+#: Rounding error allowed for, in tokens.
+_TOLERANCE = 1e-6
 
 
 class RetryBudget:
@@ -30,9 +32,9 @@
     def take(self) -> bool:
         """Take one retry; False if there is none left."""
         with self._lock:
-            if self._tokens < 1:
+            if self._tokens < 1 - _TOLERANCE:
                 return False
-            self._tokens -= 1
+            self._tokens = max(0.0, self._tokens - 1)
             return True
 
     def give_back(self) -> None:
