--- a/features/steps/turn_queue_steps.py
+++ b/features/steps/turn_queue_steps.py
@@ -5,6 +5,7 @@
 
 from foxtailshunt.config import FloorShares, QueueLimits, Rank
 from foxtailshunt.dispatch._in_flight_limit import InFlightLimit
+from foxtailshunt.dispatch._right_gate import Readiness
 from foxtailshunt.dispatch._turn import Turn, TurnState
 from foxtailshunt.dispatch._turn_queue import TurnQueue
 
@@ -25,6 +26,16 @@
         return self.time_s
 
 
+class SwitchedGate:
+    """Finds every request ready but those of chosen keys."""
+
+    def __init__(self) -> None:
+        self.readiness: dict[str, Readiness] = {}
+
+    def assess(self, turn: Turn) -> Readiness:
+        return self.readiness.get(turn.key, Readiness.READY)
+
+
 class QueueSubject:
     """A queue, the turn that holds its slot, and the turns that joined since."""
 
@@ -33,7 +44,8 @@
         limit = InFlightLimit(self.clock, 1, 0.0)
         floors = FloorShares(careful, deferrable)
         lengths = QueueLimits(length, length, length)
-        self.queue = TurnQueue(self.clock, limit, floors, lengths)
+        self.gate = SwitchedGate()
+        self.queue = TurnQueue(self.clock, limit, floors, lengths, self.gate)
         self.service_s = dict.fromkeys(Rank, 0.1)
         self.joined: list[Turn] = []
         self.served = ""
@@ -41,7 +53,7 @@
     def join(self, letter: str, left_s: float = _NO_HURRY_S) -> Turn:
         rank = _RANKS[letter]
         cost_s = self.service_s[rank]
-        turn = Turn("id", rank, 0, "key", self.clock.now() + left_s, cost_s, cost_s)
+        turn = Turn("id", rank, 0, "key", self.clock.now() + left_s, cost_s)
         self.queue.join(turn)
         self.joined.append(turn)
         return turn
@@ -92,7 +104,8 @@
 
 @when("{letters:w} join with {left:d} ms left while the slot is taken")
 def join_behind(context: Context, letters: str, left: int) -> None:
-    context.holder = context.queue.join("U")
+    if not context.queue.joined:
+        context.holder = context.queue.join("U")
     for letter in letters:
         context.queue.join(letter, left / 1000)
 
@@ -102,6 +115,11 @@
     context.queue.join(letter, left / 1000)
 
 
+@when("{duration:d} ms pass")
+def pass_time(context: Context, duration: int) -> None:
+    context.queue.clock.time_s += duration / 1000
+
+
 @when("the slot is freed after {delay:d} ms")
 def free_slot(context: Context, delay: int) -> None:
     context.queue.clock.time_s += delay / 1000
