--- a/foxtailshunt/entry/_caller_server.py
+++ b/foxtailshunt/entry/_caller_server.py
@@ -54,7 +54,7 @@
             self.server.process_last(conn)
         self._selector.close()
 
-    def _expire(self, _threshold: float) -> None:
+    def _expire(self, threshold: float) -> None:
         now = time.time()
         for number, conn in self._callers():
             if _is_overdue(conn, now):
@@ -195,7 +195,10 @@
         :param level: its level.
         :param traceback: whether an exception is in progress.
         """
-        self._metrics.rejected("server error" if traceback else "connection error")
+        if traceback:
+            self._metrics.failed()
+        else:
+            self._metrics.rejected("connection error")
 
     def process_last(self, conn: CallerConnection) -> None:
         """Hand a connection to a worker if its request has arrived whole, else close it.
