--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -4,7 +4,12 @@
 committed.
 """
 
-from foxtailshunt.protocol._client import ClientPool, MismatchedReplyError, PeerClient
+from foxtailshunt.protocol._client import (
+    ClientPool,
+    MismatchedReplyError,
+    PeerClient,
+    is_quiet,
+)
 from foxtailshunt.protocol._server import ProtocolServer
 from foxtailshunt.protocol.gen.ttypes import (
     AssentItem,
@@ -46,4 +51,5 @@
     "SyncRequest",
     "UpstreamReport",
     "ZoneVersion",
+    "is_quiet",
 ]
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -15,6 +15,7 @@
 from thrift.transport.TTransport import TFramedTransport
 
 from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.network import source_address
 from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 
 # The library logs each refused connection with a traceback; callers get the error and count it.
@@ -56,12 +57,12 @@
 
         :raises PeerUnreachableError: nothing was sent.
         """
-        self._socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
         try:
-            self._transport.open()
-            self._socket.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except (TException, OSError) as exc:
+            handle = socket.create_connection(self.address, CONNECT_TIMEOUT_S, source_address())
+        except OSError as exc:
             raise PeerUnreachableError(f"cannot connect to {self.address}: {exc}", sent=False)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket.setHandle(handle)
 
     def call(self, method: str, req: Any, timeout_s: float) -> Any:
         """Send one request and wait for its reply.
