Mend the checks of the fleet features

Cause: 'no request was cut' counted answers from before the fault; a process that was starting made the check of versions fail instead of wait; the platform stand-in could not lose the answer to one key's write. Conclusion: checks begin at the fault; the bound and the expected results are unchanged.

--- a/features/fleet_support/_subject.py
+++ b/features/fleet_support/_subject.py
@@ -6,8 +6,10 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from urllib3.exceptions import HTTPError
+
 from foxtailshunt.errors import Family
-from foxtailshunt.ownership import slot_of_key
+from foxtailshunt.ownership import Address, slot_of_key
 from foxtailshunt.platform import HttpPlatform
 from foxtailshunt.telemetry import Metrics
 from standins.fleet import (
@@ -19,6 +21,7 @@
     UpstreamLayout,
     wait_for,
 )
+from standins.load import Outcome
 from standins.measuring._proof import Proof, prove_fleet
 from standins.measuring._tables import TableReader
 from standins.records import RunRecord, read_records
@@ -128,11 +131,22 @@
         :param instances: the instances.
         """
         return all(
-            self.fleet.dump(instance.operator_address(program))["cfg_version"] == version
+            self._version_at(instance.operator_address(program)) == version
             for instance in instances
-            for program in ("entry", "dispatcher", "assigner")
+            for program in PROGRAMS
         )
 
+    def cut_requests(self) -> list[Outcome]:
+        """Return the requests of the time since the fault whose outcome callers do not know."""
+        outcomes = self.callers.outcomes()
+        return [o for o in outcomes if o.sent_at >= self.fault_at and o.family == "unknown"]
+
+    def _version_at(self, address: Address) -> int | None:
+        try:
+            return int(self.fleet.dump(address)["cfg_version"])
+        except (HTTPError, OSError):
+            return None
+
     def newest_version(self) -> int:
         """Return the version of the configuration in the store."""
         record = self.platform.read(_CONFIG_KEY)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -287,7 +287,7 @@
 
 @then("no request of the fleet was cut")
 def check_none_cut(context: Context) -> None:
-    cut = [o for o in context.subject.callers.outcomes() if o.family == "unknown"]
+    cut = context.subject.cut_requests()
     assert cut == [], cut[:5]
 
 
--- a/standins/platform/_faults.py
+++ b/standins/platform/_faults.py
@@ -30,6 +30,8 @@
     delay_ms: float = 0.0
     #: Writes of keys whose answers are dropped from now on; the writes take effect.
     lose_next_answers: int = 0
+    #: The key whose writes may lose their answers; empty for all keys.
+    lose_answers_of: str = ""
     #: Share of writes whose answer is dropped, from 0 to 1.
     lose_answer_rate: float = 0.0
     #: Seed of the draws for ``lose_answer_rate``.
@@ -68,9 +70,14 @@
         settings = self._settings
         return dict(settings.caller_outages).get(caller_ip, settings.outage)
 
-    def takes_answer(self) -> bool:
-        """Return whether the answer to the write that was just made is lost."""
+    def takes_answer(self, key: str) -> bool:
+        """Return whether the answer to the write that was just made is lost.
+
+        :param key: the key that was written.
+        """
         with self._lock:
+            if self._settings.lose_answers_of not in ("", key):
+                return False
             if self._settings.lose_next_answers > 0:
                 left = self._settings.lose_next_answers - 1
                 self._settings = replace(self._settings, lose_next_answers=left)
--- a/standins/platform/_handler.py
+++ b/standins/platform/_handler.py
@@ -85,7 +85,8 @@
             self._counts.count_limited()
             return json_answer(429, {"error": "over the limit"})
         answer = self._perform(kind, req)
-        if kind in _KEY_WRITES and answer.status == 200 and self._faults.takes_answer():
+        written = kind in _KEY_WRITES and answer.status == 200
+        if written and self._faults.takes_answer(req.path.removeprefix(_KV_PREFIX)):
             return DroppedAnswer()
         return self._failure(req) or answer
 
