Show every process's state when a fleet scenario fails

Cause: a replaced zone stayed unserved in one run of the features and not in 7 further runs; the failure left nothing to find its cause by. Conclusion: the next failure prints dumps and logs.

--- a/features/environment.py
+++ b/features/environment.py
@@ -14,13 +14,13 @@
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
-    """End the scenario's fleet, and show its logs if the scenario failed.
+    """End the scenario's fleet, and show its state if the scenario failed.
 
     :param context: behave's context.
     :param scenario: the scenario.
     """
     if context.subject is None:
         return
-    if scenario.status.name == "failed":
-        context.subject.print_logs()
+    if scenario.status.name in ("failed", "error"):
+        context.subject.print_state()
     context.subject.close()
--- a/features/fleet_support/_subject.py
+++ b/features/fleet_support/_subject.py
@@ -298,7 +298,18 @@
                 return True
         return False
 
-    def print_logs(self) -> None:
-        """Show the end of each process's log."""
+    def print_state(self) -> None:
+        """Show each process's dump and the end of its log."""
         for process in self.fleet.processes.values():
             print(f"--- {process.name}, exit code {process.exit_code}\n{process.log()[-1500:]}")
+        for instance in self.fleet.layout.instances:
+            for program in PROGRAMS:
+                self._print_dump(instance, program)
+
+    def _print_dump(self, instance: InstanceLayout, program: str) -> None:
+        try:
+            dump = self.fleet.dump(instance.operator_address(program))
+        except (HTTPError, OSError) as exc:
+            print(f"--- {instance.instance_id} {program} gave no dump: {exc}")
+        else:
+            print(f"--- {instance.instance_id} {program}\n{json.dumps(dump)}")
