--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -39,10 +39,22 @@
     And the platform's client writes at revision 0
     Then the platform's write ends with STORE_UNAVAILABLE
 
-  Scenario: An outage of one caller leaves the others alone
+  Scenario Outline: An outage may meet single callers
     Given the platform's faults are {"caller_outages": {"127.0.0.77": "refuse503"}}
+    And the platform's client calls from <host>
     When the platform's client writes at revision 0
-    Then the platform's write ends with a revision
+    Then the platform's write ends with <outcome>
+
+    Examples:
+      | host       | outcome           |
+      | 127.0.0.77 | STORE_UNAVAILABLE |
+      | 127.0.0.78 | a revision        |
+
+  Scenario: A write that another has followed gives a revision at which no write succeeds
+    Given a rival writes to the platform as soon as the client has written
+    When the platform's client writes at revision 0
+    Then a write at the revision that the client was given is a conflict
+    And a watch from the revision that the client was given returns the rival's value
 
   Scenario: A connection that went silent is not used again
     Given the platform's faults are {"outage": "hang"}
--- a/features/records_checker.feature
+++ b/features/records_checker.feature
@@ -35,6 +35,9 @@
       | grant u1 0-9 0..10; grant u1 5-9 2..12; run u1 3 k r1 1..4; grant u2 3-3 4..14 | none |
       | grant u1 0-9 0..10; grant u1 5-9 2..12; run u1 3 k r1 1..5; grant u2 3-3 4..14 | key k at u1, u2 |
       | grant u1 0-9 0..10; grant u1 5-9 2..12; lost u1 3 k r1 1..5; grant u2 3-3 4..14 | none |
+      | run u1 3 k r1 1..3; run u2 3 k r2 2..4                 | key k at u1, u2; r1 outside; r2 outside |
+      | run u1 3 k r1 1..3; run u2 3 k r2 3..4                 | r1 outside; r2 outside |
+      | run u1 3 k r1 1..3; run u2:other 3 k r2 2..4           | r1 outside; r2 outside |
 
   Scenario: A pinned key is compared with its slot's owner by the number of slots
     Given the records grant u1 0-9 0..10; grant u2 +k 2..20
--- a/features/standin_upstream.feature
+++ b/features/standin_upstream.feature
@@ -59,6 +59,7 @@
       | the grant is renewed             | 200    | ran       | true   |
       | the grant's end is brought near  | 409    | refused   | false  |
       | the upstream is frozen past its grant's end | 409 | refused | false |
+      | the grant lapses and is given anew | 409  | refused   | false  |
       | its slot is taken back           | 200    | ran       | true   |
 
   Scenario: A release is confirmed once work outside the new grant has ended
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -16,6 +16,7 @@
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.timing import MonotonicClock
 from standins import StandinProcess
+from standins.proxy import FaultProxy
 
 _KEY = "foxtailshunt/config"
 _CLIENT_TIMEOUT_S = 0.5
@@ -89,6 +90,17 @@
         self.process.kill()
 
 
+class OvertakenPlatform(HttpPlatform):
+    """A client that a rival overtakes between its write and the reading of its revision."""
+
+    rival: HttpPlatform
+
+    def read(self, key: str) -> StoreRecord | None:
+        record = super().read(key)
+        self.rival.compare_and_swap(key, _RIVAL, record.revision)
+        return super().read(key)
+
+
 class RacingPlatform:
     """Hands calls to a platform, and loses or overtakes the first compare-and-swap."""
 
@@ -151,6 +163,21 @@
     assert context.platform.put("/standin/faults", json.loads(faults)) == 200
 
 
+@given("the platform's client calls from {host}")
+def call_from(context: Context, host: str) -> None:
+    subject = context.platform
+    link = FaultProxy(("127.0.0.1", 0), subject.process.address, host)
+    context.add_cleanup(link.close)
+    subject.client = HttpPlatform((link.address,), subject.metrics, _CLIENT_TIMEOUT_S)
+
+
+@given("a rival writes to the platform as soon as the client has written")
+def overtake_client(context: Context) -> None:
+    subject = context.platform
+    subject.client = OvertakenPlatform((subject.process.address,), subject.metrics)
+    subject.client.rival = subject.other
+
+
 @given("nobody else writes to the platform")
 def let_client_write(context: Context) -> None:
     context.platform.writer = context.platform.client
@@ -353,6 +380,22 @@
     assert counted == 1, counted
 
 
+@then("a write at the revision that the client was given is a conflict")
+def check_overtaken(context: Context) -> None:
+    subject = context.platform
+    given_revision = subject.outcome
+    subject.attempt(lambda: subject.other.compare_and_swap(_KEY, "next", given_revision))
+    assert subject.outcome == "CONFLICT", subject.outcome
+    subject.outcome = given_revision
+
+
+@then("a watch from the revision that the client was given returns the rival's value")
+def check_overtaken_watch(context: Context) -> None:
+    subject = context.platform
+    record = subject.other.watch(_KEY, subject.outcome, _WATCH_S)
+    assert record.value == _RIVAL, record
+
+
 @then("the platform's watch returns the other's value")
 def check_watch(context: Context) -> None:
     context.platform.watchers[0].join(_PATIENCE_S)
