--- a/features/assigner_support/__init__.py
+++ b/features/assigner_support/__init__.py
@@ -60,13 +60,16 @@
 
 
 def make_cfg_document(
-    upstreams: dict[str, str], slots: int = 8, max_moves: int = 16, service: str = "desk"
+    upstreams: dict[str, str],
+    slots: int = 8,
+    max_moves: int = 16,
+    zones: tuple[str, ...] = (),
 ) -> str:
     """Return a configuration with one service.
 
     :param upstreams: zone by upstream id; an id that ends in ``-plain`` checks no fences.
     """
-    zones = sorted(set(upstreams.values())) or ["wanaka"]
+    named = sorted(set(upstreams.values()) | set(zones)) or ["wanaka"]
     operation = {
         "name": "get",
         "method": "GET",
@@ -87,10 +90,10 @@
     return json.dumps(
         {
             "fleet": "test",
-            "zones": zones,
+            "zones": named,
             "services": [
                 {
-                    "name": service,
+                    "name": "desk",
                     "slots": slots,
                     "upstreams": entries,
                     "operations": [operation],
--- a/features/assigner_support/_memory_platform.py
+++ b/features/assigner_support/_memory_platform.py
@@ -25,6 +25,10 @@
         self.leaving: tuple[str, ...] = ()
         #: Called once before the next compare-and-swap takes effect.
         self.before_next_cas: Callable[[], None] | None = None
+        #: Called with the key before each compare-and-swap.
+        self.before_cas: Callable[[str], None] | None = None
+        #: Called with key and value after each write, in the order of the writes.
+        self.after_write: Callable[[str, str], None] | None = None
         self.cas_count = 0
 
     def read(self, key: str) -> StoreRecord | None:
@@ -47,6 +51,8 @@
         hook, self.before_next_cas = self.before_next_cas, None
         if hook is not None:
             hook()
+        if self.before_cas is not None:
+            self.before_cas(key)
         with self._changed:
             self._check()
             self.cas_count += 1
@@ -111,6 +117,8 @@
     def _put(self, key: str, value: str) -> int:
         revision = next(self._numbers)
         self._records[key] = StoreRecord(key, value, revision)
+        if self.after_write is not None:
+            self.after_write(key, value)
         self._changed.notify_all()
         return revision
 
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -173,9 +173,9 @@
         if not table.witness_sets:
             # No dispatcher can work yet, so a move costs nothing.
             return len(table.rows)
-        listed = {name: row.dispatchers for name, row in table.rows.items()}
-        if any(sender not in listed[name] for name, sender in senders.items()):
-            # A handover is in progress.
+        is_quiet = all(senders.get(name) in row.dispatchers[:1] for name, row in table.rows.items())
+        if not is_quiet:
+            # A takeover or a handover is in progress.
             return 0
         now = self._parts.clock.now()
         return 1 if now - self._dispatchers_moved_at >= DISPATCHER_MOVE_INTERVAL_S else 0
