--- a/features/steps/ownership_moves_steps.py
+++ b/features/steps/ownership_moves_steps.py
@@ -99,6 +99,7 @@
                 if transit.upstream_id in finished
             ),
             live_dispatchers=(make_ref(events.get("dispatchers", "d0")),),
+            unfit_dispatchers=frozenset(),
             senders={},
             dispatcher_moves=0,
             witness_sets=((events.get("sets", "d0"),),),
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -163,6 +163,7 @@
             weights=self._weights.update(table, cfg, usable),
             finished=self._transits.finished(table, cfg),
             live_dispatchers=live,
+            unfit_dispatchers=self._upstreams.unfit_dispatchers(),
             senders=senders,
             dispatcher_moves=self._dispatcher_moves(table, senders),
             witness_sets=self._witnesses.next_sets(table, live),
--- a/foxtailshunt/assigner/_plan_input.py
+++ b/foxtailshunt/assigner/_plan_input.py
@@ -72,6 +72,8 @@
     finished: frozenset[TransitKey]
     #: The live dispatchers.
     live_dispatchers: tuple[ProcessRef, ...]
+    #: Instance ids of dispatchers among them that should not send.
+    unfit_dispatchers: frozenset[str]
     #: The dispatcher that sends to each upstream, where known.
     senders: dict[str, str]
     #: Most dispatchers' first places to move for balance.
--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -170,7 +170,8 @@
 
 
 def _set_dispatchers(draft: TableDraft, inputs: PlanInput) -> None:
-    live = tuple(sorted({ref.instance_id for ref in inputs.live_dispatchers}))
+    heard = {ref.instance_id for ref in inputs.live_dispatchers}
+    live = tuple(sorted(heard - inputs.unfit_dispatchers or heard))
     if not live:
         return
     current = {name: row.dispatchers for name, row in draft.rows.items()}
--- a/foxtailshunt/assigner/_zone_assigner.py
+++ b/foxtailshunt/assigner/_zone_assigner.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import traceback
 from collections.abc import Callable
 
 from foxtailshunt.assigner._active_term import ActiveTerm, ZoneParts
@@ -66,17 +67,23 @@
                 term.step(self._leaving())
                 self._pause()
         except FoxtailshuntError as exc:
-            log_state_change("term.ended", code=exc.code.name, reason=exc.message)
-            self._parts.metrics.count(
-                "foxtailshunt_terms_ended_total",
-                "Terms as the active assigner that ended.",
-                {"code": exc.code.name},
-            )
-            self._wakeup.wait(self._backoff.next_delay_s())
+            self._note_end(exc.code.name, exc.message)
+        except Exception as exc:
+            # An assigner that holds the lease without a running term would block its zone.
+            self._note_end(type(exc).__name__, traceback.format_exc())
         finally:
             self._term = None
             term.stop()
 
+    def _note_end(self, reason: str, detail: str) -> None:
+        log_state_change("term.ended", reason=reason, detail=detail)
+        self._parts.metrics.count(
+            "foxtailshunt_terms_ended_total",
+            "Terms as the active assigner that ended.",
+            {"reason": reason},
+        )
+        self._wakeup.wait(self._backoff.next_delay_s())
+
     def _pause(self) -> None:
         self._wakeup.wait(_STEP_INTERVAL_S)
         self._wakeup.clear()
--- a/foxtailshunt/membership/_peer_link.py
+++ b/foxtailshunt/membership/_peer_link.py
@@ -4,7 +4,6 @@
 import threading
 from collections.abc import Callable
 
-from foxtailshunt.errors import PeerUnreachableError
 from foxtailshunt.ownership import Address
 from foxtailshunt.protocol import PeerClient, SyncReply, SyncRequest
 from foxtailshunt.protocol.gen import Assigner
@@ -26,6 +25,7 @@
     :param make_request: builds the next request.
     :param take_reply: called with each reply.
     :param pause: asked before each call.
+    :param on_failure: called with the error of each call that failed.
     :param clock: spaces calls.
     """
 
@@ -35,12 +35,14 @@
         make_request: Callable[[], SyncRequest],
         take_reply: Callable[[SyncReply], None],
         pause: PauseSource,
+        on_failure: Callable[[Exception], None],
         clock: Clock,
     ) -> None:
         self._address = address
         self._make_request = make_request
         self._take_reply = take_reply
         self._pause = pause
+        self._on_failure = on_failure
         self._clock = clock
         self._stopping = threading.Event()
         self._client: PeerClient | None = None
@@ -78,12 +80,12 @@
         began_at = self._clock.now()
         try:
             reply = self._exchange()
-        except PeerUnreachableError:
-            self._client = None
-            self._wait_for_retry()
+            self._take_reply(reply)
+        except Exception as exc:
+            # A thread that ended would leave the process without this peer for good.
+            self._fail(exc)
             return
         self._retry_s = _FIRST_RETRY_S
-        self._take_reply(reply)
         elapsed_s = self._clock.now() - began_at
         if elapsed_s < _MIN_CALL_INTERVAL_S:
             self._stopping.wait(_MIN_CALL_INTERVAL_S - elapsed_s)
@@ -96,7 +98,11 @@
         req = self._make_request()
         return self._client.call("sync", req, req.wait_ms / 1000 + _REPLY_MARGIN_S)
 
-    def _wait_for_retry(self) -> None:
+    def _fail(self, exc: Exception) -> None:
+        self._on_failure(exc)
+        if self._client is not None:
+            self._client.reset()
+            self._client = None
         self._stopping.wait(self._retry_s * random.uniform(0.5, 1.0))
         self._retry_s = min(2 * self._retry_s, _RETRY_LIMIT_S)
 
--- a/foxtailshunt/membership/_sync_agent.py
+++ b/foxtailshunt/membership/_sync_agent.py
@@ -207,6 +207,7 @@
             lambda: self._make_request(peer, self._wait_ms(peer)),
             lambda reply: self._take_reply(peer, reply),
             lambda: self._pause(peer),
+            lambda exc: self._count(type(exc).__name__),
             self._clock,
         )
         self._links[address] = link
