--- a/foxtailshunt/dispatch/_turn.py
+++ b/foxtailshunt/dispatch/_turn.py
@@ -26,22 +26,23 @@
     :param key: the key.
     :param deadline_at: when its answer is due, in seconds of the monotonic clock.
     :param expected_s: time that the upstream is expected to take, in seconds.
-    :param shortest_s: time below which the upstream hardly ever answers, in seconds.
     """
 
     __slots__ = (
         "_wakeup",
         "by_floor",
         "cancel_requested",
+        "charged_s",
         "code",
         "deadline_at",
         "expected_s",
         "granted_at",
         "joined_at",
         "key",
+        "miss_code",
+        "missed_since",
         "rank",
         "request_id",
-        "shortest_s",
         "slot",
         "state",
     )
@@ -54,7 +55,6 @@
         key: str,
         deadline_at: float,
         expected_s: float = 0.0,
-        shortest_s: float = 0.0,
     ) -> None:
         self.request_id = request_id
         self.rank = rank
@@ -62,7 +62,6 @@
         self.key = key
         self.deadline_at = deadline_at
         self.expected_s = expected_s
-        self.shortest_s = shortest_s
         #: When it joined the queue, in seconds of the monotonic clock.
         self.joined_at = 0.0
         #: When it was granted, in seconds of the monotonic clock.
@@ -71,6 +70,12 @@
         self.state = TurnState.WAITING
         #: Why it was rejected.
         self.code: ResultCode | None = None
+        #: Since when its request may not be sent, in seconds of the monotonic clock, or None.
+        self.missed_since: float | None = None
+        #: Why its request could not be sent when that was last asked.
+        self.miss_code = ResultCode.NO_OWNER
+        #: Slot-seconds charged to its rank so far.
+        self.charged_s = 0.0
         #: True if it was granted ahead of a higher rank because of its floor.
         self.by_floor = False
         #: True once the caller gave the request up.
