--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -187,6 +187,91 @@
     Then the cancellation's code is CANCELLED
     And the waiting request ends with CANCELLED after 1 sends
 
+  Scenario Outline: A request at the upstream is cancelled
+    Given a request of issue is at the upstream
+    And the upstream answers cancellations with <cancel>
+    When the request at the upstream is cancelled
+    Then the cancellation's code is <code>
+    And the first ends with OK after 1 sends
+
+    Examples:
+      | cancel    | code          |
+      | cancelled | CANCELLED     |
+      | ran       | OK            |
+      | unknown   | STILL_RUNNING |
+      | fails     | STILL_RUNNING |
+
+  Scenario: A request that is not here is cancelled
+    When an unknown request is cancelled
+    Then the cancellation's code is MEMORY_TOO_YOUNG
+
+  Scenario: A request that was cancelled is not sent again
+    Given a request of check is at the upstream which then refuses it
+    When the request at the upstream is cancelled
+    Then the first ends with REFUSED_BY_UPSTREAM after 1 sends
+
+  Scenario Outline: A slot stays taken while its request may be at the upstream
+    Given the upstream answers <attempts> and cancellations with <cancel>
+    When a request of issue comes
+    Then <at-once> requests are in flight
+    And <later> requests are in flight after 1000 ms
+
+    Examples:
+      | attempts | cancel    | at-once | later |
+      | ran      | unknown   | 0       | 0     |
+      | expired  | unknown   | 0       | 0     |
+      | lost     | unknown   | 1       | 0     |
+      | lost     | fails     | 1       | 0     |
+      | mismatch | unknown   | 1       | 0     |
+      | lost     | cancelled | 0       | 0     |
+      | lost     | ran       | 0       | 0     |
+      | silent   | unknown   | 0       | 0     |
+
+  Scenario: A slot taken by a lost request is free once the upstream started anew
+    Given the upstream answers lost ran and cancellations with unknown
+    And the upstream has 2 slots
+    When a request of issue comes
+    And the upstream starts anew
+    And a request of check comes
+    Then 0 requests are in flight
+
+  Scenario: Keys of requests at the upstream are known
+    Given a request of issue is at the upstream
+    Then the key k of slot 3 is in flight
+    And the first ends with OK after 1 sends
+    And no key is in flight
+
+  Scenario: A shed request lowers the limit for a while
+    Given the upstream has 2 slots
+    And the upstream answers shed ran and cancellations with unknown
+    When a request of check comes
+    Then 1 request may be in flight
+    And 2 requests may be in flight after 500 ms
+
+  Scenario Outline: Memory of pinned keys
+    When the upstream's pins change from <before> to <after> and its excluded keys from <out> to <in>
+    And a request of issue comes whose id is from before
+    Then its code is <code> after <sends> sends and 0 cancellations
+
+    Examples: the request's key is k
+      | before | after | out  | in   | code             | sends |
+      | none   | k     | none | none | MEMORY_TOO_YOUNG | 0     |
+      | none   | other | none | none | OK               | 1     |
+      | k      | k     | none | none | OK               | 1     |
+      | none   | none  | k    | none | MEMORY_TOO_YOUNG | 0     |
+      | none   | none  | none | other | OK              | 1     |
+      | k      | none  | none | none | OK               | 1     |
+
+  Scenario: What dispatch does is counted
+    Given the upstream answers mismatch refused ran and cancellations with unknown
+    When a request of check comes
+    Then these are counted
+      | name                                               | labels                      | value |
+      | foxtailshunt_dispatch_requests_total               | desk urgent OK              | 1     |
+      | foxtailshunt_dispatch_retries_total                | desk                        | 2     |
+      | foxtailshunt_dispatch_answer_mismatches_total      | desk                        | 1     |
+      | foxtailshunt_dispatch_retry_budget_exhausted_total | desk                        | 0     |
+
   Scenario: A waiting request's key moves away
     Given a request of check is at the upstream
     And another request of check waits
--- a/features/steps/dispatch_fakes.py
+++ b/features/steps/dispatch_fakes.py
@@ -92,10 +92,10 @@
     def send_work(self, req: WorkRequest) -> WorkReply:
         answer = next(self.script)
         self.sent.append(req)
-        if answer == "held":
+        if answer.startswith("held-"):
             self.arrivals.release()
             assert self.answers.acquire(timeout=30)
-            answer = "ran"
+            answer = answer.removeprefix("held-")
         if answer.startswith("lapsed-"):
             self._right.held = False
             answer = answer.removeprefix("lapsed-")
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -165,6 +165,10 @@
             assert not thread.is_alive()
 
 
+def _key_set(word: str) -> frozenset[str]:
+    return frozenset() if word == "none" else frozenset({word})
+
+
 def wait_until(condition: Callable[[], bool]) -> None:
     ends_at = time.monotonic() + _BOUND_S
     while not condition():
@@ -311,7 +315,7 @@
 @given("a request of {operation:w} is at the upstream")
 def hold_request(context: Context, operation: str) -> None:
     subject = context.dispatch
-    subject.upstream.script = itertools.repeat("held")
+    subject.upstream.script = itertools.repeat("held-ran")
     context.operation = operation
     context.first = subject.start(subject.request(operation))
     assert subject.upstream.arrivals.acquire(timeout=_BOUND_S)
@@ -407,6 +411,40 @@
     context.cancel_reply = subject.service.cancel(req)
 
 
+@given("the upstream answers cancellations with {answer:w}")
+def script_cancel(context: Context, answer: str) -> None:
+    context.dispatch.upstream.cancel_answer = answer
+
+
+@given("a request of {operation:w} is at the upstream which then refuses it")
+def hold_refused(context: Context, operation: str) -> None:
+    subject = context.dispatch
+    subject.upstream.script = iter(["held-refused", "ran"])
+    context.first = subject.start(subject.request(operation))
+    assert subject.upstream.arrivals.acquire(timeout=_BOUND_S)
+
+
+@when("the request at the upstream is cancelled")
+def cancel_at_upstream(context: Context) -> None:
+    cancel_waiting(context)
+
+
+@when("an unknown request is cancelled")
+def cancel_unknown(context: Context) -> None:
+    cancel_waiting(context)
+
+
+@when("the upstream's pins change from {b:w} to {a:w} and its excluded keys from {o:w} to {i:w}")
+def change_pins(context: Context, b: str, a: str, o: str, i: str) -> None:
+    subject = context.dispatch
+    subject.put_row(pins=_key_set(b), excluded=_key_set(o))
+    subject.wait_s(_SKEW_S + 1)
+    subject.request_id = subject.next_id()
+    subject.wait_s(_SKEW_S + 1)
+    subject.put_row(pins=_key_set(a), excluded=_key_set(i))
+    subject.wait_s(0.1)
+
+
 @when("the dispatcher drains while the requests are answered")
 def drain(context: Context) -> None:
     subject = context.dispatch
@@ -459,6 +497,42 @@
     assert round(sent.timeout_s * 1000) == t, sent
 
 
+@then("{count:d} requests are in flight")
+def check_in_flight(context: Context, count: int) -> None:
+    load = context.dispatch.service.load_of(_UPSTREAM)
+    assert load.in_flight == count, load
+
+
+@then("{count:d} requests are in flight after {passed:d} ms")
+def check_in_flight_later(context: Context, count: int, passed: int) -> None:
+    context.dispatch.wait_s(passed / 1000)
+    check_in_flight(context, count)
+
+
+@then("the key {key:w} of slot {slot:d} is in flight")
+def check_key_in_flight(context: Context, key: str, slot: int) -> None:
+    assert context.dispatch.service.in_flight_keys(_UPSTREAM) == {(slot, key)}
+
+
+@then("no key is in flight")
+def check_no_key(context: Context) -> None:
+    assert context.dispatch.service.in_flight_keys(_UPSTREAM) == frozenset()
+
+
+@then("these are counted")
+def check_counters(context: Context) -> None:
+    for row in context.table:
+        labels = dict(zip(("service", "rank", "code"), row["labels"].split(), strict=False))
+        value = context.dispatch.metrics.counter_value(row["name"], labels)
+        assert value == float(row["value"]), (row["name"], value)
+
+
+@then("{count:d} requests may be in flight after {passed:d} ms")
+def check_limit_later(context: Context, count: int, passed: int) -> None:
+    context.dispatch.wait_s(passed / 1000)
+    check_limit(context, count)
+
+
 @then("{count:d} request may be in flight")
 def check_limit(context: Context, count: int) -> None:
     dump = context.dispatch.service.dump()
