Judge the end of an attempt in a module of its own; pause before the first retry

The first retry came without its pause, because the wake-up of a turn granted at once was still pending; the pause drops it first. Two threads that woke one turn at the same time could raise. An entry of the request memory no longer holds an event (over 1 kB) unless a repeat waits for it, and counts 600 bytes besides its answer.

A cancellation by the caller no longer reports not run on the word of the upstream alone, for the same reason as at the deadline: the reply to the request tells. Attempts of idempotent requests wait 100 ms at least, so that a cold upstream is not taken for a silent connection.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -196,7 +196,7 @@
 
     Examples:
       | cancel    | code          |
-      | cancelled | CANCELLED     |
+      | cancelled | STILL_RUNNING |
       | ran       | OK            |
       | unknown   | STILL_RUNNING |
       | fails     | STILL_RUNNING |
--- a/features/request_memory.feature
+++ b/features/request_memory.feature
@@ -30,9 +30,9 @@
       | 3     | 100000 | 3          | 10   | 0      | full  | 3    |
       | 3     | 100000 | 3          | 10   | 59     | full  | 3    |
       | 3     | 100000 | 3          | 10   | 61     | first | 1    |
-      | 100   | 4000   | 3          | 900  | 0      | first | 4    |
-      | 100   | 4000   | 4          | 900  | 0      | full  | 4    |
-      | 100   | 4000   | 4          | 900  | 61     | first | 1    |
+      | 100   | 5000   | 3          | 900  | 0      | first | 4    |
+      | 100   | 5000   | 4          | 900  | 0      | full  | 4    |
+      | 100   | 5000   | 4          | 900  | 61     | first | 1    |
 
   Scenario: A request that is still running is not forgotten
     Given a memory of 10 requests and 100000 bytes
--- a/foxtailshunt/dispatch/_attempt_window.py
+++ b/foxtailshunt/dispatch/_attempt_window.py
@@ -16,7 +16,7 @@
 #: service times.
 _TIMEOUT_MULTIPLE = 3.0
 #: Shortest timeout of an attempt that may be retried, in seconds.
-_MIN_RETRY_TIMEOUT_S = 0.05
+_MIN_RETRY_TIMEOUT_S = 0.1
 #: Part of the remaining time for an attempt while service times are not known.
 _UNMEASURED_FRACTION = 0.3
 _MS_PER_S = 1000
--- a/foxtailshunt/dispatch/_canceller.py
+++ b/foxtailshunt/dispatch/_canceller.py
@@ -1,6 +1,6 @@
 """Gives up requests whose callers went away."""
 
-from foxtailshunt.dispatch._sender import Sender
+from foxtailshunt.dispatch._attempt_runner import AttemptRunner
 from foxtailshunt.dispatch._turn import Turn
 from foxtailshunt.dispatch._turn_queue import TurnQueue
 from foxtailshunt.dispatch._upstream_states import UpstreamStates
@@ -10,27 +10,23 @@
 #: Longest wait for an upstream's answer to a cancellation, in seconds.
 _CANCEL_TIMEOUT_S = 0.5
 
-_CODES = {
-    CancelOutcome.CANCELLED: ResultCode.CANCELLED,
-    CancelOutcome.RAN: ResultCode.OK,
-    CancelOutcome.UNKNOWN: ResultCode.STILL_RUNNING,
-}
-
 
 class Canceller:
     """Cancels requests by their ids.
 
     :param states: the upstreams' queues.
-    :param sender: passes cancellations on to upstreams.
+    :param attempts: passes cancellations on to upstreams.
     """
 
-    def __init__(self, states: UpstreamStates, sender: Sender) -> None:
+    def __init__(self, states: UpstreamStates, attempts: AttemptRunner) -> None:
         self._states = states
-        self._sender = sender
+        self._attempts = attempts
 
     def cancel(self, upstream_id: str, request_id: str) -> ResultCode:
         """Cancel every request of an id and return what is known of them.
 
+        What a cancellation did at the upstream is told by the reply to the request itself.
+
         :param upstream_id: the upstream that they are meant for.
         :param request_id: the id.
         """
@@ -44,7 +40,8 @@
         for turn in at_upstream:
             turn.cancel_requested = True
             turn.wake()
-        return _CODES[self._sender.cancel(upstream_id, request_id, _CANCEL_TIMEOUT_S)]
+        answer = self._attempts.cancel(upstream_id, request_id, _CANCEL_TIMEOUT_S)
+        return ResultCode.OK if answer is CancelOutcome.RAN else ResultCode.STILL_RUNNING
 
     def _withdraw(self, queue: TurnQueue, turn: Turn) -> bool:
         return queue.withdraw(turn, ResultCode.CANCELLED)
--- a/foxtailshunt/dispatch/_repeat_guard.py
+++ b/foxtailshunt/dispatch/_repeat_guard.py
@@ -70,7 +70,7 @@
         if entry.fingerprint != fingerprint:
             return Outcome(ResultCode.BAD_REQUEST, "the id belongs to another request")
         remaining_s = call.turn.deadline_at - self._clock.now()
-        if not entry.ended.wait(max(0.0, remaining_s)):
+        if not self._memory.wait_for_end(entry, remaining_s):
             return Outcome(ResultCode.STILL_RUNNING, "the first request of this id is running")
         if entry.state is FirstState.NOT_RUN or entry.outcome is None:
             return None
--- a/foxtailshunt/dispatch/_request_memory.py
+++ b/foxtailshunt/dispatch/_request_memory.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import threading
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from foxtailshunt.dispatch._outcome import Outcome
@@ -11,7 +11,7 @@
 from foxtailshunt.timing import Clock
 
 #: Size counted for an entry besides its answer, in bytes.
-_ENTRY_BYTES = 400
+_ENTRY_BYTES = 600
 
 
 class FirstState(Enum):
@@ -39,8 +39,8 @@
     outcome: Outcome | None = None
     #: Counted size in bytes.
     size_bytes: int = _ENTRY_BYTES
-    #: Set once the first request has ended.
-    ended: threading.Event = field(default_factory=threading.Event)
+    #: Set once the first request has ended; made by the first repeat that waits.
+    ended: threading.Event | None = None
 
 
 class Claim(Enum):
@@ -121,7 +121,22 @@
                 entry.size_bytes += size_bytes
                 self._size_bytes += size_bytes
                 heapq.heappush(self._expiry, (entry.expires_at, next(self._sequence), entry))
-            entry.ended.set()
+            if entry.ended is not None:
+                entry.ended.set()
+
+    def wait_for_end(self, entry: MemoryEntry, timeout_s: float) -> bool:
+        """Wait until the first request of an id has ended; False after a timeout.
+
+        :param entry: the entry of the id.
+        :param timeout_s: longest wait in seconds.
+        """
+        with self._lock:
+            if entry.state is not FirstState.RUNNING:
+                return True
+            if entry.ended is None:
+                entry.ended = threading.Event()
+            ended = entry.ended
+        return ended.wait(max(0.0, timeout_s))
 
     def _forget_expired(self) -> None:
         now = self._clock.now()
--- a/foxtailshunt/dispatch/_service.py
+++ b/foxtailshunt/dispatch/_service.py
@@ -1,6 +1,7 @@
 """The dispatch service: what entries ask a dispatcher for."""
 
 from foxtailshunt.config import Configuration, Operation, Rank
+from foxtailshunt.dispatch._attempt_runner import AttemptRunner, ClientSource
 from foxtailshunt.dispatch._call import Call
 from foxtailshunt.dispatch._canceller import Canceller
 from foxtailshunt.dispatch._dispatch_metrics import DispatchMetrics
@@ -10,7 +11,7 @@
 from foxtailshunt.dispatch._repeat_guard import RepeatGuard
 from foxtailshunt.dispatch._request_id import issued_at
 from foxtailshunt.dispatch._request_memory import RequestMemory
-from foxtailshunt.dispatch._sender import ClientSource, Sender
+from foxtailshunt.dispatch._sender import Sender
 from foxtailshunt.dispatch._turn import Turn, TurnState
 from foxtailshunt.dispatch._upstream_states import UpstreamStates
 from foxtailshunt.errors import ResultCode
@@ -64,8 +65,9 @@
         self._states = UpstreamStates(view, send_right, clock, zone)
         self._memory = RequestMemory(clock, _MAX_MEMORY_COUNT, _MAX_MEMORY_BYTES)
         self._guard = RepeatGuard(self._memory, clock)
-        self._sender = Sender(send_right, upstreams, clock, self._metrics)
-        self._canceller = Canceller(self._states, self._sender)
+        attempts = AttemptRunner(send_right, upstreams, clock, self._metrics)
+        self._sender = Sender(send_right, attempts, clock, self._metrics)
+        self._canceller = Canceller(self._states, attempts)
         self._in_progress = InProgress()
         timer.subscribe(_REFRESH_INTERVAL_S, self.refresh)
         timer.subscribe(_GAUGE_INTERVAL_S, self.publish_gauges)
--- a/foxtailshunt/dispatch/_turn.py
+++ b/foxtailshunt/dispatch/_turn.py
@@ -85,8 +85,11 @@
 
     def wake(self) -> None:
         """Wake the thread that waits for this turn, or the next one that does."""
-        if self._wakeup.locked():
+        try:
             self._wakeup.release()
+        except RuntimeError:
+            # Woken already.
+            pass
 
     def wait(self, timeout_s: float) -> None:
         """Wait until woken or until a timeout.
@@ -94,3 +97,12 @@
         :param timeout_s: longest wait in seconds.
         """
         self._wakeup.acquire(timeout=max(0.0, timeout_s))
+
+    def pause(self, duration_s: float) -> None:
+        """Wait for a duration, or until the caller gives the request up.
+
+        :param duration_s: the duration in seconds.
+        """
+        self._wakeup.acquire(blocking=False)
+        if not self.cancel_requested:
+            self._wakeup.acquire(timeout=duration_s)
