Give the fleet features a name of their own in behave's context

Cause: the hook that ends a fleet took other features' subjects for fleets, which have no close; their scenarios were reported as hook errors. Conclusion: witness and protocol features pass again.

--- a/features/environment.py
+++ b/features/environment.py
@@ -10,7 +10,7 @@
     :param context: behave's context.
     :param scenario: the scenario.
     """
-    context.subject = None
+    context.fleet_subject = None
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
@@ -19,8 +19,8 @@
     :param context: behave's context.
     :param scenario: the scenario.
     """
-    if context.subject is None:
+    if context.fleet_subject is None:
         return
     if scenario.status.name in ("failed", "error"):
-        context.subject.print_state()
-    context.subject.close()
+        context.fleet_subject.print_state()
+    context.fleet_subject.close()
