--- a/features/assents.feature
+++ b/features/assents.feature
@@ -72,6 +72,18 @@
       | 0.7  | d asks d               | none  |
       | 0.7  | d asks e               | d     |
 
+  Scenario: A dispatcher that learns of a newer table stops contending with its old one
+    Given dispatchers a, b, c that list a, b, c for u1 with witnesses abc
+    When these requests for assent are made
+      | at   | event                  | holds |
+      | 0    | c refuses tables < 1.6 | none  |
+      | 0    | a asks a               | none  |
+      | 0.1  | a asks c               | none  |
+      | 0.2  | a asks a               | none  |
+      | 0.55 | b takes 1.6 abc        | none  |
+      | 0.75 | b asks a               | none  |
+      | 0.75 | b asks b               | b     |
+
   Scenario: The first listed does not take an upstream from its holder
     Given dispatchers a, b that list a, b for u1 with witnesses ab
     When these requests for assent are made
--- a/features/ownership_support/model/_assigner.py
+++ b/features/ownership_support/model/_assigner.py
@@ -72,6 +72,7 @@
         }
         self._rows[upstream_ids[0]].slots = frozenset(_SLOTS)
         self._transits: list[_Transit] = []
+        self.finished_moves = 0
         self._document = self._make_document()
         world.spawn(self.process, self._run)
 
@@ -117,6 +118,7 @@
         for transit in list(self._transits):
             if transit.is_proven:
                 self._transits.remove(transit)
+                self.finished_moves += 1
                 self._next_fence()
                 target = self._rows[transit.target_id]
                 target.slots |= transit.slots
--- a/features/steps/assents_steps.py
+++ b/features/steps/assents_steps.py
@@ -89,12 +89,12 @@
 
 @given("dispatchers {names} that list {listed} for u1 with witnesses {witnesses}")
 def start_dispatchers(context: Context, names: str, listed: str, witnesses: str) -> None:
-    context.subject = AssentSubject(names.split(", "), listed.split(", "), witnesses)
+    context.assents_subject = AssentSubject(names.split(", "), listed.split(", "), witnesses)
 
 
 @when("these requests for assent are made")
 def make_requests(context: Context) -> None:
-    subject = context.subject
+    subject = context.assents_subject
     for row in context.table:
         subject.clock.time = max(subject.clock.time, _START_S + float(row["at"]))
         subject.happen(row["event"])
@@ -103,12 +103,12 @@
 
 @then("dispatcher {name} holds u1 for fence {held} but not for {other}")
 def check_fence(context: Context, name: str, held: str, other: str) -> None:
-    ledger = context.subject.rigs[name].ledger
+    ledger = context.assents_subject.rigs[name].ledger
     assert ledger.holds_fence("u1", fence_of(held))
     assert not ledger.holds_fence("u1", fence_of(other))
 
 
 @then("dispatcher {name} holds u1 since {at:g}")
 def check_since(context: Context, name: str, at: float) -> None:
-    since = context.subject.rigs[name].ledger.held_since("u1")
+    since = context.assents_subject.rigs[name].ledger.held_since("u1")
     assert since == _START_S + at, since
--- a/foxtailshunt/ownership/authority/_assents.py
+++ b/foxtailshunt/ownership/authority/_assents.py
@@ -10,7 +10,7 @@
 from foxtailshunt.ownership._records import Fence, ProcessRef, Table, UpstreamRow
 from foxtailshunt.ownership.authority._assent_ledger import AssentLedger
 from foxtailshunt.ownership.authority._candidacy import Candidacy
-from foxtailshunt.ownership.authority._messages import fence_to_message
+from foxtailshunt.ownership.authority._messages import fence_from_message, fence_to_message
 from foxtailshunt.ownership.authority._witness import Witness
 from foxtailshunt.protocol import AssentItem, AssentReply, AssentRequest, ClientPool
 from foxtailshunt.telemetry import Metrics, log_state_change
@@ -101,6 +101,8 @@
             self._count("unreachable")
             return []
         self._count(ResultCode(reply.code).name)
+        if reply.code == ResultCode.STALE_FENCE:
+            self._candidacy.note_table_floor(fence_from_message(reply.table_fence))
         if reply.code != ResultCode.ACCEPTED:
             return []
         fences = {row.upstream_id: row.fence for row in rows}
--- a/foxtailshunt/ownership/authority/_candidacy.py
+++ b/foxtailshunt/ownership/authority/_candidacy.py
@@ -3,7 +3,7 @@
 import threading
 
 from foxtailshunt.membership import View
-from foxtailshunt.ownership._records import Table, UpstreamRow
+from foxtailshunt.ownership._records import ZERO_FENCE, Fence, Table, UpstreamRow
 from foxtailshunt.ownership.authority._assent_ledger import AssentLedger
 from foxtailshunt.ownership.authority._witness import ASSENT_LAPSE_S, Witness
 from foxtailshunt.timing import Clock
@@ -54,6 +54,7 @@
         self._lock = threading.Lock()
         self._contending_since: dict[str, float] = {}
         self._backs_off_until: dict[str, float] = {}
+        self._table_floor = ZERO_FENCE
         # When each upstream was given up.
         self._given_up: dict[str, float] = {}
 
@@ -65,6 +66,17 @@
         with self._lock:
             return [row for row in table.rows.values() if self._wants(table, row)]
 
+    def note_table_floor(self, floor: Fence) -> None:
+        """Learn that a witness refuses older tables.
+
+        A dispatcher with an older table contends for nothing: it would only keep a witness from
+        assenting to one with the newer table.
+
+        :param floor: the lowest table fence that the witness accepts.
+        """
+        with self._lock:
+            self._table_floor = max(self._table_floor, floor)
+
     def give_up(self, upstream_id: str) -> None:
         """Stop asking for an upstream.
 
@@ -96,7 +108,7 @@
         if self._ledger.holds(upstream_id):
             self._contending_since.pop(upstream_id, None)
             return True
-        if self._instance_id not in row.dispatchers:
+        if self._instance_id not in row.dispatchers or table.fence < self._table_floor:
             return False
         position = row.dispatchers.index(self._instance_id)
         return position == 0 or self._contends(table, upstream_id, position)
