Keep long-lived threads alive after an unexpected error

Conclusion: grant, assent, wake, poll and lease threads log an unexpected error with its trace and go on.

--- a/foxtailshunt/assigner/_lease_keeper.py
+++ b/foxtailshunt/assigner/_lease_keeper.py
@@ -8,7 +8,7 @@
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.ownership._periods import surely_in_force_for
 from foxtailshunt.platform import Backoff, Platform, StoreRecord
-from foxtailshunt.telemetry import Metrics, log_state_change
+from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 from foxtailshunt.timing import Clock
 
 LEASE_TTL_S = 1.0
@@ -103,6 +103,10 @@
             except FoxtailshuntError:
                 self._note_failure()
                 self._stopping.wait(self._backoff.next_delay_s())
+            except Exception as exc:
+                log_thread_error("lease", exc)
+                self._note_failure()
+                self._stopping.wait(self._backoff.next_delay_s())
 
     def _step(self) -> None:
         if self.held:
--- a/foxtailshunt/assigner/_platform_polls.py
+++ b/foxtailshunt/assigner/_platform_polls.py
@@ -9,7 +9,7 @@
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.membership import ASSIGNER_ROLE, View
 from foxtailshunt.platform import Backoff, InstanceState, Platform, StoreRecord
-from foxtailshunt.telemetry import Metrics
+from foxtailshunt.telemetry import Metrics, log_thread_error
 from foxtailshunt.timing import Clock
 
 #: The store's key of the operators' configuration.
@@ -63,6 +63,9 @@
                 self._backoff.reset()
             except FoxtailshuntError:
                 self._stopping.wait(self._backoff.next_delay_s())
+            except Exception as exc:
+                log_thread_error("config-watch", exc)
+                self._stopping.wait(self._backoff.next_delay_s())
 
     def _take(self, record: StoreRecord | None) -> None:
         if record is None or record.revision == self._revision:
@@ -136,6 +139,8 @@
                     self._poll()
                 except FoxtailshuntError:
                     self._stopping.wait(random.uniform(0, _LIST_INTERVAL_S))
+                except Exception as exc:
+                    log_thread_error("platform-poll", exc)
             self._stopping.wait(_LIST_INTERVAL_S)
 
     def _poll(self) -> None:
--- a/foxtailshunt/membership/_sync_agent.py
+++ b/foxtailshunt/membership/_sync_agent.py
@@ -13,7 +13,7 @@
 from foxtailshunt.ownership._periods import SYNC_WAIT_MS
 from foxtailshunt.protocol import ClientPool, Member, SyncReply, SyncRequest, UpstreamReport
 from foxtailshunt.protocol.gen import Assigner
-from foxtailshunt.telemetry import Metrics
+from foxtailshunt.telemetry import Metrics, log_thread_error
 from foxtailshunt.timing import Clock, MonotonicClock
 
 #: Role of an assigner in :class:`~foxtailshunt.protocol.Member`.
@@ -128,7 +128,10 @@
             self._wake_requested.clear()
             if self._stopping:
                 return
-            self._call_own_zone()
+            try:
+                self._call_own_zone()
+            except Exception as exc:
+                log_thread_error("sync-wake", exc)
 
     def _call_own_zone(self) -> None:
         active = self.active_assigner
--- a/foxtailshunt/ownership/authority/_assents.py
+++ b/foxtailshunt/ownership/authority/_assents.py
@@ -13,7 +13,7 @@
 from foxtailshunt.ownership.authority._messages import fence_from_message, fence_to_message
 from foxtailshunt.ownership.authority._witness import Witness
 from foxtailshunt.protocol import AssentItem, AssentReply, AssentRequest, ClientPool
-from foxtailshunt.telemetry import Metrics, log_state_change
+from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 from foxtailshunt.timing import Clock
 
 #: Sends a request to a witness and returns its reply; raises PeerUnreachableError.
@@ -228,7 +228,14 @@
     def _run(self) -> None:
         while not self._stopping:
             self._wakeup.clear()
-            for upstream_id in self._asker.ask(self._ref):
-                log_state_change("assent.gained", upstream=upstream_id)
-                self._on_gain(upstream_id)
+            try:
+                self._ask()
+            except Exception as exc:
+                # A thread that ended would leave this dispatcher without the witness for good.
+                log_thread_error("assent", exc)
             self._wakeup.wait(ASSENT_INTERVAL_S)
+
+    def _ask(self) -> None:
+        for upstream_id in self._asker.ask(self._ref):
+            log_state_change("assent.gained", upstream=upstream_id)
+            self._on_gain(upstream_id)
--- a/foxtailshunt/ownership/authority/_grants.py
+++ b/foxtailshunt/ownership/authority/_grants.py
@@ -10,7 +10,7 @@
 from foxtailshunt.ownership.authority._grant_renewer import GrantRenewer, RenewalResult
 from foxtailshunt.ownership.authority._handover import Handover
 from foxtailshunt.ownership.authority._reports import ReportedState, Reporter
-from foxtailshunt.telemetry import log_state_change
+from foxtailshunt.telemetry import log_state_change, log_thread_error
 
 #: Time between two grants while the upstream still holds what it should release, in seconds.
 _RELEASE_INTERVAL_S = 0.05
@@ -175,6 +175,11 @@
     def _run(self) -> None:
         while not self._stopping:
             self._wakeup.clear()
-            pause_s = self._step(self)
+            try:
+                pause_s = self._step(self)
+            except Exception as exc:
+                # A thread that ended would leave the upstream without grants for good.
+                log_thread_error("grant", exc)
+                pause_s = GRANT_RENEW_INTERVAL_S
             if pause_s > 0:
                 self._wakeup.wait(pause_s)
--- a/foxtailshunt/telemetry/__init__.py
+++ b/foxtailshunt/telemetry/__init__.py
@@ -1,8 +1,15 @@
 """Metrics, structured logs and the operator port."""
 
 from foxtailshunt.telemetry._early_binding import EarlyBinding
-from foxtailshunt.telemetry._logs import log_state_change, start_logging
+from foxtailshunt.telemetry._logs import log_state_change, log_thread_error, start_logging
 from foxtailshunt.telemetry._metrics import Metrics
 from foxtailshunt.telemetry._operator_server import OperatorServer
 
-__all__ = ["EarlyBinding", "Metrics", "OperatorServer", "log_state_change", "start_logging"]
+__all__ = [
+    "EarlyBinding",
+    "Metrics",
+    "OperatorServer",
+    "log_state_change",
+    "log_thread_error",
+    "start_logging",
+]
