Read the table under the lock that its threads are changed under

Cause: a keeper read the table before it took its lock, so a thread that was slow could put an older table in a newer one's place and stop the threads of upstreams and witnesses that only the newer one lists, until the next table. The new scenario was red before the change. An upstream that leaves the table and returns has a new grant state with no memory of the last grants; its assents are now dropped with the old one, so that lapsed waits for a grant's life.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -194,3 +194,17 @@
       | 0.1 | ask                | none  | none   |           |        |           |
       | 0.1 | renew              | none  | none   | none      | no     | yes       |
       | 0.1 | renew              | 0-4   | 0-4    | 1.7       | no     | yes       |
+
+  Scenario: Threads follow the newest table, whichever thread brings it
+    Given a grant keeper whose view is slow to return its first table
+    When a newer table with the further upstream u2 arrives meanwhile
+    Then the grant keeper renews u1 and u2
+
+  Scenario: An upstream that leaves the table takes its assents with it
+    When these things happen to its grants
+      | at  | event | sends | serves | confirmed | lapsed | reachable |
+      | 0   | ask   | none  | none   |           |        |           |
+      | 0   | renew | none  | none   | none      | no     | yes       |
+      | 0   | renew | 0-9   | 0-9    | 1.5       | no     | yes       |
+    And the book retains no upstream
+    Then dispatcher a's right to send to u1 is gone
--- a/foxtailshunt/ownership/authority/_assents.py
+++ b/foxtailshunt/ownership/authority/_assents.py
@@ -181,11 +181,10 @@
             thread.wake()
 
     def _take_table(self) -> None:
-        table = self._view.table(self._zone)
-        if table is None:
-            return
         with self._lock:
-            if self._stopping or table.fence == self._table_fence:
+            # Read under the lock, so that no thread puts an older table in a newer one's place.
+            table = self._view.table(self._zone)
+            if table is None or self._stopping or table.fence == self._table_fence:
                 return
             self._table_fence = table.fence
             self._ledger.note_table()
--- a/foxtailshunt/ownership/authority/_grant_book.py
+++ b/foxtailshunt/ownership/authority/_grant_book.py
@@ -112,9 +112,13 @@
     def retain(self, upstream_ids: frozenset[str]) -> None:
         """Forget the upstreams that no table lists any more.
 
+        Their assents are dropped too: with the state goes the knowledge of the last grants, so an
+        upstream that returns must be held anew for a grant's whole life before they have lapsed.
+
         :param upstream_ids: the upstreams to keep.
         """
         with self._lock:
             for upstream_id in self._states.keys() - upstream_ids:
+                self._ledger.drop(upstream_id)
                 del self._states[upstream_id]
             self._closed = self._closed & upstream_ids
