Begin a right anew when new witness sets give it after a break

Cause: a dispatcher that held a majority of the new witness set, but no longer of the old one, at the moment the table dropped the old set had no start of its right; since it counted as held, no later assent began one, so it never granted and its upstream's keys stayed without an owner. Found in the dumps of a replaced zone: holds_assent true, nothing granted. Before: 3 of about 30 replacements of a zone stuck for good. The new scenario was red on the old code. Conclusion: the right begins with the next assent; green.

--- a/features/assents.feature
+++ b/features/assents.feature
@@ -173,3 +173,18 @@
       | 1   | a asks c | none  |
       | 1   | a asks b | a     |
     Then dispatcher a holds u1 since 1
+
+  Scenario: A right that new witnesses give after a break begins with the next assent
+    Given dispatchers a, b, c, d, e that list a, b, c, d, e for u1 with witnesses abc
+    When these requests for assent are made
+      | at   | event               | holds |
+      | 0    | a takes 1.6 abc+ade | none  |
+      | 0    | a asks a            | none  |
+      | 0    | a asks b            | none  |
+      | 0    | a asks d            | a     |
+      | 0.4  | a asks a            | a     |
+      | 0.4  | a asks d            | a     |
+      | 0.49 |                     | none  |
+      | 0.5  | a takes 1.7 ade     | a     |
+      | 0.55 | a asks a            | a     |
+    Then dispatcher a holds u1 since 0.55
--- a/foxtailshunt/ownership/authority/_assent_ledger.py
+++ b/foxtailshunt/ownership/authority/_assent_ledger.py
@@ -154,8 +154,9 @@
 
     def _add(self, upstream_id: str, witness: str, assent: _Assent) -> bool:
         assents = {**self._assents.get(upstream_id, {}), witness: assent}
-        gained = not self.holds(upstream_id)
-        gained = gained and self._has_majorities(assents, self._witness_sets(), None)
+        # Held without a start: new witness sets gave the right after a break under the old ones.
+        unbroken = upstream_id in self._held_since and self.holds(upstream_id)
+        gained = not unbroken and self._has_majorities(assents, self._witness_sets(), None)
         if gained:
             # Set first, so that no thread takes the new right for the last one.
             self._held_since[upstream_id] = self._clock.now()
