Guard the assigner against older configurations, changed slot numbers and racing placements

A term does nothing under a configuration older than the one its table was made under. Two zones that write a service's placement at the same time no longer end each other's terms. Changes of witnesses that come together, such as a zone's restart, are one change: with one of three dispatchers heard first, the set was changed twice.

--- a/features/ownership_moves.feature
+++ b/features/ownership_moves.feature
@@ -31,6 +31,8 @@
       | u0:0-3 u1:4-7   |          | giving=0-1,7                | u0:2-3 u1:4-6       | u0:0-1 u1:7   |
       | u0:2-4 u1:5-7   |          | giving=0-1                  | u0:2-4 u1:5-7       |               |
       | u0:2-4 u1:5-7   |          | homed=2-7                   | u0:2-4 u1:5-7       |               |
+      | u0:0-7 u1:      |          | homed=unknown               | u0:0-7              |               |
+      | u0: u1:         | u0:0-7   | homed=unknown finished=u0   |                     |               |
 
   Scenario Outline: What a row's fence follows
     Given a table with rows "u0:0-3 u1:4-7" and transits ""
@@ -123,9 +125,12 @@
       |            |         |                   | 0.7 0.7   |             |
       | a b c      | a b c   |                   | 9         | a b c       |
       | a b c      | a b     |                   | 1.9       | a b c       |
-      | a b c      | a b     |                   | 2.1       | a b c, a b  |
-      | a b c      | a b c d |                   | 0.1       | a b c, a b c d |
-      | a b c      | a b c@x |                   | 0.1       | a b c, a b x |
+      | a b c      | a b     |                   | 2.1       | a b c       |
+      | a b c      | a b     |                   | 2.1 0.2   | a b c       |
+      | a b c      | a b     |                   | 2.1 0.4   | a b c, a b  |
+      | a b c      | a b c d |                   | 0.4       | a b c, a b c d |
+      | a b c      | a b c@x |                   | 0.4       | a b c, a b x |
+      | a b c      | a b c@x |                   | 0.2       | a b c       |
       | a b c, a b | a b     | a=yes b=yes       | 0.1       | a b c, a b  |
       | a b c, a b | a b     | a=yes b=yes       | 0.5       | a b c, a b  |
       | a b c, a b | a b     | a=yes b=yes       | 0.53      | a b         |
--- a/features/steps/ownership_moves_steps.py
+++ b/features/steps/ownership_moves_steps.py
@@ -78,12 +78,13 @@
         lost, new = _names(events, "lost"), _names(events, "new")
         ready = frozenset(table.rows) - lost - new
         numbers = {name: events.get(name, "").replace(",", " ") for name in ("giving", "homed")}
-        homed = parse_numbers(numbers["homed"] or "0-7")
+        is_known = numbers["homed"] != "unknown"
+        homed = {"desk": parse_numbers(numbers["homed"] or "0-7")} if is_known else {}
         finished = _names(events, "finished")
         inputs = PlanInput(
             cfg=self.cfg,
             zone=_ZONE,
-            homed={"desk": homed},
+            homed=homed,
             giving={"desk": parse_numbers(numbers["giving"])},
             states=UpstreamStates(
                 new=new,
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -118,7 +118,8 @@
         self.check_lease()
         self._check_not_overtaken()
         cfg, table = self._parts.view.cfg, self._table
-        if cfg is None or table is None:
+        if cfg is None or table is None or cfg.version < table.cfg_version:
+            # The configuration that the table was made under is still on its way here.
             return
         self._placements.refresh(cfg)
         states = self._upstreams.update(table, leaving)
@@ -131,7 +132,7 @@
         if replace(planned, fence=table.fence) != table:
             self._write(table, planned)
         self._placements.write(cfg, able, self._table)
-        self._measure(cfg)
+        self._measure(cfg, states.lost)
 
     def stop(self) -> None:
         """Stop what runs beside."""
@@ -157,7 +158,7 @@
         return PlanInput(
             cfg=cfg,
             zone=self._parts.zone,
-            homed=self._placements.homed(),
+            homed=self._placements.homed(cfg),
             giving=self._placements.choose(cfg, able),
             states=states,
             weights=self._weights.update(table, cfg, usable),
@@ -210,19 +211,22 @@
         if known is not None and self._table is not None and known.fence > self._table.fence:
             raise StoreConflictError("a newer table of the zone is known")
 
-    def _measure(self, cfg: Configuration) -> None:
-        """Count the time that homed slots have no owner."""
+    def _measure(self, cfg: Configuration, lost: frozenset[str]) -> None:
+        """Count the time that homed slots have no owner, or one that cannot be reached."""
         now = self._parts.clock.now()
         elapsed_s, self._stepped_at = now - self._stepped_at, now
-        for name, homed in self._placements.homed().items():
-            rows = [row for row in self._table.rows.values() if row.service == name]
-            unowned = len(homed) - sum(len(row.slots) for row in rows)
-            if unowned > 0 and name in cfg.services:
+        for name, homed in self._placements.homed(cfg).items():
+            reached = sum(
+                len(row.slots)
+                for row in self._table.rows.values()
+                if row.service == name and row.upstream_id not in lost
+            )
+            if len(homed) > reached:
                 self._parts.metrics.count(
-                    "foxtailshunt_unowned_slot_seconds_total",
-                    "Time that homed slots had no owner, summed over slots.",
+                    "foxtailshunt_unreachable_slot_seconds_total",
+                    "Time that homed slots had no reachable owner, summed over slots.",
                     {"service": name},
-                    unowned * elapsed_s,
+                    (len(homed) - reached) * elapsed_s,
                 )
 
     def _count_write(self, outcome: str) -> None:
--- a/foxtailshunt/assigner/_placement_keeper.py
+++ b/foxtailshunt/assigner/_placement_keeper.py
@@ -73,11 +73,14 @@
         :param cfg: the configuration in force.
         :raises StoreUnavailableError: a new service's record could not be read or written.
         :raises StoreUnknownError: a new service's record may have been written.
-        :raises StoreConflictError: a new service's record was written by another zone.
         """
         for service in cfg.services.values():
             if service.name not in self._records:
-                self._take_over(cfg, service)
+                try:
+                    self._take_over(cfg, service)
+                except StoreConflictError:
+                    # Another zone wrote it at the same time; the next step reads it again.
+                    self._count_write("conflict")
         if self._clock.now() - self._refreshed_at < REFRESH_INTERVAL_S:
             return
         self._refreshed_at = self._clock.now()
@@ -87,10 +90,18 @@
             except (StoreUnavailableError, DocumentError):
                 return
 
-    def homed(self) -> dict[str, frozenset[int]]:
-        """Return the slots of each service that are homed in this zone."""
+    def homed(self, cfg: Configuration) -> dict[str, frozenset[int]]:
+        """Return the slots of each service that are homed in this zone.
+
+        A service's number of slots never changes; a service that the configuration gives another
+        number is left out.
+
+        :param cfg: the configuration in force.
+        """
         return {
-            name: record.placement.slots_of(self._zone) for name, record in self._records.items()
+            name: self._records[name].placement.slots_of(self._zone)
+            for name, service in cfg.services.items()
+            if self._matches(service)
         }
 
     def choose(self, cfg: Configuration, able: dict[str, bool]) -> dict[str, frozenset[int]]:
@@ -101,9 +112,9 @@
         """
         self._giving = {}
         for name, service in cfg.services.items():
-            record = self._records.get(name)
-            if record is None:
+            if not self._matches(service):
                 continue
+            record = self._records[name]
             chosen = choose_rehomed(record.placement, service, self._zone, able[name])
             if chosen:
                 self._giving[name] = chosen
@@ -120,9 +131,9 @@
         :param table: the table in the store.
         """
         for name, service in cfg.services.items():
-            record = self._records.get(name)
-            if record is None:
+            if not self._matches(service):
                 continue
+            record = self._records[name]
             released = self._released(service, table)
             is_listed = self._zone not in record.placement.unable
             if released or is_listed != able[name]:
@@ -139,6 +150,10 @@
             for name, record in list(self._records.items())
         }
 
+    def _matches(self, service: Service) -> bool:
+        record = self._records.get(service.name)
+        return record is not None and record.placement.slot_count == service.slot_count
+
     def _take_over(self, cfg: Configuration, service: Service) -> None:
         found = self._platform.read(placement_key(service.name))
         token = uuid.uuid4().hex
--- a/foxtailshunt/assigner/_plan_input.py
+++ b/foxtailshunt/assigner/_plan_input.py
@@ -60,7 +60,8 @@
     cfg: Configuration
     #: The zone.
     zone: str
-    #: Slots of each service that are homed in this zone.
+    #: Slots of each service that are homed in this zone; services that are left out stay as they
+    #: are.
     homed: dict[str, frozenset[int]]
     #: Slots among them that are to be released for other zones.
     giving: dict[str, frozenset[int]]
--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -24,7 +24,8 @@
     ]
     _sync_rows(draft, inputs)
     for service in inputs.cfg.services.values():
-        _ServicePlan(draft, inputs, service).run()
+        if service.name in inputs.homed:
+            _ServicePlan(draft, inputs, service).run()
     _set_dispatchers(draft, inputs)
     refs = _dispatcher_refs(table, inputs)
     return draft.build(inputs.cfg.version, refs, inputs.witness_sets)
--- a/foxtailshunt/assigner/_witness_watch.py
+++ b/foxtailshunt/assigner/_witness_watch.py
@@ -14,6 +14,9 @@
 
 #: Time that a witness may be silent before it is replaced, in seconds.
 WITNESS_TIMEOUT_S = 2.0
+#: Time that a wanted change of the witnesses must stay the same before it begins, in seconds; it
+#: lets changes that come together be one.
+CHANGE_SETTLING_S = 0.3
 #: Time from the first dispatcher heard until the first witness set is chosen, in seconds.
 FIRST_SET_SETTLING_S = 2 * MEMBER_TIMEOUT_S
 
@@ -38,6 +41,8 @@
         self._clock = clock
         self._absent_since: dict[str, float] = {}
         self._first_heard_at: float | None = None
+        self._wanted: WitnessSet = ()
+        self._wanted_since = clock.now()
         self._handover: RefusalRound | None = None
 
     def next_sets(self, table: Table, live: tuple[ProcessRef, ...]) -> WitnessSets:
@@ -76,8 +81,11 @@
         current = table.witness_sets[0]
         missing = self._missing(table, live, now)
         chosen = choose_witnesses(current, live, missing)
-        is_new_member_live = any(ref.boot_id in chosen for ref in live)
-        if set(chosen) == set(current) or not is_new_member_live:
+        if chosen != self._wanted:
+            self._wanted, self._wanted_since = chosen, now
+        is_any_live = any(ref.boot_id in chosen for ref in live)
+        is_settled = now - self._wanted_since >= CHANGE_SETTLING_S
+        if set(chosen) == set(current) or not is_any_live or not is_settled:
             return table.witness_sets
         return (current, chosen)
 
