--- a/features/ownership_moves.feature
+++ b/features/ownership_moves.feature
@@ -26,7 +26,7 @@
       | u0:0-7 u1:      |          |                             | u0:0-3              | u0:4-7        |
       | u0:0-7 u1:      |          | max=1                       | u0:0-6              | u0:7          |
       | u0:0-6 u1:      | u0:7     | max=1                       | u0:0-6              | u0:7          |
-      | u0:0-6 u1:      | u0:7     | max=1 finished=u0           | u0:0-5 u1:7         | u0:6          |
+      | u0:0-6 u1:      | u0:7     | max=1 finished=u0           | u0:0-6 u1:7         |               |
       | u0:0-7 u1:      |          | unsettled=u1                | u0:0-7              |               |
       | u0:0-3 u1:4-7   |          | giving=0-1,7                | u0:2-3 u1:4-6       | u0:0-1 u1:7   |
       | u0:2-4 u1:5-7   |          | giving=0-1                  | u0:2-4 u1:5-7       |               |
--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -80,8 +80,8 @@
         self._empty_leaving()
         self._release_given_away()
         self._give_pins()
-        self._give_unowned()
-        self._take_surplus()
+        if not self._give_unowned():
+            self._take_surplus()
         self._start_pins()
         self._draft.settle_excluded(self._service.name, self._service.slot_count)
 
@@ -110,9 +110,10 @@
             if key not in away and was_excluded and target in self._eligible:
                 self._draft.give(target, _NO_SLOTS, frozenset({key}))
 
-    def _give_unowned(self) -> None:
+    def _give_unowned(self) -> bool:
+        """Give slots without owner and return whether there were any to give."""
         if self._is_first_assignment_early():
-            return
+            return False
         owned = [self._draft.rows[upstream_id].slots for upstream_id in self._ids]
         owned += [
             transit.slots
@@ -125,6 +126,7 @@
         given = distribute(unowned, self._weights(self._eligible), self._counts(self._eligible))
         for upstream_id, slots in given.items():
             self._draft.give(upstream_id, slots)
+        return any(given.values())
 
     def _is_first_assignment_early(self) -> bool:
         """Return whether to wait, so that the first reports do not draw all slots."""
