Let an assigner that hears too few witnesses give its lease up

An active assigner that was cut off from its zone but not from the store kept the lease and could bring nothing into force. It now decides nothing below a blocking quorum of witnesses, and resigns after 3 s.

--- a/features/assigner.feature
+++ b/features/assigner.feature
@@ -63,3 +63,11 @@
     When the memory platform comes back and lists u1 as leaving
     Then the zone's upstreams own u0:30 u1:0 u2:30 slots
     And each of the zone's slots has one owner
+
+  Scenario: An assigner that no longer hears its zone gives way to one that does
+    Given 2 assigners and 3 dispatchers of wanaka, with 3 upstreams and 60 slots
+    And each of the zone's slots has one owner
+    When the active assigner no longer hears dispatchers
+    Then the zone's other assigner is active with a higher term
+    When the memory platform lists u1 as leaving
+    Then the zone's upstreams own u0:30 u1:0 u2:30 slots
--- a/features/ownership_moves.feature
+++ b/features/ownership_moves.feature
@@ -137,3 +137,21 @@
       | a b c, a b | a b     | a=yes c=replaced  | 0.53      | a b         |
       | a b c, a b | a b     | a=yes b=lost      | 9         | a b c, a b  |
       | a b c      |         |                   | 9         | a b c       |
+
+  Scenario Outline: An assigner that hears too few witnesses decides nothing, then gives way
+    Given a table with witnesses "<sets>" and live dispatchers "<live>"
+    When the assigner listens for <time> s
+    Then it <state>
+
+    Examples:
+      | sets       | live    | time | state                     |
+      | a b c      | a b c   | 9    | hears enough              |
+      | a b c      | a b     | 9    | hears enough              |
+      | a b c      | a       | 1    | hears too little          |
+      | a b c      | a       | 3    | hears too little for long |
+      | a b c      | a b@x   | 9    | hears enough              |
+      | a b c, a d | a d     | 1    | hears too little          |
+      | a b c d e  | a b     | 1    | hears too little          |
+      | a b c d e  | a b c   | 1    | hears enough              |
+      | a b        | a       | 9    | hears enough              |
+      | a          | b       | 1    | hears too little          |
--- a/features/steps/assigner_steps.py
+++ b/features/steps/assigner_steps.py
@@ -129,6 +129,15 @@
     context.zone.platform.answers_to_lose = count
 
 
+@when("the active assigner no longer hears dispatchers")
+def deafen(context: Context) -> None:
+    zone = context.zone
+    wait_until(lambda: zone.active() is not None)
+    registry = zone.assigners[zone.active()]._registry
+    note = registry.note
+    registry.note = lambda member: member.role != "dispatcher" and note(member)
+
+
 @when("the active assigner pauses right before a write until another took over")
 def pause_active(context: Context) -> None:
     zone = context.zone
--- a/features/steps/ownership_moves_steps.py
+++ b/features/steps/ownership_moves_steps.py
@@ -9,6 +9,7 @@
 from behave.runner import Context
 
 from foxtailshunt.assigner import (
+    HearingWatch,
     PinPlan,
     PlanInput,
     ReportBook,
@@ -385,3 +386,19 @@
 def check_sets(context: Context, sets: str) -> None:
     found = ", ".join(" ".join(members) for members in context.handover.sets)
     assert found == sets, found
+
+
+@when("the assigner listens for {time_s:d} s")
+def listen(context: Context, time_s: int) -> None:
+    handover = context.handover
+    hearing = HearingWatch(handover.clock)
+    enough = hearing.hears_enough(handover.table, handover.live)
+    handover.clock.time_s += time_s
+    enough = hearing.hears_enough(handover.table, handover.live) and enough
+    state = "hears enough" if enough else "hears too little"
+    context.hearing = f"{state} for long" if hearing.is_deaf() else state
+
+
+@then("it hears {state}")
+def check_hearing(context: Context, state: str) -> None:
+    assert context.hearing == f"hears {state}", context.hearing
--- a/foxtailshunt/assigner/__init__.py
+++ b/foxtailshunt/assigner/__init__.py
@@ -8,6 +8,7 @@
 from foxtailshunt.assigner._assignment import distribute, quotas, surplus
 from foxtailshunt.assigner._decision_log import DecisionLog
 from foxtailshunt.assigner._dispatcher_lists import choose_dispatchers
+from foxtailshunt.assigner._hearing import HearingWatch
 from foxtailshunt.assigner._hot_keys import HotKeyWatch
 from foxtailshunt.assigner._lease_keeper import LeaseKeeper
 from foxtailshunt.assigner._live_dispatchers import LiveDispatchers
@@ -39,6 +40,7 @@
     "AssignerProgram",
     "ConfigWatcher",
     "DecisionLog",
+    "HearingWatch",
     "HotKeyWatch",
     "InstancePoll",
     "LeaseKeeper",
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -4,6 +4,7 @@
 
 from foxtailshunt.assigner._ability import AbilityWatch
 from foxtailshunt.assigner._decision_log import DecisionLog, describe_change, slots_moved
+from foxtailshunt.assigner._hearing import HearingWatch
 from foxtailshunt.assigner._hot_keys import HotKeyWatch
 from foxtailshunt.assigner._lease_keeper import LeaseKeeper
 from foxtailshunt.assigner._live_dispatchers import LiveDispatchers
@@ -36,6 +37,13 @@
         super().__init__(ResultCode.CONFLICT, "the assigner lease is no longer held")
 
 
+class DeafAssignerError(FoxtailshuntError):
+    """The assigner hears too few witnesses of its zone; another one may hear more."""
+
+    def __init__(self) -> None:
+        super().__init__(ResultCode.CONFLICT, "too few witnesses of the zone are heard")
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneParts:
     """What a zone's assigner works with."""
@@ -85,6 +93,7 @@
         self._witnesses = WitnessWatch(zone, parts.refuse_client, clock)
         self._ability = AbilityWatch(zone, clock)
         self._hot_keys = HotKeyWatch(parts.reports, clock)
+        self._hearing = HearingWatch(clock)
         self._weights = LoadWeights(parts.reports, clock)
         self._table: Table | None = None
         self._dispatchers_moved_at = clock.now()
@@ -113,6 +122,7 @@
         """Decide on the next table and write it if it says anything new.
 
         :param leaving: upstreams that the platform lists as leaving.
+        :raises DeafAssignerError: too few witnesses are heard.
         :raises FoxtailshuntError: the store failed or the lease was lost.
         """
         self.check_lease()
@@ -121,6 +131,10 @@
         if cfg is None or table is None or cfg.version < table.cfg_version:
             # The configuration that the table was made under is still on its way here.
             return
+        if not self._hearing.hears_enough(table, self._parts.dispatchers.heard()):
+            if self._hearing.is_deaf():
+                raise DeafAssignerError
+            return
         self._placements.refresh(cfg)
         states = self._upstreams.update(table, leaving)
         able = self._ability.update(cfg, states)
--- a/foxtailshunt/assigner/_lease_keeper.py
+++ b/foxtailshunt/assigner/_lease_keeper.py
@@ -47,6 +47,8 @@
         self._metrics = metrics
         self._on_change = on_change
         self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._hold_off_until = clock.now()
         self._lease_id: str | None = None
         self._valid_until: float | None = None
         self._store_seen_at: float | None = None
@@ -79,9 +81,21 @@
         """Stop, and give the lease up so that the next assigner takes over at once."""
         self._stopping.set()
         self._lapse()
-        self._close()
+        self._close_own()
         self._thread.join(_STOP_TIMEOUT_S)
-        self._close()
+        self._close_own()
+
+    def resign(self, hold_off_s: float) -> None:
+        """Give the lease up for another assigner, and do not compete for a while.
+
+        :param hold_off_s: time without competing, in seconds.
+        """
+        with self._lock:
+            self._hold_off_until = self._clock.now() + hold_off_s
+            lease_id, self._lease_id = self._lease_id, None
+            self._lapse()
+        self._count("resigned")
+        self._close(lease_id)
 
     def dump(self) -> dict[str, object]:
         """Return the state of the lease."""
@@ -111,18 +125,23 @@
                 self._renew()
             return
         self._lapse()
-        if not self._compete():
+        hold_off_s = self._hold_off_until - self._clock.now()
+        if hold_off_s > 0:
+            self._stopping.wait(hold_off_s)
+        elif not self._compete():
             self._wait_for_release()
 
     def _renew(self) -> None:
         asked_at = self._clock.now()
-        if self._lease_id is not None and self._platform.renew_lease(self._lease_id):
-            self._note_store()
-            self._valid_until = asked_at + surely_in_force_for(LEASE_TTL_S)
-            return
+        lease_id = self._lease_id
+        is_renewed = lease_id is not None and self._platform.renew_lease(lease_id)
         self._note_store()
-        self._lease_id = None
-        self._lapse()
+        with self._lock:
+            if is_renewed and self._lease_id == lease_id:
+                self._valid_until = asked_at + surely_in_force_for(LEASE_TTL_S)
+                return
+            self._lease_id = None
+            self._lapse()
 
     def _compete(self) -> bool:
         """Try to gain the lease; a lease that was opened before is used again while it lives."""
@@ -144,7 +163,7 @@
 
     def _wait_for_release(self) -> None:
         """Wait until the key changes; it changes when its holder's lease ends."""
-        self._close()
+        self._close_own()
         while not self._stopping.is_set():
             before = self._known
             revision = before.revision if before else 0
@@ -156,8 +175,11 @@
                 self._stopping.wait(random.uniform(0, _RELEASE_JITTER_S))
                 return
 
-    def _close(self) -> None:
+    def _close_own(self) -> None:
         lease_id, self._lease_id = self._lease_id, None
+        self._close(lease_id)
+
+    def _close(self, lease_id: str | None) -> None:
         if lease_id is None:
             return
         try:
--- a/foxtailshunt/assigner/_zone_assigner.py
+++ b/foxtailshunt/assigner/_zone_assigner.py
@@ -5,7 +5,7 @@
 import traceback
 from collections.abc import Callable
 
-from foxtailshunt.assigner._active_term import ActiveTerm, ZoneParts
+from foxtailshunt.assigner._active_term import ActiveTerm, DeafAssignerError, ZoneParts
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.platform import Backoff
 from foxtailshunt.telemetry import log_state_change
@@ -13,6 +13,8 @@
 _STEP_INTERVAL_S = 0.05
 _FIRST_RETRY_S = 0.05
 _RETRY_LIMIT_S = 2.0
+_MIN_HOLD_OFF_S = 1.0
+_MAX_HOLD_OFF_S = 3.0
 _STOP_TIMEOUT_S = 2.0
 
 
@@ -66,6 +68,9 @@
             while not self._stopping:
                 term.step(self._leaving())
                 self._pause()
+        except DeafAssignerError as exc:
+            self._parts.lease.resign(random.uniform(_MIN_HOLD_OFF_S, _MAX_HOLD_OFF_S))
+            self._note_end(exc.code.name, exc.message)
         except FoxtailshuntError as exc:
             self._note_end(exc.code.name, exc.message)
         except Exception as exc:
