Keep metrics in plain cells and render them on demand; tell what the process uses

Values are handed to aioprometheus only when /metrics is read, so that a request pays for a dictionary look-up under a lock and not for label checks and a JSON key. CPU time, resident memory and threads of the process are among the metrics.

--- /dev/null
+++ b/features/metrics.feature
@@ -0,0 +1,30 @@
+Feature: Metrics are exposed as Prometheus reads them
+
+  Scenario: Counters, gauges and histograms
+    Given metrics
+    When the metrics are fed
+      | call    | name                | labels     | value |
+      | count   | a_total             | code=1     | 1     |
+      | count   | a_total             | code=1     | 2     |
+      | count   | a_total             | code=2     | 1     |
+      | count   | b_total             |            | 1     |
+      | gauge   | c_version           | zone=z     | 5     |
+      | gauge   | c_version           | zone=z     | 3     |
+      | observe | d_seconds           | rank=r     | 0.001 |
+      | observe | d_seconds           | rank=r     | 0.003 |
+      | observe | d_seconds           | rank=r     | 9     |
+    Then the exposition has the lines
+      | line                                     |
+      | a_total{code="1"} 3                      |
+      | a_total{code="2"} 1                      |
+      | b_total 1                                |
+      | c_version{zone="z"} 3                    |
+      | d_seconds_bucket{le="0.001",rank="r"} 1.0 |
+      | d_seconds_bucket{le="0.002",rank="r"} 1.0 |
+      | d_seconds_bucket{le="0.004",rank="r"} 2.0 |
+      | d_seconds_bucket{le="5.0",rank="r"} 2    |
+      | d_seconds_bucket{le="+Inf",rank="r"} 3.0 |
+      | d_seconds_count{rank="r"} 3              |
+      | d_seconds_sum{rank="r"} 9.004            |
+    And the process tells its CPU time, memory and threads
+    And the counter a_total with code 1 has the value 3
--- a/foxtailshunt/telemetry/_metrics.py
+++ b/foxtailshunt/telemetry/_metrics.py
@@ -3,27 +3,34 @@
 import threading
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.collectors import Collector
 from aioprometheus.renderer import render
 
+from foxtailshunt.telemetry._cells import Distribution
+from foxtailshunt.telemetry._process_usage import read_process_usage
+
 #: Upper bounds of latency buckets, in seconds.
-LATENCY_BUCKETS_S = [0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 5]
+LATENCY_BUCKETS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 5)
 
 Labels = dict[str, str]
 
+_CellKey = tuple[str, tuple[tuple[str, str], ...]]
+
 
 class Metrics:
     """The metrics of one process; safe to use from any thread.
 
     Names follow the Prometheus conventions: ``foxtailshunt_`` first, the unit last, ``_total`` on
-    counters. A metric is created at its first use.
+    counters. A metric is created at its first use. Label values must come from small fixed sets.
+    Values are kept in plain cells and handed to aioprometheus only when they are rendered.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._registry = Registry()
-        self._counters: dict[str, Counter] = {}
-        self._gauges: dict[str, Gauge] = {}
-        self._histograms: dict[str, Histogram] = {}
+        self._docs: dict[str, str] = {}
+        self._counters: dict[_CellKey, float] = {}
+        self._gauges: dict[_CellKey, float] = {}
+        self._distributions: dict[_CellKey, Distribution] = {}
 
     def count(self, name: str, doc: str, labels: Labels | None = None, amount: float = 1) -> None:
         """Add to a counter.
@@ -31,14 +38,17 @@
         :param name: the metric's name, ending in ``_total``.
         :param doc: what is counted.
         :param labels: label values.
-        :param amount: what to add.
+        :param amount: what to add; never negative.
         """
+        if amount < 0:
+            raise ValueError(f"{name} cannot decrease")
+        key = _cell_key(name, labels)
         with self._lock:
-            counter = self._counters.get(name)
-            if counter is None:
-                counter = Counter(name, doc, registry=self._registry)
-                self._counters[name] = counter
-            counter.add(labels or {}, amount)
+            value = self._counters.get(key)
+            if value is None:
+                value = 0
+                self._docs[name] = doc
+            self._counters[key] = value + amount
 
     def set_gauge(self, name: str, doc: str, value: float, labels: Labels | None = None) -> None:
         """Set a gauge.
@@ -49,11 +59,8 @@
         :param labels: label values.
         """
         with self._lock:
-            gauge = self._gauges.get(name)
-            if gauge is None:
-                gauge = Gauge(name, doc, registry=self._registry)
-                self._gauges[name] = gauge
-            gauge.set(labels or {}, value)
+            self._docs[name] = doc
+            self._gauges[_cell_key(name, labels)] = value
 
     def observe(self, name: str, doc: str, value_s: float, labels: Labels | None = None) -> None:
         """Add a duration to a histogram.
@@ -63,12 +70,13 @@
         :param value_s: the duration in seconds.
         :param labels: label values.
         """
+        key = _cell_key(name, labels)
         with self._lock:
-            histogram = self._histograms.get(name)
-            if histogram is None:
-                histogram = Histogram(name, doc, registry=self._registry, buckets=LATENCY_BUCKETS_S)
-                self._histograms[name] = histogram
-            histogram.add(labels or {}, value_s)
+            distribution = self._distributions.get(key)
+            if distribution is None:
+                distribution = self._distributions[key] = Distribution(LATENCY_BUCKETS_S)
+                self._docs[name] = doc
+            distribution.add(value_s)
 
     def counter_value(self, name: str, labels: Labels | None = None) -> float:
         """Return a counter's value, 0 if it was never added to.
@@ -77,15 +85,41 @@
         :param labels: label values.
         """
         with self._lock:
-            counter = self._counters.get(name)
-            if counter is None:
-                return 0.0
-            try:
-                return float(counter.get(labels or {}))
-            except KeyError:
-                return 0.0
+            return float(self._counters.get(_cell_key(name, labels), 0))
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the text exposition and its HTTP headers."""
+        registry = Registry()
         with self._lock:
-            return render(self._registry, ["text/plain"])
+            self._fill(registry)
+        _add_process_usage(registry)
+        return render(registry, ["text/plain"])
+
+    def _fill(self, registry: Registry) -> None:
+        collectors: dict[str, Collector] = {}
+        for (name, labels), counted in self._counters.items():
+            if name not in collectors:
+                collectors[name] = Counter(name, self._docs[name], registry=registry)
+            collectors[name].set_value(dict(labels), counted)
+        for (name, labels), value in self._gauges.items():
+            if name not in collectors:
+                collectors[name] = Gauge(name, self._docs[name], registry=registry)
+            collectors[name].set_value(dict(labels), value)
+        for (name, labels), distribution in self._distributions.items():
+            if name not in collectors:
+                collectors[name] = Histogram(name, self._docs[name], registry=registry)
+            collectors[name].set_value(dict(labels), distribution.to_value())
+
+
+def _cell_key(name: str, labels: Labels | None) -> _CellKey:
+    return (name, tuple(sorted(labels.items())) if labels else ())
+
+
+def _add_process_usage(registry: Registry) -> None:
+    usage = read_process_usage()
+    cpu = Counter("process_cpu_seconds_total", "CPU time used.", registry=registry)
+    cpu.set({}, usage.cpu_s)
+    memory = Gauge("process_resident_memory_bytes", "Resident memory.", registry=registry)
+    memory.set({}, usage.resident_bytes)
+    threads = Gauge("process_threads", "Threads running.", registry=registry)
+    threads.set({}, usage.threads)
