--- a/features/metrics.feature
+++ b/features/metrics.feature
@@ -22,9 +22,9 @@
       | d_seconds_bucket{le="0.001",rank="r"} 1.0 |
       | d_seconds_bucket{le="0.002",rank="r"} 1.0 |
       | d_seconds_bucket{le="0.004",rank="r"} 2.0 |
-      | d_seconds_bucket{le="5.0",rank="r"} 2    |
+      | d_seconds_bucket{le="5.0",rank="r"} 2.0  |
       | d_seconds_bucket{le="+Inf",rank="r"} 3.0 |
-      | d_seconds_count{rank="r"} 3              |
+      | d_seconds_count{rank="r"} 3.0            |
       | d_seconds_sum{rank="r"} 9.004            |
     And the process tells its CPU time, memory and threads
     And the counter a_total with code 1 has the value 3
