Send an idempotent request again when a used connection to a dispatcher goes silent

Cause: on a connection that lost its path the whole deadline passed before anything was noticed. After 0.4 of the remaining time the request is sent anew on a new connection, if the retry budget allows; no request uses a connection that was idle for over 2 s. A request that must not repeat is answered as unknown, as before.

--- a/features/entry_forwarding.feature
+++ b/features/entry_forwarding.feature
@@ -32,6 +32,18 @@
       | GET    | lost, refused          | 502    | 302  | some  |
       | POST   | slow, ok               | 504    | 300  | 1 0   |
 
+  Scenario Outline: A used connection goes silent before a <method>
+    Given an entry whose dispatchers are "silent once"
+    When a caller sends "GET"
+    And a caller sends "<method>"
+    Then the answer has status <status> and code <code>
+    And the dispatchers were called "<calls>" times
+
+    Examples:
+      | method | status | code | calls |
+      | GET    | 201    | 100  | 3     |
+      | POST   | 504    | 300  | 2     |
+
   Scenario: A request waits for a table that names a working dispatcher
     Given an entry whose dispatchers are "stopping, ok"
     And the table names only dispatcher 1
--- a/features/entry_support/__init__.py
+++ b/features/entry_support/__init__.py
@@ -94,6 +94,8 @@
 
     def execute(self, req: ExecuteRequest) -> ExecuteReply:
         self.requests.append(req)
+        if self.script == "silent once" and len(self.requests) == 2:
+            self.release.wait(PATIENCE_S)
         if self.script == "lost":
             raise TTransportException(message="scripted")
         if self.script == "slow":
--- a/foxtailshunt/entry/_forwarder.py
+++ b/foxtailshunt/entry/_forwarder.py
@@ -13,13 +13,23 @@
 )
 from foxtailshunt.membership import View
 from foxtailshunt.ownership import Address
-from foxtailshunt.protocol import ClientPool, ExecuteReply, ExecuteRequest, FenceMessage
+from foxtailshunt.protocol import (
+    ClientPool,
+    ExecuteReply,
+    ExecuteRequest,
+    FenceMessage,
+    Patience,
+    SilentPeerError,
+)
 from foxtailshunt.timing import Clock
 
 #: Time that a dispatcher's answer may take beyond the deadline, in seconds.
 REPLY_MARGIN_S = 0.25
-#: Idle time after which a connection is not used for a request that must not repeat, in seconds.
+#: Idle time after which a connection is not used for a request, in seconds.
 TRUSTED_IDLE_S = 2.0
+#: Share of the remaining time after which an idempotent request on a used connection, which may
+#: have gone silent, is sent again on a new one if the retry budget allows it.
+DOUBTED_SHARE = 0.4
 
 _MIN_REMAINING_S = 0.005
 _FIRST_PAUSE_S = 0.01
@@ -106,7 +116,7 @@
         if remaining_s < _MIN_REMAINING_S:
             raise progress.conclusion()
         try:
-            reply = self._send(call, route, address, remaining_s)
+            reply = self._send(call, route, address, remaining_s, budget)
         except PeerUnreachableError as exc:
             self._pool.forget(address)
             if exc.sent:
@@ -123,11 +133,15 @@
             raise progress.conclusion()
         return reply
 
-    def _send(self, call: Call, route: Route, address: Address, remaining_s: float) -> ExecuteReply:
+    def _send(
+        self, call: Call, route: Route, address: Address, remaining_s: float, budget: RetryBudget
+    ) -> ExecuteReply:
         if call.hung_up:
             raise FoxtailshuntError(ResultCode.CANCELLED, "the caller closed its connection")
         req = _make_request(call, route, remaining_s)
-        max_idle_s = None if call.match.operation.idempotent else TRUSTED_IDLE_S
+        patience = None
+        if call.match.operation.idempotent:
+            patience = Patience(remaining_s * DOUBTED_SHARE, budget.take)
         call.upstream_id = route.upstream_id
         call.dispatcher = address
         try:
@@ -136,8 +150,9 @@
                 "execute",
                 req,
                 remaining_s + REPLY_MARGIN_S,
-                max_idle_s=max_idle_s,
+                max_idle_s=TRUSTED_IDLE_S,
                 accepts=lambda reply: _answers(reply, call.request_id),
+                patience=patience,
             )
         finally:
             call.dispatcher = None
@@ -148,7 +163,9 @@
         timed_out = self._clock.now() >= call.deadline
         code = ResultCode.DEADLINE_EXCEEDED if timed_out else exc.code
         progress.unknown(code, "the dispatcher's answer did not arrive")
-        if timed_out or not call.match.operation.idempotent or not budget.take():
+        may_retry = call.match.operation.idempotent and not timed_out
+        was_taken = isinstance(exc, SilentPeerError)
+        if not may_retry or not (was_taken or budget.take()):
             raise progress.conclusion()
         call.attempt += 1
         self._metrics.retried(call.match.service.name)
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -7,7 +7,9 @@
 from foxtailshunt.protocol._client import (
     ClientPool,
     MismatchedReplyError,
+    Patience,
     PeerClient,
+    SilentPeerError,
     is_quiet,
 )
 from foxtailshunt.protocol._server import ProtocolServer
@@ -43,10 +45,12 @@
     "Header",
     "Member",
     "MismatchedReplyError",
+    "Patience",
     "PeerClient",
     "ProtocolServer",
     "RefuseReply",
     "RefuseRequest",
+    "SilentPeerError",
     "SyncReply",
     "SyncRequest",
     "UpstreamReport",
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -1,11 +1,13 @@
 """Clients of the inner protocol: one connection, and a pool of connections to one peer."""
 
 import logging
+import select
 import socket
 import struct
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from types import ModuleType
 from typing import Any
 
@@ -38,6 +40,26 @@
         super().__init__(message, sent=True)
 
 
+class SilentPeerError(PeerUnreachableError):
+    """A used connection stayed silent and was given up early; the connection was reset.
+
+    :param message: what was called.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long to wait on a used connection, which may have gone silent, before doubting it."""
+
+    #: Time without a reply after which the connection is doubted, in seconds.
+    wait_s: float
+    #: Called once then; returns whether the call is given up, so that it can be made anew.
+    gives_up: Callable[[], bool]
+
+
 class PeerClient:
     """One connection to a peer's Thrift service; used by one thread at a time.
 
@@ -49,6 +71,8 @@
         self.address = address
         #: When the connection was last put aside, in seconds of the monotonic clock.
         self.idle_since = 0.0
+        #: True once a reply was read from the connection.
+        self.is_used = False
         self._socket = TSocket(*address)
         self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
         self._client = service.Client(TCompactProtocolAccelerated(self._transport))
@@ -65,24 +89,38 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket.setHandle(handle)
 
-    def call(self, method: str, req: Any, timeout_s: float) -> Any:
+    def call(
+        self, method: str, req: Any, timeout_s: float, patience: Patience | None = None
+    ) -> Any:
         """Send one request and wait for its reply.
 
         :param method: name of the service's method.
         :param req: its request struct.
         :param timeout_s: seconds to wait on the socket.
+        :param patience: when a used connection is doubted; None for never.
         :returns: its reply struct.
         :raises PeerUnreachableError: the message may have reached the peer; the connection was
             reset and must not be used again.
         """
         self._socket.setTimeout(timeout_s * 1000)
         try:
-            reply = getattr(self._client, method)(req)
+            getattr(self._client, f"send_{method}")(req)
+            if patience is not None and self.is_used:
+                self._check_silence(method, patience)
+            reply = getattr(self._client, f"recv_{method}")()
             check_required_fields(reply)
-            return reply
         except _CALL_ERRORS as exc:
             self.reset()
             raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
+        self.is_used = True
+        return reply
+
+    def _check_silence(self, method: str, patience: Patience) -> None:
+        poll = select.poll()
+        poll.register(self._socket.handle, select.POLLIN)
+        if not poll.poll(patience.wait_s * 1000) and patience.gives_up():
+            self.reset()
+            raise SilentPeerError(f"{method} at {self.address} brought no reply")
 
     def reset(self) -> None:
         """Close by reset, so that the kernel delivers nothing that is still unsent."""
@@ -120,6 +158,7 @@
         timeout_s: float,
         max_idle_s: float | None = None,
         accepts: Callable[[Any], bool] | None = None,
+        patience: Patience | None = None,
     ) -> Any:
         """Call a peer on an idle connection, or on a new one.
 
@@ -133,12 +172,14 @@
         :param max_idle_s: a connection that was idle for longer is reset and replaced.
         :param accepts: returns whether a reply answers the request; a connection that brought
             another reply is reset.
+        :param patience: when a used connection is doubted; None for never.
         :returns: the reply struct.
         :raises PeerUnreachableError: ``sent`` tells whether the peer may have seen the request.
         :raises MismatchedReplyError: the reply was not accepted.
+        :raises SilentPeerError: a used connection was given up.
         """
         client = self._take(address, max_idle_s)
-        reply = client.call(method, req, timeout_s)
+        reply = client.call(method, req, timeout_s, patience)
         if accepts is not None and not accepts(reply):
             client.reset()
             raise MismatchedReplyError(f"{method} at {address} was answered by another reply")
