Let requests that wait for an entry's worker be taken by rank

Cause: cheroot's queue of ready connections was first in, first out, so that an entry short of CPU served an urgent request behind a flood of others. Once any connection waits, the rank is read from the request line and urgent requests go first.

--- a/features/entry_callers.feature
+++ b/features/entry_callers.feature
@@ -62,6 +62,11 @@
     Then 36 of them are answered with code 209
     And a request of rank urgent reaches the dispatcher
 
+  Scenario: Requests that wait for a worker are taken by rank
+    Given an entry with limits urgent 4, careful 4 and deferrable 4 whose dispatchers are "ok"
+    When the workers are busy and requests arrive in the order "report nothing pay get report get"
+    Then the workers take them in the order "get get pay report report nothing"
+
   Scenario: Connections over the limit are refused, others go on
     Given an entry for 10 connections whose dispatchers are "ok"
     When 10 callers connect and stay
--- a/features/steps/entry_callers_steps.py
+++ b/features/steps/entry_callers_steps.py
@@ -9,6 +9,15 @@
 from entry_forwarding_steps import start_entry
 from entry_support import PATIENCE_S, CallerAnswer, wait_until
 
+from foxtailshunt.entry._caller_connection import CallerConnection
+from foxtailshunt.entry._ranked_queue import RankedQueue
+
+_REQUEST_LINES = {
+    "get": b"GET /k/a1 HTTP/1.1",
+    "pay": b"POST /k/a1/pay HTTP/1.1",
+    "report": b"GET /report/a1 HTTP/1.1",
+    "nothing": b"GET /nothing HTTP/1.1",
+}
 _HALF = (b"PUT /k/a1 HTTP/1.1\r\nContent-Len", b"gth: 3\r\n\r\nabc")
 
 
@@ -178,6 +187,28 @@
     assert urgent.result(PATIENCE_S).code == 100
 
 
+@when('the workers are busy and requests arrive in the order "{names}"')
+def queue_requests(context: Context, names: str) -> None:
+    server = context.entry.entry._server
+    waiting = RankedQueue()
+    for name in names.split():
+        conn = CallerConnection(server, context.entry.connect(), None)
+        conn.request_line = _REQUEST_LINES[name]
+        conn.priority = server.handler.priority_of(conn.request_line)
+        waiting.put(conn)
+        context.add_cleanup(conn.close)
+    waiting.put(object())
+    context.waiting = waiting
+
+
+@then('the workers take them in the order "{names}"')
+def check_order(context: Context, names: str) -> None:
+    taken = [context.waiting.get() for _ in range(context.waiting.qsize())]
+    lines = [conn.request_line for conn in taken[:-1]]
+    assert lines == [_REQUEST_LINES[name] for name in names.split()], lines
+    assert not isinstance(taken[-1], CallerConnection)
+
+
 @when("{count:d} callers connect and stay")
 def connect_many(context: Context, count: int) -> None:
     context.callers = [RawCaller(context) for _ in range(count)]
--- a/foxtailshunt/entry/_call_handler.py
+++ b/foxtailshunt/entry/_call_handler.py
@@ -3,7 +3,7 @@
 import socket
 from dataclasses import dataclass
 
-from foxtailshunt.config import Configuration
+from foxtailshunt.config import Configuration, Rank
 from foxtailshunt.entry._admission import RankLimiter
 from foxtailshunt.entry._answers import Answer, error_answer
 from foxtailshunt.entry._call import Call
@@ -22,6 +22,9 @@
 from foxtailshunt.protocol import ExecuteReply
 from foxtailshunt.timing import Clock
 
+_PRIORITIES = {rank: place for place, rank in enumerate(Rank)}
+_LAST_PRIORITY = len(Rank)
+
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
@@ -92,6 +95,21 @@
             return draw_request_id(self._clock)
         return request_id
 
+    def priority_of(self, request_line: bytes) -> int:
+        """Return the place of a request's rank among the ranks; the last for what will be refused.
+
+        :param request_line: method, target and protocol.
+        """
+        in_force = self._in_force
+        if in_force is None:
+            return _LAST_PRIORITY
+        method, _, rest = request_line.decode("latin-1").partition(" ")
+        try:
+            match = in_force.router.match(method, rest.partition(" ")[0])
+        except FoxtailshuntError:
+            return _LAST_PRIORITY
+        return _PRIORITIES[match.operation.rank]
+
     def handle(self, req: CallerRequest) -> Answer:
         """Return the whole answer to a request.
 
--- a/foxtailshunt/entry/_caller_connection.py
+++ b/foxtailshunt/entry/_caller_connection.py
@@ -76,6 +76,10 @@
         self.partial_since: float | None = None
         #: True once a worker took the connection.
         self.is_used = False
+        #: Method, target and protocol of the next request, once its head has arrived.
+        self.request_line = b""
+        #: Place of the next request's rank among the ranks; lower is served first.
+        self.priority = 0
         self._continued = False
         self._is_open = True
         server.count_opened()
@@ -93,6 +97,7 @@
         received = buffered + self._peek(MAX_HEAD_BYTES)
         if not received:
             return self._finish_framing() if self._is_at_end() else self._wait_for(1)
+        self.request_line = received.partition(b"\r\n")[0]
         framing = frame_request(received, max_body_bytes)
         if len(received) >= framing.needed_bytes:
             return self._finish_framing()
--- a/foxtailshunt/entry/_caller_server.py
+++ b/foxtailshunt/entry/_caller_server.py
@@ -13,6 +13,7 @@
 from foxtailshunt.entry._caller_connection import CallerConnection, refusal
 from foxtailshunt.entry._entry_metrics import EntryMetrics
 from foxtailshunt.entry._gateway import CallerGateway
+from foxtailshunt.entry._ranked_queue import RankedQueue
 from foxtailshunt.entry._request_framing import MAX_HEAD_BYTES
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership import Address
@@ -93,6 +94,9 @@
 
     def __init__(self, address: Address, handler: CallHandler, metrics: EntryMetrics) -> None:
         super().__init__(address, CallerGateway, minthreads=_FIRST_THREADS)
+        self._waiting = RankedQueue()
+        self.requests._queue = self._waiting
+        self.requests.get = self._waiting.get
         self.handler = handler
         self.is_draining = False
         self._metrics = metrics
@@ -149,7 +153,7 @@
             conn.close()
             return
         if is_ready:
-            super().process_conn(conn)
+            self._hand_over(conn)
         else:
             self._wait_for_request(conn)
 
@@ -209,7 +213,7 @@
         except OSError:
             is_ready = False
         if is_ready:
-            super().process_conn(conn)
+            self._hand_over(conn)
         else:
             conn.close()
 
@@ -229,6 +233,11 @@
         self.is_draining = True
         self.stop()
 
+    def _hand_over(self, conn: CallerConnection) -> None:
+        is_backed_up = self._waiting.qsize() > 0
+        conn.priority = self.handler.priority_of(conn.request_line) if is_backed_up else 0
+        self.requests.put(conn)
+
     def _wait_for_request(self, conn: CallerConnection) -> None:
         if conn.last_used is None:
             conn.last_used = time.time()
