Keep refused connections until their callers have read the refusal

Cause: closing a connection on which a caller still sends resets it, and the caller can lose the answer. The manager of waiting connections has a module of its own.

--- a/features/entry_callers.feature
+++ b/features/entry_callers.feature
@@ -31,11 +31,13 @@
     Then the bytes are answered with status 413 and code 201
     When a caller sends a chunked body of 70000 bytes
     Then the bytes are answered with status 413 and code 201
+    When a caller sends a body of 999999 bytes in one go
+    Then the bytes are answered with status 413 and code 201
     And nothing was dispatched
 
   Scenario Outline: A whole request passes however it arrives: <manner>
     Given an entry whose dispatchers are "ok"
-    When a caller sends a body of 40000 bytes <manner>
+    When a caller sends a whole body of 40000 bytes <manner>
     Then the dispatcher got the body
 
     Examples:
--- a/features/steps/entry_callers_steps.py
+++ b/features/steps/entry_callers_steps.py
@@ -106,6 +106,13 @@
     context.caller.send(head + chunk(b"a" * size))
 
 
+@when("a caller sends a body of {size:d} bytes in one go")
+def send_large_body(context: Context, size: int) -> None:
+    context.caller = RawCaller(context)
+    head = b"PUT /k/a1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size
+    context.caller.sock.sendall(head + b"a" * size)
+
+
 @then("the bytes are answered with status {status:d} and code {code:d}")
 def check_refusal(context: Context, status: int, code: int) -> None:
     answer = context.caller.read_answer()
@@ -123,7 +130,7 @@
     assert context.entry.request("GET", "/k/other").code == 100
 
 
-@when("a caller sends a body of {size:d} bytes {manner}")
+@when("a caller sends a whole body of {size:d} bytes {manner}")
 def send_in_manner(context: Context, size: int, manner: str) -> None:
     context.body = (bytes(range(256)) * (size // 256 + 1))[:size]
     caller = RawCaller(context)
--- a/foxtailshunt/entry/_caller_connection.py
+++ b/foxtailshunt/entry/_caller_connection.py
@@ -79,7 +79,7 @@
         self.close_connection = True
         request_id = self.server.request_id_of(self.inheaders)
         self.server.count_rejected(status[:3])
-        self.conn.linger_on_close()
+        self.conn.is_refused = True
         self.conn.wfile.write(refusal(status, ResultCode.BAD_REQUEST, msg or status, request_id))
 
 
@@ -103,6 +103,8 @@
         self.request_line = b""
         #: Place of the next request's rank among the ranks; lower is served first.
         self.priority = 0
+        #: True once a refusal was sent that the caller may still have to read.
+        self.is_refused = False
         self._continued = False
         self._is_open = True
         server.count_opened()
@@ -138,18 +140,11 @@
         if self._is_open:
             self._is_open = False
             self.server.count_closed()
+        if self.is_refused and self.server.linger(self.socket):
+            self.rfile.close()
+            return
         super().close()
 
-    def linger_on_close(self) -> None:
-        """Read and drop what the caller still sends, so that the answer is not lost by a reset."""
-        self.socket.setblocking(False)
-        try:
-            while self.socket.recv(MAX_HEAD_BYTES):
-                pass
-        except OSError:
-            pass
-        self.socket.settimeout(self.server.timeout)
-
     def _wait_for(self, needed_bytes: int) -> bool:
         self.needed_bytes = needed_bytes
         unread = needed_bytes - len(self.rfile.buffered)
--- a/foxtailshunt/entry/_caller_server.py
+++ b/foxtailshunt/entry/_caller_server.py
@@ -6,23 +6,19 @@
 import time
 from typing import Any
 
-from cheroot.connections import ConnectionManager
-
 from foxtailshunt.config import EntryLimits
 from foxtailshunt.entry._call_handler import CallHandler
 from foxtailshunt.entry._caller_connection import CallerConnection, refusal
+from foxtailshunt.entry._caller_connections import CallerConnections
 from foxtailshunt.entry._entry_metrics import EntryMetrics
 from foxtailshunt.entry._gateway import CallerGateway
+from foxtailshunt.entry._lingering import LingeringSockets
 from foxtailshunt.entry._ranked_queue import RankedQueue
 from foxtailshunt.entry._request_framing import MAX_HEAD_BYTES
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership import Address
 from foxtailshunt.telemetry import EarlyBinding
 
-#: Time in which a caller must have sent a whole request, in seconds.
-REQUEST_READ_TIMEOUT_S = 5.0
-#: Time after which a connection without a request is closed, in seconds.
-IDLE_TIMEOUT_S = 75.0
 #: Longest time that writing one answer may take, in seconds.
 WRITE_TIMEOUT_S = 5.0
 #: Worker threads beside those that the ranks' limits need; they refuse what is over a limit.
@@ -38,42 +34,6 @@
 _DRAIN_POLL_S = 0.02
 
 
-class _CallerConnections(ConnectionManager):
-    """Closes connections whose next request takes too long to arrive."""
-
-    def stop(self) -> None:
-        """Stop the selector thread; requests that have arrived are still handed to workers."""
-        super().stop()
-        self.server.socket.setblocking(False)
-        while (conn := self._from_server_socket(self.server.socket)) is not None:
-            self.server.process_conn(conn)
-
-    def close(self) -> None:
-        """Close the connections on which no request has arrived."""
-        for number, conn in self._callers():
-            self._selector.unregister(number)
-            self.server.process_last(conn)
-        self._selector.close()
-
-    def _expire(self, threshold: float) -> None:
-        now = time.time()
-        for number, conn in self._callers():
-            if _is_overdue(conn, now):
-                self._selector.unregister(number)
-                self.server.expire(conn)
-
-    def _callers(self) -> list[tuple[int, CallerConnection]]:
-        connections = list(self._selector.connections)
-        return [(number, conn) for number, conn in connections if conn is not self.server]
-
-
-def _is_overdue(conn: CallerConnection, now: float) -> bool:
-    if conn.partial_since is not None:
-        return conn.partial_since < now - REQUEST_READ_TIMEOUT_S
-    limit_s = IDLE_TIMEOUT_S if conn.is_used else REQUEST_READ_TIMEOUT_S
-    return conn.last_used < now - limit_s
-
-
 class CallerServer(EarlyBinding):
     """Serves callers; worker threads take connections only once a whole request has arrived.
 
@@ -99,6 +59,7 @@
         self.requests.get = self._waiting.get
         self.handler = handler
         self.is_draining = False
+        self.lingering = LingeringSockets()
         self._metrics = metrics
         self._open_lock = threading.Lock()
         self._open = 0
@@ -121,7 +82,7 @@
         """Start the first worker threads and listen; connections wait until serving starts."""
         self.prepare()
         self._connections._selector.close()
-        self._connections = _CallerConnections(self)
+        self._connections = CallerConnections(self)
 
     def start_serving(self) -> None:
         """Start serving."""
@@ -167,6 +128,13 @@
             self._send_refusal(conn, "408 Request Timeout", "The request came too slowly.")
         conn.close()
 
+    def linger(self, sock: socket.socket) -> bool:
+        """Keep a refused connection open for a while; False if it has to be closed now.
+
+        :param sock: the connection.
+        """
+        return self.lingering.add(sock, time.time())
+
     def request_id_of(self, headers: dict[bytes, bytes]) -> str:
         """Return the request id of a request that is refused.
 
@@ -255,4 +223,4 @@
             conn.socket.send(answer, socket.MSG_DONTWAIT)
         except OSError:
             pass
-        conn.linger_on_close()
+        conn.is_refused = True
