Keep a newer configuration or table from being replaced by an older one inside an entry

Cause: a view calls its subscribers on the threads that bring changes, several at a time; two could build handler and index from different versions and store them in the wrong order. Both now read and store under a lock. A call whose caller hung up after an attempt that may have run is counted as unknown and no longer as cancelled, and a changed retry budget is taken into force.

--- a/foxtailshunt/entry/_entry.py
+++ b/foxtailshunt/entry/_entry.py
@@ -1,5 +1,6 @@
 """The parts of an entry put together."""
 
+import threading
 from typing import Any
 
 from foxtailshunt.config import Configuration
@@ -42,6 +43,7 @@
         entry_metrics = EntryMetrics(metrics)
         self._view = view
         self._timers = timers
+        self._cfg_lock = threading.Lock()
         self._cfg: Configuration | None = None
         self._routes = RoutingTable(view)
         self._limiter = RankLimiter()
@@ -106,9 +108,10 @@
         }
 
     def _take_config(self) -> None:
-        cfg = self._view.cfg
-        if cfg is None or cfg is self._cfg:
-            return
-        self._cfg = cfg
-        self._handler.take_config(cfg)
-        self._server.take_limits(cfg.entry)
+        with self._cfg_lock:
+            cfg = self._view.cfg
+            if cfg is None or cfg is self._cfg:
+                return
+            self._cfg = cfg
+            self._handler.take_config(cfg)
+            self._server.take_limits(cfg.entry)
--- a/foxtailshunt/entry/_forwarder.py
+++ b/foxtailshunt/entry/_forwarder.py
@@ -70,7 +70,7 @@
         self._clock = clock
         self._metrics = metrics
         self._accepting: dict[str, str] = {}
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[tuple[str, float], RetryBudget] = {}
 
     def execute(self, call: Call) -> ExecuteReply:
         """Return the reply of the dispatcher that took the call.
@@ -113,7 +113,7 @@
     ) -> ExecuteReply | None:
         """Return the dispatcher's final reply, or None if another attempt may follow."""
         remaining_s = call.deadline - self._clock.now()
-        if remaining_s < _MIN_REMAINING_S:
+        if remaining_s < _MIN_REMAINING_S or call.hung_up:
             raise progress.conclusion()
         try:
             reply = self._send(call, route, address, remaining_s, budget)
@@ -136,8 +136,6 @@
     def _send(
         self, call: Call, route: Route, address: Address, remaining_s: float, budget: RetryBudget
     ) -> ExecuteReply:
-        if call.hung_up:
-            raise FoxtailshuntError(ResultCode.CANCELLED, "the caller closed its connection")
         req = _make_request(call, route, remaining_s)
         patience = None
         if call.match.operation.idempotent:
@@ -178,9 +176,10 @@
 
     def _budget_of(self, call: Call) -> RetryBudget:
         service = call.match.service
-        budget = self._budgets.get(service.name)
+        key = (service.name, service.retry_budget)
+        budget = self._budgets.get(key)
         if budget is None:
-            budget = self._budgets.setdefault(service.name, RetryBudget(service.retry_budget))
+            budget = self._budgets.setdefault(key, RetryBudget(service.retry_budget))
         return budget
 
 
--- a/foxtailshunt/entry/_routing_table.py
+++ b/foxtailshunt/entry/_routing_table.py
@@ -1,5 +1,6 @@
 """Finds the upstream and the dispatchers of a key."""
 
+import threading
 from dataclasses import dataclass
 
 from foxtailshunt.membership import View
@@ -70,6 +71,7 @@
 
     def __init__(self, view: View) -> None:
         self._view = view
+        self._lock = threading.Lock()
         self._zones: dict[str, _ZoneIndex] = {}
         self._update()
         view.subscribe(self._update)
@@ -89,12 +91,10 @@
         return [route for zone in self._zones.values() for route in zone.routes()]
 
     def _update(self) -> None:
-        zones = dict(self._zones)
-        changed = False
-        for table in self._view.tables():
-            known = zones.get(table.zone)
-            if known is None or known.fence < table.fence:
-                zones[table.zone] = _ZoneIndex(table)
-                changed = True
-        if changed:
+        with self._lock:
+            zones = dict(self._zones)
+            for table in self._view.tables():
+                known = zones.get(table.zone)
+                if known is None or known.fence < table.fence:
+                    zones[table.zone] = _ZoneIndex(table)
             self._zones = zones
