--- a/foxtailshunt/entry/_caller_connection.py
+++ b/foxtailshunt/entry/_caller_connection.py
@@ -9,6 +9,7 @@
 
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
 
+from foxtailshunt.entry._plain_head import PlainHead, read_plain_head
 from foxtailshunt.entry._request_framing import MAX_HEAD_BYTES, frame_request
 from foxtailshunt.entry._socket_files import make_file
 from foxtailshunt.errors import ResultCode, family_of
@@ -29,6 +30,28 @@
 
     header_reader = _CallerHeaderReader()
 
+    def parse_request(self) -> None:
+        """Read the head: at once if it is plain, else as cheroot does."""
+        head = self.conn.rfile.take_head(MAX_HEAD_BYTES)
+        plain = read_plain_head(head) if head is not None else None
+        if plain is not None and plain.content_length <= self.server.max_request_body_size:
+            self._take_plain(plain)
+            return
+        if head is not None:
+            self.conn.rfile.give_back(head)
+        super().parse_request()
+
+    def _take_plain(self, plain: PlainHead) -> None:
+        self.started_request = True
+        self.method = plain.method
+        self.uri = plain.target
+        self.path, _, self.qs = plain.target.partition(b"?")
+        self.inheaders = plain.headers
+        self.request_protocol = b"HTTP/1.1"
+        self.response_protocol = "HTTP/1.1"
+        self.close_connection = plain.closes
+        self.ready = True
+
     def read_request_headers(self) -> bool:
         """Read the headers; refuse ambiguous framing."""
         if not super().read_request_headers():
@@ -56,7 +79,7 @@
         self.close_connection = True
         request_id = self.server.request_id_of(self.inheaders)
         self.server.count_rejected(status[:3])
-        self.conn.linger_on_close()
+        self.conn.is_refused = True
         self.conn.wfile.write(refusal(status, ResultCode.BAD_REQUEST, msg or status, request_id))
 
 
@@ -76,6 +99,12 @@
         self.partial_since: float | None = None
         #: True once a worker took the connection.
         self.is_used = False
+        #: Method, target and protocol of the next request, once its head has arrived.
+        self.request_line = b""
+        #: Place of the next request's rank among the ranks; lower is served first.
+        self.priority = 0
+        #: True once a refusal was sent that the caller may still have to read.
+        self.is_refused = False
         self._continued = False
         self._is_open = True
         server.count_opened()
@@ -93,6 +122,7 @@
         received = buffered + self._peek(MAX_HEAD_BYTES)
         if not received:
             return self._finish_framing() if self._is_at_end() else self._wait_for(1)
+        self.request_line = received.partition(b"\r\n")[0]
         framing = frame_request(received, max_body_bytes)
         if len(received) >= framing.needed_bytes:
             return self._finish_framing()
@@ -110,18 +140,11 @@
         if self._is_open:
             self._is_open = False
             self.server.count_closed()
+        if self.is_refused and self.server.linger(self.socket):
+            self.rfile.close()
+            return
         super().close()
 
-    def linger_on_close(self) -> None:
-        """Read and drop what the caller still sends, so that the answer is not lost by a reset."""
-        self.socket.setblocking(False)
-        try:
-            while self.socket.recv(MAX_HEAD_BYTES):
-                pass
-        except OSError:
-            pass
-        self.socket.settimeout(self.server.timeout)
-
     def _wait_for(self, needed_bytes: int) -> bool:
         self.needed_bytes = needed_bytes
         unread = needed_bytes - len(self.rfile.buffered)
