--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -19,9 +19,9 @@
     :returns: a table that differs from ``table`` at least in its fence.
     """
     draft = TableDraft(table, fence)
-    draft.transits = [
-        transit for transit in draft.transits if TransitKey.of(transit) not in inputs.finished
-    ]
+    draft.end_transits(
+        [transit for transit in draft.transits if TransitKey.of(transit) in inputs.finished]
+    )
     _sync_rows(draft, inputs)
     for service in inputs.cfg.services.values():
         _ServicePlan(draft, inputs, service).run()
--- a/foxtailshunt/assigner/_table_draft.py
+++ b/foxtailshunt/assigner/_table_draft.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from foxtailshunt.assigner._arrivals import ArrivalDraft
 from foxtailshunt.config import Upstream
 from foxtailshunt.ownership import (
     Fence,
@@ -28,6 +29,15 @@
         self._fence = fence
         self.rows: dict[str, UpstreamRow] = dict(table.rows)
         self.transits: list[Transit] = list(table.transits)
+        self._arrivals = ArrivalDraft(table.arrivals)
+
+    def end_transits(self, ended: list[Transit]) -> None:
+        """Remove transits that have surely ended; what they held may be given from now on.
+
+        :param ended: transits of this draft.
+        """
+        self.transits = [transit for transit in self.transits if transit not in ended]
+        self._arrivals.end_transits(ended)
 
     def add_row(self, service: str, upstream: Upstream) -> None:
         """Add a row that owns nothing.
@@ -77,6 +87,7 @@
         row = self.rows[upstream_id]
         self._change(upstream_id, slots=row.slots - slots, pins=row.pins - pins)
         self.transits.append(Transit(row.service, upstream_id, self._fence, slots, pins))
+        self._arrivals.remove(row.service, slots)
 
     def start_pin(self, upstream_id: str, key: str) -> None:
         """Take one key out of an upstream's slots; it is in transit from then on.
@@ -101,6 +112,7 @@
         if slots or pins:
             row = self.rows[upstream_id]
             self._change(upstream_id, slots=row.slots | slots, pins=row.pins | pins)
+            self._arrivals.add(row.service, upstream_id, self._fence, slots)
 
     def keys_away(self, service: str) -> frozenset[str]:
         """Return the keys that an upstream owns, or may still own, apart from their slots.
@@ -153,6 +165,7 @@
             witness_sets=witness_sets,
             rows=self.rows,
             transits=tuple(self.transits),
+            arrivals=self._arrivals.build(self.rows),
         )
 
     def _change(self, upstream_id: str, **values: object) -> None:
--- a/foxtailshunt/dispatch/_memory_era.py
+++ b/foxtailshunt/dispatch/_memory_era.py
@@ -1,8 +1,15 @@
-"""Since when this dispatcher has seen every request of a key."""
+"""Since when this dispatcher has seen every request of a key.
+
+A moment may be older than this dispatcher's own time as the sender: the memory of the sender before
+it, or of the sender of the upstream that owned a slot before, is taken over with its moments. The
+rules of :class:`MemoryEra` make sure that no request can have been sent by a third one in between;
+docs/DESIGN.md, "Handing over the request memory", has the argument.
+"""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from foxtailshunt.ownership import UpstreamRow
+from foxtailshunt.ownership import Fence, UpstreamRow
 from foxtailshunt.timing import Clock
 
 #: Time between two observations of the right after which another dispatcher may have had it in
@@ -10,6 +17,26 @@
 _MAX_OBSERVATION_GAP_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryMoments:
+    """Moments in wall time, in seconds since the epoch."""
+
+    #: The fence of the upstream's row that they belong to.
+    fence: Fence
+    #: Moments by slot.
+    slots: dict[int, float]
+    #: Moments of keys that differ from their slots'.
+    keys: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    #: The fence of the first row without the slot.
+    fence: Fence
+    #: The slot's moment.
+    moment: float
+
+
 class MemoryEra:
     """The moments from which on one upstream's requests were all sent here.
 
@@ -29,6 +56,10 @@
         self._slots: dict[int, float] = {}
         self._keys: dict[str, float] = {}
         self._pending_keys: set[str] = set()
+        # Slots that left while the right was held, and those that came, with the fence of the
+        # last row without them.
+        self._departed: dict[int, _Departure] = {}
+        self._arrived: dict[int, Fence] = {}
 
     def take_row(self, row: UpstreamRow | None) -> None:
         """Follow a change of the upstream's row in the table.
@@ -40,8 +71,7 @@
         if old is None or row is None:
             self.end()
             return
-        for slot in old.slots - row.slots:
-            self._slots.pop(slot, None)
+        self._follow_slots(old, row)
         gained = (row.pins - old.pins) | (old.excluded - row.excluded - row.pins)
         for key in gained:
             self._keys.pop(key, None)
@@ -53,6 +83,74 @@
         self._slots.clear()
         self._keys.clear()
         self._pending_keys.clear()
+        self._departed.clear()
+        self._arrived.clear()
+
+    def hand_over(self) -> MemoryMoments | None:
+        """End the era and return its moments, None if the right was not held without a gap.
+
+        Called while the right is still held and nothing more is sent under it.
+        """
+        row = self._row
+        moments = None
+        if row is not None and self._is_continuous():
+            moments = MemoryMoments(row.fence, dict(self._slots), self._known_keys())
+        self.end()
+        return moments
+
+    def departed(self, slots: frozenset[int], fence: Fence) -> MemoryMoments | None:
+        """Return the moments of slots that left the upstream, None if the right had a gap.
+
+        :param slots: the slots.
+        :param fence: the fence of the row that no longer listed them, or a lower one.
+        """
+        if self._row is None or not self._is_continuous():
+            return None
+        moments = {
+            slot: departure.moment
+            for slot, departure in self._departed.items()
+            if slot in slots and departure.fence >= fence
+        }
+        keys = {
+            key: moment for key, moment in self._known_keys().items() if self._slot_of(key) in slots
+        }
+        return MemoryMoments(fence, moments, keys)
+
+    def take_over(self, moments: MemoryMoments) -> bool:
+        """Take the moments of the sender directly before; False if the row is another one.
+
+        :param moments: what it handed over.
+        """
+        row = self._row
+        if row is None or row.fence != moments.fence:
+            return False
+        for slot in row.slots & moments.slots.keys():
+            self._take_moment(slot, moments.slots[slot])
+        for key, moment in moments.keys.items():
+            self._keys[key] = moment
+            self._pending_keys.discard(key)
+        return True
+
+    def take_arrival(self, fence: Fence, moments: MemoryMoments) -> bool:
+        """Take the moments of slots that came from another upstream; False if none fits.
+
+        :param fence: the fence of the first row with the slots.
+        :param moments: what the sender of the other upstream knows.
+        """
+        row = self._row
+        if row is None or not self._is_continuous():
+            return False
+        fitting = {
+            slot
+            for slot in row.slots & moments.slots.keys()
+            if slot in self._arrived and self._arrived[slot] < fence <= row.fence
+        }
+        for key, moment in moments.keys.items():
+            if self._slot_of(key) in fitting:
+                self._keys[key] = max(moment, self._keys.get(key, moment))
+        for slot in fitting:
+            self._take_moment(slot, moments.slots[slot])
+        return bool(fitting)
 
     def observe(self, is_held: bool, may_send: Callable[[int, str], bool]) -> None:
         """Observe the right; called at short intervals.
@@ -88,6 +186,29 @@
         moment = self._slots.setdefault(slot, self._clock.wall_time())
         return max(moment, self._keys.get(key, moment))
 
+    def _follow_slots(self, old: UpstreamRow, row: UpstreamRow) -> None:
+        is_continuous = self._is_continuous()
+        for slot in old.slots - row.slots:
+            moment = self._slots.pop(slot, None)
+            self._arrived.pop(slot, None)
+            if moment is not None and is_continuous:
+                self._departed[slot] = _Departure(row.fence, moment)
+        for slot in row.slots - old.slots:
+            self._departed.pop(slot, None)
+            if is_continuous:
+                self._arrived[slot] = old.fence
+
+    def _take_moment(self, slot: int, moment: float) -> None:
+        self._slots[slot] = min(moment, self._slots.get(slot, moment))
+
+    def _known_keys(self) -> dict[str, float]:
+        """Return the moments of keys; a key not seen yet has no request before now."""
+        return {**self._keys, **dict.fromkeys(self._pending_keys, self._clock.wall_time())}
+
+    def _is_continuous(self) -> bool:
+        last = self._observed_at
+        return last is not None and self._clock.now() - last <= _MAX_OBSERVATION_GAP_S
+
     def _note_observation(self) -> None:
         now = self._clock.now()
         last = self._observed_at
--- a/foxtailshunt/dispatch/_repeat_guard.py
+++ b/foxtailshunt/dispatch/_repeat_guard.py
@@ -1,14 +1,13 @@
 """Makes requests that must not repeat run at most once here."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import xxhash
 
 from foxtailshunt.config import Configuration
 from foxtailshunt.dispatch._call import Call
 from foxtailshunt.dispatch._outcome import Outcome
-from foxtailshunt.dispatch._request_memory import Claim, FirstState, MemoryEntry, RequestMemory
+from foxtailshunt.dispatch._request_memory import Claim, MemoryEntry, RequestMemory
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.protocol import ExecuteRequest
 from foxtailshunt.timing import Clock
@@ -48,7 +47,11 @@
         fingerprint = _fingerprint(call.req)
         while True:
             claim, entry = self._memory.claim(
-                call.req.request_id, fingerprint, self._expires_at(call, cfg)
+                call.req.request_id,
+                fingerprint,
+                self._expires_at(call, cfg),
+                call.service.name,
+                call.turn,
             )
             if entry is None:
                 return Outcome(ResultCode.QUEUE_FULL, "the request memory is full")
@@ -72,11 +75,7 @@
         remaining_s = call.turn.deadline_at - self._clock.now()
         if not entry.ended.wait(max(0.0, remaining_s)):
             return Outcome(ResultCode.STILL_RUNNING, "the first request of this id is running")
-        if entry.state is FirstState.NOT_RUN or entry.outcome is None:
-            return None
-        if entry.state is FirstState.RAN:
-            return replace(entry.outcome, code=ResultCode.OK_REPEATED)
-        return entry.outcome
+        return entry.outcome_for(fingerprint)
 
     def _expires_at(self, call: Call, cfg: Configuration) -> float:
         age_s = self._clock.wall_time() - (call.issued_at or 0.0)
--- a/foxtailshunt/dispatch/_request_memory.py
+++ b/foxtailshunt/dispatch/_request_memory.py
@@ -3,10 +3,12 @@
 import heapq
 import itertools
 import threading
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from foxtailshunt.dispatch._outcome import Outcome
+from foxtailshunt.dispatch._turn import Turn
 from foxtailshunt.errors import Family, ResultCode
 from foxtailshunt.timing import Clock
 
@@ -33,6 +35,12 @@
     fingerprint: int
     #: When it may be forgotten, in seconds of the monotonic clock.
     expires_at: float
+    #: The service of the request.
+    service: str = ""
+    #: The slot of its key.
+    slot: int = 0
+    #: Its place in the queue here; None if another dispatcher ran it.
+    turn: Turn | None = None
     #: What is known of the first request.
     state: FirstState = FirstState.RUNNING
     #: The outcome once the first request has ended.
@@ -42,6 +50,19 @@
     #: Set once the first request has ended.
     ended: threading.Event = field(default_factory=threading.Event)
 
+    def outcome_for(self, fingerprint: int) -> Outcome | None:
+        """Return what a repeat is answered once the first has ended; None if it may run.
+
+        :param fingerprint: hash of what the repeat asks.
+        """
+        if self.fingerprint != fingerprint:
+            return Outcome(ResultCode.BAD_REQUEST, "the id belongs to another request")
+        if self.state is FirstState.NOT_RUN or self.outcome is None:
+            return None
+        if self.state is FirstState.RAN:
+            return replace(self.outcome, code=ResultCode.OK_REPEATED)
+        return self.outcome
+
 
 class Claim(Enum):
     """What a request's id met."""
@@ -84,13 +105,20 @@
         return self._size_bytes
 
     def claim(
-        self, request_id: str, fingerprint: int, expires_at: float
+        self,
+        request_id: str,
+        fingerprint: int,
+        expires_at: float,
+        service: str = "",
+        turn: Turn | None = None,
     ) -> tuple[Claim, MemoryEntry | None]:
         """Look an id up and enter it if it is new.
 
         :param request_id: the id.
         :param fingerprint: hash of what is asked.
         :param expires_at: when the entry may be forgotten, in seconds of the monotonic clock.
+        :param service: the service.
+        :param turn: the request's place in the queue.
         :returns: what the id met, with its entry; no entry if the memory is full.
         """
         with self._lock:
@@ -100,7 +128,8 @@
                 return Claim.REPEAT, entry
             if len(self._entries) >= self._max_count or self._size_bytes >= self._max_bytes:
                 return Claim.FULL, None
-            entry = MemoryEntry(request_id, fingerprint, expires_at)
+            slot = turn.slot if turn else 0
+            entry = MemoryEntry(request_id, fingerprint, expires_at, service, slot, turn)
             self._entries[request_id] = entry
             self._size_bytes += entry.size_bytes
             return Claim.FIRST, entry
@@ -113,8 +142,11 @@
         """
         with self._lock:
             entry.outcome = outcome
-            entry.state = _STATES[outcome.family]
-            if entry.state is FirstState.NOT_RUN or outcome.code is ResultCode.MEMORY_TOO_YOUNG:
+            entry.state = STATES[outcome.family]
+            if self._entries.get(entry.request_id) is not entry:
+                # Another dispatcher's entry has replaced it.
+                pass
+            elif entry.state is FirstState.NOT_RUN or outcome.code is ResultCode.MEMORY_TOO_YOUNG:
                 self._remove(entry)
             else:
                 size_bytes = outcome.size_bytes()
@@ -123,6 +155,51 @@
                 heapq.heappush(self._expiry, (entry.expires_at, next(self._sequence), entry))
             entry.ended.set()
 
+    def entries_of(self, service: str, slots: frozenset[int]) -> tuple[MemoryEntry, ...]:
+        """Return the entries of some slots.
+
+        :param service: the service.
+        :param slots: the slots.
+        """
+        with self._lock:
+            self._forget_expired()
+            return tuple(
+                entry
+                for entry in self._entries.values()
+                if entry.service == service and entry.slot in slots
+            )
+
+    def take_in(self, entries: Sequence[MemoryEntry]) -> bool:
+        """Enter what another dispatcher ran; nothing is entered if there is no room.
+
+        A request of the same id that waits here is answered with the earlier outcome. The caller
+        lets requests of that age be sent only after this call.
+
+        :param entries: ended entries.
+        :returns: whether there was room.
+        """
+        with self._lock:
+            self._forget_expired()
+            size_bytes = self._size_bytes + sum(entry.size_bytes for entry in entries)
+            count = len(self._entries) + len(entries)
+            if count > self._max_count or size_bytes > self._max_bytes:
+                return False
+            for entry in entries:
+                self._take_in(entry)
+            return True
+
+    def _take_in(self, entry: MemoryEntry) -> None:
+        known = self._entries.get(entry.request_id)
+        if known is not None and known.state is not FirstState.RUNNING:
+            return
+        if known is not None:
+            if known.turn is not None:
+                known.turn.earlier = entry.outcome_for(known.fingerprint)
+            self._remove(known)
+        self._entries[entry.request_id] = entry
+        self._size_bytes += entry.size_bytes
+        heapq.heappush(self._expiry, (entry.expires_at, next(self._sequence), entry))
+
     def _forget_expired(self) -> None:
         now = self._clock.now()
         while self._expiry and self._expiry[0][0] <= now:
@@ -133,7 +210,8 @@
         self._size_bytes -= entry.size_bytes
 
 
-_STATES: dict[Family, FirstState] = {
+#: What an outcome's family says of the first request.
+STATES: dict[Family, FirstState] = {
     Family.RAN: FirstState.RAN,
     Family.NOT_RUN: FirstState.NOT_RUN,
     Family.UNKNOWN: FirstState.UNKNOWN,
--- a/foxtailshunt/dispatch/_sender.py
+++ b/foxtailshunt/dispatch/_sender.py
@@ -152,10 +152,18 @@
         permission = self._await_right(call)
         if isinstance(permission, ResultCode):
             return _end_with(permission, "no right to send")
+        if self._is_memory_too_young(call, skew_s):
+            call.state.pulls.wait(call.turn.deadline_at)
+            permission = self._await_right(call)
+            if isinstance(permission, ResultCode):
+                return _end_with(permission, "no right to send")
         if self._is_memory_too_young(call, skew_s):
             return _end_with(
                 ResultCode.MEMORY_TOO_YOUNG, "another dispatcher may have run this request id"
             )
+        # Asked after the age: memory is entered before ids of that age may be sent.
+        if call.turn.earlier is not None:
+            return AttemptResult(call.turn.earlier, Follow.END)
         call.state.note_permission(permission)
         return self._attempt(call, permission, progress)
 
--- a/foxtailshunt/dispatch/_service.py
+++ b/foxtailshunt/dispatch/_service.py
@@ -6,6 +6,7 @@
 from foxtailshunt.dispatch._dispatch_metrics import DispatchMetrics
 from foxtailshunt.dispatch._dump import dump_dispatch
 from foxtailshunt.dispatch._in_progress import InProgress
+from foxtailshunt.dispatch._memory_transfer import MemoryTransfer
 from foxtailshunt.dispatch._outcome import Outcome
 from foxtailshunt.dispatch._repeat_guard import RepeatGuard
 from foxtailshunt.dispatch._request_id import issued_at
@@ -63,6 +64,8 @@
         self._metrics = DispatchMetrics(metrics)
         self._states = UpstreamStates(view, send_right, clock, zone)
         self._memory = RequestMemory(clock, _MAX_MEMORY_COUNT, _MAX_MEMORY_BYTES)
+        #: Hands the memory over and takes that of earlier senders.
+        self.memory_transfer = MemoryTransfer(view, self._states, self._memory, clock, zone)
         self._guard = RepeatGuard(self._memory, clock)
         self._sender = Sender(send_right, upstreams, clock, self._metrics)
         self._canceller = Canceller(self._states, self._sender)
@@ -121,6 +124,33 @@
         if state is not None:
             state.note_warming(warming)
 
+    def begin_pull(self, upstream_id: str) -> None:
+        """Let requests older than the memory wait until :meth:`end_pull`, within bounds.
+
+        :param upstream_id: an upstream whose earlier sender is asked for its memory.
+        """
+        state = self._states.find(upstream_id)
+        if state is not None:
+            state.pulls.begin()
+
+    def end_pull(self, upstream_id: str) -> None:
+        """Let them go on.
+
+        :param upstream_id: the upstream.
+        """
+        state = self._states.find(upstream_id)
+        if state is not None:
+            state.pulls.end()
+
+    def end_memory(self, upstream_id: str) -> None:
+        """Start the memory of an upstream's requests anew.
+
+        :param upstream_id: the upstream.
+        """
+        state = self._states.get(upstream_id)
+        if state is not None:
+            state.end_memory()
+
     def drain(self, grace_s: float) -> bool:
         """Refuse new requests and wait for those in progress; the last ones waiting are rejected.
 
--- a/foxtailshunt/dispatch/_turn.py
+++ b/foxtailshunt/dispatch/_turn.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from foxtailshunt.config import Rank
+from foxtailshunt.dispatch._outcome import Outcome
 from foxtailshunt.errors import ResultCode
 
 
@@ -35,6 +36,7 @@
         "charged_s",
         "code",
         "deadline_at",
+        "earlier",
         "expected_s",
         "granted_at",
         "joined_at",
@@ -78,6 +80,8 @@
         self.charged_s = 0.0
         #: True if it was granted ahead of a higher rank because of its floor.
         self.by_floor = False
+        #: Outcome of an earlier request of the id that another dispatcher ran, or None.
+        self.earlier: Outcome | None = None
         #: True once the caller gave the request up.
         self.cancel_requested = False
         self._wakeup = threading.Lock()
--- a/foxtailshunt/dispatch/_upstream_state.py
+++ b/foxtailshunt/dispatch/_upstream_state.py
@@ -5,14 +5,22 @@
 from foxtailshunt.config import Rank, Service
 from foxtailshunt.dispatch._in_flight_limit import InFlightLimit
 from foxtailshunt.dispatch._load_meter import LoadMeter
-from foxtailshunt.dispatch._memory_era import MemoryEra
+from foxtailshunt.dispatch._memory_era import MemoryEra, MemoryMoments
+from foxtailshunt.dispatch._pull_gate import PullGate
 from foxtailshunt.dispatch._retry_budget import RetryBudget
 from foxtailshunt.dispatch._right_gate import RightGate
 from foxtailshunt.dispatch._service_times import ServiceTimes
 from foxtailshunt.dispatch._turn import Turn
 from foxtailshunt.dispatch._turn_queue import TurnQueue
 from foxtailshunt.errors import ResultCode
-from foxtailshunt.ownership import SendPermission, SendRight, UpstreamLoad, UpstreamRow, slot_of_key
+from foxtailshunt.ownership import (
+    Fence,
+    SendPermission,
+    SendRight,
+    UpstreamLoad,
+    UpstreamRow,
+    slot_of_key,
+)
 from foxtailshunt.timing import Clock
 
 #: Time after which a leaving upstream gets no new work, from the moment that its row says so, in
@@ -37,6 +45,7 @@
         self.budget = RetryBudget(service.retry_budget)
         self._gate = RightGate(clock, right, upstream_id)
         self.queue = TurnQueue(clock, self.limit, service.floors, service.queues, self._gate)
+        self.pulls = PullGate(clock)
         self._clock = clock
         self._right = right
         self._lock = threading.Lock()
@@ -163,6 +172,48 @@
         with self._lock:
             return self._era.since(slot, key)
 
+    def hand_over_memory(self) -> MemoryMoments | None:
+        """End the memory's era; None unless the right is held and was held without a gap."""
+        is_held = self._right.holds_assent(self.upstream_id)
+        with self._lock:
+            moments = self._era.hand_over()
+        return moments if is_held else None
+
+    def departed_memory(self, slots: frozenset[int], fence: Fence) -> MemoryMoments | None:
+        """Return the moments of slots that left; None unless the right was held without a gap.
+
+        :param slots: the slots.
+        :param fence: the fence of the row that no longer listed them.
+        """
+        if not self._right.holds_assent(self.upstream_id):
+            return None
+        with self._lock:
+            return self._era.departed(slots, fence)
+
+    def take_over_memory(self, moments: MemoryMoments) -> bool:
+        """Take the moments of the sender directly before this one; False if they don't fit.
+
+        :param moments: what it handed over.
+        """
+        with self._lock:
+            return self._era.take_over(moments)
+
+    def take_arrived_memory(self, fence: Fence, moments: MemoryMoments) -> bool:
+        """Take the moments of slots that came from another upstream; False if none fits.
+
+        :param fence: the fence of the first row with the slots.
+        :param moments: what the sender of the other upstream knows.
+        """
+        if not self._right.holds_assent(self.upstream_id):
+            return False
+        with self._lock:
+            return self._era.take_arrival(fence, moments)
+
+    def end_memory(self) -> None:
+        """Start the memory's era anew."""
+        with self._lock:
+            self._era.end()
+
     def record(self, operation: str, duration_s: float) -> None:
         """Add the service time of a request that ran.
 
--- a/foxtailshunt/dispatcher/_authority.py
+++ b/foxtailshunt/dispatcher/_authority.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from foxtailshunt.dispatch import DispatchService
+from foxtailshunt.dispatcher._memory_pulls import MemoryPulls
 from foxtailshunt.membership import View
 from foxtailshunt.ownership.authority import (
     AssentAsker,
@@ -45,6 +46,7 @@
         metrics: Metrics,
     ) -> None:
         self._view = view
+        self._boot_id = boot_id
         self._zone = zone
         self._instance_id = instance_id
         self._clock = clock
@@ -94,7 +96,22 @@
         )
         self._reporter = Reporter(self._view, self.ledger, self.book, dispatch, self._clock)
         self._handover = Handover(
-            self._instance_id, self.ledger, self._candidacy, self.book, dispatch, self._clock
+            self._instance_id,
+            self.ledger,
+            self._candidacy,
+            self.book,
+            dispatch,
+            self._clock,
+            dispatch.memory_transfer,
+        )
+        self._pulls = MemoryPulls(
+            self._view,
+            self._zone,
+            self._boot_id,
+            self.ledger,
+            dispatch,
+            self._clients,
+            self._metrics,
         )
         self._grants = GrantKeeper(
             self._view,
@@ -110,6 +127,7 @@
 
     def start(self) -> None:
         """Start asking for assents and renewing grants."""
+        self._pulls.start()
         self._assents.start()
         self._grants.start()
 
@@ -137,6 +155,7 @@
         return {"witness": self.witness.dump(), "upstreams": self._dump_upstreams()}
 
     def _wake_grant(self, upstream_id: str) -> None:
+        self._pulls.note_gain(upstream_id)
         self._grants.wake(upstream_id)
 
     def _dump_upstreams(self) -> dict[str, object]:
--- a/foxtailshunt/dispatcher/_handler.py
+++ b/foxtailshunt/dispatcher/_handler.py
@@ -1,6 +1,7 @@
 """The dispatcher's Thrift service."""
 
 from foxtailshunt.dispatch import DispatchService
+from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership.authority import Witness
 from foxtailshunt.protocol import (
     AssentReply,
@@ -9,6 +10,8 @@
     CancelRequest,
     ExecuteReply,
     ExecuteRequest,
+    MemoryReply,
+    MemoryRequest,
     RefuseReply,
     RefuseRequest,
 )
@@ -19,11 +22,13 @@
 
     :param dispatch: runs requests.
     :param witness: assents and refuses.
+    :param boot_id: this process's boot id.
     """
 
-    def __init__(self, dispatch: DispatchService, witness: Witness) -> None:
+    def __init__(self, dispatch: DispatchService, witness: Witness, boot_id: str) -> None:
         self._dispatch = dispatch
         self._witness = witness
+        self._boot_id = boot_id
 
     def execute(self, req: ExecuteRequest) -> ExecuteReply:
         """Run a request.
@@ -52,3 +57,12 @@
         :param req: the request of the assigner.
         """
         return self._witness.refuse(req)
+
+    def export_memory(self, req: MemoryRequest) -> MemoryReply:
+        """Hand request memory over.
+
+        :param req: the request of the dispatcher that sends now.
+        """
+        if req.holder_boot_id != self._boot_id:
+            return MemoryReply(int(ResultCode.WRONG_BOOT_ID), None, {}, {}, [])
+        return self._dispatch.memory_transfer.export(req)
--- a/foxtailshunt/dispatcher/_program.py
+++ b/foxtailshunt/dispatcher/_program.py
@@ -23,6 +23,8 @@
 _DRAIN_LIMIT_S = 10.0
 #: Longest wait for calls whose request has ended, in seconds.
 _SERVER_GRACE_S = 2.0
+#: Longest further wait for the next senders to ask for the request memory, in seconds.
+_MEMORY_WAIT_S = 0.5
 _POLL_S = 0.02
 
 
@@ -64,7 +66,7 @@
             self._metrics,
         )
         self._authority.connect(self._dispatch, self._upstreams, self._sync.wake)
-        handler = DispatcherHandler(self._dispatch, self._authority.witness)
+        handler = DispatcherHandler(self._dispatch, self._authority.witness, boot_id)
         self._server = ProtocolServer(
             Dispatcher, handler, settings.dispatcher.listen_address, self._count_bad_frame
         )
@@ -88,6 +90,7 @@
         self._wait_for_handover()
         self._dispatch.drain(_DRAIN_LIMIT_S)
         threading.Event().wait(_TURN_AWAY_S)
+        self._wait_for_memory()
         self._authority.stop()
         self._server.stop(_SERVER_GRACE_S)
         self._sync.stop()
@@ -103,6 +106,13 @@
             waited.wait(_POLL_S)
         log_state_change("dispatcher.handover_cut_short")
 
+    def _wait_for_memory(self) -> None:
+        waited = threading.Event()
+        for _ in range(int(_MEMORY_WAIT_S / _POLL_S)):
+            if self._dispatch.memory_transfer.is_all_taken():
+                return
+            waited.wait(_POLL_S)
+
     def _make_member(self) -> Member:
         host, port = self._settings.dispatcher.advertised_address
         return Member(
--- a/foxtailshunt/ownership/__init__.py
+++ b/foxtailshunt/ownership/__init__.py
@@ -10,6 +10,7 @@
 from foxtailshunt.ownership._records import (
     ZERO_FENCE,
     Address,
+    Arrival,
     Fence,
     ProcessRef,
     Table,
@@ -28,6 +29,7 @@
     "MAX_TABLE_BYTES",
     "ZERO_FENCE",
     "Address",
+    "Arrival",
     "Fence",
     "LoadSource",
     "ProcessRef",
--- a/foxtailshunt/ownership/_codec.py
+++ b/foxtailshunt/ownership/_codec.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.ownership._records import Fence, ProcessRef, Table, Transit, UpstreamRow
+from foxtailshunt.ownership._records import Arrival, Fence, ProcessRef, Table, Transit, UpstreamRow
 
 #: Largest value that the platform's store holds, in bytes.
 MAX_TABLE_BYTES = 1_000_000
@@ -26,6 +26,7 @@
         "witness_sets": [list(members) for members in table.witness_sets],
         "rows": [_row_to_dict(row) for _, row in sorted(table.rows.items())],
         "transits": [_transit_to_dict(transit) for transit in table.transits],
+        "arrivals": [_arrival_to_dict(arrival) for arrival in table.arrivals],
     }
     return json.dumps(document, separators=(",", ":"))
 
@@ -138,6 +139,28 @@
     )
 
 
+def _arrival_to_dict(arrival: Arrival) -> dict[str, Any]:
+    return {
+        "service": arrival.service,
+        "slots": slots_to_ranges(arrival.slots),
+        "from": arrival.from_upstream_id,
+        "transit_fence": _fence_to_list(arrival.transit_fence),
+        "to": arrival.to_upstream_id,
+        "fence": _fence_to_list(arrival.fence),
+    }
+
+
+def _arrival_from_dict(value: dict[str, Any]) -> Arrival:
+    return Arrival(
+        service=value["service"],
+        slots=slots_from_ranges(value["slots"]),
+        from_upstream_id=value["from"],
+        transit_fence=_fence_from_list(value["transit_fence"]),
+        to_upstream_id=value["to"],
+        fence=_fence_from_list(value["fence"]),
+    )
+
+
 def _table_from_dict(value: dict[str, Any]) -> Table:
     rows = [_row_from_dict(row) for row in value["rows"]]
     return Table(
@@ -150,4 +173,5 @@
         witness_sets=tuple(tuple(members) for members in value["witness_sets"]),
         rows={row.upstream_id: row for row in rows},
         transits=tuple(_transit_from_dict(transit) for transit in value["transits"]),
+        arrivals=tuple(_arrival_from_dict(arrival) for arrival in value.get("arrivals", ())),
     )
--- a/foxtailshunt/ownership/_records.py
+++ b/foxtailshunt/ownership/_records.py
@@ -85,6 +85,24 @@
     pins: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Slots that one upstream gained in the write that ended their transit from another."""
+
+    #: The service that the slots belong to.
+    service: str
+    #: The slots.
+    slots: frozenset[int]
+    #: The upstream that owned them.
+    from_upstream_id: str
+    #: The fence of its row that no longer lists them.
+    transit_fence: Fence
+    #: The upstream that owns them.
+    to_upstream_id: str
+    #: The fence of its row that first lists them.
+    fence: Fence
+
+
 @dataclass(frozen=True, slots=True)
 class Table:
     """The assignment of one zone; written to the store by compare-and-swap only."""
@@ -108,3 +126,5 @@
     rows: dict[str, UpstreamRow]
     #: What is on its way from one upstream to another.
     transits: tuple[Transit, ...]
+    #: The latest gains of slots whose owner before is known; no slot is in two of them.
+    arrivals: tuple[Arrival, ...] = ()
--- a/foxtailshunt/ownership/authority/_assent_ledger.py
+++ b/foxtailshunt/ownership/authority/_assent_ledger.py
@@ -2,7 +2,8 @@
 
 import math
 import threading
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from foxtailshunt.membership import View
@@ -22,6 +23,8 @@
     sent_at: float
     #: The fence of the upstream's row in the request.
     fence: Fence
+    #: The holder that the witness knew before this dispatcher; empty if none.
+    previous: str = ""
 
 
 #: Assents for one upstream, by witness.
@@ -87,7 +90,12 @@
             return self._held_since.get(upstream_id)
 
     def record(
-        self, witness: str, sent_at: float, fences: dict[str, Fence], granted: Iterable[str]
+        self,
+        witness: str,
+        sent_at: float,
+        fences: dict[str, Fence],
+        granted: Iterable[str],
+        previous: Mapping[str, str] | None = None,
     ) -> list[str]:
         """Count the assents of one reply.
 
@@ -96,6 +104,7 @@
             sent, in seconds of the local clock.
         :param fences: the fences asked for, by upstream.
         :param granted: the upstreams assented to.
+        :param previous: boot ids of the holders before this dispatcher, by upstream.
         :returns: the upstreams that this dispatcher may send to only since this reply.
         """
         gained = []
@@ -104,11 +113,36 @@
             for upstream_id in granted:
                 dropped_at = self._dropped_at.get(upstream_id, -math.inf)
                 if upstream_id in fences and sent_at > dropped_at:
-                    assent = _Assent(sent_at, fences[upstream_id])
+                    before = (previous or {}).get(upstream_id, "")
+                    assent = _Assent(sent_at, fences[upstream_id], before)
                     if self._add(upstream_id, witness, assent):
                         gained.append(upstream_id)
         return gained
 
+    def previous_holder(self, upstream_id: str) -> str | None:
+        """Return the dispatcher that held the upstream directly before this one, None if unsure.
+
+        A majority of every witness set names it. Any sender in between under one of these sets
+        had a majority of it, so at least one of the witnesses that count would name that one.
+
+        :param upstream_id: the upstream.
+        :returns: its boot id.
+        """
+        assents = self._assents.get(upstream_id, {})
+        sets = self._witness_sets()
+        if not self.holds(upstream_id) or not sets:
+            return None
+        oldest = self._clock.now() - ASSENT_IN_FORCE_S
+        named = {_named_by_majority(assents, members, oldest) for members in sets}
+        return named.pop() if len(named) == 1 else None
+
+    def is_predecessor_named(self, upstream_id: str) -> bool:
+        """Return whether any witness names an earlier holder of an upstream.
+
+        :param upstream_id: the upstream.
+        """
+        return any(assent.previous for assent in self._assents.get(upstream_id, {}).values())
+
     def drop(self, upstream_id: str) -> None:
         """Stop counting what was asked for until now.
 
@@ -183,3 +217,16 @@
                 self._assents[upstream_id] = left
             else:
                 del self._assents[upstream_id]
+
+
+def _named_by_majority(assents: Assents, members: tuple[str, ...], oldest: float) -> str | None:
+    in_force = [
+        assents[witness]
+        for witness in members
+        if witness in assents and assents[witness].sent_at > oldest
+    ]
+    counts = Counter(assent.previous for assent in in_force if assent.previous)
+    for boot_id, count in counts.items():
+        if count * 2 > len(members):
+            return boot_id
+    return None
--- a/foxtailshunt/ownership/authority/_assents.py
+++ b/foxtailshunt/ownership/authority/_assents.py
@@ -104,7 +104,9 @@
         if reply.code != ResultCode.ACCEPTED:
             return []
         fences = {row.upstream_id: row.fence for row in rows}
-        return self._ledger.record(ref.boot_id, sent_at, fences, reply.granted)
+        return self._ledger.record(
+            ref.boot_id, sent_at, fences, reply.granted, reply.previous_holders
+        )
 
     def _make_request(
         self, ref: ProcessRef, table: Table, rows: list[UpstreamRow], released: list[str]
--- a/foxtailshunt/ownership/authority/_handover.py
+++ b/foxtailshunt/ownership/authority/_handover.py
@@ -1,6 +1,7 @@
 """Hands upstreams over to their next dispatcher without cutting requests in progress."""
 
 import threading
+from typing import Protocol
 
 from foxtailshunt.ownership._records import UpstreamRow
 from foxtailshunt.ownership._send_right import LoadSource
@@ -14,6 +15,24 @@
 STOP_GRACE_S = 1.5
 
 
+class MemoryKeeper(Protocol):
+    """Keeps the request memory of what is given up, for the next sender to ask for."""
+
+    def keep_memory(self, upstream_id: str) -> None:
+        """Keep what is known of an upstream; called while it is closed, idle and still held.
+
+        :param upstream_id: the upstream.
+        """
+        ...
+
+    def discard_memory(self, upstream_id: str) -> None:
+        """Hand out nothing any more; called before the upstream is asked for again.
+
+        :param upstream_id: the upstream.
+        """
+        ...
+
+
 class Handover:
     """Gives up the upstreams that this dispatcher should no longer send to.
 
@@ -26,6 +45,7 @@
     :param book: stops permitting sends.
     :param load: tells what is still in progress.
     :param clock: a monotonic clock.
+    :param memory: keeps the request memory of what is given up.
     """
 
     def __init__(
@@ -36,6 +56,7 @@
         book: GrantBook,
         load: LoadSource,
         clock: Clock,
+        memory: MemoryKeeper | None = None,
     ) -> None:
         self._instance_id = instance_id
         self._ledger = ledger
@@ -43,6 +64,7 @@
         self._book = book
         self._load = load
         self._clock = clock
+        self._memory = memory
         self._lock = threading.Lock()
         self._stop_by: float | None = None
         self._given_up: set[str] = set()
@@ -66,6 +88,8 @@
                 return False
             self._given_up.add(upstream_id)
             was_held = self._ledger.holds(upstream_id)
+            if was_held and self._memory is not None:
+                self._memory.keep_memory(upstream_id)
             # In this order: a request being made either leaves the upstream out or is voided.
             self._candidacy.give_up(upstream_id)
             self._ledger.drop(upstream_id)
@@ -83,5 +107,7 @@
     def _take_back(self, upstream_id: str) -> None:
         if upstream_id in self._given_up:
             self._given_up.discard(upstream_id)
+            if self._memory is not None:
+                self._memory.discard_memory(upstream_id)
             self._candidacy.resume(upstream_id)
         self._book.reopen(upstream_id)
--- a/foxtailshunt/ownership/authority/_witness.py
+++ b/foxtailshunt/ownership/authority/_witness.py
@@ -31,6 +31,8 @@
     lapses_at: float
     #: Number of the request that asked for the assent.
     sequence: int
+    #: Incarnation of the holder before this one; empty if there was none.
+    previous_boot_id: str = ""
 
     def is_dispatcher(self, instance_id: str, boot_id: str) -> bool:
         """Return whether a dispatcher's incarnation is the holder.
@@ -90,15 +92,19 @@
             ):
                 code = ResultCode.STALE_FENCE
             granted: list[str] = []
+            previous: dict[str, str] = {}
             freed = False
             if code is ResultCode.ACCEPTED:
                 granted = self._grant_items(req)
+                previous = self._previous_holders(granted)
                 freed = self._release_items(req)
             floor = fence_to_message(self._table_floor)
         self._count("assent", code)
         if freed:
             self._notify()
-        return AssentReply(code=int(code), granted=granted, table_fence=floor)
+        return AssentReply(
+            code=int(code), granted=granted, table_fence=floor, previous_holders=previous
+        )
 
     def refuse(self, req: RefuseRequest) -> RefuseReply:
         """Raise the lowest fences that this witness assents to.
@@ -151,6 +157,14 @@
     def _grant_items(self, req: AssentRequest) -> list[str]:
         return [item.upstream_id for item in req.items if self._grant(item, req)]
 
+    def _previous_holders(self, granted: list[str]) -> dict[str, str]:
+        holders = {upstream_id: self._records[upstream_id].holder for upstream_id in granted}
+        return {
+            upstream_id: holder.previous_boot_id
+            for upstream_id, holder in holders.items()
+            if holder is not None and holder.previous_boot_id
+        }
+
     def _release_items(self, req: AssentRequest) -> bool:
         """Free what a dispatcher released and return whether that changed anything."""
         freed = [self._release(upstream_id, req) for upstream_id in req.released or ()]
@@ -171,8 +185,11 @@
             return False
         sequence = max(req.sequence or 0, holder.sequence if holder and renewed else 0)
         record.floor = fence
+        previous = ""
+        if holder is not None:
+            previous = holder.previous_boot_id if renewed else holder.boot_id
         record.holder = AssentHolder(
-            req.dispatcher_id, req.dispatcher_boot_id, now + ASSENT_LAPSE_S, sequence
+            req.dispatcher_id, req.dispatcher_boot_id, now + ASSENT_LAPSE_S, sequence, previous
         )
         if not renewed:
             log_state_change(
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -100,6 +100,8 @@
   1: required i32 code,
   2: required list<string> granted,
   3: required Fence table_fence,
+  /* Boot id of the holder before this dispatcher's time as the holder, by upstream granted. */
+  4: optional map<string, string> previous_holders,
 }
 
 struct RefuseRequest {
@@ -154,11 +156,49 @@
   2: required i32 code,
 }
 
+/* What is remembered of one request that must not repeat. */
+struct RememberedRequest {
+  1: required string request_id,
+  2: required string fingerprint,
+  3: required i32 slot,
+  4: required i32 code,
+  5: required i32 status,
+  6: required list<Header> headers,
+  7: required binary body,
+  8: required string detail,
+  /* Time until it may be forgotten. */
+  9: required i64 remaining_ms,
+}
+
+/* Asks for the request memory of an upstream that was given up, or of slots taken from it. */
+struct MemoryRequest {
+  /* The incarnation asked. */
+  1: required string holder_boot_id,
+  2: required string upstream_id,
+  /* The witness sets under which the asking dispatcher is the sender now. */
+  3: required list<list<string>> witness_sets,
+  /* Only of these slots, which the row of this fence or a higher one no longer lists. */
+  4: optional Fence transit_fence,
+  5: optional list<i32> slots,
+}
+
+struct MemoryReply {
+  1: required i32 code,
+  /* The fence of the upstream's row when it was given up. */
+  2: optional Fence row_fence,
+  /* For how long every request of a slot was seen, by slot. */
+  3: required map<i32, i64> slot_ages_ms,
+  /* The same for keys that differ from their slots. */
+  4: required map<string, i64> key_ages_ms,
+  5: required list<RememberedRequest> requests,
+}
+
 service Dispatcher {
   ExecuteReply execute(1: ExecuteRequest req),
   CancelReply cancel(1: CancelRequest req),
   AssentReply assent(1: AssentRequest req),
   RefuseReply refuse(1: RefuseRequest req),
+  MemoryReply export_memory(1: MemoryRequest req),
 }
 
 service Assigner {
--- a/foxtailshunt/protocol/gen/Dispatcher.py
+++ b/foxtailshunt/protocol/gen/Dispatcher.py
@@ -51,6 +51,14 @@
         """
         pass
 
+    def export_memory(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -187,6 +195,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "refuse failed: unknown result")
 
+    def export_memory(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_export_memory(req)
+        return self.recv_export_memory()
+
+    def send_export_memory(self, req):
+        self._oprot.writeMessageBegin('export_memory', TMessageType.CALL, self._seqid)
+        args = export_memory_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_export_memory(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = export_memory_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "export_memory failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -196,6 +236,7 @@
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["assent"] = Processor.process_assent
         self._processMap["refuse"] = Processor.process_refuse
+        self._processMap["export_memory"] = Processor.process_export_memory
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -310,6 +351,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_export_memory(self, seqid, iprot, oprot):
+        args = export_memory_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = export_memory_result()
+        try:
+            result.success = self._handler.export_memory(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("export_memory", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -811,5 +875,130 @@
 refuse_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [RefuseReply, None], None, ),  # 0
 )
+
+
+class export_memory_args(object):
+    """
+    Attributes:
+     - req
+
+    """
+
+
+    def __init__(self, req=None,):
+        self.req = req
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.req = MemoryRequest()
+                    self.req.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('export_memory_args')
+        if self.req is not None:
+            oprot.writeFieldBegin('req', TType.STRUCT, 1)
+            self.req.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(export_memory_args)
+export_memory_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [MemoryRequest, None], None, ),  # 1
+)
+
+
+class export_memory_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = MemoryReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('export_memory_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(export_memory_result)
+export_memory_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [MemoryReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1202,14 +1202,16 @@
      - code
      - granted
      - table_fence
+     - previous_holders
 
     """
 
 
-    def __init__(self, code=None, granted=None, table_fence=None,):
+    def __init__(self, code=None, granted=None, table_fence=None, previous_holders=None,):
         self.code = code
         self.granted = granted
         self.table_fence = table_fence
+        self.previous_holders = previous_holders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1241,6 +1243,17 @@
                     self.table_fence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.previous_holders = {}
+                    (_ktype72, _vtype73, _size71) = iprot.readMapBegin()
+                    for _i75 in range(_size71):
+                        _key76 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.previous_holders[_key76] = _val77
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1258,14 +1271,22 @@
         if self.granted is not None:
             oprot.writeFieldBegin('granted', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.granted))
-            for iter71 in self.granted:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter78 in self.granted:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_fence is not None:
             oprot.writeFieldBegin('table_fence', TType.STRUCT, 3)
             self.table_fence.write(oprot)
             oprot.writeFieldEnd()
+        if self.previous_holders is not None:
+            oprot.writeFieldBegin('previous_holders', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.previous_holders))
+            for kiter79, viter80 in self.previous_holders.items():
+                oprot.writeString(kiter79.encode('utf-8') if sys.version_info[0] == 2 else kiter79)
+                oprot.writeString(viter80.encode('utf-8') if sys.version_info[0] == 2 else viter80)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1335,11 +1356,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.floors = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = AssentItem()
-                        _elem77.read(iprot)
-                        self.floors.append(_elem77)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = AssentItem()
+                        _elem86.read(iprot)
+                        self.floors.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1368,8 +1389,8 @@
         if self.floors is not None:
             oprot.writeFieldBegin('floors', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.floors))
-            for iter78 in self.floors:
-                iter78.write(oprot)
+            for iter87 in self.floors:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1582,11 +1603,11 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = Header()
-                        _elem84.read(iprot)
-                        self.headers.append(_elem84)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = Header()
+                        _elem93.read(iprot)
+                        self.headers.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1661,8 +1682,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter85 in self.headers:
-                iter85.write(oprot)
+            for iter94 in self.headers:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1769,11 +1790,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = Header()
-                        _elem91.read(iprot)
-                        self.headers.append(_elem91)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = Header()
+                        _elem100.read(iprot)
+                        self.headers.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1817,8 +1838,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter92 in self.headers:
-                iter92.write(oprot)
+            for iter101 in self.headers:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -2007,6 +2028,449 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class RememberedRequest(object):
+    """
+    Attributes:
+     - request_id
+     - fingerprint
+     - slot
+     - code
+     - status
+     - headers
+     - body
+     - detail
+     - remaining_ms
+
+    """
+
+
+    def __init__(self, request_id=None, fingerprint=None, slot=None, code=None, status=None, headers=None, body=None, detail=None, remaining_ms=None,):
+        self.request_id = request_id
+        self.fingerprint = fingerprint
+        self.slot = slot
+        self.code = code
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.detail = detail
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slot = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = Header()
+                        _elem107.read(iprot)
+                        self.headers.append(_elem107)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RememberedRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 2)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.slot is not None:
+            oprot.writeFieldBegin('slot', TType.I32, 3)
+            oprot.writeI32(self.slot)
+            oprot.writeFieldEnd()
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 4)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 5)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter108 in self.headers:
+                iter108.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 7)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 8)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 9)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.slot is None:
+            raise TProtocolException(message='Required field slot is unset!')
+        if self.code is None:
+            raise TProtocolException(message='Required field code is unset!')
+        if self.status is None:
+            raise TProtocolException(message='Required field status is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
+        if self.remaining_ms is None:
+            raise TProtocolException(message='Required field remaining_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemoryRequest(object):
+    """
+    Attributes:
+     - holder_boot_id
+     - upstream_id
+     - witness_sets
+     - transit_fence
+     - slots
+
+    """
+
+
+    def __init__(self, holder_boot_id=None, upstream_id=None, witness_sets=None, transit_fence=None, slots=None,):
+        self.holder_boot_id = holder_boot_id
+        self.upstream_id = upstream_id
+        self.witness_sets = witness_sets
+        self.transit_fence = transit_fence
+        self.slots = slots
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.holder_boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.witness_sets = []
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = []
+                        (_etype118, _size115) = iprot.readListBegin()
+                        for _i119 in range(_size115):
+                            _elem120 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                            _elem114.append(_elem120)
+                        iprot.readListEnd()
+                        self.witness_sets.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.transit_fence = Fence()
+                    self.transit_fence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.slots = []
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readI32()
+                        self.slots.append(_elem126)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemoryRequest')
+        if self.holder_boot_id is not None:
+            oprot.writeFieldBegin('holder_boot_id', TType.STRING, 1)
+            oprot.writeString(self.holder_boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.holder_boot_id)
+            oprot.writeFieldEnd()
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 2)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.witness_sets is not None:
+            oprot.writeFieldBegin('witness_sets', TType.LIST, 3)
+            oprot.writeListBegin(TType.LIST, len(self.witness_sets))
+            for iter127 in self.witness_sets:
+                oprot.writeListBegin(TType.STRING, len(iter127))
+                for iter128 in iter127:
+                    oprot.writeString(iter128.encode('utf-8') if sys.version_info[0] == 2 else iter128)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.transit_fence is not None:
+            oprot.writeFieldBegin('transit_fence', TType.STRUCT, 4)
+            self.transit_fence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.slots))
+            for iter129 in self.slots:
+                oprot.writeI32(iter129)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.holder_boot_id is None:
+            raise TProtocolException(message='Required field holder_boot_id is unset!')
+        if self.upstream_id is None:
+            raise TProtocolException(message='Required field upstream_id is unset!')
+        if self.witness_sets is None:
+            raise TProtocolException(message='Required field witness_sets is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemoryReply(object):
+    """
+    Attributes:
+     - code
+     - row_fence
+     - slot_ages_ms
+     - key_ages_ms
+     - requests
+
+    """
+
+
+    def __init__(self, code=None, row_fence=None, slot_ages_ms=None, key_ages_ms=None, requests=None,):
+        self.code = code
+        self.row_fence = row_fence
+        self.slot_ages_ms = slot_ages_ms
+        self.key_ages_ms = key_ages_ms
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.row_fence = Fence()
+                    self.row_fence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.slot_ages_ms = {}
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readI32()
+                        _val136 = iprot.readI64()
+                        self.slot_ages_ms[_key135] = _val136
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.key_ages_ms = {}
+                    (_ktype138, _vtype139, _size137) = iprot.readMapBegin()
+                    for _i141 in range(_size137):
+                        _key142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val143 = iprot.readI64()
+                        self.key_ages_ms[_key142] = _val143
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = RememberedRequest()
+                        _elem149.read(iprot)
+                        self.requests.append(_elem149)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemoryReply')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.row_fence is not None:
+            oprot.writeFieldBegin('row_fence', TType.STRUCT, 2)
+            self.row_fence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.slot_ages_ms is not None:
+            oprot.writeFieldBegin('slot_ages_ms', TType.MAP, 3)
+            oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_ages_ms))
+            for kiter150, viter151 in self.slot_ages_ms.items():
+                oprot.writeI32(kiter150)
+                oprot.writeI64(viter151)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.key_ages_ms is not None:
+            oprot.writeFieldBegin('key_ages_ms', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.key_ages_ms))
+            for kiter152, viter153 in self.key_ages_ms.items():
+                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
+                oprot.writeI64(viter153)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter154 in self.requests:
+                iter154.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.code is None:
+            raise TProtocolException(message='Required field code is unset!')
+        if self.slot_ages_ms is None:
+            raise TProtocolException(message='Required field slot_ages_ms is unset!')
+        if self.key_ages_ms is None:
+            raise TProtocolException(message='Required field key_ages_ms is unset!')
+        if self.requests is None:
+            raise TProtocolException(message='Required field requests is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Fence)
 Fence.thrift_spec = (
     None,  # 0
@@ -2103,6 +2567,7 @@
     (1, TType.I32, 'code', None, None, ),  # 1
     (2, TType.LIST, 'granted', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.STRUCT, 'table_fence', [Fence, None], None, ),  # 3
+    (4, TType.MAP, 'previous_holders', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(RefuseRequest)
 RefuseRequest.thrift_spec = (
@@ -2160,5 +2625,36 @@
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
     (2, TType.I32, 'code', None, None, ),  # 2
 )
+all_structs.append(RememberedRequest)
+RememberedRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'slot', None, None, ),  # 3
+    (4, TType.I32, 'code', None, None, ),  # 4
+    (5, TType.I32, 'status', None, None, ),  # 5
+    (6, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 6
+    (7, TType.STRING, 'body', 'BINARY', None, ),  # 7
+    (8, TType.STRING, 'detail', 'UTF8', None, ),  # 8
+    (9, TType.I64, 'remaining_ms', None, None, ),  # 9
+)
+all_structs.append(MemoryRequest)
+MemoryRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'holder_boot_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'witness_sets', (TType.LIST, (TType.STRING, 'UTF8', False), False), None, ),  # 3
+    (4, TType.STRUCT, 'transit_fence', [Fence, None], None, ),  # 4
+    (5, TType.LIST, 'slots', (TType.I32, None, False), None, ),  # 5
+)
+all_structs.append(MemoryReply)
+MemoryReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'code', None, None, ),  # 1
+    (2, TType.STRUCT, 'row_fence', [Fence, None], None, ),  # 2
+    (3, TType.MAP, 'slot_ages_ms', (TType.I32, None, TType.I64, None, False), None, ),  # 3
+    (4, TType.MAP, 'key_ages_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'requests', (TType.STRUCT, [RememberedRequest, None], False), None, ),  # 5
+)
 fix_spec(all_structs)
 del all_structs
