--- a/foxtailshunt/dispatch/_memory_messages.py
+++ b/foxtailshunt/dispatch/_memory_messages.py
@@ -93,7 +93,6 @@
         outcome=outcome,
     )
     entry.size_bytes += outcome.size_bytes()
-    entry.ended.set()
     return entry
 
 
--- a/foxtailshunt/dispatch/_memory_transfer.py
+++ b/foxtailshunt/dispatch/_memory_transfer.py
@@ -29,7 +29,7 @@
     moments: MemoryMoments
     #: The witness sets of the newest table when the upstream was given up.
     witness_sets: WitnessSets
-    #: Whether the next sender has it.
+    #: Whether the next sender has asked for it.
     is_taken: bool = False
 
 
@@ -154,7 +154,11 @@
             if kept is None:
                 return None
             asked = {tuple(members) for members in req.witness_sets}
-            return kept.moments if asked.issuperset(kept.witness_sets) else None
+            # Handed over once: a sender in between that has it may have sent requests since.
+            if kept.is_taken or not asked.issuperset(kept.witness_sets):
+                return None
+            kept.is_taken = True
+            return kept.moments
 
     def _reply(
         self, req: MemoryRequest, state: UpstreamState, moments: MemoryMoments
@@ -170,18 +174,13 @@
         size_bytes += _MOMENT_BYTES * len(moments.slots) + sum(map(len, moments.keys))
         if size_bytes > MAX_EXPORT_BYTES:
             return refusal(ResultCode.OVERSIZED)
-        self._note_taken(req)
         return reply_of(moments, known, self._clock)
 
     def _have_ended(self, entries: list[MemoryEntry]) -> bool:
         give_up_at = self._clock.now() + _END_WAIT_S
-        return all(entry.ended.wait(max(0.0, give_up_at - self._clock.now())) for entry in entries)
-
-    def _note_taken(self, req: MemoryRequest) -> None:
-        with self._lock:
-            kept = self._kept.get(req.upstream_id)
-            if kept is not None and req.transit_fence is None:
-                kept.is_taken = True
+        return all(
+            self._memory.wait_for_end(entry, give_up_at - self._clock.now()) for entry in entries
+        )
 
     def _take_in(self, state: UpstreamState, reply: MemoryReply) -> bool:
         return self._memory.take_in(entries_of(reply, state.service.name, self._clock))
@@ -189,4 +188,5 @@
 
 def _was_sent(entry: MemoryEntry) -> bool:
     """Return whether a request may have been sent: it has ended, or its turn was granted."""
-    return entry.turn is None or entry.ended.is_set() or entry.turn.granted_at > 0
+    turn = entry.turn
+    return turn is None or turn.granted_at > 0
--- a/foxtailshunt/dispatch/_pull_gate.py
+++ b/foxtailshunt/dispatch/_pull_gate.py
@@ -4,8 +4,7 @@
 
 from foxtailshunt.timing import Clock
 
-#: Longest time that a request waits for the memory, in seconds.
-PULL_WAIT_S = 0.3
+_PULL_WAIT_S = 0.3
 
 
 class PullGate:
@@ -15,6 +14,8 @@
     """
 
     def __init__(self, clock: Clock) -> None:
+        #: Longest time that a request waits for the memory, in seconds.
+        self.longest_wait_s = _PULL_WAIT_S
         self._clock = clock
         self._changed = threading.Condition()
         self._count = 0
@@ -35,6 +36,6 @@
 
         :param deadline_at: when the waiting request is due, in seconds of the monotonic clock.
         """
-        remaining_s = min(PULL_WAIT_S, deadline_at - self._clock.now())
+        remaining_s = min(self.longest_wait_s, deadline_at - self._clock.now())
         with self._changed:
             self._changed.wait_for(lambda: self._count == 0, max(0.0, remaining_s))
--- a/foxtailshunt/dispatch/_request_memory.py
+++ b/foxtailshunt/dispatch/_request_memory.py
@@ -4,7 +4,7 @@
 import itertools
 import threading
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from foxtailshunt.dispatch._outcome import Outcome
@@ -13,7 +13,7 @@
 from foxtailshunt.timing import Clock
 
 #: Size counted for an entry besides its answer, in bytes.
-_ENTRY_BYTES = 400
+_ENTRY_BYTES = 600
 
 
 class FirstState(Enum):
@@ -39,7 +39,7 @@
     service: str = ""
     #: The slot of its key.
     slot: int = 0
-    #: Its place in the queue here; None if another dispatcher ran it.
+    #: Its place in the queue while it runs here.
     turn: Turn | None = None
     #: What is known of the first request.
     state: FirstState = FirstState.RUNNING
@@ -47,8 +47,8 @@
     outcome: Outcome | None = None
     #: Counted size in bytes.
     size_bytes: int = _ENTRY_BYTES
-    #: Set once the first request has ended.
-    ended: threading.Event = field(default_factory=threading.Event)
+    #: Set once the first request has ended; made by the first repeat that waits.
+    ended: threading.Event | None = None
 
     def outcome_for(self, fingerprint: int) -> Outcome | None:
         """Return what a repeat is answered once the first has ended; None if it may run.
@@ -142,6 +142,7 @@
         """
         with self._lock:
             entry.outcome = outcome
+            entry.turn = None
             entry.state = STATES[outcome.family]
             if self._entries.get(entry.request_id) is not entry:
                 # Another dispatcher's entry has replaced it.
@@ -153,7 +154,22 @@
                 entry.size_bytes += size_bytes
                 self._size_bytes += size_bytes
                 heapq.heappush(self._expiry, (entry.expires_at, next(self._sequence), entry))
-            entry.ended.set()
+            if entry.ended is not None:
+                entry.ended.set()
+
+    def wait_for_end(self, entry: MemoryEntry, timeout_s: float) -> bool:
+        """Wait until the first request of an id has ended; False after a timeout.
+
+        :param entry: the entry of the id.
+        :param timeout_s: longest wait in seconds.
+        """
+        with self._lock:
+            if entry.state is not FirstState.RUNNING:
+                return True
+            if entry.ended is None:
+                entry.ended = threading.Event()
+            ended = entry.ended
+        return ended.wait(max(0.0, timeout_s))
 
     def entries_of(self, service: str, slots: frozenset[int]) -> tuple[MemoryEntry, ...]:
         """Return the entries of some slots.
