--- a/features/environment.py
+++ b/features/environment.py
@@ -3,6 +3,8 @@
 from behave.model import Scenario
 from behave.runner import Context
 
+from features.fleet_support import FleetSubject
+
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     """Start without a fleet.
@@ -19,7 +21,7 @@
     :param context: behave's context.
     :param scenario: the scenario.
     """
-    if context.subject is None:
+    if not isinstance(context.subject, FleetSubject):
         return
     if scenario.status.name in ("failed", "error"):
         context.subject.print_state()
