Hand slots that have left over with the rest of the memory

A leaving upstream's sender may change right after its slots were taken: the new sender then knew nothing of them, and the slots' next sender was answered by it without their memory (seen in planned_stops, An upstream leaves: three pulls unfit, code 304).

--- a/features/memory_handover.feature
+++ b/features/memory_handover.feature
@@ -125,6 +125,8 @@
       | with fewer witness sets         | MEMORY_TOO_YOUNG | 0     |
       | and takes it back               | MEMORY_TOO_YOUNG | 0     |
       | with another row                | MEMORY_TOO_YOUNG | 0     |
+      | in time for the next row        | OK               | 1     |
+      | too late for the next row       | MEMORY_TOO_YOUNG | 0     |
 
   Scenario: Another request under a known id is refused
     Given a dispatcher of one upstream
@@ -185,6 +187,19 @@
       | u0 loses 5, u1 gains 6, arrives 6 6                 | starts anew  |
       | u0 loses 5, u1 gains 7, u1 loses 8, u1 gains 9, arrives 5 7 | starts anew |
 
+  Scenario Outline: The memory of a slot goes with it after its first upstream got another sender
+    Given one dispatcher for u0 with slots 0-3 and u1 with slots 4-7
+    When these events happen to slot 3: <events>
+    Then the memory of slot 3 at u1 <result>
+
+    Examples:
+      | events                                                          | result      |
+      | u0 loses 5, u0 is handed over, u1 gains 6, arrives 5 6          | goes on     |
+      | u0 is handed over, u0 loses 5, u1 gains 6, arrives 5 6          | goes on     |
+      | u0 is handed over across 5, u1 gains 6, arrives 5 6             | goes on     |
+      | u0 loses 5, u0 is handed over across 7, u1 gains 6, arrives 5 6 | goes on     |
+      | u0 loses 5, u0 lapses, u0 is handed over, u1 gains 6, arrives 5 6 | starts anew |
+
   Scenario Outline: The table names where slots came from
     Given a table with rows "<rows>" and transits "<transits>"
     When the next table is planned with "<events>"
--- a/features/steps/memory_handover_steps.py
+++ b/features/steps/memory_handover_steps.py
@@ -32,18 +32,22 @@
         self.next.clock.time_s = self.first.clock.time_s
         self.sets: list[list[str]] = []
         self.replies: list[object] = []
+        self.fence = FENCE
 
     def hand_over(self, how: str) -> None:
         self.pass_time(0.1)
         self.prepare(how)
         self.first.service.memory_transfer.keep_memory(_UPSTREAM)
         self.first.right.held = False
+        if "the next row" in how:
+            self.next.put_row(slots=frozenset(range(7)))
         self.next.right.held = True
-        self.pass_time(0.1)
+        self.pass_time(0.6 if "too late" in how else 0.1)
         if how == "and was asked before by another":
             assert self.ask().code == ResultCode.ACCEPTED
         if how == "and takes it back":
             self.first.service.memory_transfer.discard_memory(_UPSTREAM)
+        self.fence = self.next.row.fence
         if how == "with another row":
             self.next.put_row()
         if how != "without its memory":
@@ -77,7 +81,7 @@
     def take(self) -> None:
         reply = self.ask()
         if reply.code == ResultCode.ACCEPTED:
-            self.next.service.memory_transfer.take_over(_UPSTREAM, reply)
+            self.next.service.memory_transfer.take_over(_UPSTREAM, reply, self.fence)
 
     def repeat(self, key: str = "k") -> object:
         self.next.request_id = self.first.request_id
@@ -208,6 +212,8 @@
                 return
             case [name, "loses", version]:
                 self.change(name, version, self.rows[name].slots - {_SLOT})
+            case [name, "is", "handed", "over", *across]:
+                self.hand_over(name, across[1:])
             case [name, "gains", version]:
                 self.change(name, version, self.rows[name].slots | {_SLOT})
             case [name, "changes", version]:
@@ -223,6 +229,18 @@
         self.rows[name] = replace(self.rows[name], fence=fence, slots=slots)
         self.eras[name].take_row(self.rows[name])
 
+    def hand_over(self, name: str, version: list[str]) -> None:
+        """Let another era go on with an upstream, maybe after its row lost the slot."""
+        moments = self.eras[name].hand_over()
+        self.eras[name] = MemoryEra(self.clock, lambda key: _SLOT)
+        if version:
+            slots = self.rows[name].slots - {_SLOT}
+            self.rows[name] = replace(self.rows[name], fence=Fence(1, int(version[0])), slots=slots)
+        self.eras[name].take_row(self.rows[name])
+        self.observe()
+        if moments is not None:
+            self.eras[name].take_over(moments, self.rows[name].fence)
+
     def arrive(self, transit: Fence, gain: Fence) -> None:
         moments = self.eras["u0"].departed(frozenset({_SLOT}), transit)
         if moments is not None:
--- a/foxtailshunt/dispatch/_memory_era.py
+++ b/foxtailshunt/dispatch/_memory_era.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from foxtailshunt.ownership import Fence, UpstreamRow
 from foxtailshunt.timing import Clock
@@ -17,6 +17,16 @@
 _MAX_OBSERVATION_GAP_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A slot that left the upstream."""
+
+    #: The fence of the first row without the slot.
+    fence: Fence
+    #: The slot's moment.
+    moment: float
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryMoments:
     """Moments in wall time, in seconds since the epoch."""
@@ -27,14 +37,11 @@
     slots: dict[int, float]
     #: Moments of keys that differ from their slots'.
     keys: dict[str, float]
-
-
-@dataclass(frozen=True, slots=True)
-class _Departure:
-    #: The fence of the first row without the slot.
-    fence: Fence
-    #: The slot's moment.
-    moment: float
+    #: Slots that left before.
+    departed: dict[int, Departure] = field(default_factory=dict)
+    #: Whether a higher row may be followed from this one: no key is apart from its slot, and no
+    #: slot can have left and come back since.
+    fits_next_row: bool = False
 
 
 class MemoryEra:
@@ -58,7 +65,7 @@
         self._pending_keys: set[str] = set()
         # Slots that left while the right was held, and those that came, with the fence of the
         # last row without them.
-        self._departed: dict[int, _Departure] = {}
+        self._departed: dict[int, Departure] = {}
         self._arrived: dict[int, Fence] = {}
 
     def take_row(self, row: UpstreamRow | None) -> None:
@@ -94,7 +101,14 @@
         row = self._row
         moments = None
         if row is not None and self._is_continuous():
-            moments = MemoryMoments(row.fence, dict(self._slots), self._known_keys())
+            keys = self._known_keys()
+            moments = MemoryMoments(
+                row.fence,
+                dict(self._slots),
+                keys,
+                dict(self._departed),
+                fits_next_row=not (keys or row.pins or row.excluded),
+            )
         self.end()
         return moments
 
@@ -116,16 +130,22 @@
         }
         return MemoryMoments(fence, moments, keys)
 
-    def take_over(self, moments: MemoryMoments) -> bool:
-        """Take the moments of the sender directly before; False if the row is another one.
+    def take_over(self, moments: MemoryMoments, fence: Fence) -> bool:
+        """Take the moments of the sender directly before; False if they don't fit the row.
 
         :param moments: what it handed over.
+        :param fence: the fence of the row when this dispatcher became the sender.
         """
         row = self._row
-        if row is None or row.fence != moments.fence:
+        if row is None or row.fence != fence or not _follows(row, moments):
             return False
-        for slot in row.slots & moments.slots.keys():
-            self._take_moment(slot, moments.slots[slot])
+        for slot, moment in moments.slots.items():
+            if slot in row.slots:
+                self._take_moment(slot, moment)
+            else:
+                self._departed[slot] = Departure(row.fence, moment)
+        for slot in moments.departed.keys() - row.slots:
+            self._departed[slot] = moments.departed[slot]
         for key, moment in moments.keys.items():
             self._keys[key] = moment
             self._pending_keys.discard(key)
@@ -192,7 +212,7 @@
             moment = self._slots.pop(slot, None)
             self._arrived.pop(slot, None)
             if moment is not None and is_continuous:
-                self._departed[slot] = _Departure(row.fence, moment)
+                self._departed[slot] = Departure(row.fence, moment)
         for slot in row.slots - old.slots:
             self._departed.pop(slot, None)
             if is_continuous:
@@ -215,3 +235,10 @@
         if last is not None and now - last > _MAX_OBSERVATION_GAP_S:
             self.end()
         self._observed_at = now
+
+
+def _follows(row: UpstreamRow, moments: MemoryMoments) -> bool:
+    if row.fence == moments.fence:
+        return True
+    is_plain = not (row.pins or row.excluded)
+    return row.fence > moments.fence and moments.fits_next_row and is_plain
--- a/foxtailshunt/dispatch/_memory_messages.py
+++ b/foxtailshunt/dispatch/_memory_messages.py
@@ -1,11 +1,17 @@
 """Request memory as messages: ages and remaining lives, since no clock is shared."""
 
-from foxtailshunt.dispatch._memory_era import MemoryMoments
+from foxtailshunt.dispatch._memory_era import Departure, MemoryMoments
 from foxtailshunt.dispatch._outcome import Outcome
 from foxtailshunt.dispatch._request_memory import STATES, MemoryEntry
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership import Fence
-from foxtailshunt.protocol import FenceMessage, Header, MemoryReply, RememberedRequest
+from foxtailshunt.protocol import (
+    DepartedSlots,
+    FenceMessage,
+    Header,
+    MemoryReply,
+    RememberedRequest,
+)
 from foxtailshunt.timing import Clock
 
 _MS_PER_S = 1000
@@ -33,6 +39,8 @@
         slot_ages_ms={slot: _ms(now - moment) for slot, moment in moments.slots.items()},
         key_ages_ms={key: _ms(now - moment) for key, moment in moments.keys.items()},
         requests=[_request_of(entry, clock) for entry in entries],
+        departed=_departed_messages(moments, now),
+        fits_next_row=moments.fits_next_row,
     )
 
 
@@ -47,6 +55,12 @@
         Fence(reply.row_fence.term, reply.row_fence.version),
         {slot: now - age_ms / _MS_PER_S for slot, age_ms in reply.slot_ages_ms.items()},
         {key: now - age_ms / _MS_PER_S for key, age_ms in reply.key_ages_ms.items()},
+        {
+            slot: Departure(Fence(part.fence.term, part.fence.version), now - age_ms / _MS_PER_S)
+            for part in reply.departed or ()
+            for slot, age_ms in part.slot_ages_ms.items()
+        },
+        bool(reply.fits_next_row),
     )
 
 
@@ -60,6 +74,16 @@
     return [_entry_of(request, service, clock) for request in reply.requests]
 
 
+def _departed_messages(moments: MemoryMoments, now: float) -> list[DepartedSlots]:
+    by_fence: dict[Fence, dict[int, int]] = {}
+    for slot, departure in moments.departed.items():
+        by_fence.setdefault(departure.fence, {})[slot] = _ms(now - departure.moment)
+    return [
+        DepartedSlots(FenceMessage(fence.term, fence.version), ages)
+        for fence, ages in by_fence.items()
+    ]
+
+
 def _request_of(entry: MemoryEntry, clock: Clock) -> RememberedRequest:
     outcome = entry.outcome or Outcome(ResultCode.DEADLINE_EXCEEDED)
     return RememberedRequest(
--- a/foxtailshunt/dispatch/_memory_transfer.py
+++ b/foxtailshunt/dispatch/_memory_transfer.py
@@ -1,7 +1,7 @@
 """Hands the request memory over to the next sender, and takes that of the one before."""
 
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from foxtailshunt.dispatch._memory_era import MemoryMoments
 from foxtailshunt.dispatch._memory_messages import entries_of, moments_of, refusal, reply_of
@@ -18,6 +18,11 @@
 MAX_EXPORT_BYTES = 3_000_000
 #: Longest wait for a request whose answer is being recorded, in seconds.
 _END_WAIT_S = 0.1
+#: Time after an upstream was given up in which no slot can leave it and come back, in seconds:
+#: without a sender that confirms a release, the witnesses' refusals take longer than this.
+_NEXT_ROW_S = 0.5
+#: Longest wait until the memory of slots that left has come from an earlier sender, in seconds.
+_OWN_PULL_WAIT_S = 0.15
 #: Counted size of a moment in a reply, in bytes.
 _MOMENT_BYTES = 12
 
@@ -31,6 +36,8 @@
     witness_sets: WitnessSets
     #: Whether the next sender has asked for it.
     is_taken: bool = False
+    #: When the upstream was given up, in seconds of the monotonic clock.
+    kept_at: float = 0.0
 
 
 class MemoryTransfer:
@@ -71,13 +78,17 @@
 
         :param upstream_id: the upstream.
         """
+        # The row is then at least as new as any that the upstream confirmed to this dispatcher.
+        self._states.follow_view()
         state = self._states.get(upstream_id)
         table = self._view.table(self._zone)
         moments = state.hand_over_memory() if state else None
         if moments is None or table is None:
             return
         with self._lock:
-            self._kept[upstream_id] = _KeptMemory(moments, table.witness_sets)
+            self._kept[upstream_id] = _KeptMemory(
+                moments, table.witness_sets, kept_at=self._clock.now()
+            )
 
     def discard_memory(self, upstream_id: str) -> None:
         """Hand out nothing any more; called before the upstream is asked for again.
@@ -104,6 +115,7 @@
             return refusal(ResultCode.NOT_DISPATCHER)
         if req.transit_fence is not None:
             fence = Fence(req.transit_fence.term, req.transit_fence.version)
+            state.pulls.wait(self._clock.now() + _OWN_PULL_WAIT_S)
             moments = state.departed_memory(frozenset(req.slots or ()), fence)
         else:
             moments = self._kept_moments(req)
@@ -111,17 +123,26 @@
             return refusal(ResultCode.NOT_DISPATCHER)
         return self._reply(req, state, moments)
 
-    def take_over(self, upstream_id: str, reply: MemoryReply) -> bool:
+    def row_fence(self, upstream_id: str) -> Fence | None:
+        """Return the fence of an upstream's row as its memory follows it, None without one.
+
+        :param upstream_id: the upstream.
+        """
+        state = self._states.find(upstream_id)
+        return state.row_fence() if state else None
+
+    def take_over(self, upstream_id: str, reply: MemoryReply, fence: Fence) -> bool:
         """Take the memory of the sender directly before this one.
 
         :param upstream_id: the upstream.
         :param reply: its answer.
+        :param fence: the fence of the row when this dispatcher became the sender.
         :returns: whether it fitted.
         """
         state = self._states.get(upstream_id)
         if state is None or not self._take_in(state, reply):
             return False
-        return state.take_over_memory(moments_of(reply, self._clock))
+        return state.take_over_memory(moments_of(reply, self._clock), fence)
 
     def take_arrival(self, arrival: Arrival, reply: MemoryReply) -> bool:
         """Take the memory of slots from the sender of the upstream that owned them.
@@ -145,6 +166,7 @@
         after = self._states.get(arrival.to_upstream_id)
         if before is None or after is None:
             return False
+        before.pulls.wait(self._clock.now() + _OWN_PULL_WAIT_S)
         moments = before.departed_memory(arrival.slots, arrival.transit_fence)
         return moments is not None and after.take_arrived_memory(arrival.fence, moments)
 
@@ -158,20 +180,23 @@
             if kept.is_taken or not asked.issuperset(kept.witness_sets):
                 return None
             kept.is_taken = True
-            return kept.moments
+            is_recent = self._clock.now() - kept.kept_at <= _NEXT_ROW_S
+            fits_next_row = kept.moments.fits_next_row and is_recent
+            return replace(kept.moments, fits_next_row=fits_next_row)
 
     def _reply(
         self, req: MemoryRequest, state: UpstreamState, moments: MemoryMoments
     ) -> MemoryReply:
         slot_count = state.service.slot_count
-        slots = {*moments.slots, *(slot_of_key(key, slot_count) for key in moments.keys)}
+        slots = {*moments.slots, *moments.departed}
+        slots |= {slot_of_key(key, slot_count) for key in moments.keys}
         entries = self._memory.entries_of(state.service.name, frozenset(slots))
         sent = [entry for entry in entries if _was_sent(entry)]
         if not self._have_ended(sent):
             return refusal(ResultCode.STILL_RUNNING)
         known = [entry for entry in sent if entry.state in (FirstState.RAN, FirstState.UNKNOWN)]
         size_bytes = sum(entry.size_bytes for entry in known)
-        size_bytes += _MOMENT_BYTES * len(moments.slots) + sum(map(len, moments.keys))
+        size_bytes += _MOMENT_BYTES * len(slots) + sum(map(len, moments.keys))
         if size_bytes > MAX_EXPORT_BYTES:
             return refusal(ResultCode.OVERSIZED)
         return reply_of(moments, known, self._clock)
--- a/foxtailshunt/dispatch/_upstream_state.py
+++ b/foxtailshunt/dispatch/_upstream_state.py
@@ -190,13 +190,19 @@
         with self._lock:
             return self._era.departed(slots, fence)
 
-    def take_over_memory(self, moments: MemoryMoments) -> bool:
+    def row_fence(self) -> Fence | None:
+        """Return the fence of the upstream's row, None without one."""
+        row = self._row
+        return row.fence if row else None
+
+    def take_over_memory(self, moments: MemoryMoments, fence: Fence) -> bool:
         """Take the moments of the sender directly before this one; False if they don't fit.
 
         :param moments: what it handed over.
+        :param fence: the fence of the row when this dispatcher became the sender.
         """
         with self._lock:
-            return self._era.take_over(moments)
+            return self._era.take_over(moments, fence)
 
     def take_arrived_memory(self, fence: Fence, moments: MemoryMoments) -> bool:
         """Take the moments of slots that came from another upstream; False if none fits.
--- a/foxtailshunt/dispatcher/_memory_pulls.py
+++ b/foxtailshunt/dispatcher/_memory_pulls.py
@@ -6,7 +6,7 @@
 from foxtailshunt.dispatch import DispatchService
 from foxtailshunt.errors import PeerUnreachableError, ResultCode
 from foxtailshunt.membership import View
-from foxtailshunt.ownership import Arrival, ProcessRef
+from foxtailshunt.ownership import Arrival, Fence, ProcessRef
 from foxtailshunt.ownership.authority import AssentLedger
 from foxtailshunt.protocol import ClientPool, FenceMessage, MemoryReply, MemoryRequest
 from foxtailshunt.telemetry import Metrics, log_state_change
@@ -69,8 +69,12 @@
         :param upstream_id: the upstream.
         """
         held_since = self._ledger.last_held_since(upstream_id)
-        if held_since is not None and self._ledger.is_predecessor_named(upstream_id):
-            self._start(upstream_id, lambda: self._pull_upstream(upstream_id, held_since))
+        # Read before the first grant, so that no slot can have left under this right.
+        fence = self._dispatch.memory_transfer.row_fence(upstream_id)
+        if held_since is None or fence is None:
+            return
+        if self._ledger.is_predecessor_named(upstream_id):
+            self._start(upstream_id, lambda: self._pull_upstream(upstream_id, held_since, fence))
 
     def _take_table(self) -> None:
         table = self._view.table(self._zone)
@@ -82,7 +86,7 @@
             self._arrivals = frozenset(table.arrivals)
         for arrival in new:
             if self._ledger.holds(arrival.to_upstream_id):
-                self._take_arrival(arrival)
+                self._start_arrival(arrival)
 
     def _note_refs(self, refs: tuple[ProcessRef, ...]) -> None:
         for ref in refs:
@@ -91,10 +95,7 @@
         while len(self._refs) > _MAX_REFS:
             del self._refs[next(iter(self._refs))]
 
-    def _take_arrival(self, arrival: Arrival) -> None:
-        if self._dispatch.memory_transfer.take_own_arrival(arrival):
-            self._finish("taken", arrival.to_upstream_id, "slots of this dispatcher")
-            return
+    def _start_arrival(self, arrival: Arrival) -> None:
         self._start(arrival.to_upstream_id, lambda: self._pull_arrival(arrival))
 
     def _start(self, upstream_id: str, pull: Callable[[], str]) -> None:
@@ -110,9 +111,9 @@
             result = pull()
         finally:
             self._dispatch.end_pull(upstream_id)
-            self._finish(result, upstream_id, "pulled")
+            self._finish(result, upstream_id)
 
-    def _pull_upstream(self, upstream_id: str, held_since: float) -> str:
+    def _pull_upstream(self, upstream_id: str, held_since: float, fence: Fence) -> str:
         ref = self._find_predecessor(upstream_id)
         table = self._view.table(self._zone)
         if ref is None or table is None:
@@ -123,7 +124,7 @@
             return reply
         if self._ledger.held_since(upstream_id) != held_since:
             return "lapsed"
-        taken = self._dispatch.memory_transfer.take_over(upstream_id, reply)
+        taken = self._dispatch.memory_transfer.take_over(upstream_id, reply, fence)
         if self._ledger.held_since(upstream_id) != held_since:
             self._dispatch.end_memory(upstream_id)
             return "lapsed"
@@ -139,6 +140,8 @@
         return None
 
     def _pull_arrival(self, arrival: Arrival) -> str:
+        if self._dispatch.memory_transfer.take_own_arrival(arrival):
+            return "taken"
         fence = FenceMessage(arrival.transit_fence.term, arrival.transit_fence.version)
         result = "unnamed"
         for ref in self._senders_of(arrival.from_upstream_id):
@@ -171,8 +174,8 @@
             return "unreachable"
         return reply if reply.code == ResultCode.ACCEPTED else "refused"
 
-    def _finish(self, result: str, upstream_id: str, source: str) -> None:
-        log_state_change("memory.handed_over", upstream=upstream_id, result=result, source=source)
+    def _finish(self, result: str, upstream_id: str) -> None:
+        log_state_change("memory.handed_over", upstream=upstream_id, result=result)
         self._metrics.count(
             "foxtailshunt_memory_handovers_total",
             "Request memory asked for after an upstream or slots were gained.",
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -182,6 +182,13 @@
   5: optional list<i32> slots,
 }
 
+/* For how long every request of slots was seen that an upstream has lost since. */
+struct DepartedSlots {
+  /* The fence of the first row without them. */
+  1: required Fence fence,
+  2: required map<i32, i64> slot_ages_ms,
+}
+
 struct MemoryReply {
   1: required i32 code,
   /* The fence of the upstream's row when it was given up. */
@@ -191,6 +198,9 @@
   /* The same for keys that differ from their slots. */
   4: required map<string, i64> key_ages_ms,
   5: required list<RememberedRequest> requests,
+  6: optional list<DepartedSlots> departed,
+  /* True if the memory also fits a higher row that was in force when it was asked for. */
+  7: optional bool fits_next_row,
 }
 
 service Dispatcher {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -2334,6 +2334,89 @@
         return not (self == other)
 
 
+class DepartedSlots(object):
+    """
+    Attributes:
+     - fence
+     - slot_ages_ms
+
+    """
+
+
+    def __init__(self, fence=None, slot_ages_ms=None,):
+        self.fence = fence
+        self.slot_ages_ms = slot_ages_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.fence = Fence()
+                    self.fence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.slot_ages_ms = {}
+                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
+                    for _i134 in range(_size130):
+                        _key135 = iprot.readI32()
+                        _val136 = iprot.readI64()
+                        self.slot_ages_ms[_key135] = _val136
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DepartedSlots')
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.STRUCT, 1)
+            self.fence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.slot_ages_ms is not None:
+            oprot.writeFieldBegin('slot_ages_ms', TType.MAP, 2)
+            oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_ages_ms))
+            for kiter137, viter138 in self.slot_ages_ms.items():
+                oprot.writeI32(kiter137)
+                oprot.writeI64(viter138)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fence is None:
+            raise TProtocolException(message='Required field fence is unset!')
+        if self.slot_ages_ms is None:
+            raise TProtocolException(message='Required field slot_ages_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class MemoryReply(object):
     """
     Attributes:
@@ -2342,16 +2425,20 @@
      - slot_ages_ms
      - key_ages_ms
      - requests
+     - departed
+     - fits_next_row
 
     """
 
 
-    def __init__(self, code=None, row_fence=None, slot_ages_ms=None, key_ages_ms=None, requests=None,):
+    def __init__(self, code=None, row_fence=None, slot_ages_ms=None, key_ages_ms=None, requests=None, departed=None, fits_next_row=None,):
         self.code = code
         self.row_fence = row_fence
         self.slot_ages_ms = slot_ages_ms
         self.key_ages_ms = key_ages_ms
         self.requests = requests
+        self.departed = departed
+        self.fits_next_row = fits_next_row
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2376,36 +2463,52 @@
             elif fid == 3:
                 if ftype == TType.MAP:
                     self.slot_ages_ms = {}
-                    (_ktype131, _vtype132, _size130) = iprot.readMapBegin()
-                    for _i134 in range(_size130):
-                        _key135 = iprot.readI32()
-                        _val136 = iprot.readI64()
-                        self.slot_ages_ms[_key135] = _val136
+                    (_ktype140, _vtype141, _size139) = iprot.readMapBegin()
+                    for _i143 in range(_size139):
+                        _key144 = iprot.readI32()
+                        _val145 = iprot.readI64()
+                        self.slot_ages_ms[_key144] = _val145
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.MAP:
                     self.key_ages_ms = {}
-                    (_ktype138, _vtype139, _size137) = iprot.readMapBegin()
-                    for _i141 in range(_size137):
-                        _key142 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val143 = iprot.readI64()
-                        self.key_ages_ms[_key142] = _val143
+                    (_ktype147, _vtype148, _size146) = iprot.readMapBegin()
+                    for _i150 in range(_size146):
+                        _key151 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val152 = iprot.readI64()
+                        self.key_ages_ms[_key151] = _val152
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype147, _size144) = iprot.readListBegin()
-                    for _i148 in range(_size144):
-                        _elem149 = RememberedRequest()
-                        _elem149.read(iprot)
-                        self.requests.append(_elem149)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = RememberedRequest()
+                        _elem158.read(iprot)
+                        self.requests.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.departed = []
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = DepartedSlots()
+                        _elem164.read(iprot)
+                        self.departed.append(_elem164)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.fits_next_row = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2427,26 +2530,37 @@
         if self.slot_ages_ms is not None:
             oprot.writeFieldBegin('slot_ages_ms', TType.MAP, 3)
             oprot.writeMapBegin(TType.I32, TType.I64, len(self.slot_ages_ms))
-            for kiter150, viter151 in self.slot_ages_ms.items():
-                oprot.writeI32(kiter150)
-                oprot.writeI64(viter151)
+            for kiter165, viter166 in self.slot_ages_ms.items():
+                oprot.writeI32(kiter165)
+                oprot.writeI64(viter166)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.key_ages_ms is not None:
             oprot.writeFieldBegin('key_ages_ms', TType.MAP, 4)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.key_ages_ms))
-            for kiter152, viter153 in self.key_ages_ms.items():
-                oprot.writeString(kiter152.encode('utf-8') if sys.version_info[0] == 2 else kiter152)
-                oprot.writeI64(viter153)
+            for kiter167, viter168 in self.key_ages_ms.items():
+                oprot.writeString(kiter167.encode('utf-8') if sys.version_info[0] == 2 else kiter167)
+                oprot.writeI64(viter168)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter154 in self.requests:
-                iter154.write(oprot)
+            for iter169 in self.requests:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.departed is not None:
+            oprot.writeFieldBegin('departed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.departed))
+            for iter170 in self.departed:
+                iter170.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fits_next_row is not None:
+            oprot.writeFieldBegin('fits_next_row', TType.BOOL, 7)
+            oprot.writeBool(self.fits_next_row)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2647,6 +2761,12 @@
     (4, TType.STRUCT, 'transit_fence', [Fence, None], None, ),  # 4
     (5, TType.LIST, 'slots', (TType.I32, None, False), None, ),  # 5
 )
+all_structs.append(DepartedSlots)
+DepartedSlots.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'fence', [Fence, None], None, ),  # 1
+    (2, TType.MAP, 'slot_ages_ms', (TType.I32, None, TType.I64, None, False), None, ),  # 2
+)
 all_structs.append(MemoryReply)
 MemoryReply.thrift_spec = (
     None,  # 0
@@ -2655,6 +2775,8 @@
     (3, TType.MAP, 'slot_ages_ms', (TType.I32, None, TType.I64, None, False), None, ),  # 3
     (4, TType.MAP, 'key_ages_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 4
     (5, TType.LIST, 'requests', (TType.STRUCT, [RememberedRequest, None], False), None, ),  # 5
+    (6, TType.LIST, 'departed', (TType.STRUCT, [DepartedSlots, None], False), None, ),  # 6
+    (7, TType.BOOL, 'fits_next_row', None, None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
