--- a/features/ownership_moves.feature
+++ b/features/ownership_moves.feature
@@ -26,11 +26,13 @@
       | u0:0-7 u1:      |          |                             | u0:0-3              | u0:4-7        |
       | u0:0-7 u1:      |          | max=1                       | u0:0-6              | u0:7          |
       | u0:0-6 u1:      | u0:7     | max=1                       | u0:0-6              | u0:7          |
-      | u0:0-6 u1:      | u0:7     | max=1 finished=u0           | u0:0-5 u1:7         | u0:6          |
+      | u0:0-6 u1:      | u0:7     | max=1 finished=u0           | u0:0-6 u1:7         |               |
       | u0:0-7 u1:      |          | unsettled=u1                | u0:0-7              |               |
       | u0:0-3 u1:4-7   |          | giving=0-1,7                | u0:2-3 u1:4-6       | u0:0-1 u1:7   |
       | u0:2-4 u1:5-7   |          | giving=0-1                  | u0:2-4 u1:5-7       |               |
       | u0:2-4 u1:5-7   |          | homed=2-7                   | u0:2-4 u1:5-7       |               |
+      | u0:0-7 u1:      |          | homed=unknown               | u0:0-7              |               |
+      | u0: u1:         | u0:0-7   | homed=unknown finished=u0   |                     |               |
 
   Scenario Outline: What a row's fence follows
     Given a table with rows "u0:0-3 u1:4-7" and transits ""
@@ -123,12 +125,33 @@
       |            |         |                   | 0.7 0.7   |             |
       | a b c      | a b c   |                   | 9         | a b c       |
       | a b c      | a b     |                   | 1.9       | a b c       |
-      | a b c      | a b     |                   | 2.1       | a b c, a b  |
-      | a b c      | a b c d |                   | 0.1       | a b c, a b c d |
-      | a b c      | a b c@x |                   | 0.1       | a b c, a b x |
+      | a b c      | a b     |                   | 2.1       | a b c       |
+      | a b c      | a b     |                   | 2.1 0.2   | a b c       |
+      | a b c      | a b     |                   | 2.1 0.4   | a b c, a b  |
+      | a b c      | a b c d |                   | 0.4       | a b c, a b c d |
+      | a b c      | a b c@x |                   | 0.4       | a b c, a b x |
+      | a b c      | a b c@x |                   | 0.2       | a b c       |
       | a b c, a b | a b     | a=yes b=yes       | 0.1       | a b c, a b  |
       | a b c, a b | a b     | a=yes b=yes       | 0.5       | a b c, a b  |
       | a b c, a b | a b     | a=yes b=yes       | 0.53      | a b         |
       | a b c, a b | a b     | a=yes c=replaced  | 0.53      | a b         |
       | a b c, a b | a b     | a=yes b=lost      | 9         | a b c, a b  |
       | a b c      |         |                   | 9         | a b c       |
+
+  Scenario Outline: An assigner that hears too few witnesses decides nothing, then gives way
+    Given a table with witnesses "<sets>" and live dispatchers "<live>"
+    When the assigner listens for <time> s
+    Then it <state>
+
+    Examples:
+      | sets       | live    | time | state                     |
+      | a b c      | a b c   | 9    | hears enough              |
+      | a b c      | a b     | 9    | hears enough              |
+      | a b c      | a       | 1    | hears too little          |
+      | a b c      | a       | 3    | hears too little for long |
+      | a b c      | a b@x   | 9    | hears enough              |
+      | a b c, a d | a d     | 1    | hears too little          |
+      | a b c d e  | a b     | 1    | hears too little          |
+      | a b c d e  | a b c   | 1    | hears enough              |
+      | a b        | a       | 9    | hears enough              |
+      | a          | b       | 1    | hears too little          |
