--- a/features/steps/protocol_steps.py
+++ b/features/steps/protocol_steps.py
@@ -66,7 +66,7 @@
         if name in self.structs:
             struct_class = getattr(ttypes, name)
             return TType.STRUCT, [struct_class, struct_class.thrift_spec]
-        if match := re.fullmatch(r"list<(\w+)>", name):
+        if match := re.fullmatch(r"list<(.+)>", name):
             return TType.LIST, (*self._spec_type(match[1]), False)
         if match := re.fullmatch(r"map<(\w+), ?(\w+)>", name):
             return TType.MAP, (*self._spec_type(match[1]), *self._spec_type(match[2]), False)
