--- a/features/membership.feature
+++ b/features/membership.feature
@@ -55,6 +55,7 @@
   Scenario: A process follows another zone while no assigner of its own answers
     Given syncing assigners a in wanaka, b in twizel that starts from a, c in wanaka that starts from b
     And a syncing dispatcher of wanaka with configuration 5 that starts from a
+    And the syncing dispatcher has heard of assigners a, b and c
     When assigners a and c stop
     And assigner b is given configuration 6 and table 2.2 of ba-ridge
     Then the syncing dispatcher has configuration 6
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -140,6 +140,13 @@
     context.spread.give(name, version, zone, _fence(fence))
 
 
+@given("the syncing dispatcher has heard of assigners a, b and c")
+def wait_for_assigners(context: Context) -> None:
+    expected = {node.address for node in context.spread.nodes.values()}
+    agent = context.spread.dispatcher.agent
+    wait_until(lambda: expected <= {peer.address for peer in agent.snapshots()})
+
+
 @when("assigner {name} holds the lease")
 def hold_lease(context: Context, name: str) -> None:
     context.spread.nodes[name].active = True
--- a/foxtailshunt/assigner/_zone_assigner.py
+++ b/foxtailshunt/assigner/_zone_assigner.py
@@ -10,7 +10,7 @@
 from foxtailshunt.platform import Backoff
 from foxtailshunt.telemetry import log_state_change
 
-_STEP_INTERVAL_S = 0.05
+_STEP_INTERVAL_S = 0.1
 _FIRST_RETRY_S = 0.05
 _RETRY_LIMIT_S = 2.0
 _MIN_HOLD_OFF_S = 1.0
