--- a/foxtailshunt/ownership/authority/_assents.py
+++ b/foxtailshunt/ownership/authority/_assents.py
@@ -10,10 +10,10 @@
 from foxtailshunt.ownership._records import Fence, ProcessRef, Table, UpstreamRow
 from foxtailshunt.ownership.authority._assent_ledger import AssentLedger
 from foxtailshunt.ownership.authority._candidacy import Candidacy
-from foxtailshunt.ownership.authority._messages import fence_to_message
+from foxtailshunt.ownership.authority._messages import fence_from_message, fence_to_message
 from foxtailshunt.ownership.authority._witness import Witness
 from foxtailshunt.protocol import AssentItem, AssentReply, AssentRequest, ClientPool
-from foxtailshunt.telemetry import Metrics, log_state_change
+from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 from foxtailshunt.timing import Clock
 
 #: Sends a request to a witness and returns its reply; raises PeerUnreachableError.
@@ -101,10 +101,14 @@
             self._count("unreachable")
             return []
         self._count(ResultCode(reply.code).name)
+        if reply.code == ResultCode.STALE_FENCE:
+            self._candidacy.note_table_floor(fence_from_message(reply.table_fence))
         if reply.code != ResultCode.ACCEPTED:
             return []
         fences = {row.upstream_id: row.fence for row in rows}
-        return self._ledger.record(ref.boot_id, sent_at, fences, reply.granted)
+        return self._ledger.record(
+            ref.boot_id, sent_at, fences, reply.granted, reply.previous_holders
+        )
 
     def _make_request(
         self, ref: ProcessRef, table: Table, rows: list[UpstreamRow], released: list[str]
@@ -226,7 +230,14 @@
     def _run(self) -> None:
         while not self._stopping:
             self._wakeup.clear()
-            for upstream_id in self._asker.ask(self._ref):
-                log_state_change("assent.gained", upstream=upstream_id)
-                self._on_gain(upstream_id)
+            try:
+                self._ask()
+            except Exception as exc:
+                # A thread that ended would leave this dispatcher without the witness for good.
+                log_thread_error("assent", exc)
             self._wakeup.wait(ASSENT_INTERVAL_S)
+
+    def _ask(self) -> None:
+        for upstream_id in self._asker.ask(self._ref):
+            log_state_change("assent.gained", upstream=upstream_id)
+            self._on_gain(upstream_id)
