--- a/standins/measuring/_sampler.py
+++ b/standins/measuring/_sampler.py
@@ -11,7 +11,21 @@
 
 _INTERVAL_S = 0.005
 _WAITING_FUNCTIONS = frozenset(
-    {"wait", "accept", "select", "poll", "readinto", "_recv", "read", "recv", "sleep", "join"}
+    {
+        "wait",
+        "accept",
+        "select",
+        "poll",
+        "readinto",
+        "_recv",
+        "read",
+        "recv",
+        "sleep",
+        "join",
+        "_check_silence",
+        "_read_exactly",
+        "_receive",
+    }
 )
 _WAITING_FILES = ("threading.py", "socket.py", "selectors.py")
 
