--- a/features/steps/memory_handover_steps.py
+++ b/features/steps/memory_handover_steps.py
@@ -98,7 +98,7 @@
 
 @then("the sender before dispatcher {name:w} is {before:w}")
 def check_sender_before(context: Context, name: str, before: str) -> None:
-    boot_id = context.subject.rigs[name].ledger.previous_holder("u1")
+    boot_id = context.assents_subject.rigs[name].ledger.previous_holder("u1")
     assert boot_id == (None if before == "unknown" else f"{before}/1"), boot_id
 
 
