Bound every stop and wait for signals on a pipe; begin fleet scenarios at rest

Cause: one assigner of about 60 still ran 30 s after SIGTERM, with nothing to see why; and a zone that was cut off in the middle of its first balancing kept a slot on its way, which the scenario took for an error of its own bookkeeping (KeyError). Conclusion: a stuck stop now ends with exit code 3 and the place of each thread; a scenario's fault begins once every slot has an owner and nothing moves.

--- a/features/fleet_support/_subject.py
+++ b/features/fleet_support/_subject.py
@@ -41,6 +41,9 @@
 _SLOTS = 32
 _CONFIG_KEY = "foxtailshunt/config"
 _STOP_TIMEOUT_S = 30.0
+_REST_S = 0.8
+_REST_POLL_S = 0.1
+_REST_LIMIT_S = 60.0
 
 
 class FleetSubject:
@@ -73,6 +76,7 @@
         self.callers = BackgroundCallers(self.fleet.entries, catalog, mix)
         self.callers.start()
         self.wait_until_served(time.monotonic())
+        self._wait_until_at_rest()
 
     def close(self) -> None:
         """End everything."""
@@ -262,6 +266,19 @@
         paths = self.fleet.records_of(upstream.upstream_id)
         return [record for record in read_records(paths) if isinstance(record, RunRecord)]
 
+    def _wait_until_at_rest(self) -> None:
+        """Wait until every slot has had the same owner for a while and none is on its way."""
+        before = self.tables.read()
+        unchanged_since = time.monotonic()
+        end = unchanged_since + _REST_LIMIT_S
+        while time.monotonic() - unchanged_since < _REST_S:
+            assert time.monotonic() < end, "the fleet does not come to rest"
+            time.sleep(_REST_POLL_S)
+            now = self.tables.read()
+            whole = len(now.owners) == sum(self.fleet.layout.slot_counts.values())
+            if now != before or not whole:
+                before, unchanged_since = now, time.monotonic()
+
     def _keys_of(self, zone: str) -> list[str]:
         owners = self.tables.read().owners
         zones = {u.upstream_id: u.zone for u in self.fleet.layout.upstreams}
--- a/foxtailshunt/cli/_program.py
+++ b/foxtailshunt/cli/_program.py
@@ -1,11 +1,14 @@
 """What every long-running program does: read settings, start, wait for SIGTERM, stop."""
 
+import faulthandler
+import os
 import signal
 import sys
 import threading
 import uuid
 from collections.abc import Callable
 from pathlib import Path
+from types import FrameType
 from typing import Protocol
 
 from foxtailshunt.config import Settings, load_settings
@@ -15,6 +18,10 @@
 
 #: Exit code for a bad settings file or an address in use.
 EXIT_BAD_SETTINGS = 2
+#: Exit code of a stop that took too long.
+EXIT_STUCK = 3
+#: Longest time for a graceful stop, in seconds.
+_STOP_LIMIT_S = 25.0
 
 
 class Program(Protocol):
@@ -44,9 +51,7 @@
     :param make_program: builds the program; raises
         :class:`~foxtailshunt.errors.FoxtailshuntError` if it cannot.
     """
-    stop_requested = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop_requested.set())
+    signals = _StopSignals()
     try:
         settings = load_settings(settings_path)
         set_source_host(settings.source_host)
@@ -57,7 +62,36 @@
         sys.exit(EXIT_BAD_SETTINGS)
     program.start()
     log_state_change("program.started", zone=settings.zone)
-    stop_requested.wait()
+    signals.wait()
     log_state_change("program.stopping")
+    watchdog = threading.Timer(_STOP_LIMIT_S, _end_stuck_process)
+    watchdog.daemon = True
+    watchdog.start()
     program.stop()
     log_state_change("program.stopped")
+
+
+class _StopSignals:
+    """Waits for SIGTERM or SIGINT.
+
+    The handler only writes to a pipe: it may run while the main thread holds any lock, so that
+    setting an event there could wait for ever.
+    """
+
+    def __init__(self) -> None:
+        self._read_end, self._write_end = os.pipe()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._note)
+
+    def wait(self) -> None:
+        """Wait for the first signal."""
+        os.read(self._read_end, 1)
+
+    def _note(self, number: int, frame: FrameType | None) -> None:
+        os.write(self._write_end, b"s")
+
+
+def _end_stuck_process() -> None:
+    """End a process whose stop takes too long, and show where each thread stands."""
+    faulthandler.dump_traceback(file=sys.stderr)
+    os._exit(EXIT_STUCK)
