--- a/features/steps/assents_steps.py
+++ b/features/steps/assents_steps.py
@@ -3,7 +3,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.ownership_support import (
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.ownership import ProcessRef
+from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, fence_to_message
+from foxtailshunt.protocol import AssentReply, AssentRequest, RefuseRequest
+from standins.ownership import (
     ZONE,
     DispatcherRig,
     FakeClient,
@@ -13,10 +17,6 @@
     row_of,
     table_document,
 )
-from foxtailshunt.errors import ResultCode
-from foxtailshunt.ownership import ProcessRef
-from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, fence_to_message
-from foxtailshunt.protocol import AssentReply, AssentRequest, RefuseRequest
 
 _START_S = 1000.0
 
--- a/features/steps/dispatcher_program_steps.py
+++ b/features/steps/dispatcher_program_steps.py
@@ -15,7 +15,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.ownership_support import (
+from foxtailshunt.errors import PeerUnreachableError, ResultCode
+from foxtailshunt.ownership import Address, Fence, ProcessRef
+from foxtailshunt.ownership.authority import fence_to_message
+from foxtailshunt.protocol import ClientPool, ExecuteReply, ExecuteRequest
+from foxtailshunt.protocol.gen import Dispatcher
+from standins import StandinProcess
+from standins.ownership import (
     ZONE,
     ScriptedAssigner,
     config_document,
@@ -23,12 +29,6 @@
     row_of,
     table_document,
 )
-from foxtailshunt.errors import PeerUnreachableError, ResultCode
-from foxtailshunt.ownership import Address, Fence, ProcessRef
-from foxtailshunt.ownership.authority import fence_to_message
-from foxtailshunt.protocol import ClientPool, ExecuteReply, ExecuteRequest
-from foxtailshunt.protocol.gen import Dispatcher
-from standins import StandinProcess
 
 _WAIT_S = 30.0
 _DEADLINE_MS = 5000
--- a/features/steps/grant_keeper_steps.py
+++ b/features/steps/grant_keeper_steps.py
@@ -6,11 +6,11 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.ownership_support import ZONE, config_document, fence_of, row_of, table_document
 from foxtailshunt.membership import View
 from foxtailshunt.ownership import Table
 from foxtailshunt.ownership.authority import GrantKeeper, RenewalResult
 from foxtailshunt.telemetry import Metrics
+from standins.ownership import ZONE, config_document, fence_of, row_of, table_document
 
 _SLOWNESS_S = 0.5
 _WAIT_S = 20.0
--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -6,7 +6,12 @@
 from behave.model import Row
 from behave.runner import Context
 
-from features.ownership_support import (
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.ownership import ZERO_FENCE, ProcessRef
+from foxtailshunt.ownership.authority import ASSENT_LAPSE_S
+from foxtailshunt.protocol import AssentReply, AssentRequest
+from foxtailshunt.upstream import Grant
+from standins.ownership import (
     DispatcherRig,
     FakeClient,
     FakeClock,
@@ -16,11 +21,6 @@
     row_of,
     table_document,
 )
-from foxtailshunt.errors import ResultCode
-from foxtailshunt.ownership import ZERO_FENCE, ProcessRef
-from foxtailshunt.ownership.authority import ASSENT_LAPSE_S
-from foxtailshunt.protocol import AssentReply, AssentRequest
-from foxtailshunt.upstream import Grant
 
 _START_S = 1000.0
 _SLOT_OF_REQUEST = 7
--- a/features/steps/ownership_model_steps.py
+++ b/features/steps/ownership_model_steps.py
@@ -3,7 +3,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.ownership_support.model import RULES, ModelFleet
+from standins.ownership.model import RULES, ModelFleet
 
 
 class ModelSubject:
--- a/features/steps/witness_steps.py
+++ b/features/steps/witness_steps.py
@@ -4,12 +4,12 @@
 from behave.model import Row
 from behave.runner import Context
 
-from features.ownership_support import FakeClock, fence_of
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, Witness, fence_to_message
 from foxtailshunt.ownership.authority._witness import MAX_UPSTREAMS
 from foxtailshunt.protocol import AssentItem, AssentRequest, RefuseRequest
 from foxtailshunt.telemetry import Metrics
+from standins.ownership import FakeClock, fence_of
 
 _ZONE = "wanaka"
 
--- a/standins/measuring/__main__.py
+++ b/standins/measuring/__main__.py
@@ -8,6 +8,7 @@
 
 from standins.measuring._capacity import measure_capacity
 from standins.measuring._churn import measure_churn
+from standins.measuring._model import measure_model
 from standins.measuring._ownership import measure_ownership
 from standins.measuring._path import measure_path
 from standins.measuring._service import measure_service
@@ -57,5 +58,11 @@
     _run(measure_capacity)
 
 
+@main.command()
+def model() -> None:
+    """Random runs of the ownership rules in virtual time."""
+    _run(measure_model)
+
+
 if __name__ == "__main__":
     main()
--- a/features/ownership_support/_fake_upstream.py
+++ b/standins/ownership/_fake_upstream.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from features.ownership_support._fakes import FakeClock
 from foxtailshunt.ownership import ZERO_FENCE
 from foxtailshunt.timing import Clock
 from foxtailshunt.upstream import ClockReading, Grant, GrantReply, UpstreamConnectionError
+from standins.ownership._fakes import FakeClock
 
 _MS_PER_S = 1000
 
--- a/features/ownership_support/_rig.py
+++ b/standins/ownership/_rig.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from features.ownership_support._documents import ZONE
-from features.ownership_support._fakes import FakeLoad
 from foxtailshunt.membership import View
 from foxtailshunt.ownership import ProcessRef
 from foxtailshunt.ownership.authority import (
@@ -20,6 +18,8 @@
 from foxtailshunt.ownership.authority._grant_renewer import ClientSource
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.timing import Clock
+from standins.ownership._documents import ZONE
+from standins.ownership._fakes import FakeLoad
 
 #: Replaces the counting of assents in a test that leaves a rule out.
 LedgerFactory = Callable[[View, str, Clock], AssentLedger]
--- a/features/ownership_support/model/_assigner.py
+++ b/standins/ownership/model/_assigner.py
@@ -3,10 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from features.ownership_support._documents import ZONE, row_of, table_document
-from features.ownership_support.model._dispatcher import ModelDispatcher
-from features.ownership_support.model._rules import Rules
-from features.ownership_support.model._world import Process, World
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.ownership import ZERO_FENCE, Fence
 from foxtailshunt.ownership.authority import (
@@ -15,6 +11,10 @@
     fence_to_message,
 )
 from foxtailshunt.protocol import AssentItem, RefuseReply, RefuseRequest, UpstreamReport
+from standins.ownership._documents import ZONE, row_of, table_document
+from standins.ownership.model._dispatcher import ModelDispatcher
+from standins.ownership.model._rules import Rules
+from standins.ownership.model._world import Process, World
 
 _STEP_S = 0.1
 _REFUSE_TIMEOUT_S = 0.25
--- a/features/ownership_support/model/_dispatcher.py
+++ b/standins/ownership/model/_dispatcher.py
@@ -2,11 +2,6 @@
 
 from collections.abc import Callable
 
-from features.ownership_support._documents import config_document
-from features.ownership_support._rig import DispatcherRig
-from features.ownership_support.model._rules import Rules
-from features.ownership_support.model._upstream import ModelUpstream
-from features.ownership_support.model._world import ModelClock, Process, World
 from foxtailshunt.errors import PeerUnreachableError
 from foxtailshunt.ownership import ProcessRef
 from foxtailshunt.ownership._periods import (
@@ -16,6 +11,11 @@
 )
 from foxtailshunt.ownership.authority import RenewalResult
 from foxtailshunt.protocol import AssentReply, AssentRequest, UpstreamReport
+from standins.ownership._documents import config_document
+from standins.ownership._rig import DispatcherRig
+from standins.ownership.model._rules import Rules
+from standins.ownership.model._upstream import ModelUpstream
+from standins.ownership.model._world import ModelClock, Process, World
 
 _PAUSE_SHARE = 0.0005
 _REPORT_INTERVAL_S = 0.1
--- a/features/ownership_support/model/_fleet.py
+++ b/standins/ownership/model/_fleet.py
@@ -1,11 +1,11 @@
 """The whole model: a fleet, its faults, and the checks of what must always hold."""
 
-from features.ownership_support.model._assigner import ModelAssigner
-from features.ownership_support.model._dispatcher import ModelDispatcher
-from features.ownership_support.model._rules import Rules
-from features.ownership_support.model._upstream import ModelUpstream
-from features.ownership_support.model._world import Process, World
 from foxtailshunt.protocol import UpstreamReport
+from standins.ownership.model._assigner import ModelAssigner
+from standins.ownership.model._dispatcher import ModelDispatcher
+from standins.ownership.model._rules import Rules
+from standins.ownership.model._upstream import ModelUpstream
+from standins.ownership.model._world import Process, World
 
 _DISPATCHERS = ("a", "b", "c")
 _UPSTREAMS = ("u1", "u2")
--- a/features/ownership_support/model/_rules.py
+++ b/standins/ownership/model/_rules.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass, replace
 
-from features.ownership_support._fake_upstream import FakeUpstream
-from features.ownership_support._rig import LedgerFactory
 from foxtailshunt.ownership import Fence
 from foxtailshunt.ownership.authority import ASSENT_LAPSE_S, GRANT_LAPSE_S, AssentLedger
 from foxtailshunt.upstream import Grant
+from standins.ownership._fake_upstream import FakeUpstream
+from standins.ownership._rig import LedgerFactory
 
 
 class _AlwaysHeldLedger(AssentLedger):
--- a/features/ownership_support/model/_upstream.py
+++ b/standins/ownership/model/_upstream.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from features.ownership_support.model._rules import Rules
-from features.ownership_support.model._world import ModelClock, Process, World
 from foxtailshunt.timing import Clock
 from foxtailshunt.upstream import Grant, GrantReply, UpstreamConnectionError
+from standins.ownership.model._rules import Rules
+from standins.ownership.model._world import ModelClock, Process, World
 
 
 class ModelUpstream:
