--- a/features/entry_callers.feature
+++ b/features/entry_callers.feature
@@ -49,6 +49,7 @@
 
   Scenario: Callers that send slowly hold no worker
     Given an entry whose dispatchers are "ok"
+    And the entry waits 60 s for a whole request
     When 200 callers each send half a request and wait
     Then the entry still answers others
     And the callers that waited are answered once they send the other half
--- a/features/steps/entry_callers_steps.py
+++ b/features/steps/entry_callers_steps.py
@@ -87,6 +87,11 @@
     start_entry(context, scripts.split(", "), max_connections=count).configure()
 
 
+@given("the entry waits {timeout:d} s for a whole request")
+def set_read_timeout(context: Context, timeout: int) -> None:
+    context.entry.entry.wait_for_requests(timeout)
+
+
 @when('a caller sends the bytes "{text}"')
 def send_bytes(context: Context, text: str) -> None:
     context.caller = RawCaller(context)
--- a/foxtailshunt/entry/_caller_connections.py
+++ b/foxtailshunt/entry/_caller_connections.py
@@ -32,7 +32,7 @@
     def _expire(self, threshold: float) -> None:
         now = time.time()
         for number, conn in self._callers():
-            if _is_overdue(conn, now):
+            if _is_overdue(conn, now, self.server.request_read_timeout_s):
                 self._selector.unregister(number)
                 self.server.expire(conn)
         self.server.lingering.drop_received(now)
@@ -42,8 +42,8 @@
         return [(number, conn) for number, conn in connections if conn is not self.server]
 
 
-def _is_overdue(conn: CallerConnection, now: float) -> bool:
+def _is_overdue(conn: CallerConnection, now: float, read_timeout_s: float) -> bool:
     if conn.partial_since is not None:
-        return conn.partial_since < now - REQUEST_READ_TIMEOUT_S
-    limit_s = IDLE_TIMEOUT_S if conn.is_used else REQUEST_READ_TIMEOUT_S
+        return conn.partial_since < now - read_timeout_s
+    limit_s = IDLE_TIMEOUT_S if conn.is_used else read_timeout_s
     return conn.last_used < now - limit_s
--- a/foxtailshunt/entry/_caller_server.py
+++ b/foxtailshunt/entry/_caller_server.py
@@ -9,7 +9,7 @@
 from foxtailshunt.config import EntryLimits
 from foxtailshunt.entry._call_handler import CallHandler
 from foxtailshunt.entry._caller_connection import CallerConnection, refusal
-from foxtailshunt.entry._caller_connections import CallerConnections
+from foxtailshunt.entry._caller_connections import REQUEST_READ_TIMEOUT_S, CallerConnections
 from foxtailshunt.entry._entry_metrics import EntryMetrics
 from foxtailshunt.entry._gateway import CallerGateway
 from foxtailshunt.entry._lingering import LingeringSockets
@@ -49,6 +49,8 @@
     max_request_body_size = _FIRST_MAX_BODY_BYTES
     keep_alive_conn_limit = None
     timeout = WRITE_TIMEOUT_S
+    #: Time in which a caller must have sent a whole request, in seconds.
+    request_read_timeout_s = REQUEST_READ_TIMEOUT_S
     shutdown_timeout = STOP_TIMEOUT_S
     expiration_interval = _EXPIRATION_INTERVAL_S
 
--- a/foxtailshunt/entry/_entry.py
+++ b/foxtailshunt/entry/_entry.py
@@ -77,6 +77,13 @@
         self._watcher.start(self._timers)
         self._server.start_serving()
 
+    def wait_for_requests(self, timeout_s: float) -> None:
+        """Set the time in which a caller must have sent a whole request.
+
+        :param timeout_s: the time in seconds.
+        """
+        self._server.request_read_timeout_s = timeout_s
+
     def announce_stop(self) -> None:
         """Turn unhealthy; answers close their connections from now on."""
         self._server.is_draining = True
