--- a/standins/measuring/__main__.py
+++ b/standins/measuring/__main__.py
@@ -41,9 +41,10 @@
 
 
 @main.command()
-def service() -> None:
+@click.option("--rounds", default=2, show_default=True, help="Product and baseline in turn.")
+def service(rounds: int) -> None:
     """Goodput and latency by rank against the baseline."""
-    _run(measure_service)
+    _run(lambda root, report: measure_service(root, rounds, report))
 
 
 @main.command()
--- a/standins/measuring/_service.py
+++ b/standins/measuring/_service.py
@@ -18,7 +18,6 @@
 from standins.measuring._slots_busy import slots_busy
 
 _SERVICE_MS = 100.0
-_ROUNDS = 2
 _DURATION_S = 9.0
 _WARM_UP_S = 2.0
 _LOAD_PROCESSES = 3
@@ -80,10 +79,12 @@
 
     :param root: the checkout.
     :param user: whose example.
+    :param rounds: how often product and baseline are run in turn.
     :param report: takes a line of progress.
     """
 
-    def __init__(self, root: Path, user: User, report: Callable[[str], None]) -> None:
+    def __init__(self, root: Path, user: User, rounds: int, report: Callable[[str], None]) -> None:
+        self._rounds = rounds
         self._cfg_path = root / "examples" / user.file_name
         self._user = user
         self._report = report
@@ -97,10 +98,10 @@
 
     def run(self) -> dict:
         """Run all rounds and return the figures."""
-        for number in range(_ROUNDS):
-            self._report(f"{self._user.name} round {number + 1} of {_ROUNDS}: product")
+        for number in range(self._rounds):
+            self._report(f"{self._user.name} round {number + 1} of {self._rounds}: product")
             self._run_product(number)
-            self._report(f"{self._user.name} round {number + 1} of {_ROUNDS}: baseline")
+            self._report(f"{self._user.name} round {number + 1} of {self._rounds}: baseline")
             self._run_baseline(number)
         result: dict = {situation.value: self._figures(situation) for situation in Situation}
         result["urgent_flood"]["floors_kept"] = self._floors_kept()
@@ -209,14 +210,15 @@
     counted_until: float
 
 
-def measure_service(root: Path, report: Callable[[str], None]) -> dict:
+def measure_service(root: Path, rounds: int, report: Callable[[str], None]) -> dict:
     """Measure both users' examples.
 
     :param root: the checkout.
+    :param rounds: how often product and baseline are run in turn.
     :param report: takes a line of progress.
     :returns: the figures by user.
     """
-    return {user.name: ServiceMeasurement(root, user, report).run() for user in USERS}
+    return {user.name: ServiceMeasurement(root, user, rounds, report).run() for user in USERS}
 
 
 def _rank_figures(summary: StreamSummary) -> dict:
