Let the sizes of the ownership measurement be chosen

Cause: with 27 instances (81 processes) on one machine the fleet did not come to serve within 60 s (load 74), and the figures of the losses before were lost with it. Every process calls every assigner of its zone, and every assigner all others, so the calls grow with the square of the fleet.

--- a/standins/measuring/__main__.py
+++ b/standins/measuring/__main__.py
@@ -29,9 +29,10 @@
 
 
 @main.command()
-def ownership() -> None:
-    """Losses, overlaps, configuration, balance and store calls."""
-    _run(measure_ownership)
+@click.option("--size", "sizes", type=int, multiple=True, default=(3, 9), show_default=True)
+def ownership(sizes: tuple[int, ...]) -> None:
+    """Losses, overlaps, configuration, balance, and store calls for instances in each zone."""
+    _run(lambda root, report: measure_ownership(root, sizes, report))
 
 
 @main.command()
--- a/standins/measuring/_ownership.py
+++ b/standins/measuring/_ownership.py
@@ -166,10 +166,11 @@
         return {name: round(picture.imbalance(name, ids), 3) for name, ids in upstreams.items()}
 
 
-def measure_ownership(root: Path, report: Callable[[str], None]) -> dict:
+def measure_ownership(root: Path, sizes: tuple[int, ...], report: Callable[[str], None]) -> dict:
     """Measure ownership on the Kea Ridge example.
 
     :param root: the checkout.
+    :param sizes: instances in each zone for which the store's calls are counted.
     :param report: takes a line of progress.
     :returns: the figures.
     """
@@ -179,7 +180,7 @@
         fleet.start()
         result = OwnershipMeasurement(fleet, report).run()
     result["store_calls_per_s"] = {}
-    for per_zone in (3, 9):
+    for per_zone in sizes:
         count = per_zone * 3
         report(f"store calls at rest with {count} instances")
         result["store_calls_per_s"][str(count)] = _store_calls_at_rest(cfg_path, per_zone)
