Read the records of an upstream's starts in their order

Cause: scripts/measure ownership counted 17,418 runs outside a grant while no feature found one. The files of records were numbered without leading zeros, so start 13 was read before start 4, and the checker let the later start end the earlier one's grants. That this explains the whole count is not yet measured.

--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -125,7 +125,7 @@
         :param upstream: an upstream of the layout.
         """
         self._upstream_starts += 1
-        records_path = self.records_dir / f"{upstream.upstream_id}.{self._upstream_starts}.jsonl"
+        records_path = self.records_dir / records_name(upstream.upstream_id, self._upstream_starts)
         arguments = ["-m", "standins.upstream", "--id", upstream.upstream_id]
         arguments += ["--service", upstream.service]
         arguments += ["--listen", _text(upstream.listen_address), "--slots", str(upstream.slots)]
@@ -307,6 +307,15 @@
         return routed == sum(self.layout.slot_counts.values())
 
 
+def records_name(upstream_id: str, start: int) -> str:
+    """Return the file name of one start's records; names sort in the order of the starts.
+
+    :param upstream_id: the upstream.
+    :param start: counts the starts of upstreams in the fleet.
+    """
+    return f"{upstream_id}.{start:05d}.jsonl"
+
+
 def process_name(instance: InstanceLayout, program: str) -> str:
     """Return the name of a program's process in a fleet.
 
