--- a/features/assigner_support/_memory_platform.py
+++ b/features/assigner_support/_memory_platform.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 
 from foxtailshunt.errors import StoreConflictError, StoreUnavailableError, StoreUnknownError
-from foxtailshunt.platform import InstanceState, InstanceStatus, StoreRecord
+from foxtailshunt.kvstore import InstanceState, InstanceStatus, StoreRecord
 from foxtailshunt.timing import Clock
 
 
 class MemoryPlatform:
-    """Implements :class:`~foxtailshunt.platform.Platform`."""
+    """Implements :class:`~foxtailshunt.kvstore.Platform`."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
--- a/features/fleet_support/_subject.py
+++ b/features/fleet_support/_subject.py
@@ -9,8 +9,8 @@
 from urllib3.exceptions import HTTPError
 
 from foxtailshunt.errors import Family
+from foxtailshunt.kvstore import HttpPlatform
 from foxtailshunt.ownership import Address, slot_of_key
-from foxtailshunt.platform import HttpPlatform
 from foxtailshunt.telemetry import Metrics
 from standins.fleet import (
     PROGRAMS,
--- a/features/steps/operator_command_steps.py
+++ b/features/steps/operator_command_steps.py
@@ -25,10 +25,10 @@
 )
 from foxtailshunt.entry._program import EntryProgram
 from foxtailshunt.errors import FoxtailshuntError, StoreUnavailableError, StoreUnknownError
+from foxtailshunt.kvstore import HttpPlatform, StoreRecord
 from foxtailshunt.membership import SyncAgent, View
 from foxtailshunt.operator import ConfigApplier, exit_code_of
 from foxtailshunt.ownership import Address, Fence, ProcessRef, Table, UpstreamRow, table_to_json
-from foxtailshunt.platform import HttpPlatform, StoreRecord
 from foxtailshunt.telemetry import Metrics
 from standins import StandinProcess
 
--- a/features/steps/platform_client_steps.py
+++ b/features/steps/platform_client_steps.py
@@ -12,7 +12,7 @@
 from behave.runner import Context
 
 from foxtailshunt.errors import FoxtailshuntError, StoreUnavailableError, StoreUnknownError
-from foxtailshunt.platform import Backoff, HttpPlatform, Platform, StoreRecord, write_with_token
+from foxtailshunt.kvstore import Backoff, HttpPlatform, Platform, StoreRecord, write_with_token
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.timing import MonotonicClock
 from standins import StandinProcess
--- a/foxtailshunt/assigner/_active_term.py
+++ b/foxtailshunt/assigner/_active_term.py
@@ -20,9 +20,9 @@
 from foxtailshunt.assigner._witness_watch import WitnessWatch
 from foxtailshunt.config import Configuration
 from foxtailshunt.errors import FoxtailshuntError, ResultCode, StoreConflictError
+from foxtailshunt.kvstore import Platform
 from foxtailshunt.membership import MemberRegistry, View
 from foxtailshunt.ownership import Fence, Table, table_to_json
-from foxtailshunt.platform import Platform
 from foxtailshunt.telemetry import Metrics, log_state_change
 from foxtailshunt.timing import Clock
 
--- a/foxtailshunt/assigner/_lease_keeper.py
+++ b/foxtailshunt/assigner/_lease_keeper.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.kvstore import Backoff, Platform, StoreRecord
 from foxtailshunt.ownership._periods import surely_in_force_for
-from foxtailshunt.platform import Backoff, Platform, StoreRecord
 from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 from foxtailshunt.timing import Clock
 
--- a/foxtailshunt/assigner/_placement_keeper.py
+++ b/foxtailshunt/assigner/_placement_keeper.py
@@ -19,8 +19,8 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from foxtailshunt.kvstore import Platform, write_with_token
 from foxtailshunt.ownership import Table, slot_of_key
-from foxtailshunt.platform import Platform, write_with_token
 from foxtailshunt.telemetry import Metrics, log_state_change
 from foxtailshunt.timing import Clock
 
--- a/foxtailshunt/assigner/_platform_polls.py
+++ b/foxtailshunt/assigner/_platform_polls.py
@@ -7,8 +7,8 @@
 
 from foxtailshunt.assigner._table_store import table_key
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.kvstore import Backoff, InstanceState, Platform, StoreRecord
 from foxtailshunt.membership import ASSIGNER_ROLE, View
-from foxtailshunt.platform import Backoff, InstanceState, Platform, StoreRecord
 from foxtailshunt.telemetry import Metrics, log_thread_error
 from foxtailshunt.timing import Clock
 
--- a/foxtailshunt/assigner/_program.py
+++ b/foxtailshunt/assigner/_program.py
@@ -12,6 +12,7 @@
 from foxtailshunt.assigner._table_store import lease_key
 from foxtailshunt.assigner._zone_assigner import ZoneAssigner
 from foxtailshunt.config import Settings
+from foxtailshunt.kvstore import Platform
 from foxtailshunt.membership import (
     ASSIGNER_ROLE,
     AssignerStatus,
@@ -20,7 +21,6 @@
     SyncService,
     View,
 )
-from foxtailshunt.platform import Platform
 from foxtailshunt.protocol import Member, ProtocolServer
 from foxtailshunt.protocol.gen import Assigner
 from foxtailshunt.telemetry import Metrics, OperatorServer
--- a/foxtailshunt/assigner/_table_store.py
+++ b/foxtailshunt/assigner/_table_store.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from foxtailshunt.errors import DocumentError
+from foxtailshunt.kvstore import Platform, write_with_token
 from foxtailshunt.ownership import ZERO_FENCE, Fence, Table, table_from_json, table_to_json
-from foxtailshunt.platform import Platform, write_with_token
 from foxtailshunt.timing import Clock
 
 #: The one cell of a zone.
--- a/foxtailshunt/assigner/_zone_assigner.py
+++ b/foxtailshunt/assigner/_zone_assigner.py
@@ -7,7 +7,7 @@
 
 from foxtailshunt.assigner._active_term import ActiveTerm, DeafAssignerError, ZoneParts
 from foxtailshunt.errors import FoxtailshuntError
-from foxtailshunt.platform import Backoff
+from foxtailshunt.kvstore import Backoff
 from foxtailshunt.telemetry import log_state_change
 
 _STEP_INTERVAL_S = 0.1
--- /dev/null
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -0,0 +1,176 @@
+"""Grants keys to one upstream, renews them, and knows until when it may hold any."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.fleet import KeyRange, Upstream
+from foxtailshunt.network import source_address
+from foxtailshunt.platform import GrantOutcome, KeyOrders, OrderError
+from foxtailshunt.telemetry import Metrics, log_state_change
+
+#: How long an upstream holds keys after a grant, in seconds. Short, because the keys of a lost
+#: upstream wait for its end; longer than an election with the grants that follow it.
+HOLD_S = 2.6
+#: How often grants are renewed, in seconds; three renewals fit into a hold.
+RENEW_INTERVAL_S = 0.65
+#: Part by which an upstream's clock may run slow.
+CLOCK_RATE_BOUND = 0.02
+#: Added to every computed end of a hold, in seconds, for the way of a message.
+HOLD_MARGIN_S = 0.1
+#: Longest wait for the answer to a grant, in seconds; one takes about 1 ms.
+GRANT_TIMEOUT_S = 0.6
+#: Failed orders in a row after which an upstream counts as unreachable.
+UNREACHABLE_AFTER = 2
+#: Pause between looks at an unreachable upstream, in seconds.
+PROBE_INTERVAL_S = 0.4
+_PROBE_TIMEOUT_S = 0.3
+
+
+class KeyHolder:
+    """One upstream as seen by the leader, with a thread that renews its grants.
+
+    :param upstream: the upstream.
+    :param held_until: until when it may hold keys by grants of earlier leaders, in seconds.
+    :param owned: returns the ranges that it owns now and that are to be renewed.
+    :param may_act: tells whether this node still leads.
+    :param on_fenced_off: told of a range that the upstream refused for a higher fencing token.
+    :param now: returns seconds of a clock that also counts suspension.
+    :param metrics: counters.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        held_until: float,
+        owned: Callable[[str], list[KeyRange]],
+        may_act: Callable[[], bool],
+        on_fenced_off: Callable[[KeyRange], None],
+        now: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self.upstream = upstream
+        self._held_until = held_until
+        self._owned = owned
+        self._may_act = may_act
+        self._on_fenced_off = on_fenced_off
+        self._now = now
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._failures = 0
+        self._stopping = threading.Event()
+        self._wake = threading.Event()
+        self._refused: set[tuple[int, int, int]] = set()
+        self._thread = threading.Thread(
+            target=self._run, name=f"holder {upstream.upstream_id}", daemon=True
+        )
+
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the upstream answered its last orders."""
+        return self._failures < UNREACHABLE_AFTER
+
+    @property
+    def held_until(self) -> float:
+        """Return until when the upstream may hold keys, in seconds of the clock."""
+        with self._lock:
+            return self._held_until
+
+    def start(self) -> None:
+        """Start renewing."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop renewing; what is granted runs out by itself."""
+        self._stopping.set()
+        self._wake.set()
+
+    def renew_soon(self) -> None:
+        """Renew now rather than at the next interval."""
+        self._wake.set()
+
+    def grant(self, orders: KeyOrders, keys: KeyRange, handover: str | None) -> bool:
+        """Grant keys once.
+
+        :param orders: a connection that no other thread uses.
+        :param keys: the keys.
+        :param handover: what the last holder returned; None without one.
+        :returns: whether the upstream accepted.
+        """
+        if not self._may_act():
+            return False
+        sent_at = self._now()
+        self._extend(sent_at + GRANT_TIMEOUT_S)
+        try:
+            outcome = orders.grant(keys, HOLD_S, handover, GRANT_TIMEOUT_S)
+        except OrderError as exc:
+            self._failed(keys, exc)
+            return False
+        self._failures = 0
+        self._count(outcome.value)
+        if outcome is GrantOutcome.FENCED_OFF:
+            log_state_change("grant.fenced_off", upstream=self._id, fence=keys.fence)
+            self._refused.add((keys.first, keys.last, keys.fence))
+            self._on_fenced_off(keys)
+            return False
+        return True
+
+    @property
+    def _id(self) -> str:
+        return self.upstream.upstream_id
+
+    def _run(self) -> None:
+        orders = KeyOrders(self.upstream.address)
+        while not self._stopping.is_set() and self._may_act():
+            if self.is_reachable:
+                self._renew_all(orders)
+                self._wake.wait(RENEW_INTERVAL_S)
+                self._wake.clear()
+            else:
+                self._look()
+                self._stopping.wait(PROBE_INTERVAL_S)
+        orders.close()
+
+    def _renew_all(self, orders: KeyOrders) -> None:
+        for keys in self._owned(self._id):
+            if self._stopping.is_set() or not self.is_reachable:
+                return
+            if (keys.first, keys.last, keys.fence) not in self._refused:
+                self.grant(orders, keys, None)
+
+    def _look(self) -> None:
+        """Find out whether an unreachable upstream answers, without giving it anything."""
+        try:
+            conn = socket.create_connection(
+                self.upstream.address, _PROBE_TIMEOUT_S, source_address()
+            )
+        except OSError:
+            return
+        conn.close()
+        log_state_change("upstream.reachable", upstream=self._id)
+        self._failures = 0
+
+    def _extend(self, last_arrival: float) -> None:
+        """Take into account that a grant may arrive until a moment."""
+        end = last_arrival + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+        with self._lock:
+            self._held_until = max(self._held_until, end)
+
+    def _failed(self, keys: KeyRange, exc: OrderError) -> None:
+        self._failures += 1
+        self._count("refused connection" if exc.refused else "no answer")
+        if self._failures == UNREACHABLE_AFTER:
+            log_state_change(
+                "upstream.unreachable",
+                upstream=self._id,
+                code=ResultCode.UPSTREAM_CONNECTION_LOST.name,
+                error=exc.message,
+                first=keys.first,
+                held_for_s=round(self.held_until - self._now(), 2),
+            )
+
+    def _count(self, outcome: str) -> None:
+        self._metrics.count(
+            "foxtailshunt_grants_total", "Grants sent by outcome.", {"outcome": outcome}
+        )
--- /dev/null
+++ b/foxtailshunt/assigning/_table_record.py
@@ -0,0 +1,85 @@
+"""The ownership table as it lies in the store."""
+
+import json
+from dataclasses import dataclass
+
+from pydantic import BaseModel, Field, ValidationError, model_validator
+
+from foxtailshunt.errors import DocumentError
+from foxtailshunt.fleet import KeyRange
+
+#: Key of the table in the store.
+TABLE_KEY = "foxtailshunt/table"
+
+
+@dataclass(frozen=True, slots=True)
+class TableRecord:
+    """Everybody who may hold keys.
+
+    A key may be held by its range's owner and, until the move is recorded as ended, its giver.
+    """
+
+    #: The highest fencing token that was ever written; it only rises.
+    fence: int
+    #: The ranges of all keyed services.
+    ranges: tuple[KeyRange, ...]
+
+
+class _Row(BaseModel):
+    service: str
+    first: int = Field(ge=0)
+    last: int
+    owner: str
+    fence: int = Field(ge=0)
+    giver: str | None = None
+
+    @model_validator(mode="after")
+    def _check_order(self) -> "_Row":
+        if self.last < self.first:
+            raise ValueError("a range ends before it begins")
+        return self
+
+
+class _Document(BaseModel):
+    fence: int = Field(ge=0)
+    ranges: list[_Row]
+
+
+def encode_table(record: TableRecord) -> bytes:
+    """Return the bytes of a table.
+
+    :param record: the table.
+    """
+    rows = [
+        {
+            "service": item.service,
+            "first": item.first,
+            "last": item.last,
+            "owner": item.owner,
+            "fence": item.fence,
+        }
+        | ({"giver": item.giver} if item.giver is not None else {})
+        for item in record.ranges
+    ]
+    return json.dumps({"fence": record.fence, "ranges": rows}, separators=(",", ":")).encode()
+
+
+def decode_table(document: bytes) -> TableRecord:
+    """Return the table of a document.
+
+    :param document: the stored bytes.
+    :raises DocumentError: it is no table.
+    """
+    try:
+        wire = _Document.model_validate_json(document)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise DocumentError(f"ownership table: {place}: {first['msg']}")
+    ranges = tuple(
+        KeyRange(
+            row.service, row.first, row.last, row.owner, row.fence, row.giver, row.giver is not None
+        )
+        for row in wire.ranges
+    )
+    return TableRecord(wire.fence, ranges)
--- /dev/null
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -0,0 +1,118 @@
+"""Reads the list of upstreams from the store and follows its changes."""
+
+from collections.abc import Callable
+
+from foxtailshunt.fleet import Upstream
+from foxtailshunt.platform import (
+    UPSTREAM_PREFIX,
+    HistoryLostError,
+    StoreChange,
+    StoreClient,
+    StoreError,
+    decode_upstream,
+)
+from foxtailshunt.telemetry import log_state_change
+
+#: Longest wait for an answer of the store, in seconds; a slow store takes 0.4.
+READ_TIMEOUT_S = 1.0
+#: How long a poll may wait for the first change, in seconds.
+POLL_WAIT_S = 0.05
+#: Time after a failed call in which a vanished entry may come back, in seconds.
+RETURN_TIME_S = 2.3
+
+
+class UpstreamReader:
+    """Keeps a list of upstreams by polling; used by one thread.
+
+    Polling collects the upstreams' heartbeats in one call, where a waiting watch would return at
+    each of them.
+
+    :param store: the store.
+    :param now: returns seconds of a clock that also counts suspension.
+    """
+
+    def __init__(self, store: StoreClient, now: Callable[[], float]) -> None:
+        self._store = store
+        self._now = now
+        self._revision: int | None = None
+        self._entries: dict[str, Upstream] = {}
+        self._failed_at = float("-inf")
+        #: Entries that vanished while the store was unsteady, and since when.
+        self._missing: dict[str, float] = {}
+
+    def poll(self) -> dict[str, Upstream]:
+        """Return the upstreams as they are now.
+
+        :raises StoreError: the store did not answer.
+        """
+        try:
+            if self._revision is None:
+                self._list()
+            else:
+                self._follow()
+        except HistoryLostError:
+            self._revision = None
+            return self.poll()
+        except StoreError:
+            self._failed_at = self._now()
+            raise
+        return self._current()
+
+    def _follow(self) -> None:
+        assert self._revision is not None
+        changes, revision = self._store.watch(UPSTREAM_PREFIX, self._revision, POLL_WAIT_S)
+        if not changes and self._entries:
+            # Upstreams write all the time: silence means that the watch misses changes.
+            self._list()
+            return
+        self._revision = revision
+        for change in changes:
+            self._apply(change)
+
+    def _apply(self, change: StoreChange) -> None:
+        if change.item is None:
+            self._remove(change.key)
+        else:
+            self._add(change.key, change.item.value)
+
+    def _list(self) -> None:
+        items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
+        self._revision = revision
+        found = {item.key for item in items}
+        for key in [key for key in self._entries if key not in found]:
+            self._remove(key)
+        for item in items:
+            self._add(item.key, item.value)
+
+    def _add(self, key: str, value: bytes) -> None:
+        self._missing.pop(key, None)
+        try:
+            upstream = decode_upstream(key, value)
+        except ValueError as exc:
+            if key in self._entries:
+                log_state_change("upstream.unreadable", key=key, reason=str(exc))
+            # An entry that cannot be read names no upstream to use.
+            self._entries.pop(key, None)
+            return
+        if key not in self._entries:
+            log_state_change("upstream.joined", upstream=upstream.upstream_id, zone=upstream.zone)
+        elif upstream.leaving and not self._entries[key].leaving:
+            log_state_change("upstream.leaving", upstream=upstream.upstream_id)
+        self._entries[key] = upstream
+
+    def _remove(self, key: str) -> None:
+        if key not in self._entries:
+            return
+        if self._now() - self._failed_at < RETURN_TIME_S:
+            self._missing.setdefault(key, self._now())
+            return
+        log_state_change("upstream.gone", key=key)
+        del self._entries[key]
+
+    def _current(self) -> dict[str, Upstream]:
+        if self._missing and self._now() - self._failed_at >= RETURN_TIME_S:
+            for key in self._missing:
+                log_state_change("upstream.gone", key=key, after="outage of the store")
+                self._entries.pop(key, None)
+            self._missing.clear()
+        return {item.upstream_id: item for item in self._entries.values()}
--- a/foxtailshunt/cli/assigner.py
+++ b/foxtailshunt/cli/assigner.py
@@ -7,7 +7,7 @@
 from foxtailshunt.assigner import AssignerProgram
 from foxtailshunt.cli._program import new_boot_id, run_program
 from foxtailshunt.config import Settings
-from foxtailshunt.platform import HttpPlatform
+from foxtailshunt.kvstore import HttpPlatform
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.timing import MonotonicClock
 
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -16,6 +16,7 @@
     settings_option,
 )
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.kvstore import HttpPlatform
 from foxtailshunt.membership import View
 from foxtailshunt.operator import (
     ApplyResult,
@@ -33,7 +34,6 @@
     read_store,
 )
 from foxtailshunt.ownership import Address
-from foxtailshunt.platform import HttpPlatform
 from foxtailshunt.protocol import ClientPool
 from foxtailshunt.protocol.gen import Assigner
 from foxtailshunt.telemetry import Metrics
--- /dev/null
+++ b/foxtailshunt/fleet/__init__.py
@@ -0,0 +1,17 @@
+"""What a node knows of the fleet: upstreams, owners of keys, members and configuration."""
+
+from foxtailshunt.fleet._ownership import OwnershipTable
+from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
+from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
+from foxtailshunt.fleet._view import FleetView, Versions
+
+__all__ = [
+    "Address",
+    "FleetView",
+    "KeyRange",
+    "Member",
+    "OwnershipTable",
+    "Upstream",
+    "Versions",
+    "rank_by_rendezvous",
+]
--- /dev/null
+++ b/foxtailshunt/front/__init__.py
@@ -0,0 +1,7 @@
+"""Takes callers' requests over HTTP and answers them."""
+
+from foxtailshunt.front._front_server import FrontServer
+from foxtailshunt.front._readiness_server import ReadinessServer
+from foxtailshunt.front._request_handler import Reply, RequestHandler
+
+__all__ = ["FrontServer", "ReadinessServer", "Reply", "RequestHandler"]
--- /dev/null
+++ b/foxtailshunt/front/_front_server.py
@@ -0,0 +1,262 @@
+"""The callers' HTTP server: one thread for each connection."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from cheroot.server import Gateway, HTTPConnection
+
+from foxtailshunt.entry import CallerHttpRequest, make_file
+from foxtailshunt.fleet import Address
+from foxtailshunt.front._request_handler import Reply, RequestHandler
+from foxtailshunt.network import Readiness, wait_readable
+from foxtailshunt.routing import FrontLimits
+from foxtailshunt.telemetry import EarlyBinding, Metrics, log_state_change
+
+#: Longest time that writing an answer may take, in seconds.
+WRITE_TIMEOUT_S = 5.0
+#: Most callers' connections; each takes a thread of about 60 KB.
+MAX_CONNECTIONS = 1500
+#: How often the server looks whether a drained connection is left, in seconds.
+DRAIN_POLL_S = 0.02
+
+_BACKLOG = 512
+_ACCEPT_POLL_S = 0.1
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+_NO_BODY_STATUSES = (204, 304)
+
+
+class _FrontRequest(CallerHttpRequest):
+    """A request whose malformed head is answered and closes its connection."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a malformed request.
+
+        :param status: HTTP status with its reason.
+        :param msg: one sentence for the caller.
+        """
+        self.close_connection = True
+        if status.startswith("413") and not self.ready:
+            status = "431 Request Header Fields Too Large"
+        self.server.count_rejected(status[:3])
+        body = (msg or status).encode()
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.conn.wfile.write(head.encode("latin-1") + body)
+        self.sent_headers = True
+
+
+class _FrontConnection(HTTPConnection):
+    RequestHandlerClass = _FrontRequest
+
+    def __init__(self, server: "FrontServer", sock: socket.socket) -> None:
+        super().__init__(server, sock, make_file)
+        #: True while a request is read or served.
+        self.is_busy = False
+
+
+class _FrontGateway(Gateway):
+    """Hands a whole request to the handler and writes its reply in one piece."""
+
+    def respond(self) -> None:
+        """Serve the request."""
+        req = self.req
+        body = req.rfile.read()
+        req.conn.socket.settimeout(WRITE_TIMEOUT_S)
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in req.inheaders.items()
+        )
+        reply = req.server.handler.handle(
+            req.method.decode("latin-1"),
+            req.uri.decode("latin-1"),
+            headers,
+            body,
+            req.conn.socket,
+        )
+        if reply.status == 0:
+            req.close_connection = True
+            req.sent_headers = True
+            return
+        if req.server.is_draining:
+            req.close_connection = True
+        req.sent_headers = True
+        req.conn.wfile.write(_format_reply(reply, req))
+
+
+class FrontServer(EarlyBinding):
+    """Serves callers.
+
+    :param address: host and port.
+    :param handler: answers requests.
+    :param limits: returns the limits in force.
+    :param metrics: counters.
+    :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        handler: RequestHandler,
+        limits: Callable[[], FrontLimits],
+        metrics: Metrics,
+    ) -> None:
+        super().__init__(address, _FrontGateway, minthreads=1)
+        self.handler = handler
+        self.is_draining = False
+        self._limits = limits
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._connections: set[_FrontConnection] = set()
+        self._stopping = threading.Event()
+        self.bind_early()
+        self._thread = threading.Thread(target=self._accept_loop, name="front", daemon=True)
+
+    def start_serving(self) -> None:
+        """Listen and serve."""
+        assert self._bound_socket is not None
+        self._bound_socket.listen(_BACKLOG)
+        self._thread.start()
+
+    def drain(self) -> None:
+        """Close each connection after its answer, and idle ones now; take new ones on."""
+        self.is_draining = True
+        with self._lock:
+            idle = [conn for conn in self._connections if not conn.is_busy]
+        for conn in idle:
+            _shut_down_reading(conn.socket)
+
+    def finish(self, until: float) -> int:
+        """Wait for requests in progress and return how many are left.
+
+        :param until: when to stop waiting, in seconds of the monotonic clock.
+        """
+        while time.monotonic() < until:
+            with self._lock:
+                busy = sum(conn.is_busy for conn in self._connections)
+            if not busy:
+                return 0
+            time.sleep(DRAIN_POLL_S)
+        with self._lock:
+            return sum(conn.is_busy for conn in self._connections)
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        self._stopping.set()
+        self._thread.join()
+        assert self._bound_socket is not None
+        self._bound_socket.close()
+
+    def count_rejected(self, reason: str) -> None:
+        """Count a malformed request.
+
+        :param reason: HTTP status.
+        """
+        self._metrics.count(
+            "foxtailshunt_rejected_total", "Malformed requests by status.", {"status": reason}
+        )
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Write an unexpected error of a connection.
+
+        :param msg: what happened.
+        :param level: its level.
+        :param traceback: whether an exception is in progress.
+        """
+        log_state_change("front.error", error=msg, level=level)
+
+    def _accept_loop(self) -> None:
+        listener = self._bound_socket
+        assert listener is not None
+        listener.settimeout(_ACCEPT_POLL_S)
+        while not self._stopping.is_set():
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                # Nobody came in time, or the caller left before it was accepted.
+                continue
+            self._take(sock)
+
+    def _take(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn = _FrontConnection(self, sock)
+        with self._lock:
+            is_full = len(self._connections) >= MAX_CONNECTIONS
+            if not is_full:
+                self._connections.add(conn)
+        if is_full:
+            self.count_rejected("connections")
+            sock.close()
+            return
+        threading.Thread(target=self._serve, args=(conn,), name="caller", daemon=True).start()
+
+    def _serve(self, conn: _FrontConnection) -> None:
+        try:
+            while self._wait_for_request(conn):
+                conn.is_busy = True
+                limits = self._limits()
+                self.max_request_header_size = limits.max_header_bytes
+                self.max_request_body_size = limits.max_body_bytes
+                conn.socket.settimeout(limits.header_timeout_s)
+                if not conn.communicate():
+                    break
+                conn.is_busy = False
+        except OSError as exc:
+            log_state_change("front.connection_failed", error=str(exc))
+        finally:
+            with self._lock:
+                self._connections.discard(conn)
+            _close_quietly(conn)
+
+    def _wait_for_request(self, conn: _FrontConnection) -> bool:
+        if conn.rfile.has_data():
+            return True
+        if self.is_draining:
+            # A request that is here already is still served.
+            return wait_readable(conn.socket, 0.0, None) is Readiness.READABLE
+        timeout_s = self._limits().idle_timeout_s
+        return wait_readable(conn.socket, timeout_s, None) is Readiness.READABLE
+
+
+def _format_reply(reply: Reply, req: _FrontRequest) -> bytes:
+    reason = _REASONS.get(reply.status, "Status")
+    lines = [f"HTTP/1.1 {reply.status} {reason}"]
+    lines += [f"{name}: {value}" for name, value in reply.headers]
+    is_empty = reply.status in _NO_BODY_STATUSES
+    if not is_empty:
+        lines.append(f"Content-Length: {len(reply.body)}")
+    if req.close_connection:
+        lines.append("Connection: close")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    body = b"" if is_empty or req.method == b"HEAD" else reply.body
+    return head.encode("latin-1") + body
+
+
+def _shut_down_reading(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        # The caller closed it first.
+        pass
+
+
+def _close_quietly(conn: _FrontConnection) -> None:
+    try:
+        conn.close()
+    except OSError as exc:
+        log_state_change("front.close_failed", error=str(exc))
--- a/foxtailshunt/platform/_ambiguous_write.py
+++ b/foxtailshunt/kvstore/_ambiguous_write.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from foxtailshunt.errors import StoreConflictError, StoreUnavailableError, StoreUnknownError
-from foxtailshunt.platform._backoff import Backoff
-from foxtailshunt.platform._interface import Platform
+from foxtailshunt.kvstore._backoff import Backoff
+from foxtailshunt.kvstore._interface import Platform
 from foxtailshunt.timing import Clock
 
 _FIRST_RETRY_S = 0.05
--- a/foxtailshunt/platform/_http_platform.py
+++ b/foxtailshunt/kvstore/_http_platform.py
@@ -14,10 +14,10 @@
     StoreUnavailableError,
     StoreUnknownError,
 )
+from foxtailshunt.kvstore._answers import flag_of, instances_of, lease_id_of, record_of
+from foxtailshunt.kvstore._http_calls import HttpCalls
+from foxtailshunt.kvstore._interface import InstanceStatus, StoreRecord
 from foxtailshunt.ownership import Address
-from foxtailshunt.platform._answers import flag_of, instances_of, lease_id_of, record_of
-from foxtailshunt.platform._http_calls import HttpCalls
-from foxtailshunt.platform._interface import InstanceStatus, StoreRecord
 from foxtailshunt.telemetry import Metrics
 
 _MAX_VALUE_BYTES = 1_000_000
@@ -27,7 +27,7 @@
 
 
 class HttpPlatform:
-    """Implements :class:`~foxtailshunt.platform.Platform`; safe to use from any thread.
+    """Implements :class:`~foxtailshunt.kvstore.Platform`; safe to use from any thread.
 
     Counts every call in ``foxtailshunt_store_calls_total``.
 
--- /dev/null
+++ b/foxtailshunt/network/_readiness.py
@@ -0,0 +1,57 @@
+"""Waits for an answer while watching whether its caller is still there."""
+
+import select
+import socket
+import time
+from enum import Enum
+
+
+class Readiness(Enum):
+    """Why a wait ended."""
+
+    #: The socket has something to read, or failed.
+    READABLE = "readable"
+    #: The time was up.
+    TIMED_OUT = "timed out"
+    #: The caller closed its connection.
+    CALLER_GONE = "caller gone"
+
+
+def wait_readable(sock: socket.socket, timeout_s: float, caller: socket.socket | None) -> Readiness:
+    """Wait until a socket is readable, unless its caller goes away first.
+
+    :param sock: where the answer comes.
+    :param timeout_s: longest wait in seconds.
+    :param caller: the connection of the one who waits for the answer; None to watch none.
+    """
+    deadline = time.monotonic() + timeout_s
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    watched = caller is not None and caller.fileno() >= 0
+    if watched:
+        poll.register(caller, select.POLLIN)
+    while True:
+        events = dict(poll.poll(max(0.0, deadline - time.monotonic()) * 1000))
+        if sock.fileno() in events:
+            return Readiness.READABLE
+        if not events:
+            return Readiness.TIMED_OUT
+        if caller_is_gone(caller):
+            return Readiness.CALLER_GONE
+        # The caller sent its next request early; nothing more can be seen on its connection.
+        poll.unregister(caller)
+
+
+def caller_is_gone(caller: socket.socket | None) -> bool:
+    """Return whether a caller has closed its connection.
+
+    :param caller: the connection; None for a caller that is not watched.
+    """
+    if caller is None:
+        return False
+    try:
+        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -0,0 +1,96 @@
+"""Keeps the newest configuration of the store in force."""
+
+import threading
+
+from foxtailshunt.fleet import FleetView
+from foxtailshunt.platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    ConfigurationError,
+    HistoryLostError,
+    StoreClient,
+    StoreError,
+    decode_configuration,
+)
+from foxtailshunt.telemetry import log_state_change
+
+#: Longest wait for an answer of the store, in seconds; a slow store takes 0.4.
+READ_TIMEOUT_S = 1.0
+#: How long one call waits for a change, in seconds; each call is paid for.
+WATCH_S = 12.0
+#: Pause after a failed call, in seconds.
+RETRY_S = 0.4
+
+
+def take_document(view: FleetView, document: bytes, source: str) -> None:
+    """Put a configuration into force if it can be read and is newer.
+
+    :param view: where it is put.
+    :param document: its bytes.
+    :param source: where it came from, for the log.
+    """
+    try:
+        routes = decode_configuration(document)
+    except ConfigurationError as exc:
+        log_state_change("configuration.unreadable", source=source, reason=exc.message)
+        return
+    if view.take_routes(routes, document):
+        log_state_change("configuration.in_force", version=routes.version, source=source)
+
+
+class ConfigurationWatch:
+    """A thread that waits for changes of the configuration.
+
+    :param store: the store.
+    :param view: where configurations are put into force.
+    """
+
+    def __init__(self, store: StoreClient, view: FleetView) -> None:
+        self._store = store
+        self._view = view
+        self._stopping = threading.Event()
+        self._failing = False
+        self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop after the call in progress."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                self._follow(self._read())
+            except HistoryLostError:
+                continue
+            except StoreError as exc:
+                self._note_failing(exc)
+                self._stopping.wait(RETRY_S)
+
+    def _read(self) -> int:
+        items, revision = self._store.list_items(OPERATOR_PREFIX, False, READ_TIMEOUT_S)
+        self._note_working()
+        for item in items:
+            if item.key == CONFIGURATION_KEY:
+                take_document(self._view, item.value, "store")
+        return revision
+
+    def _follow(self, revision: int) -> None:
+        while not self._stopping.is_set():
+            changes, revision = self._store.watch(OPERATOR_PREFIX, revision, WATCH_S)
+            for change in changes:
+                if change.key == CONFIGURATION_KEY and change.item is not None:
+                    take_document(self._view, change.item.value, "store")
+
+    def _note_failing(self, exc: StoreError) -> None:
+        if not self._failing:
+            self._failing = True
+            log_state_change("store.lost", part="configuration", error=str(exc))
+
+    def _note_working(self) -> None:
+        if self._failing:
+            self._failing = False
+            log_state_change("store.regained", part="configuration")
--- /dev/null
+++ b/foxtailshunt/node/_messages.py
@@ -0,0 +1,136 @@
+"""What is known of the fleet as messages between nodes."""
+
+from foxtailshunt.fleet import KeyRange, Member, OwnershipTable, Upstream, Versions
+from foxtailshunt.protocol import (
+    Endpoint,
+    KnownVersions,
+    NodeMember,
+    OwnedRange,
+    UpstreamRecord,
+)
+
+_MS_PER_S = 1000
+
+
+def to_versions_message(versions: Versions) -> KnownVersions:
+    """Return the message for versions.
+
+    :param versions: the versions.
+    """
+    return KnownVersions(
+        configuration=versions.configuration,
+        term=versions.term,
+        upstreams=versions.upstreams,
+        ownership=versions.ownership,
+        members=versions.members,
+    )
+
+
+def to_member_message(member: Member) -> NodeMember:
+    """Return the message for a member.
+
+    :param member: the member.
+    """
+    host, port = member.address
+    return NodeMember(
+        instance_id=member.instance_id,
+        boot_id=member.boot_id,
+        zone=member.zone,
+        endpoint=Endpoint(host=host, port=port),
+        leaving=member.leaving,
+    )
+
+
+def from_member_message(wire: NodeMember) -> Member:
+    """Return the member of a message.
+
+    :param wire: the message.
+    """
+    address = (wire.endpoint.host, wire.endpoint.port)
+    return Member(wire.instance_id, wire.boot_id, wire.zone, address, wire.leaving)
+
+
+def to_members_message(members: tuple[Member, ...]) -> list[NodeMember]:
+    """Return the message for members.
+
+    :param members: the members.
+    """
+    return [to_member_message(member) for member in members]
+
+
+def to_upstreams_message(upstreams: dict[str, Upstream]) -> list[UpstreamRecord]:
+    """Return the message for a list of upstreams.
+
+    :param upstreams: the upstreams by id.
+    """
+    return [
+        UpstreamRecord(
+            upstream_id=item.upstream_id,
+            service_name=item.service,
+            endpoint=Endpoint(host=item.address[0], port=item.address[1]),
+            zone=item.zone,
+            slots=item.slots,
+            leaving=item.leaving,
+            warmup_ms=int(item.warmup_s * _MS_PER_S),
+            started_ms=item.started_ms,
+        )
+        for item in upstreams.values()
+    ]
+
+
+def from_upstreams_message(wire: list[UpstreamRecord]) -> dict[str, Upstream]:
+    """Return the upstreams of a message, by id.
+
+    :param wire: the message.
+    """
+    return {
+        item.upstream_id: Upstream(
+            upstream_id=item.upstream_id,
+            service=item.service_name,
+            address=(item.endpoint.host, item.endpoint.port),
+            zone=item.zone,
+            slots=item.slots,
+            leaving=item.leaving,
+            warmup_s=item.warmup_ms / _MS_PER_S,
+            started_ms=item.started_ms,
+        )
+        for item in wire
+    }
+
+
+def to_ownership_message(table: OwnershipTable) -> list[OwnedRange]:
+    """Return the message for an ownership table.
+
+    :param table: the table.
+    """
+    return [
+        OwnedRange(
+            service_name=item.service,
+            first=item.first,
+            last=item.last,
+            owner=item.owner,
+            fence=item.fence,
+            giver=item.giver,
+            moving=item.moving,
+        )
+        for item in table.ranges
+    ]
+
+
+def from_ownership_message(wire: list[OwnedRange]) -> OwnershipTable:
+    """Return the ownership table of a message.
+
+    :param wire: the message.
+    """
+    return OwnershipTable(
+        KeyRange(
+            item.service_name,
+            item.first,
+            item.last,
+            item.owner,
+            item.fence,
+            item.giver,
+            item.moving,
+        )
+        for item in wire
+    )
--- /dev/null
+++ b/foxtailshunt/node/_program.py
@@ -0,0 +1,200 @@
+"""Composes the parts of a node and stops them in order."""
+
+import os
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from foxtailshunt.assigning import (
+    Assigner,
+    CapacityBook,
+    DemandBook,
+    Leadership,
+    MemberRegistry,
+)
+from foxtailshunt.errors import DocumentError
+from foxtailshunt.fleet import FleetView, Member
+from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
+from foxtailshunt.node._configuration_watch import ConfigurationWatch
+from foxtailshunt.node._follower import DemandTally, Follower
+from foxtailshunt.node._peer_service import PeerService
+from foxtailshunt.node._settings import NodeSettings, load_node_settings
+from foxtailshunt.platform import StoreClient
+from foxtailshunt.protocol import ProtocolServer
+from foxtailshunt.protocol.gen import Peer
+from foxtailshunt.relay import Forwarder, PaceBook, RetryBudget, Sender
+from foxtailshunt.routing import FrontLimits
+from foxtailshunt.telemetry import (
+    Metrics,
+    OperatorServer,
+    RequestLog,
+    log_state_change,
+    start_node_logging,
+)
+from foxtailshunt.timing import MonotonicClock
+
+#: Time after SIGTERM in which the balancer still sends new connections, in seconds: it asks each
+#: second and takes two misses.
+BALANCER_LAG_S = 2.6
+#: Part of the grace that is kept for the end of the process, in seconds.
+EXIT_RESERVE_S = 0.5
+#: Share of the fleet's repeats that are kept unused, since nodes come and go.
+REPEAT_CAUTION = 0.7
+#: Nodes among which the reserve of repeats is divided while the members are not known.
+ASSUMED_NODES = 12
+#: Stack of a thread, in bytes; the deepest call chains take a tenth of it.
+THREAD_STACK_BYTES = 512 * 1024
+_POLL_S = 0.02
+
+
+class NodeProgram:
+    """All parts of a node in one process.
+
+    :param settings: the node's settings.
+    :param boot_id: id of this incarnation.
+    :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if an address cannot be bound.
+    """
+
+    def __init__(self, settings: NodeSettings, boot_id: str) -> None:
+        threading.stack_size(THREAD_STACK_BYTES)
+        self._settings = settings
+        now = MonotonicClock().now
+        peer_address = (settings.host, settings.peer_port)
+        me = Member(settings.instance_id, boot_id, settings.zone, peer_address)
+        self._log_writer = start_node_logging(settings.instance_id, boot_id)
+        self._metrics = Metrics()
+        log = RequestLog()
+        self._view = FleetView(now)
+        self._store = StoreClient(settings.store)
+        paces = PaceBook()
+        tally = DemandTally()
+        demands = DemandBook()
+        capacities = CapacityBook()
+        members = MemberRegistry()
+        self._leadership = Leadership(me, self._store, now)
+        self._assigner = Assigner(
+            me,
+            self._leadership,
+            self._store,
+            self._view,
+            demands,
+            capacities,
+            members,
+            now,
+            self._metrics,
+        )
+        self._sender = Sender(self._view, paces, settings.zone, self._metrics, log)
+        self._forwarder = Forwarder(me, self._view, self._sender)
+        budget = RetryBudget(
+            settings.repeat_ratio * REPEAT_CAUTION,
+            max(1.0, settings.repeat_reserve * REPEAT_CAUTION / ASSUMED_NODES),
+        )
+        handler = RequestHandler(
+            self._view,
+            self._forwarder.execute,
+            paces,
+            budget,
+            tally.note,
+            self._metrics,
+            log,
+        )
+        self._peer_service = PeerService(
+            self._view, self._sender, self._leadership, members, demands, capacities, now
+        )
+        self._peer_server = ProtocolServer(
+            Peer, self._peer_service, peer_address, self._count_bad_frame
+        )
+        self._follower = Follower(
+            me,
+            self._view,
+            self._leadership,
+            self._store,
+            tally,
+            paces,
+            demands,
+            capacities,
+            now,
+        )
+        self._configuration = ConfigurationWatch(self._store, self._view)
+        self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
+        self._readiness = ReadinessServer(settings.readiness, self._is_ready)
+        self._operator = OperatorServer(
+            (settings.host, settings.operator_port), self._metrics, self._dump, self._is_ready
+        )
+        self._is_stopping = False
+
+    def start(self) -> None:
+        """Start all parts."""
+        self._configuration.start()
+        self._leadership.start()
+        self._peer_server.start()
+        self._assigner.start()
+        self._follower.start()
+        self._front.start_serving()
+        self._readiness.start()
+        self._operator.start()
+        log_state_change("node.started", zone=self._settings.zone)
+
+    def stop(self) -> None:
+        """Leave: no new work, requests in progress end, then the process may end."""
+        began = time.monotonic()
+        deadline = began + self._settings.grace - EXIT_RESERVE_S
+        self._is_stopping = True
+        log_state_change("node.stopping", open_requests=self._sender.load())
+        self._peer_service.stop_relaying()
+        self._assigner.stop()
+        self._leadership.resign()
+        self._follower.announce_leaving()
+        self._front.drain()
+        time.sleep(max(0.0, began + BALANCER_LAG_S - time.monotonic()))
+        self._front.stop_accepting()
+        left = self._front.finish(deadline)
+        while self._sender.load() != (0, 0) and time.monotonic() < deadline:
+            time.sleep(_POLL_S)
+        self._follower.stop()
+        self._configuration.stop()
+        log_state_change("node.stopped", requests_left=left)
+        self._log_writer.flush()
+
+    def reload(self, path: Path) -> None:
+        """Read the settings file again and say what changed.
+
+        :param path: the settings file.
+        """
+        try:
+            settings = load_node_settings(path)
+        except DocumentError as exc:
+            log_state_change("settings.unreadable", error=exc.message)
+            return
+        before = self._settings.model_dump()
+        changed = [name for name, value in settings.model_dump().items() if value != before[name]]
+        self._settings = settings
+        log_state_change("settings.reloaded", changed=changed)
+
+    def _limits(self) -> FrontLimits:
+        routes = self._view.routes
+        return routes.limits if routes is not None else FrontLimits()
+
+    def _is_ready(self) -> bool:
+        knows = self._view.routes is not None and self._view.upstreams_read_at is not None
+        return knows and bool(self._view.ownership.ranges) and not self._is_stopping
+
+    def _count_bad_frame(self) -> None:
+        self._metrics.count("foxtailshunt_bad_frames_total", "Malformed frames of other nodes.")
+
+    def _dump(self) -> dict[str, Any]:
+        view = self._view
+        waiting, running = self._sender.load()
+        return {
+            "instance": self._settings.instance_id,
+            "pid": os.getpid(),
+            "leads": self._leadership.term is not None,
+            "versions": str(view.versions),
+            "upstreams_age_s": view.upstreams_age_s(),
+            "upstreams": [str(item) for item in view.upstreams.values()],
+            "members": [str(item) for item in view.members],
+            "ranges": [str(item) for item in view.ownership.ranges],
+            "waiting": waiting,
+            "running": running,
+        }
--- a/foxtailshunt/operator/_apply.py
+++ b/foxtailshunt/operator/_apply.py
@@ -18,7 +18,7 @@
     ResultCode,
     StoreConflictError,
 )
-from foxtailshunt.platform import Platform, write_with_token
+from foxtailshunt.kvstore import Platform, write_with_token
 from foxtailshunt.timing import Clock
 
 #: Largest value that the platform's store holds, in bytes.
--- a/foxtailshunt/operator/_store_reader.py
+++ b/foxtailshunt/operator/_store_reader.py
@@ -2,8 +2,8 @@
 
 from foxtailshunt.assigner import table_key
 from foxtailshunt.config import CONFIG_KEY, config_record_from_json
+from foxtailshunt.kvstore import Platform
 from foxtailshunt.membership import View
-from foxtailshunt.platform import Platform
 from foxtailshunt.telemetry import Metrics
 
 
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -1,19 +1,50 @@
-"""Client of the platform: its key-value service and its list of instances.
+"""Adapter to the users' platform: its names, formats and calls.
 
-This package is the only code that knows the platform's protocol.
+Nothing outside this package knows the platform's names, and nothing inside it decides anything.
 """
 
-from foxtailshunt.platform._ambiguous_write import write_with_token
-from foxtailshunt.platform._backoff import Backoff
-from foxtailshunt.platform._http_platform import HttpPlatform
-from foxtailshunt.platform._interface import InstanceState, InstanceStatus, Platform, StoreRecord
+from foxtailshunt.platform._answers import UpstreamAnswer, Verdict, judge_answer
+from foxtailshunt.platform._configuration import ConfigurationError, decode_configuration
+from foxtailshunt.platform._grants import GrantOutcome, KeyOrders, OrderError
+from foxtailshunt.platform._requests import CallFacts, RequestHeaderError, read_call, upstream_head
+from foxtailshunt.platform._store import (
+    ConflictError,
+    HistoryLostError,
+    LeaseEndedError,
+    StoreChange,
+    StoreClient,
+    StoreError,
+    StoreItem,
+)
+from foxtailshunt.platform._upstreams import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    UPSTREAM_PREFIX,
+    decode_upstream,
+)
 
 __all__ = [
-    "Backoff",
-    "HttpPlatform",
-    "InstanceState",
-    "InstanceStatus",
-    "Platform",
-    "StoreRecord",
-    "write_with_token",
+    "CONFIGURATION_KEY",
+    "OPERATOR_PREFIX",
+    "UPSTREAM_PREFIX",
+    "CallFacts",
+    "ConfigurationError",
+    "ConflictError",
+    "GrantOutcome",
+    "HistoryLostError",
+    "KeyOrders",
+    "LeaseEndedError",
+    "OrderError",
+    "RequestHeaderError",
+    "StoreChange",
+    "StoreClient",
+    "StoreError",
+    "StoreItem",
+    "UpstreamAnswer",
+    "Verdict",
+    "decode_configuration",
+    "decode_upstream",
+    "judge_answer",
+    "read_call",
+    "upstream_head",
 ]
--- a/foxtailshunt/platform/_answers.py
+++ b/foxtailshunt/platform/_answers.py
@@ -1,92 +1,90 @@
-"""Models of the platform's answers, and their conversion to data classes."""
-
-from base64 import b64decode
-from typing import Literal
-
-from pydantic import BaseModel, TypeAdapter, ValidationError
-
-from foxtailshunt.errors import StoreUnavailableError, StoreUnknownError
-from foxtailshunt.platform._interface import InstanceState, InstanceStatus, StoreRecord
-
-
-class _KvEntry(BaseModel):
-    """One entry of ``GET /v1/kv``."""
-
-    Value: str | None
-    ModifyIndex: int
-
-
-class _Session(BaseModel):
-    """The answer of ``PUT /v1/session/create``."""
-
-    ID: str
-
-
-class _NodeMeta(BaseModel):
-    """The part of a node's metadata that is read."""
-
-    state: Literal["live", "leaving"]
-
-
-class _Node(BaseModel):
-    """One entry of ``GET /v1/catalog/nodes``."""
-
-    Node: str
-    Meta: _NodeMeta
-
-
-_KV_ENTRIES = TypeAdapter(list[_KvEntry])
-_NODES = TypeAdapter(list[_Node])
-_FLAG = TypeAdapter(bool)
-
-
-def record_of(key: str, body: bytes) -> StoreRecord:
-    """Return the record in an answer of ``GET /v1/kv``.
-
-    :param key: the key that was asked for.
-    :param body: the answer's body.
-    :raises StoreUnavailableError: the body is malformed.
-    """
-    try:
-        entry = _KV_ENTRIES.validate_json(body)[0]
-        value = b64decode(entry.Value or "").decode()
-    except (ValidationError, IndexError, ValueError) as exc:
-        raise StoreUnavailableError(f"malformed answer to a read of {key}: {exc}")
-    return StoreRecord(key, value, entry.ModifyIndex)
-
-
-def instances_of(body: bytes) -> tuple[InstanceStatus, ...]:
-    """Return the instances in an answer of ``GET /v1/catalog/nodes``.
-
-    :param body: the answer's body.
-    :raises StoreUnavailableError: the body is malformed.
-    """
-    try:
-        nodes = _NODES.validate_json(body)
-    except ValidationError as exc:
-        raise StoreUnavailableError(f"malformed list of instances: {exc}")
-    return tuple(InstanceStatus(node.Node, InstanceState(node.Meta.state)) for node in nodes)
-
-
-def lease_id_of(body: bytes) -> str:
-    """Return the id in an answer of ``PUT /v1/session/create``.
-
-    :param body: the answer's body.
-    :raises StoreUnknownError: the body is malformed.
-    """
-    try:
-        return _Session.model_validate_json(body).ID
-    except ValidationError as exc:
-        raise StoreUnknownError(f"malformed answer to a new session: {exc}")
-
-
-def flag_of(body: bytes) -> bool:
-    """Return the ``true`` or ``false`` of an answer to a write.
-
-    :param body: the answer's body.
-    :raises StoreUnknownError: the body is neither.
+"""What an upstream's answer says."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+_REQUEST_ID = "attempt-id"
+#: A seal over status and body that only the upstream can make; callers check it.
+_SEAL = "response-seal"
+#: Present if the upstream has not run the request and never will.
+_NOT_RUN = "not-executed"
+_KEEP_ALIVE = "keep-alive"
+_WRONG_UPSTREAM_STATUS = 421
+_CONNECTION_HEADERS = frozenset(
+    ("connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te")
+)
+#: Statuses that promise the caller that nothing has run.
+_PROMISES = frozenset((408, 421, 429, 503))
+
+
+class Verdict(Enum):
+    """What became of a request at an upstream."""
+
+    #: The answer is the upstream's and may be handed to the caller.
+    ANSWERED = "answered"
+    #: The upstream has not run the request.
+    NOT_RUN = "not run"
+    #: The upstream does not own the key or is another one; it has not run the request.
+    NOT_OWNER = "not owner"
+    #: The answer belongs to another request.
+    FOREIGN = "foreign"
+    #: The upstream failed; the request may have run.
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """A whole answer of an upstream."""
+
+    #: HTTP status.
+    status: int
+    #: Headers in the order received.
+    headers: tuple[tuple[str, str], ...]
+    #: Body.
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a name, or None.
+
+        :param name: the name in lower case.
+        """
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+    @property
+    def keep_alive_s(self) -> float | None:
+        """Return how long the upstream keeps the idle connection, in seconds; None if unsaid."""
+        for part in (self.header(_KEEP_ALIVE) or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name == "timeout" and value.isdigit():
+                return float(value)
+        return None
+
+    def caller_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that are handed to the caller, without the body's length."""
+        return tuple(
+            (name, value) for name, value in self.headers if name.lower() not in _CONNECTION_HEADERS
+        )
+
+
+def judge_answer(answer: UpstreamAnswer, request_id: str) -> Verdict:
+    """Tell what an answer says about a request.
+
+    :param answer: a whole answer.
+    :param request_id: id of the request that was sent.
     """
-    try:
-        return _FLAG.validate_json(body, strict=True)
-    except ValidationError as exc:
-        raise StoreUnknownError(f"malformed answer to a write: {exc}")
+    echoed = answer.header(_REQUEST_ID)
+    if echoed is not None and echoed != request_id:
+        return Verdict.FOREIGN
+    if answer.status == _WRONG_UPSTREAM_STATUS:
+        return Verdict.NOT_OWNER
+    if answer.header(_NOT_RUN) is not None:
+        return Verdict.NOT_RUN
+    if answer.status in _PROMISES or answer.header("content-encoding") is not None:
+        return Verdict.FAILED
+    if answer.status < 300:
+        sealed = answer.header(_SEAL) is not None and echoed == request_id
+        return Verdict.ANSWERED if sealed else Verdict.FAILED
+    return Verdict.ANSWERED
--- /dev/null
+++ b/foxtailshunt/platform/_configuration.py
@@ -0,0 +1,116 @@
+"""Decodes the operator's configuration."""
+
+import re
+from typing import Annotated, Any
+
+from pydantic import BaseModel, BeforeValidator, Field, ValidationError
+
+from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.platform._durations import Seconds
+from foxtailshunt.routing import FrontLimits, Route, RouteTable, ServiceInfo, WeightedService
+
+_VERSION = re.compile(r"r(\d+)")
+
+
+class ConfigurationError(FoxtailshuntError):
+    """A configuration that cannot be read; the one in force stays.
+
+    :param message: what is wrong and where.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ResultCode.MALFORMED_DOCUMENT, message)
+
+
+def _parse_version(value: Any) -> int:
+    match = _VERSION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError(f"not a version: {value!r}")
+    return int(match[1])
+
+
+class _WirePart(BaseModel):
+    service: str
+    weight: float = Field(ge=0)
+
+
+class _WireRoute(BaseModel):
+    host: str
+    prefix: str
+    #: ``safe`` means that a request may run more than once; it says nothing about side effects.
+    route_type: str
+    timeout: Seconds
+    #: The latency objective, not a limit.
+    aim: Seconds
+    #: 0 is the highest.
+    priority: int = Field(ge=0)
+    service: str | None = None
+    traffic_split: list[_WirePart] | None = None
+    #: Upstreams that one request may be sent to; not the number of repeats.
+    max_attempts: int = Field(ge=1)
+
+
+class _WireService(BaseModel):
+    max_conns: int = Field(default=64, ge=1)
+    #: True if the service is divided by key.
+    sharded: bool = False
+
+
+class _WireLimits(BaseModel):
+    max_header_bytes: int = Field(gt=0)
+    max_body_bytes: int = Field(gt=0)
+    header_timeout: Seconds
+    idle_timeout: Seconds
+
+
+class _WireConfiguration(BaseModel):
+    version: Annotated[int, BeforeValidator(_parse_version)]
+    routes: dict[str, _WireRoute]
+    services: dict[str, _WireService]
+    limits: _WireLimits
+
+
+def decode_configuration(document: bytes) -> RouteTable:
+    """Return the configuration of a document in the store.
+
+    :param document: the stored bytes.
+    :raises ConfigurationError: it cannot be read.
+    """
+    try:
+        wire = _WireConfiguration.model_validate_json(document)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise ConfigurationError(f"{place}: {first['msg']}") from exc
+    routes = tuple(_to_route(name, route) for name, route in wire.routes.items())
+    services = {
+        name: ServiceInfo(name=name, keyed=item.sharded, max_connections=item.max_conns)
+        for name, item in wire.services.items()
+    }
+    limits = FrontLimits(
+        max_header_bytes=wire.limits.max_header_bytes,
+        max_body_bytes=wire.limits.max_body_bytes,
+        header_timeout_s=wire.limits.header_timeout,
+        idle_timeout_s=wire.limits.idle_timeout,
+    )
+    return RouteTable(wire.version, routes, services, limits)
+
+
+def _to_route(name: str, wire: _WireRoute) -> Route:
+    if wire.traffic_split:
+        services = tuple(WeightedService(part.service, part.weight) for part in wire.traffic_split)
+    elif wire.service is not None:
+        services = (WeightedService(wire.service, 1.0),)
+    else:
+        raise ConfigurationError(f"routes.{name}: no service")
+    return Route(
+        name=name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        idempotent=wire.route_type == "safe",
+        timeout_s=wire.timeout,
+        aim_s=wire.aim,
+        rank=wire.priority,
+        max_upstreams=wire.max_attempts,
+        services=services,
+    )
--- /dev/null
+++ b/foxtailshunt/platform/_grants.py
@@ -0,0 +1,120 @@
+"""Orders that give keys to an upstream and take them back."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.fleet import Address, KeyRange
+from foxtailshunt.network import UPSTREAM_SOCKET_OPTIONS
+from foxtailshunt.platform._durations import format_duration
+
+_GRANT_PATH = "/api/grant"
+_RELEASE_PATH = "/api/release"
+_HEADERS = {"Content-Type": "application/json"}
+_HANDOVER = "Handover"
+
+
+class OrderError(FoxtailshuntError):
+    """An order without a usable answer; it may be carried out, also later.
+
+    :param message: what was ordered and what went wrong.
+    :param refused: True if nothing listened at the upstream's address.
+    """
+
+    def __init__(self, message: str, refused: bool) -> None:
+        super().__init__(ResultCode.UPSTREAM_CONNECTION_LOST, message)
+        self.refused = refused
+
+
+class GrantOutcome(Enum):
+    """What an upstream made of a grant."""
+
+    #: The keys are the upstream's for the hold time.
+    ACCEPTED = "accepted"
+    #: The upstream has seen a higher fencing token on one of the keys.
+    FENCED_OFF = "fenced off"
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    handover: str | None
+
+
+class KeyOrders:
+    """Sends orders about keys to one upstream; used by one thread at a time.
+
+    :param address: host and port of the upstream.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._pool = urllib3.HTTPConnectionPool(
+            *address,
+            maxsize=1,
+            retries=False,
+            socket_options=UPSTREAM_SOCKET_OPTIONS,
+        )
+
+    def grant(
+        self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
+    ) -> GrantOutcome:
+        """Give keys to the upstream, or renew its hold on them.
+
+        :param keys: the keys with the fencing token.
+        :param hold_s: how long it holds them from the arrival of the order, in seconds.
+        :param handover: what the last holder returned on its release; None without one.
+        :param timeout_s: longest wait in seconds.
+        :raises OrderError: the order may or may not be carried out.
+        """
+        order = self._describe(keys) | {"hold_time": format_duration(hold_s)}
+        if handover is not None:
+            order["handover"] = handover
+        answer = self._post(_GRANT_PATH, order, timeout_s)
+        if answer.status == 200:
+            return GrantOutcome.ACCEPTED
+        if answer.status == 409:
+            return GrantOutcome.FENCED_OFF
+        raise OrderError(f"grant answered with status {answer.status}", refused=False)
+
+    def release(self, keys: KeyRange, timeout_s: float) -> str | None:
+        """Take keys back; returns once the work on them has ended.
+
+        :param keys: the keys with the new owner's fencing token.
+        :param timeout_s: longest wait in seconds.
+        :returns: what the next holder is given to stay warm; None if there is nothing.
+        :raises OrderError: the order may or may not be carried out.
+        """
+        answer = self._post(_RELEASE_PATH, self._describe(keys), timeout_s)
+        if answer.status == 200:
+            return answer.handover
+        raise OrderError(f"release answered with status {answer.status}", refused=False)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._pool.close()
+
+    def _describe(self, keys: KeyRange) -> dict[str, object]:
+        return {"from": keys.first, "to": keys.last, "fence": keys.fence}
+
+    def _post(self, path: str, order: dict[str, object], timeout_s: float) -> _Answer:
+        body = json.dumps(order).encode()
+        timeout = urllib3.Timeout(connect=min(timeout_s, 0.3), read=timeout_s)
+        try:
+            resp = self._pool.request("POST", path, body=body, headers=_HEADERS, timeout=timeout)
+        except (HTTPError, OSError) as exc:
+            # A connection that failed once may stay silent; the next order takes a new one.
+            self._pool.close()
+            self._pool = urllib3.HTTPConnectionPool(
+                self._pool.host,
+                self._pool.port,
+                maxsize=1,
+                retries=False,
+                socket_options=UPSTREAM_SOCKET_OPTIONS,
+            )
+            refused = isinstance(exc.__cause__, ConnectionRefusedError) or "refused" in str(exc)
+            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", refused) from exc
+        return _Answer(resp.status, resp.headers.get(_HANDOVER))
--- /dev/null
+++ b/foxtailshunt/platform/_upstreams.py
@@ -0,0 +1,70 @@
+"""Decodes the entries under which upstreams register themselves."""
+
+from typing import Literal
+
+from pydantic import BaseModel, Field, StrictBool, StrictInt, ValidationError, field_validator
+
+from foxtailshunt.fleet import Address, Upstream
+from foxtailshunt.platform._durations import Seconds
+
+#: Keys that the operator writes.
+OPERATOR_PREFIX = "op/"
+#: Key of the newest configuration.
+CONFIGURATION_KEY = "op/config"
+#: Keys that upstreams write; the rest of a key is the upstream's id.
+UPSTREAM_PREFIX = "servers/"
+
+
+class _WireUpstream(BaseModel):
+    service: str = Field(min_length=1)
+    address: str
+    zone: str
+    slots: StrictInt = Field(ge=1)
+    state: Literal["ready", "draining"]
+    #: Remaining slow time after a start, not the whole of it.
+    warmup_left: Seconds = 0.0
+    #: Unix milliseconds of the upstream's start.
+    born: StrictInt | StrictBool | None = None
+
+    @field_validator("address")
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        parse_address(value)
+        return value
+
+
+def parse_address(text: str) -> Address:
+    """Return host and port of an address.
+
+    :param text: for example ``10.1.0.9:8080``.
+    :raises ValueError: it is no address.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def decode_upstream(key: str, value: bytes) -> Upstream:
+    """Return the upstream of an entry.
+
+    :param key: key of the entry.
+    :param value: its stored bytes.
+    :raises ValueError: the entry names no upstream that can be used.
+    """
+    try:
+        wire = _WireUpstream.model_validate_json(value)
+    except ValidationError as exc:
+        first = exc.errors()[0]
+        raise ValueError(f"{'.'.join(str(part) for part in first['loc'])}: {first['msg']}")
+    started = wire.born if isinstance(wire.born, int) and not isinstance(wire.born, bool) else 0
+    return Upstream(
+        upstream_id=key.removeprefix(UPSTREAM_PREFIX),
+        service=wire.service,
+        address=parse_address(wire.address),
+        zone=wire.zone,
+        slots=wire.slots,
+        leaving=wire.state == "draining",
+        warmup_s=wire.warmup_left,
+        started_ms=started,
+    )
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -17,7 +17,12 @@
 from thrift.transport.TTransport import TFramedTransport
 
 from foxtailshunt.errors import PeerUnreachableError
-from foxtailshunt.network import source_address
+from foxtailshunt.network import (
+    KEEPALIVE_SOCKET_OPTIONS,
+    Readiness,
+    source_address,
+    wait_readable,
+)
 from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
 from foxtailshunt.protocol._validation import check_required_fields
 
@@ -50,6 +55,16 @@
         super().__init__(message, sent=True)
 
 
+class CallerGoneError(PeerUnreachableError):
+    """The caller for whom a call was made went away; the connection was reset.
+
+    :param message: what was called.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
 @dataclass(frozen=True, slots=True)
 class Patience:
     """How long to wait on a used connection, which may have gone silent, before doubting it."""
@@ -86,11 +101,17 @@
             handle = socket.create_connection(self.address, CONNECT_TIMEOUT_S, source_address())
         except OSError as exc:
             raise PeerUnreachableError(f"cannot connect to {self.address}: {exc}", sent=False)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for option in KEEPALIVE_SOCKET_OPTIONS:
+            handle.setsockopt(*option)
         self._socket.setHandle(handle)
 
     def call(
-        self, method: str, req: Any, timeout_s: float, patience: Patience | None = None
+        self,
+        method: str,
+        req: Any,
+        timeout_s: float,
+        patience: Patience | None = None,
+        caller: socket.socket | None = None,
     ) -> Any:
         """Send one request and wait for its reply.
 
@@ -98,7 +119,9 @@
         :param req: its request struct.
         :param timeout_s: seconds to wait on the socket.
         :param patience: when a used connection is doubted; None for never.
+        :param caller: given up if this connection is closed by its peer; None for never.
         :returns: its reply struct.
+        :raises CallerGoneError: the caller closed its connection.
         :raises PeerUnreachableError: the message may have reached the peer; the connection was
             reset and must not be used again.
         """
@@ -107,8 +130,12 @@
             getattr(self._client, f"send_{method}")(req)
             if patience is not None and self.is_used:
                 self._check_silence(method, patience)
+            if caller is not None:
+                self._wait_for_reply(method, timeout_s, caller)
             reply = getattr(self._client, f"recv_{method}")()
             check_required_fields(reply)
+        except PeerUnreachableError:
+            raise
         except _CALL_ERRORS as exc:
             self.reset()
             raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
@@ -122,6 +149,11 @@
             self.reset()
             raise SilentPeerError(f"{method} at {self.address} brought no reply")
 
+    def _wait_for_reply(self, method: str, timeout_s: float, caller: socket.socket) -> None:
+        if wait_readable(self._socket.handle, timeout_s, caller) is Readiness.CALLER_GONE:
+            self.reset()
+            raise CallerGoneError(f"{method} at {self.address}: the caller went away")
+
     def reset(self) -> None:
         """Close by reset, so that the kernel delivers nothing that is still unsent."""
         handle = self._socket.handle
@@ -159,6 +191,7 @@
         max_idle_s: float | None = None,
         accepts: Callable[[Any], bool] | None = None,
         patience: Patience | None = None,
+        caller: socket.socket | None = None,
     ) -> Any:
         """Call a peer on an idle connection, or on a new one.
 
@@ -173,13 +206,14 @@
         :param accepts: returns whether a reply answers the request; a connection that brought
             another reply is reset.
         :param patience: when a used connection is doubted; None for never.
+        :param caller: the call is given up if this connection is closed by its peer.
         :returns: the reply struct.
         :raises PeerUnreachableError: ``sent`` tells whether the peer may have seen the request.
         :raises MismatchedReplyError: the reply was not accepted.
         :raises SilentPeerError: a used connection was given up.
         """
         client = self._take(address, max_idle_s)
-        reply = client.call(method, req, timeout_s, patience)
+        reply = client.call(method, req, timeout_s, patience, caller)
         if accepts is not None and not accepts(reply):
             client.reset()
             raise MismatchedReplyError(f"{method} at {address} was answered by another reply")
--- a/foxtailshunt/protocol/_server.py
+++ b/foxtailshunt/protocol/_server.py
@@ -11,6 +11,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS
 from foxtailshunt.protocol._limits import MAX_FRAME_BYTES
 from foxtailshunt.protocol._validation import ValidatingHandler
 
@@ -20,6 +21,16 @@
 _ACCEPT_POLL_S = 0.1
 _DRAIN_POLL_S = 0.02
 
+_current = threading.local()
+
+
+def current_connection() -> socket.socket:
+    """Return the connection whose call this thread answers.
+
+    A handler that works for long watches it, since a caller gives a call up by closing it.
+    """
+    return _current.conn
+
 
 class ProtocolServer:
     """Serves one Thrift service on one address, one thread for each connection.
@@ -82,13 +93,15 @@
             except OSError:
                 continue
             conn.settimeout(None)
-            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for option in KEEPALIVE_SOCKET_OPTIONS:
+                conn.setsockopt(*option)
             thread = threading.Thread(target=self._serve, args=(conn,), name="peer", daemon=True)
             thread.start()
 
     def _serve(self, conn: socket.socket) -> None:
         with self._lock:
             self._connections.add(conn)
+        _current.conn = conn
         try:
             self._serve_calls(conn)
         finally:
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -214,3 +214,125 @@
 service Assigner {
   SyncReply sync(1: SyncRequest req),
 }
+
+/* --- Between nodes that run on a platform with its own discovery --- */
+
+struct Endpoint {
+  1: required string host,
+  2: required i32 port,
+}
+
+/* One request on its way from the node that took it to the node that sends it to an upstream. */
+struct RelayRequest {
+  1: required string request_id,
+  2: required string service_name,
+  /* The request's key; absent for services that are not divided by key. */
+  3: optional i32 key,
+  /* The owner of the key as the calling node knows it. */
+  4: optional string upstream_id,
+  5: required string method,
+  6: required string target,
+  7: required list<Header> headers,
+  8: required binary body,
+  /* Time until nobody waits any more. */
+  9: required i64 remaining_ms,
+  /* Time until the answer loses worth; negative once it has. */
+  10: required i64 aim_ms,
+  11: required i32 rank,
+  12: required string route,
+  /* Upstreams that have had this request. */
+  13: required list<string> excluded,
+}
+
+struct RelayReply {
+  1: required i32 outcome,
+  2: optional i32 status,
+  3: optional list<Header> headers,
+  4: optional binary body,
+  5: optional string reason,
+  6: optional i64 retry_after_ms,
+  7: optional string upstream_id,
+  /* True if the request arrived at an upstream, whatever became of it. */
+  8: required bool arrived,
+}
+
+struct KeyDemand {
+  1: required string service_name,
+  2: required i32 key,
+  /* Upstream time that the requests for the key ask for, at common speed. */
+  3: required double work_ms,
+}
+
+struct UpstreamPace {
+  1: required string upstream_id,
+  /* Time that requests took, and that they take on the average of all upstreams. */
+  2: required double taken_ms,
+  3: required double expected_ms,
+  4: required i32 answered,
+  5: required i32 failed,
+}
+
+struct NodeMember {
+  1: required string instance_id,
+  2: required string boot_id,
+  3: required string zone,
+  4: required Endpoint endpoint,
+  5: required bool leaving,
+}
+
+struct UpstreamRecord {
+  1: required string upstream_id,
+  2: required string service_name,
+  3: required Endpoint endpoint,
+  4: required string zone,
+  5: required i32 slots,
+  6: required bool leaving,
+  7: required i64 warmup_ms,
+  8: required i64 started_ms,
+}
+
+struct OwnedRange {
+  1: required string service_name,
+  2: required i32 first,
+  3: required i32 last,
+  4: required string owner,
+  5: required i64 fence,
+  /* The owner before, until it has given the keys up. */
+  6: optional string giver,
+  /* True while no upstream may be sent requests for the keys. */
+  7: required bool moving,
+}
+
+struct KnownVersions {
+  1: required i64 configuration,
+  2: required i64 term,
+  3: required i64 upstreams,
+  4: required i64 ownership,
+  5: required i64 members,
+}
+
+struct FollowRequest {
+  1: required NodeMember member,
+  2: required KnownVersions known,
+  3: required i64 wait_ms,
+  4: required list<KeyDemand> demands,
+  5: required list<UpstreamPace> paces,
+}
+
+/* Parts that the asking node knows already are absent. */
+struct FollowReply {
+  1: required KnownVersions versions,
+  /* False if the answering node does not lead. */
+  2: required bool leads,
+  3: optional binary configuration,
+  4: optional list<UpstreamRecord> upstreams,
+  5: optional list<OwnedRange> ownership,
+  6: optional list<NodeMember> members,
+  /* Time since the list of upstreams was read. */
+  7: required i64 upstreams_age_ms,
+}
+
+service Peer {
+  RelayReply relay(1: RelayRequest req),
+  FollowReply follow(1: FollowRequest req),
+}
--- a/foxtailshunt/protocol/gen/__init__.py
+++ b/foxtailshunt/protocol/gen/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Dispatcher', 'Assigner']
+__all__ = ['ttypes', 'constants', 'Dispatcher', 'Assigner', 'Peer']
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -2585,6 +2585,1446 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class Endpoint(object):
+    """
+    Attributes:
+     - host
+     - port
+
+    """
+
+
+    def __init__(self, host=None, port=None,):
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Endpoint')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.port is None:
+            raise TProtocolException(message='Required field port is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayRequest(object):
+    """
+    Attributes:
+     - request_id
+     - service_name
+     - key
+     - upstream_id
+     - method
+     - target
+     - headers
+     - body
+     - remaining_ms
+     - aim_ms
+     - rank
+     - route
+     - excluded
+
+    """
+
+
+    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None,):
+        self.request_id = request_id
+        self.service_name = service_name
+        self.key = key
+        self.upstream_id = upstream_id
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.remaining_ms = remaining_ms
+        self.aim_ms = aim_ms
+        self.rank = rank
+        self.route = route
+        self.excluded = excluded
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.method = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = Header()
+                        _elem176.read(iprot)
+                        self.headers.append(_elem176)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.aim_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.excluded = []
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem182)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 3)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 4)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.method is not None:
+            oprot.writeFieldBegin('method', TType.STRING, 5)
+            oprot.writeString(self.method.encode('utf-8') if sys.version_info[0] == 2 else self.method)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 6)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter183 in self.headers:
+                iter183.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 8)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 9)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.aim_ms is not None:
+            oprot.writeFieldBegin('aim_ms', TType.I64, 10)
+            oprot.writeI64(self.aim_ms)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 11)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 12)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.excluded is not None:
+            oprot.writeFieldBegin('excluded', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.excluded))
+            for iter184 in self.excluded:
+                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.method is None:
+            raise TProtocolException(message='Required field method is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.headers is None:
+            raise TProtocolException(message='Required field headers is unset!')
+        if self.body is None:
+            raise TProtocolException(message='Required field body is unset!')
+        if self.remaining_ms is None:
+            raise TProtocolException(message='Required field remaining_ms is unset!')
+        if self.aim_ms is None:
+            raise TProtocolException(message='Required field aim_ms is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.excluded is None:
+            raise TProtocolException(message='Required field excluded is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayReply(object):
+    """
+    Attributes:
+     - outcome
+     - status
+     - headers
+     - body
+     - reason
+     - retry_after_ms
+     - upstream_id
+     - arrived
+
+    """
+
+
+    def __init__(self, outcome=None, status=None, headers=None, body=None, reason=None, retry_after_ms=None, upstream_id=None, arrived=None,):
+        self.outcome = outcome
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        self.upstream_id = upstream_id
+        self.arrived = arrived
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.outcome = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = Header()
+                        _elem190.read(iprot)
+                        self.headers.append(_elem190)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.arrived = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayReply')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.I32, 1)
+            oprot.writeI32(self.outcome)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter191 in self.headers:
+                iter191.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 4)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 5)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 6)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 7)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.arrived is not None:
+            oprot.writeFieldBegin('arrived', TType.BOOL, 8)
+            oprot.writeBool(self.arrived)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.outcome is None:
+            raise TProtocolException(message='Required field outcome is unset!')
+        if self.arrived is None:
+            raise TProtocolException(message='Required field arrived is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KeyDemand(object):
+    """
+    Attributes:
+     - service_name
+     - key
+     - work_ms
+
+    """
+
+
+    def __init__(self, service_name=None, key=None, work_ms=None,):
+        self.service_name = service_name
+        self.key = key
+        self.work_ms = work_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.work_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeyDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 2)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.work_ms is not None:
+            oprot.writeFieldBegin('work_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.work_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.work_ms is None:
+            raise TProtocolException(message='Required field work_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamPace(object):
+    """
+    Attributes:
+     - upstream_id
+     - taken_ms
+     - expected_ms
+     - answered
+     - failed
+
+    """
+
+
+    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None,):
+        self.upstream_id = upstream_id
+        self.taken_ms = taken_ms
+        self.expected_ms = expected_ms
+        self.answered = answered
+        self.failed = failed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.taken_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.expected_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.answered = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.failed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamPace')
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 1)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.taken_ms is not None:
+            oprot.writeFieldBegin('taken_ms', TType.DOUBLE, 2)
+            oprot.writeDouble(self.taken_ms)
+            oprot.writeFieldEnd()
+        if self.expected_ms is not None:
+            oprot.writeFieldBegin('expected_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.expected_ms)
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.I32, 4)
+            oprot.writeI32(self.answered)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I32, 5)
+            oprot.writeI32(self.failed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream_id is None:
+            raise TProtocolException(message='Required field upstream_id is unset!')
+        if self.taken_ms is None:
+            raise TProtocolException(message='Required field taken_ms is unset!')
+        if self.expected_ms is None:
+            raise TProtocolException(message='Required field expected_ms is unset!')
+        if self.answered is None:
+            raise TProtocolException(message='Required field answered is unset!')
+        if self.failed is None:
+            raise TProtocolException(message='Required field failed is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NodeMember(object):
+    """
+    Attributes:
+     - instance_id
+     - boot_id
+     - zone
+     - endpoint
+     - leaving
+
+    """
+
+
+    def __init__(self, instance_id=None, boot_id=None, zone=None, endpoint=None, leaving=None,):
+        self.instance_id = instance_id
+        self.boot_id = boot_id
+        self.zone = zone
+        self.endpoint = endpoint
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.boot_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.endpoint = Endpoint()
+                    self.endpoint.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NodeMember')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.boot_id is not None:
+            oprot.writeFieldBegin('boot_id', TType.STRING, 2)
+            oprot.writeString(self.boot_id.encode('utf-8') if sys.version_info[0] == 2 else self.boot_id)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRUCT, 4)
+            self.endpoint.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.instance_id is None:
+            raise TProtocolException(message='Required field instance_id is unset!')
+        if self.boot_id is None:
+            raise TProtocolException(message='Required field boot_id is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamRecord(object):
+    """
+    Attributes:
+     - upstream_id
+     - service_name
+     - endpoint
+     - zone
+     - slots
+     - leaving
+     - warmup_ms
+     - started_ms
+
+    """
+
+
+    def __init__(self, upstream_id=None, service_name=None, endpoint=None, zone=None, slots=None, leaving=None, warmup_ms=None, started_ms=None,):
+        self.upstream_id = upstream_id
+        self.service_name = service_name
+        self.endpoint = endpoint
+        self.zone = zone
+        self.slots = slots
+        self.leaving = leaving
+        self.warmup_ms = warmup_ms
+        self.started_ms = started_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.endpoint = Endpoint()
+                    self.endpoint.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.warmup_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamRecord')
+        if self.upstream_id is not None:
+            oprot.writeFieldBegin('upstream_id', TType.STRING, 1)
+            oprot.writeString(self.upstream_id.encode('utf-8') if sys.version_info[0] == 2 else self.upstream_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRUCT, 3)
+            self.endpoint.write(oprot)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 4)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 5)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.warmup_ms is not None:
+            oprot.writeFieldBegin('warmup_ms', TType.I64, 7)
+            oprot.writeI64(self.warmup_ms)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 8)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream_id is None:
+            raise TProtocolException(message='Required field upstream_id is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        if self.warmup_ms is None:
+            raise TProtocolException(message='Required field warmup_ms is unset!')
+        if self.started_ms is None:
+            raise TProtocolException(message='Required field started_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OwnedRange(object):
+    """
+    Attributes:
+     - service_name
+     - first
+     - last
+     - owner
+     - fence
+     - giver
+     - moving
+
+    """
+
+
+    def __init__(self, service_name=None, first=None, last=None, owner=None, fence=None, giver=None, moving=None,):
+        self.service_name = service_name
+        self.first = first
+        self.last = last
+        self.owner = owner
+        self.fence = fence
+        self.giver = giver
+        self.moving = moving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.first = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.last = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.giver = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.moving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OwnedRange')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.first is not None:
+            oprot.writeFieldBegin('first', TType.I32, 2)
+            oprot.writeI32(self.first)
+            oprot.writeFieldEnd()
+        if self.last is not None:
+            oprot.writeFieldBegin('last', TType.I32, 3)
+            oprot.writeI32(self.last)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 4)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 5)
+            oprot.writeI64(self.fence)
+            oprot.writeFieldEnd()
+        if self.giver is not None:
+            oprot.writeFieldBegin('giver', TType.STRING, 6)
+            oprot.writeString(self.giver.encode('utf-8') if sys.version_info[0] == 2 else self.giver)
+            oprot.writeFieldEnd()
+        if self.moving is not None:
+            oprot.writeFieldBegin('moving', TType.BOOL, 7)
+            oprot.writeBool(self.moving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.first is None:
+            raise TProtocolException(message='Required field first is unset!')
+        if self.last is None:
+            raise TProtocolException(message='Required field last is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
+        if self.fence is None:
+            raise TProtocolException(message='Required field fence is unset!')
+        if self.moving is None:
+            raise TProtocolException(message='Required field moving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownVersions(object):
+    """
+    Attributes:
+     - configuration
+     - term
+     - upstreams
+     - ownership
+     - members
+
+    """
+
+
+    def __init__(self, configuration=None, term=None, upstreams=None, ownership=None, members=None,):
+        self.configuration = configuration
+        self.term = term
+        self.upstreams = upstreams
+        self.ownership = ownership
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.upstreams = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.ownership = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.members = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownVersions')
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 1)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.I64, 3)
+            oprot.writeI64(self.upstreams)
+            oprot.writeFieldEnd()
+        if self.ownership is not None:
+            oprot.writeFieldBegin('ownership', TType.I64, 4)
+            oprot.writeI64(self.ownership)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.I64, 5)
+            oprot.writeI64(self.members)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.configuration is None:
+            raise TProtocolException(message='Required field configuration is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.upstreams is None:
+            raise TProtocolException(message='Required field upstreams is unset!')
+        if self.ownership is None:
+            raise TProtocolException(message='Required field ownership is unset!')
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FollowRequest(object):
+    """
+    Attributes:
+     - member
+     - known
+     - wait_ms
+     - demands
+     - paces
+
+    """
+
+
+    def __init__(self, member=None, known=None, wait_ms=None, demands=None, paces=None,):
+        self.member = member
+        self.known = known
+        self.wait_ms = wait_ms
+        self.demands = demands
+        self.paces = paces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.member = NodeMember()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.known = KnownVersions()
+                    self.known.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.wait_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype195, _size192) = iprot.readListBegin()
+                    for _i196 in range(_size192):
+                        _elem197 = KeyDemand()
+                        _elem197.read(iprot)
+                        self.demands.append(_elem197)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype201, _size198) = iprot.readListBegin()
+                    for _i202 in range(_size198):
+                        _elem203 = UpstreamPace()
+                        _elem203.read(iprot)
+                        self.paces.append(_elem203)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FollowRequest')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.STRUCT, 2)
+            self.known.write(oprot)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I64, 3)
+            oprot.writeI64(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter204 in self.demands:
+                iter204.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter205 in self.paces:
+                iter205.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
+        if self.wait_ms is None:
+            raise TProtocolException(message='Required field wait_ms is unset!')
+        if self.demands is None:
+            raise TProtocolException(message='Required field demands is unset!')
+        if self.paces is None:
+            raise TProtocolException(message='Required field paces is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FollowReply(object):
+    """
+    Attributes:
+     - versions
+     - leads
+     - configuration
+     - upstreams
+     - ownership
+     - members
+     - upstreams_age_ms
+
+    """
+
+
+    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None,):
+        self.versions = versions
+        self.leads = leads
+        self.configuration = configuration
+        self.upstreams = upstreams
+        self.ownership = ownership
+        self.members = members
+        self.upstreams_age_ms = upstreams_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.versions = KnownVersions()
+                    self.versions.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.leads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.configuration = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype209, _size206) = iprot.readListBegin()
+                    for _i210 in range(_size206):
+                        _elem211 = UpstreamRecord()
+                        _elem211.read(iprot)
+                        self.upstreams.append(_elem211)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.ownership = []
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = OwnedRange()
+                        _elem217.read(iprot)
+                        self.ownership.append(_elem217)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype221, _size218) = iprot.readListBegin()
+                    for _i222 in range(_size218):
+                        _elem223 = NodeMember()
+                        _elem223.read(iprot)
+                        self.members.append(_elem223)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.upstreams_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FollowReply')
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.STRUCT, 1)
+            self.versions.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leads is not None:
+            oprot.writeFieldBegin('leads', TType.BOOL, 2)
+            oprot.writeBool(self.leads)
+            oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.STRING, 3)
+            oprot.writeBinary(self.configuration)
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter224 in self.upstreams:
+                iter224.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ownership is not None:
+            oprot.writeFieldBegin('ownership', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.ownership))
+            for iter225 in self.ownership:
+                iter225.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter226 in self.members:
+                iter226.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.upstreams_age_ms is not None:
+            oprot.writeFieldBegin('upstreams_age_ms', TType.I64, 7)
+            oprot.writeI64(self.upstreams_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.versions is None:
+            raise TProtocolException(message='Required field versions is unset!')
+        if self.leads is None:
+            raise TProtocolException(message='Required field leads is unset!')
+        if self.upstreams_age_ms is None:
+            raise TProtocolException(message='Required field upstreams_age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Fence)
 Fence.thrift_spec = (
     None,  # 0
@@ -2778,5 +4218,117 @@
     (6, TType.LIST, 'departed', (TType.STRUCT, [DepartedSlots, None], False), None, ),  # 6
     (7, TType.BOOL, 'fits_next_row', None, None, ),  # 7
 )
+all_structs.append(Endpoint)
+Endpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+)
+all_structs.append(RelayRequest)
+RelayRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'key', None, None, ),  # 3
+    (4, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'method', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'target', 'UTF8', None, ),  # 6
+    (7, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 7
+    (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
+    (9, TType.I64, 'remaining_ms', None, None, ),  # 9
+    (10, TType.I64, 'aim_ms', None, None, ),  # 10
+    (11, TType.I32, 'rank', None, None, ),  # 11
+    (12, TType.STRING, 'route', 'UTF8', None, ),  # 12
+    (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
+)
+all_structs.append(RelayReply)
+RelayReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'outcome', None, None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+    (3, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 3
+    (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
+    (5, TType.STRING, 'reason', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
+    (7, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 7
+    (8, TType.BOOL, 'arrived', None, None, ),  # 8
+)
+all_structs.append(KeyDemand)
+KeyDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'key', None, None, ),  # 2
+    (3, TType.DOUBLE, 'work_ms', None, None, ),  # 3
+)
+all_structs.append(UpstreamPace)
+UpstreamPace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'taken_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'expected_ms', None, None, ),  # 3
+    (4, TType.I32, 'answered', None, None, ),  # 4
+    (5, TType.I32, 'failed', None, None, ),  # 5
+)
+all_structs.append(NodeMember)
+NodeMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'boot_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRUCT, 'endpoint', [Endpoint, None], None, ),  # 4
+    (5, TType.BOOL, 'leaving', None, None, ),  # 5
+)
+all_structs.append(UpstreamRecord)
+UpstreamRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRUCT, 'endpoint', [Endpoint, None], None, ),  # 3
+    (4, TType.STRING, 'zone', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'slots', None, None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.I64, 'warmup_ms', None, None, ),  # 7
+    (8, TType.I64, 'started_ms', None, None, ),  # 8
+)
+all_structs.append(OwnedRange)
+OwnedRange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'first', None, None, ),  # 2
+    (3, TType.I32, 'last', None, None, ),  # 3
+    (4, TType.STRING, 'owner', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'fence', None, None, ),  # 5
+    (6, TType.STRING, 'giver', 'UTF8', None, ),  # 6
+    (7, TType.BOOL, 'moving', None, None, ),  # 7
+)
+all_structs.append(KnownVersions)
+KnownVersions.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'configuration', None, None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'upstreams', None, None, ),  # 3
+    (4, TType.I64, 'ownership', None, None, ),  # 4
+    (5, TType.I64, 'members', None, None, ),  # 5
+)
+all_structs.append(FollowRequest)
+FollowRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'member', [NodeMember, None], None, ),  # 1
+    (2, TType.STRUCT, 'known', [KnownVersions, None], None, ),  # 2
+    (3, TType.I64, 'wait_ms', None, None, ),  # 3
+    (4, TType.LIST, 'demands', (TType.STRUCT, [KeyDemand, None], False), None, ),  # 4
+    (5, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 5
+)
+all_structs.append(FollowReply)
+FollowReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'versions', [KnownVersions, None], None, ),  # 1
+    (2, TType.BOOL, 'leads', None, None, ),  # 2
+    (3, TType.STRING, 'configuration', 'BINARY', None, ),  # 3
+    (4, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamRecord, None], False), None, ),  # 4
+    (5, TType.LIST, 'ownership', (TType.STRUCT, [OwnedRange, None], False), None, ),  # 5
+    (6, TType.LIST, 'members', (TType.STRUCT, [NodeMember, None], False), None, ),  # 6
+    (7, TType.I64, 'upstreams_age_ms', None, None, ),  # 7
+)
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/foxtailshunt/relay/_messages.py
@@ -0,0 +1,89 @@
+"""Requests and outcomes as messages between nodes."""
+
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.protocol import Header, RelayReply, RelayRequest
+from foxtailshunt.relay._outcome import Call, Outcome
+
+_MS_PER_S = 1000
+
+
+def to_relay_request(call: Call, now: float) -> RelayRequest:
+    """Return the message for a request.
+
+    :param call: the request.
+    :param now: the time in seconds of the monotonic clock; only spans travel.
+    """
+    return RelayRequest(
+        request_id=call.request_id,
+        service_name=call.service,
+        key=call.key,
+        upstream_id=call.upstream_id,
+        method=call.method,
+        target=call.target,
+        headers=[Header(name=name, value=value) for name, value in call.headers],
+        body=call.body,
+        remaining_ms=int((call.deadline - now) * _MS_PER_S),
+        aim_ms=int((call.aim_at - now) * _MS_PER_S),
+        rank=call.rank,
+        route=call.route,
+        excluded=sorted(call.excluded),
+    )
+
+
+def to_call(req: RelayRequest, now: float) -> Call:
+    """Return the request of a message.
+
+    :param req: the message.
+    :param now: the time in seconds of the monotonic clock.
+    """
+    return Call(
+        request_id=req.request_id,
+        service=req.service_name,
+        key=req.key,
+        upstream_id=req.upstream_id,
+        method=req.method,
+        target=req.target,
+        headers=tuple((header.name, header.value) for header in req.headers),
+        body=req.body,
+        deadline=now + req.remaining_ms / _MS_PER_S,
+        aim_at=now + req.aim_ms / _MS_PER_S,
+        rank=req.rank,
+        route=req.route,
+        excluded=frozenset(req.excluded),
+    )
+
+
+def to_relay_reply(outcome: Outcome) -> RelayReply:
+    """Return the message for an outcome.
+
+    :param outcome: the outcome.
+    """
+    retry_after_s = outcome.retry_after_s
+    return RelayReply(
+        outcome=int(outcome.code),
+        status=outcome.status,
+        headers=[Header(name=name, value=value) for name, value in outcome.headers],
+        body=outcome.body,
+        reason=outcome.detail,
+        retry_after_ms=None if retry_after_s is None else int(retry_after_s * _MS_PER_S),
+        upstream_id=outcome.upstream_id,
+        arrived=outcome.arrived,
+    )
+
+
+def to_outcome(reply: RelayReply) -> Outcome:
+    """Return the outcome of a message.
+
+    :param reply: the message.
+    """
+    retry_after_ms = reply.retry_after_ms
+    return Outcome(
+        code=ResultCode(reply.outcome),
+        detail=reply.reason or "",
+        status=reply.status or 0,
+        headers=tuple((header.name, header.value) for header in reply.headers or ()),
+        body=reply.body or b"",
+        retry_after_s=None if retry_after_ms is None else retry_after_ms / _MS_PER_S,
+        upstream_id=reply.upstream_id,
+        arrived=reply.arrived,
+    )
--- /dev/null
+++ b/foxtailshunt/relay/_sender.py
@@ -0,0 +1,300 @@
+"""Sends requests to the upstreams that this node is the sender of."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.fleet import Address, FleetView, Upstream
+from foxtailshunt.network import caller_is_gone
+from foxtailshunt.platform import UpstreamAnswer, Verdict, judge_answer, upstream_head
+from foxtailshunt.relay._channel import ChannelError, UpstreamChannel
+from foxtailshunt.relay._outcome import Call, Outcome
+from foxtailshunt.relay._pace import PaceBook
+from foxtailshunt.relay._slot_pool import Refusal, SlotPool, Ticket, TicketState
+from foxtailshunt.telemetry import Metrics, RequestLog
+
+#: Time kept for the way back of an answer, in seconds.
+RETURN_TIME_S = 0.02
+#: How often a waiting request looks whether its caller is still there, in seconds.
+CALLER_CHECK_S = 0.2
+#: Idle connections kept to one upstream.
+MAX_IDLE_CHANNELS = 3
+#: Retry-After where the owner of a key is not known or is changing, in seconds: a move takes 0.3.
+OWNER_RETRY_AFTER_S = 0.4
+
+
+@dataclass(slots=True)
+class _Lane:
+    """A pool with its lock and the version of the fleet that it was filled from."""
+
+    pool: SlotPool
+    lock: threading.Lock
+    filled_from: object = None
+
+
+class Sender:
+    """Queues requests for slots and sends them; safe to use from any thread.
+
+    :param view: what is known of upstreams.
+    :param paces: estimates of how long requests take.
+    :param zone: the node's availability zone.
+    :param metrics: counters and histograms.
+    :param log: where decisions about requests are written.
+    """
+
+    def __init__(
+        self, view: FleetView, paces: PaceBook, zone: str, metrics: Metrics, log: RequestLog
+    ) -> None:
+        self._view = view
+        self._paces = paces
+        self._zone = zone
+        self._metrics = metrics
+        self._log = log
+        self._lanes_lock = threading.Lock()
+        self._lanes: dict[str, _Lane] = {}
+        self._channels_lock = threading.Lock()
+        self._idle: dict[tuple[str, Address], list[UpstreamChannel]] = {}
+
+    def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
+        """Queue a request, send it and return what became of it.
+
+        :param call: the request.
+        :param caller: the connection of the one who waits; watched for its end.
+        """
+        upstreams = self._candidates(call)
+        if not upstreams:
+            return Outcome(
+                ResultCode.NO_OWNER,
+                "no upstream that takes new work",
+                retry_after_s=OWNER_RETRY_AFTER_S,
+            )
+        lane = self._lane(call)
+        ticket, woken = self._new_ticket(call)
+        with lane.lock:
+            if lane.filled_from is not upstreams:
+                lane.pool.set_upstreams(upstreams)
+                lane.filled_from = upstreams
+            refusal = lane.pool.offer(ticket, time.monotonic())
+            if refusal is None:
+                self._assign(lane)
+        if refusal is not None:
+            return self._refused(call, refusal)
+        self._wait_for_slot(lane, ticket, woken, caller)
+        if ticket.state is TicketState.ASSIGNED:
+            return self._send(lane, ticket, caller)
+        return self._not_sent(ticket, caller)
+
+    def load(self) -> tuple[int, int]:
+        """Return how many requests wait and how many are at upstreams."""
+        lanes = list(self._lanes.values())
+        return sum(lane.pool.waiting for lane in lanes), sum(lane.pool.running for lane in lanes)
+
+    def _candidates(self, call: Call) -> tuple[Upstream, ...]:
+        if call.key is None:
+            return self._view.by_service.get(call.service, ())
+        upstream = self._view.upstreams.get(call.upstream_id or "")
+        if upstream is None or upstream.leaving or upstream.service != call.service:
+            return ()
+        return self._single(upstream)
+
+    def _single(self, upstream: Upstream) -> tuple[Upstream, ...]:
+        lane = self._lanes.get(f"upstream {upstream.upstream_id}")
+        known = lane.filled_from if lane is not None else None
+        if isinstance(known, tuple) and known and known[0] is upstream:
+            return known
+        return (upstream,)
+
+    def _lane(self, call: Call) -> _Lane:
+        name = f"service {call.service}" if call.key is None else f"upstream {call.upstream_id}"
+        with self._lanes_lock:
+            lane = self._lanes.get(name)
+            if lane is None:
+                lane = _Lane(SlotPool(self._paces, self._zone), threading.Lock())
+                self._lanes[name] = lane
+            return lane
+
+    def _new_ticket(self, call: Call) -> tuple[Ticket, threading.Event]:
+        woken = threading.Event()
+        return Ticket(call, woken.set, time.monotonic()), woken
+
+    def _assign(self, lane: _Lane) -> None:
+        for ticket in lane.pool.assign(time.monotonic()):
+            ticket.wake()
+
+    def _wait_for_slot(
+        self, lane: _Lane, ticket: Ticket, woken: threading.Event, caller: socket.socket | None
+    ) -> None:
+        while not woken.is_set():
+            now = time.monotonic()
+            with lane.lock:
+                change_at = lane.pool.next_change_at(now)
+            wait_s = min(CALLER_CHECK_S, max(0.0, ticket.call.deadline - now))
+            if change_at is not None:
+                wait_s = min(wait_s, max(0.005, change_at - now))
+            if woken.wait(max(0.001, wait_s)):
+                return
+            with lane.lock:
+                if ticket.state is not TicketState.WAITING:
+                    return
+                if caller_is_gone(caller) or self._has_moved(ticket.call):
+                    lane.pool.withdraw(ticket)
+                    return
+                self._assign(lane)
+
+    def _has_moved(self, call: Call) -> bool:
+        if call.key is None:
+            return False
+        keys = self._view.ownership.find(call.service, call.key)
+        return keys is None or keys.moving or keys.owner != call.upstream_id
+
+    def _not_sent(self, ticket: Ticket, caller: socket.socket | None) -> Outcome:
+        if caller_is_gone(caller):
+            return Outcome(ResultCode.CANCELLED, "the caller went away before a slot was free")
+        if ticket.state is TicketState.EXPIRED:
+            return Outcome(
+                ResultCode.TOO_LATE,
+                "no slot became free in time",
+                retry_after_s=self._paces.work_s(ticket.call.route),
+            )
+        return Outcome(
+            ResultCode.NOT_DISPATCHER, "the key moved while the request waited", retry_after_s=0.1
+        )
+
+    def _refused(self, call: Call, refusal: Refusal) -> Outcome:
+        estimate = "unknown" if refusal.estimate_s is None else f"{refusal.estimate_s:.3f} s"
+        remaining_s = call.deadline - time.monotonic()
+        return Outcome(
+            ResultCode.TOO_LATE,
+            f"estimated {estimate}, remaining {remaining_s:.3f} s",
+            retry_after_s=refusal.retry_after_s,
+        )
+
+    def _send(self, lane: _Lane, ticket: Ticket, caller: socket.socket | None) -> Outcome:
+        upstream = ticket.upstream
+        assert upstream is not None
+        started = time.monotonic()
+        failed = True
+        try:
+            if caller_is_gone(caller):
+                failed = False
+                return Outcome(ResultCode.CANCELLED, "the caller went away")
+            if self._has_moved(ticket.call):
+                failed = False
+                return Outcome(ResultCode.NOT_DISPATCHER, "the key moved", retry_after_s=0.1)
+            outcome = self._exchange(ticket.call, upstream, caller)
+            failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
+            self._note_pace(ticket.call, upstream, outcome, time.monotonic() - started)
+            return outcome
+        finally:
+            with lane.lock:
+                lane.pool.finish(ticket, failed, time.monotonic())
+                self._assign(lane)
+
+    def _note_pace(self, call: Call, upstream: Upstream, outcome: Outcome, taken_s: float) -> None:
+        upstream_id = upstream.upstream_id
+        if outcome.code is ResultCode.OK:
+            self._paces.note_answer(call.route, upstream_id, taken_s)
+            self._metrics.observe(
+                "foxtailshunt_upstream_seconds",
+                "Time of requests at upstreams.",
+                taken_s,
+                {"service": call.service},
+            )
+        elif outcome.code is ResultCode.DEADLINE_EXCEEDED:
+            self._paces.note_timeout(call.route, upstream_id, taken_s)
+        elif outcome.code is not ResultCode.CANCELLED:
+            self._paces.note_failure(upstream_id)
+
+    def _exchange(self, call: Call, upstream: Upstream, caller: socket.socket | None) -> Outcome:
+        def belongs(answer: UpstreamAnswer) -> bool:
+            return judge_answer(answer, call.request_id) is not Verdict.FOREIGN
+
+        try:
+            channel = self._take_channel(upstream)
+            remaining_s = call.deadline - time.monotonic()
+            head = upstream_head(call.headers, upstream.upstream_id, remaining_s - RETURN_TIME_S)
+            answer = channel.exchange(
+                call.method,
+                call.target,
+                head,
+                call.body,
+                call.deadline - RETURN_TIME_S / 2,
+                caller,
+                belongs,
+            )
+        except ChannelError as exc:
+            return self._channel_failed(upstream, exc)
+        self._put_back(upstream, channel)
+        return self._judge(call, upstream, answer)
+
+    def _channel_failed(self, upstream: Upstream, exc: ChannelError) -> Outcome:
+        if not exc.sent:
+            code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
+            return Outcome(
+                code,
+                exc.message,
+                upstream_id=upstream.upstream_id,
+                retry_after_s=OWNER_RETRY_AFTER_S,
+            )
+        return Outcome(exc.code, exc.message, upstream_id=upstream.upstream_id, arrived=True)
+
+    def _judge(self, call: Call, upstream: Upstream, answer: UpstreamAnswer) -> Outcome:
+        verdict = judge_answer(answer, call.request_id)
+        if verdict is Verdict.ANSWERED:
+            return Outcome(
+                ResultCode.OK,
+                "answered",
+                status=answer.status,
+                headers=answer.caller_headers(),
+                body=answer.body,
+                upstream_id=upstream.upstream_id,
+                arrived=True,
+            )
+        detail = f"status {answer.status}, {verdict.value}"
+        if verdict in (Verdict.NOT_RUN, Verdict.NOT_OWNER):
+            code = (
+                ResultCode.REFUSED_BY_UPSTREAM
+                if verdict is Verdict.NOT_RUN
+                else ResultCode.NO_OWNER
+            )
+            return Outcome(
+                code,
+                detail,
+                retry_after_s=OWNER_RETRY_AFTER_S,
+                upstream_id=upstream.upstream_id,
+                arrived=True,
+            )
+        return Outcome(
+            ResultCode.ANSWER_MISMATCH, detail, upstream_id=upstream.upstream_id, arrived=True
+        )
+
+    def _take_channel(self, upstream: Upstream) -> UpstreamChannel:
+        key = (upstream.upstream_id, upstream.address)
+        while True:
+            with self._channels_lock:
+                idle = self._idle.get(key)
+                channel = idle.pop() if idle else None
+            if channel is None:
+                return UpstreamChannel(upstream.address)
+            if channel.is_usable():
+                return channel
+            channel.reset()
+
+    def _put_back(self, upstream: Upstream, channel: UpstreamChannel) -> None:
+        key = (upstream.upstream_id, upstream.address)
+        kept = channel.is_usable()
+        if kept:
+            with self._channels_lock:
+                idle = self._idle.setdefault(key, [])
+                kept = len(idle) < MAX_IDLE_CHANNELS
+                if kept:
+                    idle.append(channel)
+        if not kept:
+            channel.reset()
+
+
+#: Executes a request on this node or on another.
+Execute = Callable[[Call, socket.socket | None], Outcome]
--- /dev/null
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -0,0 +1,272 @@
+"""Which request gets which slot of which upstream, and when; and which is refused.
+
+Load it answers: more requests than slots for some seconds (bursts, hot keys), requests of several
+ranks for the same slots, upstreams that differ in speed or turn slow. It knows no network and no
+clock; the caller passes the time and holds a lock around all calls.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from foxtailshunt.fleet import Upstream
+from foxtailshunt.relay._outcome import Call
+from foxtailshunt.relay._pace import PaceBook
+
+#: Part of the estimated time that is added for its spread when a request is judged to fit.
+SPREAD = 0.25
+#: Bounds of a Retry-After, in seconds: callers wait for up to a third of the time they have left.
+MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
+#: First and longest pause of an upstream that failed, in seconds.
+FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.25, 4.0
+#: An upstream that has had no request for so long may have recovered, in seconds.
+FORGET_SLOWNESS_S = 3.0
+
+
+class TicketState(Enum):
+    """Where a request stands."""
+
+    WAITING = "waiting"
+    ASSIGNED = "assigned"
+    EXPIRED = "expired"
+    DONE = "done"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request in a pool."""
+
+    #: The request.
+    call: Call
+    #: Called once its state is no longer WAITING.
+    wake: Callable[[], None]
+    #: When it came, in seconds of the monotonic clock.
+    queued_at: float
+    state: TicketState = TicketState.WAITING
+    #: The upstream whose slot it has.
+    upstream: Upstream | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is not taken."""
+
+    #: Estimated time until its answer, in seconds; None if no upstream could take it.
+    estimate_s: float | None
+    #: When a repeat has a chance, in seconds.
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class _Slots:
+    upstream: Upstream
+    #: Requests at the upstream, and when each is expected to end.
+    running: dict[Ticket, float] = field(default_factory=dict)
+    failures: int = 0
+    paused_until: float = 0.0
+    last_used: float = 0.0
+
+    def has_room(self, now: float) -> bool:
+        return len(self.running) < self.upstream.slots and now >= self.paused_until
+
+    def free_at(self, now: float) -> float:
+        """Return when a slot is expected to be free."""
+        begin = max(now, self.paused_until)
+        if len(self.running) < self.upstream.slots:
+            return begin
+        return max(begin, min(self.running.values()))
+
+
+class SlotPool:
+    """The slots of the upstreams that serve the same requests, and the requests that wait.
+
+    :param paces: estimates of how long requests take.
+    :param zone: upstreams of this availability zone are preferred among equals.
+    """
+
+    def __init__(self, paces: PaceBook, zone: str) -> None:
+        self._paces = paces
+        self._zone = zone
+        self._slots: dict[str, _Slots] = {}
+        self._waiting: list[Ticket] = []
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests are at upstreams."""
+        return sum(len(slots.running) for slots in self._slots.values())
+
+    def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Take the upstreams that may get new requests.
+
+        :param upstreams: the upstreams; leaving ones are left out.
+        """
+        wanted = {item.upstream_id: item for item in upstreams if not item.leaving}
+        for upstream_id, slots in list(self._slots.items()):
+            if upstream_id not in wanted and not slots.running:
+                del self._slots[upstream_id]
+            elif upstream_id not in wanted:
+                # What runs there still frees its slot, but nothing new is assigned.
+                slots.paused_until = float("inf")
+        for upstream_id, upstream in wanted.items():
+            slots = self._slots.get(upstream_id)
+            if slots is None or slots.paused_until == float("inf"):
+                self._slots[upstream_id] = _Slots(upstream)
+            else:
+                slots.upstream = upstream
+
+    def offer(self, ticket: Ticket, now: float) -> Refusal | None:
+        """Queue a request unless it cannot be answered in time.
+
+        :param ticket: the request.
+        :param now: the time in seconds.
+        :returns: None if it was queued.
+        """
+        estimate_s = self._estimate(ticket.call, now)
+        if estimate_s is None:
+            return Refusal(None, self._retry_after(FIRST_PAUSE_S))
+        remaining_s = ticket.call.deadline - now
+        if estimate_s > remaining_s:
+            return Refusal(estimate_s, self._retry_after(estimate_s - remaining_s))
+        self._waiting.append(ticket)
+        return None
+
+    def assign(self, now: float) -> list[Ticket]:
+        """Give free slots to waiting requests and expire those that are too late.
+
+        :param now: the time in seconds.
+        :returns: the tickets whose state has changed.
+        """
+        changed: list[Ticket] = []
+        if not self._waiting:
+            return changed
+        self._waiting.sort(key=lambda ticket: self._order(ticket, now))
+        still_waiting: list[Ticket] = []
+        for ticket in self._waiting:
+            slots = self._best_slots(ticket.call, now)
+            work_s = self._work_s(ticket.call, slots)
+            if slots is None or now + work_s > ticket.call.deadline:
+                ticket.state = TicketState.EXPIRED
+                changed.append(ticket)
+            elif slots.has_room(now):
+                ticket.state = TicketState.ASSIGNED
+                ticket.upstream = slots.upstream
+                slots.running[ticket] = now + work_s
+                slots.last_used = now
+                changed.append(ticket)
+            else:
+                still_waiting.append(ticket)
+        self._waiting = still_waiting
+        return changed
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take back a request that waits.
+
+        :param ticket: the request.
+        """
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+        ticket.state = TicketState.DONE
+
+    def finish(self, ticket: Ticket, failed: bool, now: float) -> None:
+        """Free the slot of a request.
+
+        :param ticket: the request.
+        :param failed: whether the upstream failed or refused it.
+        :param now: the time in seconds.
+        """
+        ticket.state = TicketState.DONE
+        if ticket.upstream is None:
+            return
+        slots = self._slots.get(ticket.upstream.upstream_id)
+        if slots is None:
+            return
+        slots.running.pop(ticket, None)
+        if failed:
+            slots.failures += 1
+            self._pause(slots, now)
+        else:
+            slots.failures = 0
+
+    def next_change_at(self, now: float) -> float | None:
+        """Return when a pause ends that requests wait for; None if none does.
+
+        :param now: the time in seconds.
+        """
+        if not self._waiting:
+            return None
+        ends = [s.paused_until for s in self._slots.values() if now < s.paused_until < now + 60]
+        return min(ends, default=None)
+
+    def _pause(self, slots: _Slots, now: float) -> None:
+        # The only upstream of a key is not paused: its requests have nowhere else to go.
+        if len(self._slots) > 1:
+            pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (slots.failures - 1))
+            slots.paused_until = max(slots.paused_until, now + pause_s)
+
+    def _order(self, ticket: Ticket, now: float) -> tuple[int, float, float]:
+        """Requests that can still meet their aim go first, the least slack first; then by rank."""
+        call = ticket.call
+        latest_start = call.aim_at - self._paces.work_s(call.route)
+        if latest_start >= now:
+            return (0, latest_start, ticket.queued_at)
+        return (1 + call.rank, call.deadline, ticket.queued_at)
+
+    def _best_slots(self, call: Call, now: float) -> _Slots | None:
+        """Return the slots at which a request is expected to end first."""
+        best: _Slots | None = None
+        best_end = float("inf")
+        for upstream_id, slots in self._slots.items():
+            if upstream_id in call.excluded and len(self._slots) > len(call.excluded):
+                continue
+            free_at = slots.free_at(now)
+            if free_at == float("inf"):
+                continue
+            end = free_at + self._expected_s(call, slots, now)
+            if slots.upstream.zone != self._zone:
+                end += 0.002
+            if end < best_end:
+                best, best_end = slots, end
+        return best
+
+    def _expected_s(self, call: Call, slots: _Slots, now: float) -> float:
+        expected_s = self._paces.expected_s(call.route, slots.upstream.upstream_id)
+        if len(self._slots) > 1 and now - slots.last_used > FORGET_SLOWNESS_S:
+            # An upstream that is never tried would be held slow for ever.
+            return min(expected_s, self._paces.work_s(call.route))
+        return expected_s
+
+    def _work_s(self, call: Call, slots: _Slots | None) -> float:
+        if slots is None:
+            return 0.0
+        return self._paces.expected_s(call.route, slots.upstream.upstream_id)
+
+    def _estimate(self, call: Call, now: float) -> float | None:
+        """Return the time until a request that comes now is answered, in seconds."""
+        slots = self._best_slots(call, now)
+        if slots is None:
+            return None
+        probe = Ticket(call, lambda: None, now)
+        order = self._order(probe, now)
+        ahead_s = sum(
+            self._paces.work_s(other.call.route)
+            for other in self._waiting
+            if self._order(other, now) <= order
+        )
+        speed = sum(
+            item.upstream.slots / self._paces.slowness(item.upstream.upstream_id)
+            for item in self._slots.values()
+            if item.free_at(now) != float("inf")
+        )
+        wait_s = max(0.0, slots.free_at(now) - now) + (ahead_s / speed if speed else 0.0)
+        return wait_s + self._work_s(call, slots) * (1 + SPREAD)
+
+    def _retry_after(self, wait_s: float) -> float:
+        # The spread keeps callers that were refused together from coming back together.
+        spread = random.uniform(0.8, 1.4)
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s * spread))
--- a/foxtailshunt/telemetry/__init__.py
+++ b/foxtailshunt/telemetry/__init__.py
@@ -4,12 +4,16 @@
 from foxtailshunt.telemetry._logs import log_state_change, log_thread_error, start_logging
 from foxtailshunt.telemetry._metrics import Metrics
 from foxtailshunt.telemetry._operator_server import OperatorServer
+from foxtailshunt.telemetry._request_log import LogWriter, RequestLog, start_node_logging
 
 __all__ = [
     "EarlyBinding",
+    "LogWriter",
     "Metrics",
     "OperatorServer",
+    "RequestLog",
     "log_state_change",
     "log_thread_error",
     "start_logging",
+    "start_node_logging",
 ]
--- a/standins/measuring/_tables.py
+++ b/standins/measuring/_tables.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from foxtailshunt.kvstore import HttpPlatform
 from foxtailshunt.ownership import Table, table_from_json
-from foxtailshunt.platform import HttpPlatform
 from foxtailshunt.telemetry import Metrics
 from standins.fleet import Fleet
 
