Look for a caller's end without waiting inside recv

Cause: a socket with a time-out waits inside recv even with MSG_DONTWAIT, and the sender looked while it held the lane's lock, so one slow caller stopped all requests of an upstream.

--- a/foxtailshunt/fleet/_rendezvous.py
+++ b/foxtailshunt/fleet/_rendezvous.py
@@ -19,4 +19,4 @@
 
 
 def _score(subject: str, member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(f"{subject}\0{member.instance_id}")
+    return xxhash.xxh3_64_intdigest(f"{subject}\0{member.instance_id}".encode())
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 import time
+import traceback as traceback_module
 from collections.abc import Callable
 
 from cheroot.server import Gateway, HTTPConnection
@@ -178,7 +179,8 @@
         :param level: its level.
         :param traceback: whether an exception is in progress.
         """
-        log_state_change("front.error", error=msg, level=level)
+        where = traceback_module.format_exc() if traceback else ""
+        log_state_change("front.error", error=msg, level=level, where=where)
 
     def _accept_loop(self) -> None:
         listener = self._bound_socket
--- a/foxtailshunt/network/_readiness.py
+++ b/foxtailshunt/network/_readiness.py
@@ -49,9 +49,14 @@
     """
     if caller is None:
         return False
-    try:
-        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
+    if caller.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(caller, select.POLLIN)
+    # A socket with a time-out would wait inside recv, whatever its flags say.
+    if not poll.poll(0):
         return False
+    try:
+        return not caller.recv(1, socket.MSG_PEEK)
     except OSError:
         return True
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -150,9 +150,12 @@
             raise SilentPeerError(f"{method} at {self.address} brought no reply")
 
     def _wait_for_reply(self, method: str, timeout_s: float, caller: socket.socket) -> None:
-        if wait_readable(self._socket.handle, timeout_s, caller) is Readiness.CALLER_GONE:
+        readiness = wait_readable(self._socket.handle, timeout_s, caller)
+        if readiness is Readiness.CALLER_GONE:
             self.reset()
             raise CallerGoneError(f"{method} at {self.address}: the caller went away")
+        if readiness is Readiness.TIMED_OUT:
+            raise TimeoutError("no reply in time")
 
     def reset(self) -> None:
         """Close by reset, so that the kernel delivers nothing that is still unsent."""
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -20,6 +20,8 @@
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
 #: First and longest pause of an upstream that failed, in seconds.
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.25, 4.0
+#: Time that a request still takes which should have ended already, in seconds.
+OVERDUE_S = 0.05
 #: An upstream that has had no request for so long may have recovered, in seconds.
 FORGET_SLOWNESS_S = 3.0
 
@@ -75,7 +77,7 @@
         begin = max(now, self.paused_until)
         if len(self.running) < self.upstream.slots:
             return begin
-        return max(begin, min(self.running.values()))
+        return max(begin, min(self.running.values()), now + OVERDUE_S)
 
 
 class SlotPool:
