Lose held-up orders with their connection; wake idle callers' connections by a pipe

Causes: a renewal that a cut had held up arrived after the keys had gone to another upstream (OWNER); shutting down reading on idle connections at a drain looked like a caller's leaving (LOST).

--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -1,5 +1,7 @@
 """The callers' HTTP server: one thread for each connection."""
 
+import os
+import select
 import socket
 import threading
 import time
@@ -11,7 +13,6 @@
 from foxtailshunt.entry import CallerHttpRequest, make_file
 from foxtailshunt.fleet import Address
 from foxtailshunt.front._request_handler import Reply, RequestHandler
-from foxtailshunt.network import Readiness, wait_readable
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBinding, Metrics, log_state_change
 
@@ -19,6 +20,8 @@
 WRITE_TIMEOUT_S = 5.0
 #: Most callers' connections; each takes a thread of about 60 KB.
 MAX_CONNECTIONS = 1500
+#: Time for the first request of a connection that is taken while draining, in seconds.
+FIRST_REQUEST_WAIT_S = 1.0
 #: How often the server looks whether a drained connection is left, in seconds.
 DRAIN_POLL_S = 0.02
 
@@ -69,6 +72,8 @@
         super().__init__(server, sock, make_file)
         #: True while a request is read or served.
         self.is_busy = False
+        #: True once a request was served.
+        self.has_served = False
 
 
 class _FrontGateway(Gateway):
@@ -125,6 +130,7 @@
         self._lock = threading.Lock()
         self._connections: set[_FrontConnection] = set()
         self._stopping = threading.Event()
+        self._drain_read_end, self._drain_write_end = os.pipe()
         self.bind_early()
         self._thread = threading.Thread(target=self._accept_loop, name="front", daemon=True)
 
@@ -137,10 +143,8 @@
     def drain(self) -> None:
         """Close each connection after its answer, and idle ones now; take new ones on."""
         self.is_draining = True
-        with self._lock:
-            idle = [conn for conn in self._connections if not conn.is_busy]
-        for conn in idle:
-            _shut_down_reading(conn.socket)
+        # Closing one end of the pipe wakes all who wait on the other.
+        os.close(self._drain_write_end)
 
     def finish(self, until: float) -> int:
         """Wait for requests in progress and return how many are left.
@@ -217,6 +221,7 @@
                 conn.socket.settimeout(limits.header_timeout_s)
                 if not conn.communicate():
                     break
+                conn.has_served = True
                 conn.is_busy = False
         except OSError as exc:
             log_state_change("front.connection_failed", error=str(exc))
@@ -226,13 +231,19 @@
             _close_quietly(conn)
 
     def _wait_for_request(self, conn: _FrontConnection) -> bool:
+        """Return whether a request has begun to arrive; false if the connection is to be closed."""
         if conn.rfile.has_data():
             return True
-        if self.is_draining:
-            # A request that is here already is still served.
-            return wait_readable(conn.socket, 0.0, None) is Readiness.READABLE
-        timeout_s = self._limits().idle_timeout_s
-        return wait_readable(conn.socket, timeout_s, None) is Readiness.READABLE
+        poll = select.poll()
+        poll.register(conn.socket, select.POLLIN)
+        if not self.is_draining:
+            poll.register(self._drain_read_end, select.POLLIN)
+            timeout_s = self._limits().idle_timeout_s
+        else:
+            # A connection that came after the drain began still brings its request.
+            timeout_s = 0.0 if conn.has_served else FIRST_REQUEST_WAIT_S
+        ready = [fd for fd, _ in poll.poll(timeout_s * 1000)]
+        return conn.socket.fileno() in ready
 
 
 def _format_reply(reply: Reply, req: _FrontRequest) -> bytes:
@@ -249,14 +260,6 @@
     return head.encode("latin-1") + body
 
 
-def _shut_down_reading(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RD)
-    except OSError:
-        # The caller closed it first.
-        pass
-
-
 def _close_quietly(conn: _FrontConnection) -> None:
     try:
         conn.close()
--- a/foxtailshunt/network/__init__.py
+++ b/foxtailshunt/network/__init__.py
@@ -3,12 +3,14 @@
 from foxtailshunt.network._readiness import Readiness, caller_is_gone, wait_readable
 from foxtailshunt.network._socket_options import (
     KEEPALIVE_SOCKET_OPTIONS,
+    ORDER_SOCKET_OPTIONS,
     UPSTREAM_SOCKET_OPTIONS,
 )
 from foxtailshunt.network._source import set_source_host, source_address
 
 __all__ = [
     "KEEPALIVE_SOCKET_OPTIONS",
+    "ORDER_SOCKET_OPTIONS",
     "UPSTREAM_SOCKET_OPTIONS",
     "Readiness",
     "caller_is_gone",
--- a/foxtailshunt/network/_socket_options.py
+++ b/foxtailshunt/network/_socket_options.py
@@ -1,6 +1,7 @@
 """Socket options that let a connection to a silent peer fail soon."""
 
 import socket
+import struct
 
 #: Time in which sent bytes must be acknowledged, in milliseconds; a round trip takes a few.
 UNACKNOWLEDGED_LIMIT_MS = 700
@@ -23,3 +24,10 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
 ]
+# l_onoff = 1, l_linger = 0: closing resets the connection and drops unsent data.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+#: For a connection with orders that must not arrive late: what a cut holds up is lost with a reset.
+ORDER_SOCKET_OPTIONS = [
+    *UPSTREAM_SOCKET_OPTIONS,
+    (socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE),
+]
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -9,7 +9,7 @@
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
-from foxtailshunt.network import UPSTREAM_SOCKET_OPTIONS
+from foxtailshunt.network import ORDER_SOCKET_OPTIONS
 from foxtailshunt.platform._durations import format_duration
 
 _GRANT_PATH = "/api/grant"
@@ -52,12 +52,8 @@
     """
 
     def __init__(self, address: Address) -> None:
-        self._pool = urllib3.HTTPConnectionPool(
-            *address,
-            maxsize=1,
-            retries=False,
-            socket_options=UPSTREAM_SOCKET_OPTIONS,
-        )
+        self._address = address
+        self._pool = self._new_pool()
 
     def grant(
         self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
@@ -97,6 +93,11 @@
         """Close the connection."""
         self._pool.close()
 
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            *self._address, maxsize=1, retries=False, socket_options=ORDER_SOCKET_OPTIONS
+        )
+
     def _describe(self, keys: KeyRange) -> dict[str, object]:
         return {"from": keys.first, "to": keys.last, "fence": keys.fence}
 
@@ -108,13 +109,7 @@
         except (HTTPError, OSError) as exc:
             # A connection that failed once may stay silent; the next order takes a new one.
             self._pool.close()
-            self._pool = urllib3.HTTPConnectionPool(
-                self._pool.host,
-                self._pool.port,
-                maxsize=1,
-                retries=False,
-                socket_options=UPSTREAM_SOCKET_OPTIONS,
-            )
+            self._pool = self._new_pool()
             refused = isinstance(exc.__cause__, ConnectionRefusedError) or "refused" in str(exc)
             raise OrderError(f"{path}: {type(exc).__name__}: {exc}", refused) from exc
         return _Answer(resp.status, resp.headers.get(_HANDOVER))
