--- a/foxtailshunt/cli/node.py
+++ b/foxtailshunt/cli/node.py
@@ -3,16 +3,19 @@
 import os
 import signal
 import sys
+import uuid
 from pathlib import Path
 from types import FrameType
 
 import click
 
-from foxtailshunt.cli._program import EXIT_BAD_SETTINGS, new_boot_id
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.network import set_source_host
 from foxtailshunt.node import NodeProgram, load_node_settings
 
+#: Exit code for a bad settings file or an address in use.
+EXIT_BAD_SETTINGS = 2
+
 
 class _Signals:
     """Hands signals to the main thread through a pipe; a handler may not take locks."""
@@ -45,7 +48,7 @@
     try:
         settings = load_node_settings(settings_path)
         set_source_host(settings.host)
-        program = NodeProgram(settings, new_boot_id())
+        program = NodeProgram(settings, uuid.uuid4().hex)
     except FoxtailshuntError as exc:
         print(f"foxtailshunt-node: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/foxtailshunt/entry/_caller_connection.py
+++ b/foxtailshunt/entry/_caller_connection.py
@@ -7,69 +7,19 @@
 import termios
 import time
 
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import HTTPConnection, HTTPServer
 
-from foxtailshunt.entry._plain_head import PlainHead, read_plain_head
-from foxtailshunt.entry._request_framing import MAX_HEAD_BYTES, frame_request
-from foxtailshunt.entry._socket_files import make_file
+from foxtailshunt.entry._request_framing import frame_request
 from foxtailshunt.errors import ResultCode, family_of
+from foxtailshunt.http import MAX_HEAD_BYTES, StrictHttpRequest, make_file
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _INT_BYTES = 4
 
 
-class _CallerHeaderReader(HeaderReader):
-    """Drops ``Expect``, which is answered before a worker reads the request."""
-
-    def _allow_header(self, key_name: bytes) -> bool:
-        return key_name != b"Expect"
-
-
-class CallerHttpRequest(HTTPRequest):
+class CallerHttpRequest(StrictHttpRequest):
     """A request whose errors carry a result code."""
 
-    header_reader = _CallerHeaderReader()
-
-    def parse_request(self) -> None:
-        """Read the head: at once if it is plain, else as cheroot does."""
-        head = self.conn.rfile.take_head(MAX_HEAD_BYTES)
-        plain = read_plain_head(head) if head is not None else None
-        if plain is not None and plain.content_length <= self.server.max_request_body_size:
-            self._take_plain(plain)
-            return
-        if head is not None:
-            self.conn.rfile.give_back(head)
-        super().parse_request()
-
-    def _take_plain(self, plain: PlainHead) -> None:
-        self.started_request = True
-        self.method = plain.method
-        self.uri = plain.target
-        self.path, _, self.qs = plain.target.partition(b"?")
-        self.inheaders = plain.headers
-        self.request_protocol = b"HTTP/1.1"
-        self.response_protocol = "HTTP/1.1"
-        self.close_connection = plain.closes
-        self.ready = True
-
-    def read_request_headers(self) -> bool:
-        """Read the headers; refuse ambiguous framing."""
-        if not super().read_request_headers():
-            return False
-        length = self.inheaders.get(b"Content-Length")
-        if length is not None and not length.isdigit():
-            self.simple_response("400 Bad Request", "Content-Length is not a number.")
-            return False
-        if length is not None and b"Transfer-Encoding" in self.inheaders:
-            self.simple_response(
-                "400 Bad Request", "Content-Length and Transfer-Encoding exclude each other."
-            )
-            return False
-        if any(b"\r" in value or b"\0" in value for value in self.inheaders.values()):
-            self.simple_response("400 Bad Request", "A header has control characters.")
-            return False
-        return True
-
     def simple_response(self, status: str, msg: str = "") -> None:
         """Refuse the request and close the connection.
 
--- a/foxtailshunt/entry/_caller_server.py
+++ b/foxtailshunt/entry/_caller_server.py
@@ -14,8 +14,8 @@
 from foxtailshunt.entry._gateway import CallerGateway
 from foxtailshunt.entry._lingering import LingeringSockets
 from foxtailshunt.entry._ranked_queue import RankedQueue
-from foxtailshunt.entry._request_framing import MAX_HEAD_BYTES
 from foxtailshunt.errors import ResultCode
+from foxtailshunt.http import MAX_HEAD_BYTES
 from foxtailshunt.ownership import Address
 from foxtailshunt.telemetry import EarlyBinding
 
--- a/foxtailshunt/entry/_request_framing.py
+++ b/foxtailshunt/entry/_request_framing.py
@@ -3,8 +3,7 @@
 import re
 from dataclasses import dataclass
 
-#: Largest request line with headers, in bytes.
-MAX_HEAD_BYTES = 16_384
+from foxtailshunt.http import MAX_HEAD_BYTES
 
 _END_OF_HEAD = b"\r\n\r\n"
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length[ \t]*:[ \t]*([0-9]{1,12})[ \t]*\r\n", re.I)
--- a/foxtailshunt/fleet/_ownership.py
+++ b/foxtailshunt/fleet/_ownership.py
@@ -35,6 +35,28 @@
             return None
         return found[place]
 
+    def changes_since(self, older: "OwnershipTable") -> tuple[KeyRange, ...]:
+        """Return the ranges that an older table has not, in order of their keys.
+
+        :param older: a table that covers the same keys.
+        """
+        known = frozenset(older.ranges)
+        return tuple(item for item in self.ranges if item not in known)
+
+    def with_changes(self, changes: Iterable[KeyRange]) -> "OwnershipTable":
+        """Return the table in which ranges replace those that they overlap.
+
+        :param changes: what :meth:`changes_since` returned.
+        """
+        changed = OwnershipTable(changes)
+        kept = (item for item in self.ranges if not changed._overlaps(item))
+        return OwnershipTable((*kept, *changed.ranges))
+
+    def _overlaps(self, item: KeyRange) -> bool:
+        firsts, found = self._by_service.get(item.service, ([], []))
+        place = bisect_right(firsts, item.last) - 1
+        return place >= 0 and found[place].last >= item.first
+
     def of_service(self, service: str) -> list[KeyRange]:
         """Return the ranges of a service in order of their keys.
 
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -1,13 +1,16 @@
 """The newest knowledge of a node, part by part."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from foxtailshunt.fleet._ownership import OwnershipTable
-from foxtailshunt.fleet._types import Member, Upstream
+from foxtailshunt.fleet._types import KeyRange, Member, Upstream
 from foxtailshunt.routing import RouteTable
 
+#: Ownership tables that are kept for telling others what changed; they learn within a second.
+MAX_EARLIER_TABLES = 24
+
 
 @dataclass(frozen=True, slots=True)
 class Versions:
@@ -45,6 +48,8 @@
         self.members: tuple[Member, ...] = ()
         #: When the list of upstreams was read, in seconds of the clock; None before.
         self.upstreams_read_at: float | None = None
+        #: Earlier ownership tables of the term by version, for telling others what changed.
+        self._earlier: dict[int, OwnershipTable] = {}
         #: Upstreams of each service, for choosing among them.
         self.by_service: dict[str, tuple[Upstream, ...]] = {}
 
@@ -75,6 +80,7 @@
             if term > self.versions.term:
                 configuration = self.versions.configuration
                 self.versions = Versions(configuration=configuration, term=term)
+                self._earlier.clear()
                 self._news.notify_all()
             return True
 
@@ -127,10 +133,35 @@
         """
         with self._news:
             if term == self.versions.term and version > self.versions.ownership:
+                if self.versions.ownership:
+                    self._earlier[self.versions.ownership] = self.ownership
+                    self._earlier.pop(version - MAX_EARLIER_TABLES, None)
                 self.ownership = ownership
                 self.versions = replace(self.versions, ownership=version)
                 self._news.notify_all()
 
+    def take_ownership_changes(
+        self, term: int, known: int, version: int, changes: Iterable[KeyRange]
+    ) -> None:
+        """Take changes of the ownership table if they follow on the one held.
+
+        :param term: term of the leader that gave them.
+        :param known: version of the table that they change.
+        :param version: version of the table that results.
+        :param changes: the ranges that replace those they overlap.
+        """
+        if (term, known) == (self.versions.term, self.versions.ownership):
+            self.take_ownership(term, version, self.ownership.with_changes(changes))
+
+    def ownership_changes_since(self, known: int) -> tuple[KeyRange, ...] | None:
+        """Return what changed since a version of this term; None if it is no longer known.
+
+        :param known: the version.
+        """
+        with self._news:
+            earlier = self._earlier.get(known)
+            return None if earlier is None else self.ownership.changes_since(earlier)
+
     def take_members(self, term: int, version: int, members: tuple[Member, ...]) -> None:
         """Take a list of members unless a newer one is held.
 
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -8,11 +8,11 @@
 import traceback as traceback_module
 from collections.abc import Callable
 
-from cheroot.server import Gateway, HTTPConnection
+from cheroot.server import Gateway, HeaderReader, HTTPConnection
 
-from foxtailshunt.entry import CallerHttpRequest, make_file
 from foxtailshunt.fleet import Address
 from foxtailshunt.front._request_handler import Reply, RequestHandler
+from foxtailshunt.http import StrictHttpRequest, make_file
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBinding, Metrics, log_state_change
 
@@ -43,9 +43,12 @@
 _NO_BODY_STATUSES = (204, 304)
 
 
-class _FrontRequest(CallerHttpRequest):
+class _FrontRequest(StrictHttpRequest):
     """A request whose malformed head is answered and closes its connection."""
 
+    # Unlike the entry, nothing here has answered an Expect header before.
+    header_reader = HeaderReader()
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Answer a malformed request.
 
--- /dev/null
+++ b/foxtailshunt/http/__init__.py
@@ -0,0 +1,12 @@
+"""Reading callers' HTTP requests strictly, on top of cheroot."""
+
+from foxtailshunt.http._socket_files import SocketReader, SocketWriter, make_file
+from foxtailshunt.http._strict_request import MAX_HEAD_BYTES, StrictHttpRequest
+
+__all__ = [
+    "MAX_HEAD_BYTES",
+    "SocketReader",
+    "SocketWriter",
+    "StrictHttpRequest",
+    "make_file",
+]
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -12,7 +12,7 @@
     UpstreamReader,
 )
 from foxtailshunt.errors import PeerUnreachableError
-from foxtailshunt.fleet import FleetView, Member
+from foxtailshunt.fleet import FleetView, Member, OwnershipTable, Versions
 from foxtailshunt.node._configuration_watch import take_document
 from foxtailshunt.node._messages import (
     from_member_message,
@@ -181,9 +181,10 @@
 
     def _poll(self, clients: ClientPool, address: tuple[str, int], wait_s: float) -> None:
         demands = self._tally.take()
+        known = self._view.versions
         req = FollowRequest(
             member=to_member_message(self._me),
-            known=to_versions_message(self._view.versions),
+            known=to_versions_message(known),
             wait_ms=int(wait_s * 1000),
             demands=[
                 KeyDemand(service_name=service, key=key, work_ms=work_s * 1000)
@@ -201,9 +202,9 @@
             ],
         )
         reply: FollowReply = clients.call(address, "follow", req, wait_s + POLL_SLACK_S)
-        self._take(reply)
+        self._take(reply, known)
 
-    def _take(self, reply: FollowReply) -> None:
+    def _take(self, reply: FollowReply, known: Versions) -> None:
         if reply.configuration is not None:
             take_document(self._view, reply.configuration, "peer")
         versions = reply.versions
@@ -218,8 +219,15 @@
                 reply.upstreams_age_ms / 1000,
             )
         if reply.ownership is not None:
-            ownership = from_ownership_message(reply.ownership)
+            ownership = OwnershipTable(from_ownership_message(reply.ownership))
             self._view.take_ownership(versions.term, versions.ownership, ownership)
+        if reply.ownership_changes is not None:
+            self._view.take_ownership_changes(
+                versions.term,
+                known.ownership,
+                versions.ownership,
+                from_ownership_message(reply.ownership_changes),
+            )
         if reply.members is not None:
             members = tuple(from_member_message(wire) for wire in reply.members)
             self._view.take_members(versions.term, versions.members, members)
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -1,6 +1,8 @@
 """What is known of the fleet as messages between nodes."""
 
-from foxtailshunt.fleet import KeyRange, Member, OwnershipTable, Upstream, Versions
+from collections.abc import Iterable
+
+from foxtailshunt.fleet import KeyRange, Member, Upstream, Versions
 from foxtailshunt.protocol import (
     Endpoint,
     KnownVersions,
@@ -98,10 +100,10 @@
     }
 
 
-def to_ownership_message(table: OwnershipTable) -> list[OwnedRange]:
-    """Return the message for an ownership table.
+def to_ownership_message(ranges: Iterable[KeyRange]) -> list[OwnedRange]:
+    """Return the message for ranges of keys.
 
-    :param table: the table.
+    :param ranges: the ranges.
     """
     return [
         OwnedRange(
@@ -113,16 +115,16 @@
             giver=item.giver,
             moving=item.moving,
         )
-        for item in table.ranges
+        for item in ranges
     ]
 
 
-def from_ownership_message(wire: list[OwnedRange]) -> OwnershipTable:
-    """Return the ownership table of a message.
+def from_ownership_message(wire: list[OwnedRange]) -> list[KeyRange]:
+    """Return the ranges of a message.
 
     :param wire: the message.
     """
-    return OwnershipTable(
+    return [
         KeyRange(
             item.service_name,
             item.first,
@@ -133,4 +135,4 @@
             item.moving,
         )
         for item in wire
-    )
+    ]
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -118,7 +118,15 @@
         if versions.upstreams and not (same_term and versions.upstreams <= known.upstreams):
             reply.upstreams = to_upstreams_message(view.upstreams)
         if versions.ownership and not (same_term and versions.ownership <= known.ownership):
-            reply.ownership = to_ownership_message(view.ownership)
+            self._add_ownership(reply, known, same_term)
         if versions.members and not (same_term and versions.members <= known.members):
             reply.members = to_members_message(view.members)
         return reply
+
+    def _add_ownership(self, reply: FollowReply, known: Versions, same_term: bool) -> None:
+        view = self._view
+        changes = view.ownership_changes_since(known.ownership) if same_term else None
+        if changes is not None and view.versions.ownership == reply.versions.ownership:
+            reply.ownership_changes = to_ownership_message(changes)
+        else:
+            reply.ownership = to_ownership_message(view.ownership.ranges)
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -330,6 +330,8 @@
   6: optional list<NodeMember> members,
   /* Time since the list of upstreams was read. */
   7: required i64 upstreams_age_ms,
+  /* Instead of the whole ownership: the ranges that replace those they overlap. */
+  8: optional list<OwnedRange> ownership_changes,
 }
 
 service Peer {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -3880,11 +3880,12 @@
      - ownership
      - members
      - upstreams_age_ms
+     - ownership_changes
 
     """
 
 
-    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None,):
+    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None, ownership_changes=None,):
         self.versions = versions
         self.leads = leads
         self.configuration = configuration
@@ -3892,6 +3893,7 @@
         self.ownership = ownership
         self.members = members
         self.upstreams_age_ms = upstreams_age_ms
+        self.ownership_changes = ownership_changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3956,6 +3958,17 @@
                     self.upstreams_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.ownership_changes = []
+                    (_etype227, _size224) = iprot.readListBegin()
+                    for _i228 in range(_size224):
+                        _elem229 = OwnedRange()
+                        _elem229.read(iprot)
+                        self.ownership_changes.append(_elem229)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3981,28 +3994,35 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter224 in self.upstreams:
-                iter224.write(oprot)
+            for iter230 in self.upstreams:
+                iter230.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ownership is not None:
             oprot.writeFieldBegin('ownership', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership))
-            for iter225 in self.ownership:
-                iter225.write(oprot)
+            for iter231 in self.ownership:
+                iter231.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter226 in self.members:
-                iter226.write(oprot)
+            for iter232 in self.members:
+                iter232.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_age_ms is not None:
             oprot.writeFieldBegin('upstreams_age_ms', TType.I64, 7)
             oprot.writeI64(self.upstreams_age_ms)
             oprot.writeFieldEnd()
+        if self.ownership_changes is not None:
+            oprot.writeFieldBegin('ownership_changes', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.ownership_changes))
+            for iter233 in self.ownership_changes:
+                iter233.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4329,6 +4349,7 @@
     (5, TType.LIST, 'ownership', (TType.STRUCT, [OwnedRange, None], False), None, ),  # 5
     (6, TType.LIST, 'members', (TType.STRUCT, [NodeMember, None], False), None, ),  # 6
     (7, TType.I64, 'upstreams_age_ms', None, None, ),  # 7
+    (8, TType.LIST, 'ownership_changes', (TType.STRUCT, [OwnedRange, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/foxtailshunt/telemetry/_cells.py
+++ b/foxtailshunt/telemetry/_cells.py
@@ -2,9 +2,6 @@
 
 from bisect import bisect_left
 from dataclasses import dataclass, field
-from itertools import accumulate
-
-from aioprometheus.histogram import Histogram as HistogramValue
 
 
 @dataclass(slots=True)
@@ -28,12 +25,3 @@
         """
         self.counts[bisect_left(self.bounds_s, value_s)] += 1
         self.sum_s += value_s
-
-    def to_value(self) -> HistogramValue:
-        """Return the distribution as aioprometheus renders it."""
-        value = HistogramValue(*self.bounds_s)
-        cumulative = accumulate(self.counts)
-        value.buckets = dict(zip(value.buckets, cumulative, strict=True))
-        value.observations = sum(self.counts)
-        value.sum = self.sum_s
-        return value
--- a/foxtailshunt/telemetry/_metrics.py
+++ b/foxtailshunt/telemetry/_metrics.py
@@ -2,12 +2,7 @@
 
 import threading
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
-from aioprometheus.collectors import Collector
-from aioprometheus.renderer import render
-
 from foxtailshunt.telemetry._cells import Distribution
-from foxtailshunt.telemetry._process_usage import read_process_usage
 
 #: Upper bounds of latency buckets, in seconds.
 LATENCY_BUCKETS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 5)
@@ -89,37 +84,19 @@
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the text exposition and its HTTP headers."""
-        registry = Registry()
+        # aioprometheus brings asyncio, 4 MB that a process saves until it is asked.
+        from foxtailshunt.telemetry._exposition import Exposition
+
+        exposition = Exposition()
         with self._lock:
-            self._fill(registry)
-        _add_process_usage(registry)
-        return render(registry, ["text/plain"])
-
-    def _fill(self, registry: Registry) -> None:
-        collectors: dict[str, Collector] = {}
-        for (name, labels), counted in self._counters.items():
-            if name not in collectors:
-                collectors[name] = Counter(name, self._docs[name], registry=registry)
-            collectors[name].set_value(dict(labels), counted)
-        for (name, labels), value in self._gauges.items():
-            if name not in collectors:
-                collectors[name] = Gauge(name, self._docs[name], registry=registry)
-            collectors[name].set_value(dict(labels), value)
-        for (name, labels), distribution in self._distributions.items():
-            if name not in collectors:
-                collectors[name] = Histogram(name, self._docs[name], registry=registry)
-            collectors[name].set_value(dict(labels), distribution.to_value())
+            for (name, labels), counted in self._counters.items():
+                exposition.add_counter(name, self._docs[name], labels, counted)
+            for (name, labels), value in self._gauges.items():
+                exposition.add_gauge(name, self._docs[name], labels, value)
+            for (name, labels), distribution in self._distributions.items():
+                exposition.add_histogram(name, self._docs[name], labels, distribution)
+        return exposition.render()
 
 
 def _cell_key(name: str, labels: Labels | None) -> _CellKey:
     return (name, tuple(sorted(labels.items())) if labels else ())
-
-
-def _add_process_usage(registry: Registry) -> None:
-    usage = read_process_usage()
-    cpu = Counter("process_cpu_seconds_total", "CPU time used.", registry=registry)
-    cpu.set({}, usage.cpu_s)
-    memory = Gauge("process_resident_memory_bytes", "Resident memory.", registry=registry)
-    memory.set({}, usage.resident_bytes)
-    threads = Gauge("process_threads", "Threads running.", registry=registry)
-    threads.set({}, usage.threads)
