Go on renewing while the store fails; refuse at once what cannot be connected to

Cause: a table write that the store refused ended the leader's term, and with it the renewals, so an outage of the store took all keys away. Also a leader without word from the store asks other nodes whether a newer term is known, and restarts lead on their own former lease at once.

--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -6,10 +6,16 @@
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._pace_reports import CapacityBook
 from foxtailshunt.assigning._placement import Move, Seat, cut_evenly, plan_moves
-from foxtailshunt.assigning._table_record import TableRecord, decode_table, encode_table
+from foxtailshunt.assigning._table_record import (
+    TABLE_KEY,
+    TableRecord,
+    decode_table,
+    encode_table,
+)
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 
 __all__ = [
+    "TABLE_KEY",
     "Assigner",
     "CapacityBook",
     "DemandBook",
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -25,7 +25,14 @@
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 from foxtailshunt.errors import DocumentError, FoxtailshuntError
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
-from foxtailshunt.platform import ConflictError, KeyOrders, OrderError, StoreClient, StoreError
+from foxtailshunt.platform import (
+    ConflictError,
+    KeyOrders,
+    OrderError,
+    StoreClient,
+    StoreError,
+    StoreItem,
+)
 from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 
 #: How often the leader reads the list of upstreams, in seconds: leaving is acted on within 2.
@@ -44,8 +51,8 @@
 GRANT_TRIES = 3
 #: Longest wait for an answer of the store, in seconds; a slow store takes 0.4.
 STORE_TIMEOUT_S = 0.8
-#: Age of the list of upstreams that is published as no older than this, in seconds.
-_WAIT_FOR_UPSTREAMS_S = 0.3
+#: Pause after the store failed, in seconds; each call is paid for.
+STORE_RETRY_S = 0.7
 #: Time after the first upstream is seen in which others register, in seconds.
 GATHER_S = 2.0
 
@@ -127,7 +134,9 @@
         self._lock = threading.RLock()
         self._ranges: list[KeyRange] = []
         self._fence = 0
-        self._table_revision = 0
+        #: Revision of the table in the store; None while it is not known.
+        self._table_revision: int | None = 0
+        self._write_again_at = float("-inf")
         self._ownership_version = 0
         self._upstreams_version = 0
         self._members_version = 0
@@ -137,12 +146,14 @@
         #: Until when upstreams may hold keys by grants of the leaders before.
         self._earlier_grants_end = (
             parent._now()
-            + RIGHT_S
+            + (0.0 if parent._leadership.succeeds_itself else RIGHT_S)
             + GRANT_TIMEOUT_S
             + HOLD_S * (1 + CLOCK_RATE_BOUND)
             + HOLD_MARGIN_S
         )
         self._moving = 0
+        self._read_again_at = float("-inf")
+        self._store_is_lost = False
         self._to_refence: set[tuple[str, int]] = set()
 
     def run(self) -> None:
@@ -185,11 +196,19 @@
 
     def _read_upstreams(self) -> None:
         started = self._now()
+        if started < self._read_again_at:
+            return
         try:
             upstreams = self._reader.poll()
         except StoreError as exc:
-            log_state_change("upstreams.read_failed", error=str(exc))
+            self._read_again_at = self._now() + STORE_RETRY_S
+            if not self._store_is_lost:
+                log_state_change("store.lost", part="upstreams", error=str(exc))
+            self._store_is_lost = True
             return
+        if self._store_is_lost:
+            log_state_change("store.regained", part="upstreams")
+            self._store_is_lost = False
         if upstreams and self._first_seen_at is None:
             self._first_seen_at = started
         if self._differs(upstreams):
@@ -223,7 +242,12 @@
 
     def _take_over(self) -> None:
         while self._acts():
-            item = self._store.read(TABLE_KEY, STORE_TIMEOUT_S)
+            try:
+                item = self._store.read(TABLE_KEY, STORE_TIMEOUT_S)
+            except StoreError as exc:
+                log_state_change("table.not_read", error=str(exc))
+                self._parent._stopping.wait(STORE_RETRY_S)
+                continue
             if item is None:
                 record = TableRecord(0, ())
                 self._earlier_grants_end = self._now()
@@ -236,6 +260,7 @@
                 self._fence = fence
                 self._ranges = ranges
                 break
+            self._parent._stopping.wait(STORE_RETRY_S)
         log_state_change("term.begun", term=self._term, fence=self._fence, ranges=len(self._ranges))
         self._publish_ownership()
         self._keep_holders()
@@ -252,26 +277,47 @@
             raise
 
     def _write(self, fence: int, ranges: Iterable[KeyRange]) -> bool:
-        """Write the table; false if it is not known to be written."""
-        record = TableRecord(fence, tuple(ranges))
-        document = encode_table(record)
-        conditions = {LEADER_KEY: self._term, TABLE_KEY: self._table_revision}
+        """Write the table; false if it is not known to be written.
+
+        While the store is away nothing is moved, but what is granted is renewed.
+        """
+        if self._now() < self._write_again_at:
+            return False
+        document = encode_table(TableRecord(fence, tuple(ranges)))
         try:
+            if self._table_revision is None:
+                self._read_revision()
+            conditions = {LEADER_KEY: self._term, TABLE_KEY: self._table_revision or 0}
             self._table_revision = self._store.commit(
                 conditions, [(TABLE_KEY, document, 0)], STORE_TIMEOUT_S
             )
             return True
         except ConflictError:
-            pass
+            log_state_change("table.conflict", term=self._term)
         except StoreError as exc:
             log_state_change("table.write_failed", error=str(exc))
-        # The write, or an earlier one without an answer, may have been made.
+            if not exc.may_have_run:
+                self._write_again_at = self._now() + STORE_RETRY_S
+                return False
+        return self._is_written(document)
+
+    def _read_revision(self) -> StoreItem | None:
         item = self._store.read(TABLE_KEY, STORE_TIMEOUT_S)
         self._table_revision = item.revision if item is not None else 0
-        written = item is not None and item.value == document
-        if not written:
+        return item
+
+    def _is_written(self, document: bytes) -> bool:
+        """Find out whether a write without an answer, or in conflict, was made."""
+        self._table_revision = None
+        try:
+            item = self._read_revision()
+            if item is not None and item.value == document:
+                return True
             self._check_lead()
-        return written
+        except StoreError as exc:
+            log_state_change("table.not_read", error=str(exc))
+            self._write_again_at = self._now() + STORE_RETRY_S
+        return False
 
     def _check_lead(self) -> None:
         leader = self._store.read(LEADER_KEY, STORE_TIMEOUT_S)
--- a/foxtailshunt/assigning/_key_holder.py
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -12,20 +12,20 @@
 
 #: How long an upstream holds keys after a grant, in seconds. Short, because the keys of a lost
 #: upstream wait for its end; longer than an election with the grants that follow it.
-HOLD_S = 2.6
+HOLD_S = 2.4
 #: How often grants are renewed, in seconds; three renewals fit into a hold.
-RENEW_INTERVAL_S = 0.65
+RENEW_INTERVAL_S = 0.55
 #: Part by which an upstream's clock may run slow.
 CLOCK_RATE_BOUND = 0.02
 #: Added to every computed end of a hold, in seconds, for the way of a message.
 HOLD_MARGIN_S = 0.1
 #: Longest wait for the answer to a grant, in seconds; one takes about 1 ms.
-GRANT_TIMEOUT_S = 0.6
+GRANT_TIMEOUT_S = 0.4
 #: Failed orders in a row after which an upstream counts as unreachable.
 UNREACHABLE_AFTER = 2
 #: Pause between looks at an unreachable upstream, in seconds.
 PROBE_INTERVAL_S = 0.4
-_PROBE_TIMEOUT_S = 0.3
+_PROBE_TIMEOUT_S = 0.15
 
 
 class KeyHolder:
@@ -100,13 +100,15 @@
         """
         if not self._may_act():
             return False
-        sent_at = self._now()
-        self._extend(sent_at + GRANT_TIMEOUT_S)
+        before, provisional = self._extend()
         try:
             outcome = orders.grant(keys, HOLD_S, handover, GRANT_TIMEOUT_S)
         except OrderError as exc:
+            # A failed connection was reset, so that nothing of it arrives after now.
+            self._settle(provisional, max(before, self._hold_end()) if exc.sent else before)
             self._failed(keys, exc)
             return False
+        self._settle(provisional, max(before, self._hold_end()))
         self._failures = 0
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
@@ -151,15 +153,29 @@
         log_state_change("upstream.reachable", upstream=self._id)
         self._failures = 0
 
-    def _extend(self, last_arrival: float) -> None:
-        """Take into account that a grant may arrive until a moment."""
-        end = last_arrival + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+    def _hold_end(self) -> float:
+        """Return until when keys are held by a grant that arrives now at the latest."""
+        return self._now() + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+
+    def _extend(self) -> tuple[float, float]:
+        """Take into account that a grant is being sent.
+
+        :returns: the end of the hold before, and the provisional one.
+        """
+        with self._lock:
+            before = self._held_until
+            self._held_until = max(before, self._hold_end() + 2 * GRANT_TIMEOUT_S)
+            return before, self._held_until
+
+    def _settle(self, provisional: float, end: float) -> None:
+        """Replace a provisional end, unless another grant has been sent since."""
         with self._lock:
-            self._held_until = max(self._held_until, end)
+            if self._held_until == provisional:
+                self._held_until = end
 
     def _failed(self, keys: KeyRange, exc: OrderError) -> None:
         self._failures += 1
-        self._count("refused connection" if exc.refused else "no answer")
+        self._count("no answer" if exc.sent else "no connection")
         if self._failures == UNREACHABLE_AFTER:
             log_state_change(
                 "upstream.unreachable",
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -65,6 +65,9 @@
         self._lease: int | None = None
         self._term: int | None = None
         self._renewed_at = float("-inf")
+        self._store_is_lost = False
+        #: True if the leader before was an earlier process of this node, which surely has ended.
+        self.succeeds_itself = False
         #: Who leads, as far as known.
         self.leader: Leader | None = None
         #: Set while this node leads, for those who wait.
@@ -79,6 +82,11 @@
             return None
         return term
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether this node leads without word from the store for longer than its lease."""
+        return self.term is not None and self._now() - self._renewed_at > LEASE_TTL_S
+
     def start(self) -> None:
         """Start taking part in elections."""
         self._thread.start()
@@ -108,8 +116,9 @@
                     self._keep()
                 else:
                     self._seek()
+                self._note_store(None)
             except StoreError as exc:
-                log_state_change("leadership.store_failed", error=str(exc))
+                self._note_store(exc)
                 self._stopping.wait(RETRY_S)
 
     def _keep(self) -> None:
@@ -118,13 +127,14 @@
         try:
             self._store.renew_lease(self._lease, CALL_TIMEOUT_S)
             self._renewed_at = sent_at
+            self._note_store(None)
         except LeaseEndedError:
             self._depose("the lease has ended")
             return
         except StoreError as exc:
             if self._now() - self._renewed_at > RIGHT_S:
                 self._depose("no word from the store")
-            log_state_change("leader.renewal_failed", error=str(exc))
+            self._note_store(exc)
         self._stopping.wait(RENEW_INTERVAL_S)
 
     def _seek(self) -> None:
@@ -139,6 +149,10 @@
     def _follow(self, item: StoreItem) -> None:
         """Wait until the leader's key changes."""
         self._note_leader(item)
+        if self._is_own_past(self.leader):
+            # The process that led here has ended; waiting for its lease would only lose time.
+            self._try_to_lead(replaces=item.revision)
+            return
         revision = item.revision
         while not self._stopping.is_set():
             changes, revision = self._store.watch(LEADER_KEY, revision, WATCH_S)
@@ -160,7 +174,18 @@
             return
         self._try_to_lead()
 
-    def _try_to_lead(self) -> None:
+    def _is_own_past(self, leader: Leader | None) -> bool:
+        return (
+            leader is not None
+            and leader.instance_id == self._me.instance_id
+            and leader.boot_id != self._me.boot_id
+        )
+
+    def _try_to_lead(self, replaces: int = 0) -> None:
+        """Take the leader's key.
+
+        :param replaces: revision of the key that is replaced; 0 if there is none.
+        """
         if self._stopping.is_set():
             return
         sent_at = self._now()
@@ -171,10 +196,11 @@
         ).encode()
         try:
             revision = self._store.commit(
-                {LEADER_KEY: 0}, [(LEADER_KEY, value, lease)], CALL_TIMEOUT_S
+                {LEADER_KEY: replaces}, [(LEADER_KEY, value, lease)], CALL_TIMEOUT_S
             )
         except ConflictError:
             return
+        self.succeeds_itself = replaces != 0
         if self._stopping.is_set():
             self._store.end_lease(lease, CALL_TIMEOUT_S)
             return
@@ -191,6 +217,13 @@
         self.leader = None
         self.leads.clear()
 
+    def _note_store(self, exc: StoreError | None) -> None:
+        if exc is not None and not self._store_is_lost:
+            log_state_change("store.lost", part="leadership", error=str(exc))
+        if exc is None and self._store_is_lost:
+            log_state_change("store.regained", part="leadership")
+        self._store_is_lost = exc is not None
+
     def _note_leader(self, item: StoreItem | None) -> None:
         if item is None:
             if self.leader is not None:
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -124,6 +124,16 @@
                 self._replace_upstreams(upstreams)
                 self._news.notify_all()
 
+    def take_stored_ownership(self, ownership: OwnershipTable) -> None:
+        """Take the ownership table of the store while no leader has given one.
+
+        :param ownership: the table as it was stored last.
+        """
+        with self._news:
+            if self.versions.ownership == 0 and not self.ownership.ranges:
+                self.ownership = ownership
+                self._news.notify_all()
+
     def take_ownership(self, term: int, version: int, ownership: OwnershipTable) -> None:
         """Take an ownership table unless a newer one is held.
 
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -6,12 +6,14 @@
 from dataclasses import replace
 
 from foxtailshunt.assigning import (
+    TABLE_KEY,
     CapacityBook,
     DemandBook,
     Leadership,
     UpstreamReader,
+    decode_table,
 )
-from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.errors import FoxtailshuntError, PeerUnreachableError
 from foxtailshunt.fleet import FleetView, Member, OwnershipTable, Versions
 from foxtailshunt.node._configuration_watch import take_document
 from foxtailshunt.node._messages import (
@@ -41,6 +43,10 @@
 RETRY_S = 0.15
 #: Age of the list of upstreams from which a node reads it for itself, in seconds.
 READ_FOR_ITSELF_S = 1.25
+#: Longest wait for the stored table at the start, in seconds.
+TABLE_READ_TIMEOUT_S = 0.8
+#: Pause after the store failed, in seconds; each call is paid for.
+STORE_RETRY_S = 0.9
 #: How often a node reads for itself, in seconds.
 OWN_READ_INTERVAL_S = 0.5
 
@@ -103,10 +109,13 @@
         self._demands = demands
         self._capacities = capacities
         self._now = now
+        self._store = store
         self._reader = UpstreamReader(store, now)
         self._clients = ClientPool(Peer, 1)
         self._stopping = threading.Event()
         self._failures = 0
+        self._asked = 0
+        self._store_is_lost = False
         self._follow_thread = threading.Thread(target=self._run, name="follower", daemon=True)
         self._read_thread = threading.Thread(target=self._run_reader, name="reader", daemon=True)
 
@@ -142,6 +151,8 @@
         if self._leadership.term is not None:
             self._report_to_self()
             self._stopping.wait(POLL_S)
+            if self._leadership.is_in_doubt:
+                self._look_for_newer_leader()
             return
         address = self._next_address()
         if address is None:
@@ -156,14 +167,32 @@
             self._failures += 1
             self._stopping.wait(RETRY_S)
 
-    def _next_address(self) -> tuple[str, int] | None:
-        """Return the leader's address, or every other time another node's while it is silent."""
-        leader = self._leadership.leader
-        others = [
+    def _look_for_newer_leader(self) -> None:
+        """Ask another node whether a newer term is known, since the store does not say."""
+        others = self._other_addresses()
+        if not others:
+            return
+        self._asked += 1
+        try:
+            self._poll(self._clients, others[self._asked % len(others)], 0.0)
+        except PeerUnreachableError:
+            # The next node is asked at the next turn.
+            return
+        term = self._leadership.term
+        if term is not None and self._view.versions.term > term:
+            self._leadership.depose("a newer term is known to other nodes")
+
+    def _other_addresses(self) -> list[tuple[str, int]]:
+        return [
             member.address
             for member in self._view.members
             if member.instance_id != self._me.instance_id
         ]
+
+    def _next_address(self) -> tuple[str, int] | None:
+        """Return the leader's address, or every other time another node's while it is silent."""
+        leader = self._leadership.leader
+        others = self._other_addresses()
         if leader is not None and self._failures % 2 == 0:
             return leader.address
         if others:
@@ -232,8 +261,21 @@
             members = tuple(from_member_message(wire) for wire in reply.members)
             self._view.take_members(versions.term, versions.members, members)
 
+    def _read_stored_table(self) -> None:
+        """Know the owners of before a restart of everything until a leader tells the newest."""
+        try:
+            item = self._store.read(TABLE_KEY, TABLE_READ_TIMEOUT_S)
+            if item is not None:
+                record = decode_table(item.value)
+                self._view.take_stored_ownership(OwnershipTable(record.ranges))
+        except FoxtailshuntError as exc:
+            log_state_change("table.not_read", error=str(exc))
+
     def _run_reader(self) -> None:
-        while not self._stopping.wait(OWN_READ_INTERVAL_S):
+        self._read_stored_table()
+        wait_s = 0.0
+        while not self._stopping.wait(wait_s):
+            wait_s = OWN_READ_INTERVAL_S
             age_s = self._view.upstreams_age_s()
             if age_s is not None and age_s < READ_FOR_ITSELF_S:
                 continue
@@ -243,9 +285,15 @@
             try:
                 upstreams = self._reader.poll()
             except StoreError as exc:
-                log_state_change("upstreams.read_failed", error=str(exc))
+                wait_s = STORE_RETRY_S
+                if not self._store_is_lost:
+                    log_state_change("store.lost", part="reader", error=str(exc))
+                self._store_is_lost = True
                 continue
             except Exception as exc:
                 log_thread_error("reader", exc)
                 continue
+            if self._store_is_lost:
+                log_state_change("store.regained", part="reader")
+                self._store_is_lost = False
             self._view.take_own_reading(upstreams, started)
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -5,13 +5,16 @@
 from enum import Enum
 
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
 from foxtailshunt.network import ORDER_SOCKET_OPTIONS
 from foxtailshunt.platform._durations import format_duration
 
+#: Time to establish a connection to an upstream, in seconds; a link takes about 1 ms.
+CONNECT_TIMEOUT_S = 0.15
+
 _GRANT_PATH = "/api/grant"
 _RELEASE_PATH = "/api/release"
 _HEADERS = {"Content-Type": "application/json"}
@@ -22,12 +25,12 @@
     """An order without a usable answer; it may be carried out, also later.
 
     :param message: what was ordered and what went wrong.
-    :param refused: True if nothing listened at the upstream's address.
+    :param sent: False if the upstream could not be connected to, so that nothing can arrive.
     """
 
-    def __init__(self, message: str, refused: bool) -> None:
+    def __init__(self, message: str, sent: bool) -> None:
         super().__init__(ResultCode.UPSTREAM_CONNECTION_LOST, message)
-        self.refused = refused
+        self.sent = sent
 
 
 class GrantOutcome(Enum):
@@ -74,7 +77,7 @@
             return GrantOutcome.ACCEPTED
         if answer.status == 409:
             return GrantOutcome.FENCED_OFF
-        raise OrderError(f"grant answered with status {answer.status}", refused=False)
+        raise OrderError(f"grant answered with status {answer.status}", sent=True)
 
     def release(self, keys: KeyRange, timeout_s: float) -> str | None:
         """Take keys back; returns once the work on them has ended.
@@ -87,7 +90,7 @@
         answer = self._post(_RELEASE_PATH, self._describe(keys), timeout_s)
         if answer.status == 200:
             return answer.handover
-        raise OrderError(f"release answered with status {answer.status}", refused=False)
+        raise OrderError(f"release answered with status {answer.status}", sent=True)
 
     def close(self) -> None:
         """Close the connection."""
@@ -103,13 +106,13 @@
 
     def _post(self, path: str, order: dict[str, object], timeout_s: float) -> _Answer:
         body = json.dumps(order).encode()
-        timeout = urllib3.Timeout(connect=min(timeout_s, 0.3), read=timeout_s)
+        timeout = urllib3.Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s)
         try:
             resp = self._pool.request("POST", path, body=body, headers=_HEADERS, timeout=timeout)
         except (HTTPError, OSError) as exc:
             # A connection that failed once may stay silent; the next order takes a new one.
             self._pool.close()
             self._pool = self._new_pool()
-            refused = isinstance(exc.__cause__, ConnectionRefusedError) or "refused" in str(exc)
-            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", refused) from exc
+            sent = not isinstance(exc, (ConnectTimeoutError, NewConnectionError))
+            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", sent) from exc
         return _Answer(resp.status, resp.headers.get(_HANDOVER))
--- a/foxtailshunt/relay/_channel.py
+++ b/foxtailshunt/relay/_channel.py
@@ -21,7 +21,7 @@
 from foxtailshunt.protocol import is_quiet
 
 #: Time to establish a connection to an upstream, in seconds; a link takes about 1 ms.
-CONNECT_TIMEOUT_S = 0.3
+CONNECT_TIMEOUT_S = 0.12
 #: Idle time after which a connection is not used again if the upstream does not say, in seconds.
 IDLE_LIMIT_S = 4.0
 #: How much sooner than the upstream an idle connection is given up, in seconds.
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -20,6 +20,9 @@
 RETURN_TIME_S = 0.02
 #: How often a waiting request looks whether its caller is still there, in seconds.
 CALLER_CHECK_S = 0.2
+#: First and longest time for which requests are refused at once after an upstream could not be
+#: connected to, in seconds.
+FIRST_UNREACHABLE_S, LONGEST_UNREACHABLE_S = 0.2, 0.8
 #: Idle connections kept to one upstream.
 MAX_IDLE_CHANNELS = 3
 #: Retry-After where the owner of a key is not known or is changing, in seconds: a move takes 0.3.
@@ -56,6 +59,8 @@
         self._lanes_lock = threading.Lock()
         self._lanes: dict[str, _Lane] = {}
         self._channels_lock = threading.Lock()
+        #: Upstreams that could not be connected to: until when, and for how long the last time.
+        self._unreachable: dict[str, tuple[float, float]] = {}
         self._idle: dict[tuple[str, Address], list[UpstreamChannel]] = {}
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
@@ -71,6 +76,12 @@
                 "no upstream that takes new work",
                 retry_after_s=OWNER_RETRY_AFTER_S,
             )
+        if call.key is not None and self._is_unreachable(upstreams[0].upstream_id):
+            return Outcome(
+                ResultCode.NO_OWNER,
+                "the owner could not be connected to a moment ago",
+                retry_after_s=OWNER_RETRY_AFTER_S,
+            )
         lane = self._lane(call)
         ticket, woken = self._new_ticket(call)
         with lane.lock:
@@ -92,6 +103,18 @@
         lanes = list(self._lanes.values())
         return sum(lane.pool.waiting for lane in lanes), sum(lane.pool.running for lane in lanes)
 
+    def _is_unreachable(self, upstream_id: str) -> bool:
+        doubt = self._unreachable.get(upstream_id)
+        return doubt is not None and time.monotonic() < doubt[0]
+
+    def _note_connection(self, upstream_id: str, connected: bool) -> None:
+        if connected:
+            self._unreachable.pop(upstream_id, None)
+            return
+        span_s = self._unreachable.get(upstream_id, (0.0, FIRST_UNREACHABLE_S / 2))[1] * 2
+        bounded_s = min(LONGEST_UNREACHABLE_S, span_s)
+        self._unreachable[upstream_id] = (time.monotonic() + bounded_s, bounded_s)
+
     def _candidates(self, call: Call) -> tuple[Upstream, ...]:
         if call.key is None:
             return self._view.by_service.get(call.service, ())
@@ -228,10 +251,13 @@
         except ChannelError as exc:
             return self._channel_failed(upstream, exc)
         self._put_back(upstream, channel)
+        self._note_connection(upstream.upstream_id, connected=True)
         return self._judge(call, upstream, answer)
 
     def _channel_failed(self, upstream: Upstream, exc: ChannelError) -> Outcome:
         if not exc.sent:
+            if exc.code is not ResultCode.BAD_REQUEST:
+                self._note_connection(upstream.upstream_id, connected=False)
             code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
             return Outcome(
                 code,
