Ask an unreachable upstream for an order without effect before it gets keys again

Cause: a connection proved life, so an upstream that takes connections and answers no order was granted its keys over and over and kept them for ever. Found by features/node_ownership.feature. Features play the ownership on stand-ins of the store and of upstreams that check fences.

--- /dev/null
+++ b/features/node_support/_fleet.py
@@ -0,0 +1,227 @@
+"""A store, upstreams and nodes for one scenario."""
+
+import json
+import shutil
+import socket
+import tempfile
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from standins.fleet import ManagedProcess
+from standins.keyowner import KeyOwner, find_overlaps
+from standins.metadata import MetadataServer, MetadataStore
+
+HOST = "callers.example"
+_WAIT_S = 30.0
+_POLL_S = 0.02
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """What a caller got."""
+
+    #: HTTP status; 0 if the connection ended without an answer.
+    status: int
+    #: Body.
+    body: str
+    #: Headers by lower-case name.
+    headers: dict[str, str]
+    #: Id of the request.
+    request_id: str
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class _Node:
+    """One node process."""
+
+    def __init__(self, name: str, zone: str, store: tuple[str, int], folder: Path) -> None:
+        self.name = name
+        self.callers = ("127.0.0.1", _free_port())
+        self.readiness = ("127.0.0.1", _free_port())
+        self.operator = ("127.0.0.1", _free_port())
+        self.settings_path = folder / f"{name}.json"
+        settings = {
+            "instance_id": name,
+            "zone": zone,
+            "host": "127.0.0.1",
+            "callers": f"127.0.0.1:{self.callers[1]}",
+            "readiness": f"127.0.0.1:{self.readiness[1]}",
+            "peer_port": _free_port(),
+            "operator_port": self.operator[1],
+            "store": f"{store[0]}:{store[1]}",
+            "grace": "6s",
+            "repeat_ratio": 0.2,
+            "repeat_reserve": 60,
+        }
+        self.settings_path.write_text(json.dumps(settings))
+        arguments = ["-m", "foxtailshunt.cli.node", "--settings", str(self.settings_path)]
+        self.process = ManagedProcess(name, arguments, folder)
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer would send callers here."""
+        try:
+            resp = urllib3.request(
+                "GET",
+                f"http://127.0.0.1:{self.readiness[1]}/api/readiness",
+                timeout=1.0,
+                retries=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return resp.status == 200
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process."""
+        url = f"http://127.0.0.1:{self.operator[1]}/dump"
+        return urllib3.request("GET", url, timeout=5.0, retries=False).json()
+
+    def metrics(self) -> str:
+        """Return the metrics."""
+        url = f"http://127.0.0.1:{self.operator[1]}/metrics"
+        return urllib3.request("GET", url, timeout=5.0, retries=False).data.decode()
+
+
+class NodeFleet:
+    """Everything that a scenario starts; ends only what it started."""
+
+    def __init__(self) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="nodes-"))
+        self.store = MetadataStore()
+        self.server = MetadataServer(self.store)
+        self.owners: dict[str, KeyOwner] = {}
+        self.nodes: dict[str, _Node] = {}
+        self.version = 0
+
+    def add_owner(self, upstream_id: str, service: str, **manners: Any) -> KeyOwner:
+        """Start an upstream that registers itself."""
+        owner = KeyOwner(upstream_id, service, "zone-a", self.store, **manners)
+        self.owners[upstream_id] = owner
+        return owner
+
+    def add_node(self, name: str) -> _Node:
+        """Start a node."""
+        node = _Node(name, "zone-a", self.server.address, self.folder)
+        self.nodes[name] = node
+        node.process.start()
+        return node
+
+    def configure(self, routes: dict[str, Any], services: dict[str, bool]) -> None:
+        """Write a newer configuration; services by name, true if divided by key."""
+        self.version += 1
+        document = {
+            "version": f"r{self.version}",
+            "routes": {
+                name: {
+                    "host": HOST,
+                    "prefix": f"/{name}/",
+                    "route_type": "unsafe",
+                    "timeout": "2000ms",
+                    "aim": "500ms",
+                    "priority": 0,
+                    "max_attempts": 2,
+                }
+                | route
+                for name, route in routes.items()
+            },
+            "services": {
+                name: {"health_path": "/health", "max_conns": 100, "sharded": keyed}
+                for name, keyed in services.items()
+            },
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1000000,
+                "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        }
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait until a condition holds, long enough for a busy machine."""
+        end = time.monotonic() + _WAIT_S
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(_POLL_S)
+        raise AssertionError(f"not within {_WAIT_S} s: {what}")
+
+    def wait_for_service(self) -> None:
+        """Wait until all nodes are ready and all keys of keyed upstreams are held."""
+        for node in self.nodes.values():
+            self.wait_until(node.is_ready, f"{node.name} is ready")
+        services = {owner.service for owner in self.owners.values() if owner.keyed}
+        for service in services:
+            self.wait_until(lambda name=service: self.held(name) == 65_536, "all keys are held")
+
+    def held(self, service: str) -> int:
+        """Return how many keys the upstreams of a service hold together."""
+        owners = [owner for owner in self.owners.values() if owner.service == service]
+        return sum(owner.grants.held_count() for owner in owners)
+
+    def leader(self) -> str | None:
+        """Return the name of the node that leads, as the store says."""
+        item = self.store.read("foxtailshunt/leader")
+        return json.loads(item.value)["instance_id"] if item else None
+
+    def request(
+        self,
+        node: str,
+        path: str,
+        key: int = 0,
+        method: str = "GET",
+        body: bytes = b"",
+        deadline_ms: int = 5000,
+    ) -> CallerAnswer:
+        """Send a request as a caller does and return its answer."""
+        request_id = uuid.uuid4().hex[:16]
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+            "Shard-Key": str(key),
+        }
+        url = f"http://127.0.0.1:{self.nodes[node].callers[1]}{path}"
+        try:
+            resp = urllib3.request(
+                method, url, headers=headers, body=body or None, timeout=15.0, retries=False
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return CallerAnswer(0, str(exc), {}, request_id)
+        found = {name.lower(): value for name, value in resp.headers.items()}
+        return CallerAnswer(resp.status, resp.data.decode(), found, request_id)
+
+    def runs(self, request_id: str) -> int:
+        """Return how often a request was run by all upstreams together."""
+        return sum(owner.runs[request_id] for owner in self.owners.values())
+
+    def overlaps(self) -> list[str]:
+        """Return a line for each key that two upstreams held at one time."""
+        return find_overlaps(list(self.owners.values()))
+
+    def print_state(self) -> None:
+        """Print the ends of all logs."""
+        for node in self.nodes.values():
+            print(f"--- {node.name}\n{node.process.log()[-4000:]}")
+
+    def close(self) -> None:
+        """End all processes and servers."""
+        for node in self.nodes.values():
+            if node.process.running:
+                if node.process.frozen:
+                    node.process.resume()
+                node.process.kill()
+        for owner in self.owners.values():
+            owner.stop()
+        self.server.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
--- /dev/null
+++ b/features/steps/node_ownership_steps.py
@@ -0,0 +1,209 @@
+"""Steps for the ownership of keys, with real nodes and stand-ins."""
+
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.node_support import NodeFleet
+from standins.keyowner import KeyOwner
+from standins.metadata import StoreFault
+
+_SERVICE = "desk"
+_ROUTE = "lookup"
+
+
+class OwnershipSubject:
+    """A fleet of nodes, and the upstream that a scenario is about."""
+
+    def __init__(self, fleet: NodeFleet) -> None:
+        self.fleet = fleet
+        self.chosen: KeyOwner | None = None
+        self.fault_until = 0.0
+
+    def others(self) -> list[KeyOwner]:
+        return [owner for owner in self.fleet.owners.values() if owner is not self.chosen]
+
+    def held_by_others(self) -> int:
+        return sum(owner.grants.held_count() for owner in self.others())
+
+    def ask(self, node: str, count: int) -> None:
+        for place in range(count):
+            key = place * 65_536 // count
+            self.fleet.wait_until(lambda key=key: self._is_answered(node, key), f"key {key}")
+
+    def _is_answered(self, node: str, key: int) -> bool:
+        return self.fleet.request(node, f"/{_ROUTE}/x", key).status == 200
+
+
+def _subject(context: Context) -> OwnershipSubject:
+    return context.ownership
+
+
+@given("a store of the platform and {count:d} upstreams of a keyed service")
+def _(context: Context, count: int) -> None:
+    fleet = NodeFleet()
+    context.fleet_subject = fleet
+    context.ownership = OwnershipSubject(fleet)
+    fleet.configure(
+        {_ROUTE: {"service": _SERVICE, "route_type": "safe", "timeout": "5000ms"}},
+        {_SERVICE: True},
+    )
+    for number in range(count):
+        fleet.add_owner(f"u{number}", _SERVICE)
+
+
+@given("{count:d} nodes")
+def _(context: Context, count: int) -> None:
+    for number in range(count):
+        _subject(context).fleet.add_node(f"n{number}")
+
+
+@given("the nodes serve")
+@when("the nodes serve")
+def _(context: Context) -> None:
+    _subject(context).fleet.wait_for_service()
+
+
+@when("the leading node is killed")
+def _(context: Context) -> None:
+    fleet = _subject(context).fleet
+    context.leader_before = fleet.leader()
+    fleet.nodes[context.leader_before].process.kill()
+
+
+@when("the leading node is frozen until another leads")
+def _(context: Context) -> None:
+    fleet = _subject(context).fleet
+    context.leader_before = fleet.leader()
+    fleet.nodes[context.leader_before].process.freeze()
+    fleet.wait_until(lambda: _other_leads(context), "another node leads")
+    fleet.nodes[context.leader_before].process.resume()
+
+
+def _other_leads(context: Context) -> bool:
+    return _subject(context).fleet.leader() not in (None, context.leader_before)
+
+
+@when("all nodes are killed and started again")
+def _(context: Context) -> None:
+    nodes = _subject(context).fleet.nodes.values()
+    for node in nodes:
+        node.process.kill()
+    for node in nodes:
+        node.process.start()
+    _subject(context).fleet.wait_for_service()
+
+
+@when("the store is {fault} for {seconds:d} seconds")
+def _(context: Context, fault: str, seconds: int) -> None:
+    subject = _subject(context)
+    subject.fleet.server.fault = StoreFault(fault)
+    subject.fault_until = time.monotonic() + seconds
+
+
+@when("an upstream ends")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.chosen = subject.fleet.owners["u0"]
+    subject.chosen.stop()
+    subject.fleet.store.remove("servers/u0")
+
+
+@when("an upstream says that it leaves")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.chosen = subject.fleet.owners["u0"]
+    subject.chosen.leave()
+
+
+@when("the orders of an upstream get no answer")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.chosen = subject.fleet.owners["u0"]
+    subject.chosen.mute_orders = True
+
+
+@when("an upstream joins")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.chosen = subject.fleet.add_owner("u9", _SERVICE)
+
+
+@then("another node leads")
+def _(context: Context) -> None:
+    _subject(context).fleet.wait_until(lambda: _other_leads(context), "another node leads")
+
+
+@then("requests for {count:d} keys through each node are answered")
+@then("requests for {count:d} keys through each node are answered by the others")
+def _(context: Context, count: int) -> None:
+    subject = _subject(context)
+    for name in subject.fleet.nodes:
+        subject.ask(name, count)
+
+
+@then("requests for {count:d} keys through the other node are answered")
+def _(context: Context, count: int) -> None:
+    subject = _subject(context)
+    for name in subject.fleet.nodes:
+        if name != context.leader_before:
+            subject.ask(name, count)
+
+
+@then("requests for {count:d} keys through each node are answered while it is silent")
+def _(context: Context, count: int) -> None:
+    subject = _subject(context)
+    while time.monotonic() < subject.fault_until:
+        for name in subject.fleet.nodes:
+            for place in range(count):
+                answer = subject.fleet.request(name, f"/{_ROUTE}/x", place * 65_536 // count)
+                assert answer.status == 200, answer
+    subject.fleet.server.fault = StoreFault.NONE
+
+
+@then("the keys of the living upstreams stay held while it is busy")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    held = subject.held_by_others()
+    while time.monotonic() < subject.fault_until:
+        assert subject.held_by_others() >= held, "a key was lost in the outage"
+        time.sleep(0.05)
+    subject.fleet.server.fault = StoreFault.NONE
+
+
+@then("all keys are held again by the living upstreams after it")
+@then("all keys are held again by the other upstreams after it")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.fleet.wait_until(lambda: subject.held_by_others() == 65_536, "all keys are held")
+
+
+@then("it holds no key after a while")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.fleet.wait_until(
+        lambda: subject.chosen.grants.held_count() == 0 and subject.held_by_others() == 65_536,
+        "the leaving upstream holds nothing",
+    )
+
+
+@then("it holds keys after a while")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.fleet.wait_until(
+        lambda: subject.chosen.grants.held_count() > 0, "the joined upstream holds keys"
+    )
+
+
+@then("the frozen node does not lead when it goes on")
+def _(context: Context) -> None:
+    fleet = _subject(context).fleet
+    node = fleet.nodes[context.leader_before]
+    fleet.wait_until(lambda: not node.dump()["leads"], "the frozen node is deposed")
+
+
+@then("no key was ever held by two upstreams")
+def _(context: Context) -> None:
+    overlaps = _subject(context).fleet.overlaps()
+    assert not overlaps, "\n".join(overlaps[:10])
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -47,6 +47,8 @@
 RELEASE_TIMEOUT_S = 1.2
 #: Pause between two releases of the same keys, in seconds.
 RELEASE_RETRY_S = 0.1
+#: Fencing token of orders without effect; every grant's is as high or higher.
+LOWEST_FENCE = 1
 #: Tries to grant moved keys before the regular renewal goes on with them.
 GRANT_TRIES = 3
 #: Longest wait for an answer of the store, in seconds; a slow store takes 0.4.
@@ -357,6 +359,7 @@
             upstream,
             self._earlier_grants_end,
             self._owned_by,
+            self._foreign_key,
             self._leads,
             self._note_fenced_off,
             self._now,
@@ -371,6 +374,13 @@
                 item for item in self._ranges if item.owner == upstream_id and item.giver is None
             ]
 
+    def _foreign_key(self, upstream_id: str) -> KeyRange | None:
+        with self._lock:
+            for item in self._ranges:
+                if upstream_id not in (item.owner, item.giver):
+                    return replace(item, last=item.first, fence=LOWEST_FENCE)
+        return None
+
     def _note_fenced_off(self, keys: KeyRange) -> None:
         with self._lock:
             self._to_refence.add((keys.service, keys.first))
--- a/foxtailshunt/assigning/_key_holder.py
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -1,12 +1,10 @@
 """Grants keys to one upstream, renews them, and knows until when it may hold any."""
 
-import socket
 import threading
 from collections.abc import Callable
 
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import KeyRange, Upstream
-from foxtailshunt.network import source_address
 from foxtailshunt.platform import GrantOutcome, KeyOrders, OrderError
 from foxtailshunt.telemetry import Metrics, log_state_change
 
@@ -25,7 +23,8 @@
 UNREACHABLE_AFTER = 2
 #: Pause between looks at an unreachable upstream, in seconds.
 PROBE_INTERVAL_S = 0.4
-_PROBE_TIMEOUT_S = 0.15
+#: Longest wait for the answer to such a look, in seconds.
+PROBE_TIMEOUT_S = 0.3
 
 
 class KeyHolder:
@@ -34,6 +33,8 @@
     :param upstream: the upstream.
     :param held_until: until when it may hold keys by grants of earlier leaders, in seconds.
     :param owned: returns the ranges that it owns now and that are to be renewed.
+    :param foreign_key: returns a key that another upstream owns, to ask for without effect; None
+        if there is none.
     :param may_act: tells whether this node still leads.
     :param on_fenced_off: told of a range that the upstream refused for a higher fencing token.
     :param now: returns seconds of a clock that also counts suspension.
@@ -45,6 +46,7 @@
         upstream: Upstream,
         held_until: float,
         owned: Callable[[str], list[KeyRange]],
+        foreign_key: Callable[[str], KeyRange | None],
         may_act: Callable[[], bool],
         on_fenced_off: Callable[[KeyRange], None],
         now: Callable[[], float],
@@ -53,6 +55,7 @@
         self.upstream = upstream
         self._held_until = held_until
         self._owned = owned
+        self._foreign_key = foreign_key
         self._may_act = may_act
         self._on_fenced_off = on_fenced_off
         self._now = now
@@ -130,7 +133,7 @@
                 self._wake.wait(RENEW_INTERVAL_S)
                 self._wake.clear()
             else:
-                self._look()
+                self._look(orders)
                 self._stopping.wait(PROBE_INTERVAL_S)
         orders.close()
 
@@ -141,15 +144,18 @@
             if (keys.first, keys.last, keys.fence) not in self._refused:
                 self.grant(orders, keys, None)
 
-    def _look(self) -> None:
-        """Find out whether an unreachable upstream answers, without giving it anything."""
-        try:
-            conn = socket.create_connection(
-                self.upstream.address, _PROBE_TIMEOUT_S, source_address()
-            )
-        except OSError:
-            return
-        conn.close()
+    def _look(self, orders: KeyOrders) -> None:
+        """Find out whether an unreachable upstream takes orders, without giving it anything.
+
+        A connection proves nothing: the kernel of a frozen process accepts it. Taking back a key
+        that the upstream does not own has no effect and is answered at once.
+        """
+        keys = self._foreign_key(self._id)
+        if keys is not None:
+            try:
+                orders.release(keys, PROBE_TIMEOUT_S)
+            except OrderError:
+                return
         log_state_change("upstream.reachable", upstream=self._id)
         self._failures = 0
 
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -22,8 +22,10 @@
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.25, 4.0
 #: Time that a request still takes which should have ended already, in seconds.
 OVERDUE_S = 0.05
-#: An upstream that has had no request for so long may have recovered, in seconds.
-FORGET_SLOWNESS_S = 3.0
+#: An upstream that has had no request for so long is tried again, in seconds at common speed.
+TRY_AGAIN_S = 1.5
+#: Part of its expected time that counts then, so that it is preferred once.
+TRY_AGAIN_FAVOUR = 0.3
 
 
 class TicketState(Enum):
@@ -238,9 +240,10 @@
 
     def _expected_s(self, call: Call, slots: _Slots, now: float) -> float:
         expected_s = self._paces.expected_s(call.route, slots.upstream.upstream_id)
-        if len(self._slots) > 1 and now - slots.last_used > FORGET_SLOWNESS_S:
-            # An upstream that is never tried would be held slow for ever.
-            return min(expected_s, self._paces.work_s(call.route))
+        slowness = self._paces.slowness(slots.upstream.upstream_id)
+        if len(self._slots) > 1 and now - slots.last_used > TRY_AGAIN_S * max(1.0, slowness):
+            # An upstream that is never tried would be unknown, or held slow, for ever.
+            return min(expected_s, self._paces.work_s(call.route)) * TRY_AGAIN_FAVOUR
         return expected_s
 
     def _work_s(self, call: Call, slots: _Slots | None) -> float:
--- a/standins/http/_answers.py
+++ b/standins/http/_answers.py
@@ -37,7 +37,25 @@
     """No answer: the connection stays open and nothing more is read from it."""
 
 
-Answer = WholeAnswer | CutAnswer | DroppedAnswer | SilentAnswer
+@dataclass(frozen=True, slots=True)
+class DoubledAnswer:
+    """An answer after which a second one comes that nobody asked for."""
+
+    #: The answer.
+    first: WholeAnswer
+    #: The second one.
+    second: WholeAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class UnframedAnswer:
+    """An answer without a length that ends with its connection."""
+
+    #: What is sent.
+    whole: WholeAnswer
+
+
+Answer = WholeAnswer | CutAnswer | DroppedAnswer | SilentAnswer | DoubledAnswer | UnframedAnswer
 
 
 def json_answer(status: int, value: Any, headers: HeaderPairs = ()) -> WholeAnswer:
--- a/standins/http/_server.py
+++ b/standins/http/_server.py
@@ -10,7 +10,15 @@
 
 from cheroot.server import Gateway, HTTPRequest, HTTPServer
 
-from standins.http._answers import Answer, CutAnswer, DroppedAnswer, SilentAnswer, WholeAnswer
+from standins.http._answers import (
+    Answer,
+    CutAnswer,
+    DoubledAnswer,
+    DroppedAnswer,
+    SilentAnswer,
+    UnframedAnswer,
+    WholeAnswer,
+)
 from standins.http._request import Request
 
 #: Called on the connection's worker thread for each request.
@@ -150,6 +158,21 @@
     withheld.add(req.conn.socket)
 
 
+@_send.register
+def _(answer: DoubledAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    first, second = answer.first, answer.second
+    both = _head(first, False) + first.body + _head(second, False) + second.body
+    req.conn.wfile.write(both)
+
+
+@_send.register
+def _(answer: UnframedAnswer, req: HTTPRequest, withheld: _WithheldConnections) -> None:
+    req.close_connection = True
+    lines = [line for line in _head(answer.whole, True).split(b"\r\n") if line]
+    head = [line for line in lines if not line.startswith(b"Content-Length")]
+    req.conn.wfile.write(b"\r\n".join(head) + b"\r\n\r\n" + answer.whole.body)
+
+
 def _head(answer: WholeAnswer, close: bool) -> bytes:
     lines = [f"HTTP/1.1 {answer.status} {responses.get(answer.status, 'Unknown')}"]
     lines += [f"{name}: {value}" for name, value in answer.headers]
--- /dev/null
+++ b/standins/keyowner/_upstream.py
@@ -0,0 +1,197 @@
+"""An upstream: registers itself, takes orders about keys, runs requests, and fails on demand."""
+
+import json
+import threading
+import time
+from collections import Counter
+from enum import Enum
+
+from standins.http import (
+    Answer,
+    CutAnswer,
+    DoubledAnswer,
+    DroppedAnswer,
+    HttpServer,
+    Request,
+    SilentAnswer,
+    UnframedAnswer,
+    WholeAnswer,
+    json_answer,
+)
+from standins.keyowner._key_grants import KeyGrants
+from standins.metadata import MetadataStore
+
+_THREADS = 40
+_HEARTBEAT_S = 0.2
+
+
+class Manner(Enum):
+    """How an upstream answers requests."""
+
+    WELL = "well"
+    #: Runs the request and closes the connection without an answer.
+    LOSES_ANSWERS = "loses answers"
+    #: Sends a second answer of another request behind each answer.
+    DOUBLES = "doubles answers"
+    #: Sends answers without a length.
+    UNFRAMED = "answers without a length"
+    #: Sends half of each answer.
+    CUTS = "cuts answers"
+    #: Answers for another request.
+    FOREIGN = "answers for another request"
+    #: Refuses all requests as not run.
+    SHEDS = "sheds"
+    #: Answers 503 without saying that nothing was run.
+    FAILS = "fails"
+    #: Answers 200 without the seal.
+    UNSEALED = "answers without the seal"
+
+
+class KeyOwner:
+    """One upstream with a server of its own.
+
+    :param upstream_id: its id.
+    :param service: its service.
+    :param zone: its availability zone.
+    :param store: where it registers itself; None to leave that to the test.
+    :param keyed: whether it runs requests only while it holds their key.
+    :param work_s: time that a request takes, in seconds.
+    :param slots: requests that it runs at one time.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        service: str,
+        zone: str,
+        store: MetadataStore | None,
+        keyed: bool = True,
+        work_s: float = 0.02,
+        slots: int = 2,
+    ) -> None:
+        self.upstream_id = upstream_id
+        self.service = service
+        self.zone = zone
+        self.keyed = keyed
+        self.work_s = work_s
+        self.slots = slots
+        self.manner = Manner.WELL
+        self.grants = KeyGrants()
+        #: How often each request was run, by its id.
+        self.runs: Counter[str] = Counter()
+        #: The most requests that were at work together.
+        self.most_at_work = 0
+        #: True while orders about keys get no answer, though they are carried out.
+        self.mute_orders = False
+        self.is_leaving = False
+        self._store = store
+        self._lock = threading.Lock()
+        self._at_work: Counter[int] = Counter()
+        self._stopping = threading.Event()
+        self._sequence = 0
+        self._server = HttpServer(("127.0.0.1", 0), self._handle, _THREADS)
+        self._server.start()
+        if store is not None:
+            self.register()
+            threading.Thread(target=self._beat, name="heartbeat", daemon=True).start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port."""
+        return self._server.address
+
+    def register(self) -> None:
+        """Write the entry in the store."""
+        assert self._store is not None
+        self._sequence += 1
+        host, port = self.address
+        entry = {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "draining" if self.is_leaving else "ready",
+            "warmup_left": "0ms",
+            "seq": self._sequence,
+            "born": 1_700_000_000_000,
+        }
+        self._store.put(f"servers/{self.upstream_id}", json.dumps(entry).encode())
+
+    def leave(self) -> None:
+        """Say that it drains."""
+        self.is_leaving = True
+        self.register()
+
+    def stop(self) -> None:
+        """End, as a crash does: the entry stays until somebody removes it."""
+        self._stopping.set()
+        self._server.stop()
+
+    def _beat(self) -> None:
+        while not self._stopping.wait(_HEARTBEAT_S):
+            self.register()
+
+    def _handle(self, req: Request) -> Answer:
+        arrived = time.monotonic()
+        if req.path in ("/api/grant", "/api/release"):
+            answer = self._order(req, arrived)
+            return SilentAnswer() if self.mute_orders else answer
+        return self._run(req)
+
+    def _order(self, req: Request, arrived: float) -> Answer:
+        order = json.loads(req.body)
+        first, last, fence = order["from"], order["to"], order["fence"]
+        if req.path == "/api/grant":
+            hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
+            accepted = self.grants.grant(first, last, fence, hold_s, arrived)
+            return json_answer(200 if accepted else 409, {})
+        self.grants.release(first, last, fence)
+        while any(self._at_work[key] for key in list(self._at_work) if first <= key <= last):
+            time.sleep(0.002)
+        return WholeAnswer(200, b"", (("Handover", f"{fence:016x}"),))
+
+    def _run(self, req: Request) -> Answer:
+        request_id = req.headers.get("attempt-id", "")
+        key = int(req.headers.get("shard-key", "0"))
+        if req.headers.get("expect-instance", self.upstream_id) != self.upstream_id:
+            return WholeAnswer(421, b"", (("Not-Executed", "1"),))
+        if self.keyed and not self.grants.holds(key):
+            return WholeAnswer(421, b"", (("Not-Executed", "1"),))
+        if self.manner is Manner.SHEDS:
+            return WholeAnswer(503, b"", (("Not-Executed", "1"), ("Attempt-Id", request_id)))
+        with self._lock:
+            self.runs[request_id] += 1
+            self._at_work[key] += 1
+            self.most_at_work = max(self.most_at_work, self._at_work.total())
+        try:
+            time.sleep(self.work_s)
+        finally:
+            with self._lock:
+                self._at_work[key] -= 1
+        return self._answer(request_id, req)
+
+    def _answer(self, request_id: str, req: Request) -> Answer:
+        body = f"{self.upstream_id} ran {req.method} {req.path}".encode()
+        whole = _sealed(request_id, body)
+        foreign = _sealed("another", b"not yours")
+        if self.manner is Manner.LOSES_ANSWERS:
+            return DroppedAnswer()
+        if self.manner is Manner.DOUBLES:
+            return DoubledAnswer(whole, foreign)
+        if self.manner is Manner.UNFRAMED:
+            return UnframedAnswer(whole)
+        if self.manner is Manner.CUTS:
+            return CutAnswer(whole)
+        if self.manner is Manner.FOREIGN:
+            return foreign
+        if self.manner is Manner.FAILS:
+            return WholeAnswer(503, b"", (("Attempt-Id", request_id),))
+        if self.manner is Manner.UNSEALED:
+            return WholeAnswer(200, body, (("Attempt-Id", request_id),))
+        return whole
+
+
+def _sealed(request_id: str, body: bytes) -> WholeAnswer:
+    headers = (("Attempt-Id", request_id), ("Response-Seal", "seal"), ("Keep-Alive", "timeout=10"))
+    return WholeAnswer(200, body, headers)
--- /dev/null
+++ b/standins/metadata/_server.py
@@ -0,0 +1,152 @@
+"""The store's calls over HTTP, and the ways in which it can fail."""
+
+import base64
+import json
+import threading
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs
+
+from standins.http import Answer, HttpServer, Request, SilentAnswer, json_answer
+from standins.metadata._store import (
+    CompactedError,
+    ConditionFailedError,
+    MetadataStore,
+    StoredChange,
+    StoredItem,
+    UnknownLeaseError,
+)
+
+_THREADS = 60
+
+
+class StoreFault(Enum):
+    """How the store fails."""
+
+    NONE = "none"
+    #: Answers 503 and does nothing.
+    BUSY = "busy"
+    #: Does nothing and never answers.
+    SILENT = "silent"
+    #: Carries writes out and never answers them.
+    LOSES_ANSWERS = "loses answers"
+
+
+class MetadataServer:
+    """Serves a store.
+
+    :param store: the state.
+    """
+
+    def __init__(self, store: MetadataStore) -> None:
+        self.store = store
+        self.fault = StoreFault.NONE
+        self._lock = threading.Lock()
+        self._calls: dict[str, int] = {}
+        self._server = HttpServer(("127.0.0.1", 0), self._handle, _THREADS)
+        self._server.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return host and port."""
+        return self._server.address
+
+    def calls(self, path: str) -> int:
+        """Return how many calls began with a path.
+
+        :param path: beginning of the path.
+        """
+        with self._lock:
+            return sum(count for name, count in self._calls.items() if name.startswith(path))
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def _handle(self, req: Request) -> Answer:
+        with self._lock:
+            self._calls[req.path] = self._calls.get(req.path, 0) + 1
+        fault = self.fault
+        if fault is StoreFault.BUSY:
+            return json_answer(503, {})
+        if fault is StoreFault.SILENT:
+            return SilentAnswer()
+        answer = self._answer(req)
+        is_write = req.path == "/api/kv-txn"
+        return SilentAnswer() if fault is StoreFault.LOSES_ANSWERS and is_write else answer
+
+    def _answer(self, req: Request) -> Answer:
+        query = {name: values[0] for name, values in parse_qs(req.query).items()}
+        body = json.loads(req.body) if req.body else {}
+        if req.path == "/api/kv-key":
+            item = self.store.read(query["key"])
+            return json_answer(200, _wire(item)) if item else json_answer(404, {})
+        if req.path == "/api/kv-range":
+            return self._range(query)
+        if req.path == "/api/kv-watch":
+            return self._watch(query)
+        if req.path == "/api/kv-txn":
+            return self._commit(body)
+        return self._lease(req, body)
+
+    def _range(self, query: dict[str, str]) -> Answer:
+        after = query.get("after", "")
+        found = [item for item in self.store.under(query.get("prefix", "")) if item.key > after]
+        page = [_wire(item) for item in found[:50]]
+        has_more = len(found) > len(page)
+        return json_answer(200, {"items": page, "has_more": has_more, "as_of": self.store.revision})
+
+    def _watch(self, query: dict[str, str]) -> Answer:
+        wait_s = int(query["wait_ms"]) / 1000
+        try:
+            changes, revision = self.store.watch(query["prefix"], int(query["after"]), wait_s)
+        except CompactedError:
+            return json_answer(410, {})
+        events = [_wire_change(change) for change in changes]
+        return json_answer(200, {"events": events, "as_of": revision})
+
+    def _commit(self, body: dict[str, Any]) -> Answer:
+        conditions = {row["key"]: row["revision"] for row in body["precondition"]}
+        puts = [
+            (row["key"], base64.b64decode(row["value"]), row["lease"]) for row in body["set_keys"]
+        ]
+        try:
+            return json_answer(
+                200, {"revision": self.store.commit(conditions, puts, body["remove"])}
+            )
+        except ConditionFailedError:
+            found = [item for key in conditions if (item := self.store.read(key))]
+            return json_answer(412, {"items": [_wire(item) for item in found]})
+        except UnknownLeaseError:
+            return json_answer(404, {})
+
+    def _lease(self, req: Request, body: dict[str, Any]) -> Answer:
+        if req.path == "/api/kv-lease":
+            ttl = body["ttl_time"]
+            lease = self.store.open_lease(float(ttl.removesuffix("ms")) / 1000)
+            return json_answer(200, {"lease": lease, "ttl_time": ttl})
+        name, _, lease_text = req.path.removeprefix("/api/").partition("/")
+        if name == "kv-lease-end":
+            self.store.end_lease(int(lease_text))
+            return json_answer(200, {})
+        try:
+            ttl_s = self.store.renew_lease(int(lease_text))
+        except UnknownLeaseError:
+            return json_answer(404, {})
+        return json_answer(200, {"ttl_time": f"{round(ttl_s * 1000)}ms"})
+
+
+def _wire(item: StoredItem) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.revision,
+        "created_rev": item.created,
+        "lease": item.lease,
+    }
+
+
+def _wire_change(change: StoredChange) -> dict[str, Any]:
+    if change.item is None:
+        return {"key": change.key, "revision": change.revision, "tombstone": True}
+    return _wire(change.item)
--- /dev/null
+++ b/standins/metadata/_store.py
@@ -0,0 +1,167 @@
+"""Keys with revisions, leases and a history, in memory."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """A key and its value."""
+
+    #: The key.
+    key: str
+    #: The value.
+    value: bytes
+    #: Revision of its last change.
+    revision: int
+    #: Revision of its creation.
+    created: int
+    #: Lease that it ends with; 0 for none.
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoredChange:
+    """A change of a key."""
+
+    #: Revision of the change.
+    revision: int
+    #: The key.
+    key: str
+    #: The item as it was written; None if it was removed.
+    item: StoredItem | None
+
+
+class ConditionFailedError(Exception):
+    """A condition of a transaction does not hold."""
+
+
+class UnknownLeaseError(Exception):
+    """A lease does not exist or has ended."""
+
+
+class CompactedError(Exception):
+    """The history that was asked for is gone."""
+
+
+class MetadataStore:
+    """The state of the store; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._items: dict[str, StoredItem] = {}
+        self._history: list[StoredChange] = []
+        self._forgotten = 0
+        self._revision = 1
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._next_lease = 1000
+        threading.Thread(target=self._expire, name="leases", daemon=True).start()
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change."""
+        return self._revision
+
+    def read(self, key: str) -> StoredItem | None:
+        """Return an item, or None."""
+        with self._changed:
+            return self._items.get(key)
+
+    def under(self, prefix: str) -> list[StoredItem]:
+        """Return the items under a prefix in order of their keys."""
+        with self._changed:
+            return [self._items[key] for key in sorted(self._items) if key.startswith(prefix)]
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key without a condition, as the operator and upstreams do."""
+        self.commit({}, [(key, value, 0)], [])
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.commit({}, [], [key])
+
+    def commit(
+        self, conditions: dict[str, int], puts: list[tuple[str, bytes, int]], removes: list[str]
+    ) -> int:
+        """Change keys if conditions hold, and return the revision.
+
+        :raises ConditionFailedError: a condition does not hold.
+        :raises UnknownLeaseError: a lease has ended.
+        """
+        with self._changed:
+            for key, revision in conditions.items():
+                item = self._items.get(key)
+                if (item.revision if item else 0) != revision:
+                    raise ConditionFailedError(key)
+            if any(lease and lease not in self._leases for _, _, lease in puts):
+                raise UnknownLeaseError
+            self._revision += 1
+            for key, value, lease in puts:
+                old = self._items.get(key)
+                created = old.created if old else self._revision
+                self._items[key] = StoredItem(key, value, self._revision, created, lease)
+                self._history.append(StoredChange(self._revision, key, self._items[key]))
+            for key in removes:
+                if self._items.pop(key, None) is not None:
+                    self._history.append(StoredChange(self._revision, key, None))
+            self._changed.notify_all()
+            return self._revision
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoredChange], int]:
+        """Return the changes under a prefix after a revision, waiting for the first.
+
+        :raises CompactedError: changes since then are forgotten.
+        """
+
+        def found() -> list[StoredChange]:
+            if after < self._forgotten:
+                raise CompactedError
+            return [c for c in self._history if c.revision > after and c.key.startswith(prefix)]
+
+        with self._changed:
+            self._changed.wait_for(found, wait_s)
+            return found(), self._revision
+
+    def forget_history(self) -> None:
+        """Forget all changes so far."""
+        with self._changed:
+            self._forgotten = self._revision
+            self._history.clear()
+            self._changed.notify_all()
+
+    def open_lease(self, ttl_s: float) -> int:
+        """Return a new lease."""
+        with self._changed:
+            self._next_lease += 1
+            self._leases[self._next_lease] = (ttl_s, time.monotonic() + ttl_s)
+            return self._next_lease
+
+    def renew_lease(self, lease: int) -> float:
+        """Renew a lease and return its time to live.
+
+        :raises UnknownLeaseError: it has ended.
+        """
+        with self._changed:
+            if lease not in self._leases:
+                raise UnknownLeaseError
+            ttl_s, _ = self._leases[lease]
+            self._leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+            return ttl_s
+
+    def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        with self._changed:
+            if self._leases.pop(lease, None) is None:
+                return
+            keys = [item.key for item in self._items.values() if item.lease == lease]
+            if keys:
+                self.commit({}, [], keys)
+
+    def _expire(self) -> None:
+        while True:
+            time.sleep(0.05)
+            now = time.monotonic()
+            for lease, (_, end) in list(self._leases.items()):
+                if now > end:
+                    self.end_lease(lease)
