--- a/foxtailshunt/platform/_answers.py
+++ b/foxtailshunt/platform/_answers.py
@@ -9,7 +9,9 @@
 #: Present if the upstream has not run the request and never will.
 _NOT_RUN = "not-executed"
 _KEEP_ALIVE = "keep-alive"
-_WRONG_UPSTREAM_STATUS = 421
+#: Sent for a key that is not owned and for a request that expects another upstream.
+_NOT_MINE_STATUS = 421
+_ANSWERING_UPSTREAM = "instance-id"
 _CONNECTION_HEADERS = frozenset(
     ("connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length", "te")
 )
@@ -24,8 +26,10 @@
     ANSWERED = "answered"
     #: The upstream has not run the request.
     NOT_RUN = "not run"
-    #: The upstream does not own the key or is another one; it has not run the request.
+    #: The upstream does not own the key; it has not run the request.
     NOT_OWNER = "not owner"
+    #: Another upstream has the address now; it has not run the request.
+    REPLACED = "replaced"
     #: The answer belongs to another request.
     FOREIGN = "foreign"
     #: The upstream failed; the request may have run.
@@ -69,17 +73,20 @@
         )
 
 
-def judge_answer(answer: UpstreamAnswer, request_id: str) -> Verdict:
+def judge_answer(answer: UpstreamAnswer, request_id: str, upstream_id: str) -> Verdict:
     """Tell what an answer says about a request.
 
     :param answer: a whole answer.
     :param request_id: id of the request that was sent.
+    :param upstream_id: the upstream that it was sent to.
     """
     echoed = answer.header(_REQUEST_ID)
     if echoed is not None and echoed != request_id:
         return Verdict.FOREIGN
-    if answer.status == _WRONG_UPSTREAM_STATUS:
-        return Verdict.NOT_OWNER
+    if answer.status == _NOT_MINE_STATUS:
+        answering_id = answer.header(_ANSWERING_UPSTREAM)
+        is_same = answering_id in (None, upstream_id)
+        return Verdict.NOT_OWNER if is_same else Verdict.REPLACED
     if answer.header(_NOT_RUN) is not None:
         return Verdict.NOT_RUN
     if answer.status in _PROMISES or answer.header("content-encoding") is not None:
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -3,7 +3,6 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxtailshunt.errors import ResultCode
@@ -14,7 +13,7 @@
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._pace import PaceBook
 from foxtailshunt.relay._slot_pool import Refusal, SlotPool, Ticket, TicketState
-from foxtailshunt.telemetry import Metrics, RequestLog
+from foxtailshunt.telemetry import Metrics, RequestLog, log_state_change
 
 #: Time kept for the way back of an answer, in seconds.
 RETURN_TIME_S = 0.02
@@ -61,6 +60,8 @@
         self._channels_lock = threading.Lock()
         #: Upstreams that could not be connected to: until when, and for how long the last time.
         self._unreachable: dict[str, tuple[float, float]] = {}
+        #: Incarnations of upstreams at whose address another upstream answers.
+        self._replaced: frozenset[tuple[str, Address, int]] = frozenset()
         self._idle: dict[tuple[str, Address], list[UpstreamChannel]] = {}
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
@@ -115,14 +116,27 @@
         bounded_s = min(LONGEST_UNREACHABLE_S, span_s)
         self._unreachable[upstream_id] = (time.monotonic() + bounded_s, bounded_s)
 
+    def _note_replaced(self, upstream: Upstream) -> None:
+        log_state_change("upstream.replaced", upstream=upstream.upstream_id)
+        self._replaced |= {_incarnation(upstream)}
+
     def _candidates(self, call: Call) -> tuple[Upstream, ...]:
         if call.key is None:
-            return self._view.by_service.get(call.service, ())
+            found = self._view.by_service.get(call.service, ())
+            return self._without_replaced(call.service, found) if self._replaced else found
         upstream = self._view.upstreams.get(call.upstream_id or "")
         if upstream is None or upstream.leaving or upstream.service != call.service:
             return ()
+        if _incarnation(upstream) in self._replaced:
+            return ()
         return self._single(upstream)
 
+    def _without_replaced(self, service: str, found: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
+        left = tuple(item for item in found if _incarnation(item) not in self._replaced)
+        lane = self._lanes.get(f"service {service}")
+        known = lane.filled_from if lane is not None else None
+        return known if isinstance(known, tuple) and known == left else left
+
     def _single(self, upstream: Upstream) -> tuple[Upstream, ...]:
         lane = self._lanes.get(f"upstream {upstream.upstream_id}")
         known = lane.filled_from if lane is not None else None
@@ -233,7 +247,8 @@
 
     def _exchange(self, call: Call, upstream: Upstream, caller: socket.socket | None) -> Outcome:
         def belongs(answer: UpstreamAnswer) -> bool:
-            return judge_answer(answer, call.request_id) is not Verdict.FOREIGN
+            verdict = judge_answer(answer, call.request_id, upstream.upstream_id)
+            return verdict is not Verdict.FOREIGN
 
         try:
             channel = self._take_channel(upstream)
@@ -268,7 +283,7 @@
         return Outcome(exc.code, exc.message, upstream_id=upstream.upstream_id, arrived=True)
 
     def _judge(self, call: Call, upstream: Upstream, answer: UpstreamAnswer) -> Outcome:
-        verdict = judge_answer(answer, call.request_id)
+        verdict = judge_answer(answer, call.request_id, upstream.upstream_id)
         if verdict is Verdict.ANSWERED:
             return Outcome(
                 ResultCode.OK,
@@ -280,7 +295,9 @@
                 arrived=True,
             )
         detail = f"status {answer.status}, {verdict.value}"
-        if verdict in (Verdict.NOT_RUN, Verdict.NOT_OWNER):
+        if verdict is Verdict.REPLACED:
+            self._note_replaced(upstream)
+        if verdict in (Verdict.NOT_RUN, Verdict.NOT_OWNER, Verdict.REPLACED):
             code = (
                 ResultCode.REFUSED_BY_UPSTREAM
                 if verdict is Verdict.NOT_RUN
@@ -322,5 +339,5 @@
             channel.reset()
 
 
-#: Executes a request on this node or on another.
-Execute = Callable[[Call, socket.socket | None], Outcome]
+def _incarnation(upstream: Upstream) -> tuple[str, Address, int]:
+    return upstream.upstream_id, upstream.address, upstream.started_ms
