--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -37,6 +37,8 @@
         self._revision: int | None = None
         self._entries: dict[str, Upstream] = {}
         self._failed_at = float("-inf")
+        #: Entries that cannot be read, and why.
+        self._unreadable: dict[str, str] = {}
         #: Entries that vanished while the store was unsteady, and since when.
         self._missing: dict[str, float] = {}
 
@@ -89,11 +91,13 @@
         try:
             upstream = decode_upstream(key, value)
         except ValueError as exc:
-            if key in self._entries:
+            if self._unreadable.get(key) != str(exc):
+                self._unreadable[key] = str(exc)
                 log_state_change("upstream.unreadable", key=key, reason=str(exc))
             # An entry that cannot be read names no upstream to use.
             self._entries.pop(key, None)
             return
+        self._unreadable.pop(key, None)
         if key not in self._entries:
             log_state_change("upstream.joined", upstream=upstream.upstream_id, zone=upstream.zone)
         elif upstream.leaving and not self._entries[key].leaving:
@@ -101,6 +105,7 @@
         self._entries[key] = upstream
 
     def _remove(self, key: str) -> None:
+        self._unreadable.pop(key, None)
         if key not in self._entries:
             return
         if self._now() - self._failed_at < RETURN_TIME_S:
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -20,8 +20,9 @@
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
 #: First and longest pause of an upstream that failed, in seconds.
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.25, 4.0
-#: Time that a request still takes which should have ended already, in seconds.
-OVERDUE_S = 0.05
+#: Time that a request still takes which should have ended already: at least so many seconds, and
+#: this share of the time that it has taken.
+OVERDUE_S, OVERDUE_SHARE = 0.05, 0.3
 #: An upstream that has had no request for so long is tried again, in seconds at common speed.
 TRY_AGAIN_S = 1.5
 #: Part of its expected time that counts then, so that it is preferred once.
@@ -65,8 +66,8 @@
 @dataclass(slots=True)
 class _Slots:
     upstream: Upstream
-    #: Requests at the upstream, and when each is expected to end.
-    running: dict[Ticket, float] = field(default_factory=dict)
+    #: Requests at the upstream: when each began, and when it is expected to end.
+    running: dict[Ticket, tuple[float, float]] = field(default_factory=dict)
     failures: int = 0
     paused_until: float = 0.0
     last_used: float = 0.0
@@ -79,7 +80,14 @@
         begin = max(now, self.paused_until)
         if len(self.running) < self.upstream.slots:
             return begin
-        return max(begin, min(self.running.values()), now + OVERDUE_S)
+        return max(begin, min(_expected_end(*times, now) for times in self.running.values()))
+
+
+def _expected_end(began: float, expected: float, now: float) -> float:
+    """Return when a request ends; one that is overdue is taken to be as slow as it has shown."""
+    if expected > now:
+        return expected
+    return now + max(OVERDUE_S, OVERDUE_SHARE * (now - began))
 
 
 class SlotPool:
@@ -160,7 +168,7 @@
             elif slots.has_room(now):
                 ticket.state = TicketState.ASSIGNED
                 ticket.upstream = slots.upstream
-                slots.running[ticket] = now + work_s
+                slots.running[ticket] = (now, now + work_s)
                 slots.last_used = now
                 changed.append(ticket)
             else:
