--- a/features/node_ownership.feature
+++ b/features/node_ownership.feature
@@ -67,3 +67,15 @@
     When all nodes are killed and started again
     Then requests for 30 keys through each node are answered
     And no key was ever held by two upstreams
+
+  Scenario: An upstream's address goes to another upstream while its entry is still there
+    Given the nodes serve
+    When another upstream starts at the address of one that ended
+    Then all keys are held again by the living upstreams after it
+    And no key was ever held by two upstreams
+
+  Scenario: An upstream starts anew under its id and its address
+    Given the nodes serve
+    When an upstream starts anew under its id and its address
+    Then all keys are held again by all upstreams after it
+    And no key was ever held by two upstreams
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -110,6 +110,26 @@
     subject.fleet.store.remove("servers/u0")
 
 
+@when("another upstream starts at the address of one that ended")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.chosen = subject.fleet.owners["u0"]
+    _host, port = subject.chosen.address
+    subject.chosen.stop()
+    subject.fleet.add_owner("u8", _SERVICE, port=port)
+
+
+@when("an upstream starts anew under its id and its address")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    old = subject.fleet.owners.pop("u0")
+    _host, port = old.address
+    old.stop()
+    subject.fleet.owners["u0 before"] = old
+    subject.chosen = old
+    subject.fleet.add_owner("u0", _SERVICE, port=port)
+
+
 @when("an upstream says that it leaves")
 def _(context: Context) -> None:
     subject = _subject(context)
@@ -174,6 +194,7 @@
 
 @then("all keys are held again by the living upstreams after it")
 @then("all keys are held again by the other upstreams after it")
+@then("all keys are held again by all upstreams after it")
 def _(context: Context) -> None:
     subject = _subject(context)
     subject.fleet.wait_until(lambda: subject.held_by_others() == 65_536, "all keys are held")
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -32,6 +32,7 @@
     StoreClient,
     StoreError,
     StoreItem,
+    UpstreamReplacedError,
 )
 from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 
@@ -341,11 +342,13 @@
         wanted = {name: item for name, item in self._upstreams.items() if item.service in keyed}
         for upstream_id, upstream in wanted.items():
             holder = self._holders.get(upstream_id)
-            if holder is not None and holder.upstream.address == upstream.address:
+            same_place = holder is not None and holder.upstream.address == upstream.address
+            if same_place and holder.upstream.started_ms == upstream.started_ms:
                 holder.upstream = upstream
                 continue
             if holder is not None:
                 holder.stop()
+                self._refence_owner(upstream_id)
             self._holders[upstream_id] = self._new_holder(upstream)
         involved = {item.owner for item in self._ranges} | {
             item.giver for item in self._ranges if item.giver is not None
@@ -354,6 +357,11 @@
             if upstream_id not in involved:
                 self._holders.pop(upstream_id).stop()
 
+    def _refence_owner(self, upstream_id: str) -> None:
+        """Have an upstream that started anew get its keys under new fencing tokens."""
+        for keys in self._owned_by(upstream_id):
+            self._note_fenced_off(keys)
+
     def _new_holder(self, upstream: Upstream) -> KeyHolder:
         holder = KeyHolder(
             upstream,
@@ -541,11 +549,13 @@
             return None, self._leads()
         # Renewals of these keys have ended; one may still be on its way.
         lapsed_at = max(holder.held_until, self._now() + GRANT_TIMEOUT_S)
-        orders = KeyOrders(holder.upstream.address)
+        orders = KeyOrders(holder.upstream.address, holder.upstream.upstream_id)
         try:
             while self._leads() and not self._parent._stopping.is_set():
                 try:
                     return orders.release(keys, RELEASE_TIMEOUT_S), True
+                except UpstreamReplacedError:
+                    return None, True
                 except OrderError as exc:
                     log_state_change("release.failed", upstream=keys.giver, error=str(exc))
                 if self._now() > lapsed_at:
@@ -563,7 +573,7 @@
         holder = self._holders.get(keys.owner)
         if holder is None:
             return
-        orders = KeyOrders(holder.upstream.address)
+        orders = KeyOrders(holder.upstream.address, holder.upstream.upstream_id)
         try:
             for _ in range(GRANT_TRIES):
                 if holder.grant(orders, keys, handover) or not holder.is_reachable:
--- a/foxtailshunt/assigning/_key_holder.py
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -5,7 +5,7 @@
 
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import KeyRange, Upstream
-from foxtailshunt.platform import GrantOutcome, KeyOrders, OrderError
+from foxtailshunt.platform import GrantOutcome, KeyOrders, OrderError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics, log_state_change
 
 #: How long an upstream holds keys after a grant, in seconds. Short, because the keys of a lost
@@ -62,6 +62,7 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._failures = 0
+        self._is_replaced = False
         self._stopping = threading.Event()
         self._wake = threading.Event()
         self._refused: set[tuple[int, int, int]] = set()
@@ -72,7 +73,7 @@
     @property
     def is_reachable(self) -> bool:
         """Return whether the upstream answered its last orders."""
-        return self._failures < UNREACHABLE_AFTER
+        return self._failures < UNREACHABLE_AFTER and not self._is_replaced
 
     @property
     def held_until(self) -> float:
@@ -111,6 +112,9 @@
             self._settle(provisional, max(before, self._hold_end()) if exc.sent else before)
             self._failed(keys, exc)
             return False
+        except UpstreamReplacedError:
+            self._note_replaced()
+            return False
         self._settle(provisional, max(before, self._hold_end()))
         self._failures = 0
         self._count(outcome.value)
@@ -126,15 +130,17 @@
         return self.upstream.upstream_id
 
     def _run(self) -> None:
-        orders = KeyOrders(self.upstream.address)
+        orders = KeyOrders(self.upstream.address, self._id)
         while not self._stopping.is_set() and self._may_act():
             if self.is_reachable:
                 self._renew_all(orders)
                 self._wake.wait(RENEW_INTERVAL_S)
                 self._wake.clear()
-            else:
+            elif not self._is_replaced:
                 self._look(orders)
                 self._stopping.wait(PROBE_INTERVAL_S)
+            else:
+                self._stopping.wait(PROBE_INTERVAL_S)
         orders.close()
 
     def _renew_all(self, orders: KeyOrders) -> None:
@@ -156,9 +162,26 @@
                 orders.release(keys, PROBE_TIMEOUT_S)
             except OrderError:
                 return
+            except UpstreamReplacedError:
+                self._note_replaced()
+                return
+        self._want_new_fences()
         log_state_change("upstream.reachable", upstream=self._id)
         self._failures = 0
 
+    def _note_replaced(self) -> None:
+        """The upstream has ended: it holds nothing, and its address is another's."""
+        log_state_change("upstream.replaced", upstream=self._id)
+        self._is_replaced = True
+        with self._lock:
+            self._held_until = self._now()
+
+    def _want_new_fences(self) -> None:
+        """Have all keys granted under new fencing tokens: the upstream may have started anew."""
+        for keys in self._owned(self._id):
+            self._refused.add((keys.first, keys.last, keys.fence))
+            self._on_fenced_off(keys)
+
     def _hold_end(self) -> float:
         """Return until when keys are held by a grant that arrives now at the latest."""
         return self._now() + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
@@ -181,6 +204,8 @@
 
     def _failed(self, keys: KeyRange, exc: OrderError) -> None:
         self._failures += 1
+        if exc.may_have_restarted:
+            self._want_new_fences()
         self._count("no answer" if exc.sent else "no connection")
         if self._failures == UNREACHABLE_AFTER:
             log_state_change(
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -5,7 +5,12 @@
 
 from foxtailshunt.platform._answers import UpstreamAnswer, Verdict, judge_answer
 from foxtailshunt.platform._configuration import ConfigurationError, decode_configuration
-from foxtailshunt.platform._grants import GrantOutcome, KeyOrders, OrderError
+from foxtailshunt.platform._grants import (
+    GrantOutcome,
+    KeyOrders,
+    OrderError,
+    UpstreamReplacedError,
+)
 from foxtailshunt.platform._requests import CallFacts, RequestHeaderError, read_call, upstream_head
 from foxtailshunt.platform._store import (
     ConflictError,
@@ -41,6 +46,7 @@
     "StoreError",
     "StoreItem",
     "UpstreamAnswer",
+    "UpstreamReplacedError",
     "Verdict",
     "decode_configuration",
     "decode_upstream",
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -5,7 +5,12 @@
 from enum import Enum
 
 import urllib3
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ProtocolError,
+)
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
@@ -19,6 +24,8 @@
 _RELEASE_PATH = "/api/release"
 _HEADERS = {"Content-Type": "application/json"}
 _HANDOVER = "Handover"
+_EXPECTED_UPSTREAM = "Expect-Instance"
+_REPLACED_STATUS = 421
 
 
 class OrderError(FoxtailshuntError):
@@ -26,11 +33,23 @@
 
     :param message: what was ordered and what went wrong.
     :param sent: False if the upstream could not be connected to, so that nothing can arrive.
+    :param may_have_restarted: True if the upstream's end of the connection was closed.
     """
 
-    def __init__(self, message: str, sent: bool) -> None:
+    def __init__(self, message: str, sent: bool, may_have_restarted: bool = False) -> None:
         super().__init__(ResultCode.UPSTREAM_CONNECTION_LOST, message)
         self.sent = sent
+        self.may_have_restarted = may_have_restarted
+
+
+class UpstreamReplacedError(FoxtailshuntError):
+    """Another upstream answers at the address, so that the one that was meant has ended.
+
+    :param message: what was ordered.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ResultCode.NO_OWNER, message)
 
 
 class GrantOutcome(Enum):
@@ -52,10 +71,12 @@
     """Sends orders about keys to one upstream; used by one thread at a time.
 
     :param address: host and port of the upstream.
+    :param upstream_id: the only upstream that may obey the orders.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, upstream_id: str) -> None:
         self._address = address
+        self._headers = _HEADERS | {_EXPECTED_UPSTREAM: upstream_id}
         self._pool = self._new_pool()
 
     def grant(
@@ -68,6 +89,7 @@
         :param handover: what the last holder returned on its release; None without one.
         :param timeout_s: longest wait in seconds.
         :raises OrderError: the order may or may not be carried out.
+        :raises UpstreamReplacedError: the upstream has ended.
         """
         order = self._describe(keys) | {"hold_time": format_duration(hold_s)}
         if handover is not None:
@@ -86,6 +108,7 @@
         :param timeout_s: longest wait in seconds.
         :returns: what the next holder is given to stay warm; None if there is nothing.
         :raises OrderError: the order may or may not be carried out.
+        :raises UpstreamReplacedError: the upstream has ended.
         """
         answer = self._post(_RELEASE_PATH, self._describe(keys), timeout_s)
         if answer.status == 200:
@@ -108,11 +131,16 @@
         body = json.dumps(order).encode()
         timeout = urllib3.Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s)
         try:
-            resp = self._pool.request("POST", path, body=body, headers=_HEADERS, timeout=timeout)
+            resp = self._pool.request(
+                "POST", path, body=body, headers=self._headers, timeout=timeout
+            )
         except (HTTPError, OSError) as exc:
             # A connection that failed once may stay silent; the next order takes a new one.
             self._pool.close()
             self._pool = self._new_pool()
             sent = not isinstance(exc, (ConnectTimeoutError, NewConnectionError))
-            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", sent) from exc
+            closed = isinstance(exc, (NewConnectionError, ProtocolError))
+            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", sent, closed) from exc
+        if resp.status == _REPLACED_STATUS:
+            raise UpstreamReplacedError(f"{path}: another upstream has the address")
         return _Answer(resp.status, resp.headers.get(_HANDOVER))
--- a/standins/keyowner/_overlaps.py
+++ b/standins/keyowner/_overlaps.py
@@ -1,4 +1,4 @@
-"""Looks for keys that two upstreams held at one time."""
+"""Looks for keys held by two upstreams at one time, or under fencing tokens that do not rise."""
 
 from itertools import combinations
 
@@ -6,7 +6,7 @@
 
 
 def find_overlaps(owners: list[KeyOwner]) -> list[str]:
-    """Return a line for each run of keys that two upstreams held at the same time.
+    """Return a line for each run of keys that two upstreams held wrongly.
 
     :param owners: the upstreams.
     """
@@ -15,6 +15,12 @@
         for a in left.grants.history:
             for b in right.grants.history:
                 first, last = max(a.first, b.first), min(a.last, b.last)
+                earlier, later = sorted((a, b), key=lambda held: held.since)
+                if first <= last and later.fence <= earlier.fence:
+                    found.append(
+                        f"{first}..{last} went from fence {earlier.fence} to {later.fence} "
+                        f"between {left.upstream_id} and {right.upstream_id}"
+                    )
                 since, until = max(a.since, b.since), min(a.until, b.until)
                 if first <= last and since < until:
                     found.append(
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -57,6 +57,7 @@
     :param keyed: whether it runs requests only while it holds their key.
     :param work_s: time that a request takes, in seconds.
     :param slots: requests that it runs at one time.
+    :param port: where it listens; 0 for a free port.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         keyed: bool = True,
         work_s: float = 0.02,
         slots: int = 2,
+        port: int = 0,
     ) -> None:
         self.upstream_id = upstream_id
         self.service = service
@@ -89,7 +91,7 @@
         self._at_work: Counter[int] = Counter()
         self._stopping = threading.Event()
         self._sequence = 0
-        self._server = HttpServer(("127.0.0.1", 0), self._handle, _THREADS)
+        self._server = HttpServer(("127.0.0.1", port), self._handle, _THREADS)
         self._server.start()
         if store is not None:
             self.register()
@@ -134,6 +136,8 @@
 
     def _handle(self, req: Request) -> Answer:
         arrived = time.monotonic()
+        if req.headers.get("expect-instance", self.upstream_id) != self.upstream_id:
+            return WholeAnswer(421, b"", (("Not-Executed", "1"), ("Instance-Id", self.upstream_id)))
         if req.path in ("/api/grant", "/api/release"):
             answer = self._order(req, arrived)
             return SilentAnswer() if self.mute_orders else answer
@@ -154,8 +158,6 @@
     def _run(self, req: Request) -> Answer:
         request_id = req.headers.get("attempt-id", "")
         key = int(req.headers.get("shard-key", "0"))
-        if req.headers.get("expect-instance", self.upstream_id) != self.upstream_id:
-            return WholeAnswer(421, b"", (("Not-Executed", "1"),))
         if self.keyed and not self.grants.holds(key):
             return WholeAnswer(421, b"", (("Not-Executed", "1"),))
         if self.manner is Manner.SHEDS:
