Notice when an upstream closed an order connection, and grant anew under a new fencing token

Cause: the connection pool reconnected silently, so an upstream that had started anew under its id was granted its keys under the fencing token of before. Found by features/node_ownership.feature.

--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -115,7 +115,7 @@
     subject = _subject(context)
     subject.chosen = subject.fleet.owners["u0"]
     _host, port = subject.chosen.address
-    subject.chosen.stop()
+    subject.chosen.crash()
     subject.fleet.add_owner("u8", _SERVICE, port=port)
 
 
@@ -124,7 +124,7 @@
     subject = _subject(context)
     old = subject.fleet.owners.pop("u0")
     _host, port = old.address
-    old.stop()
+    old.crash()
     subject.fleet.owners["u0 before"] = old
     subject.chosen = old
     subject.fleet.add_owner("u0", _SERVICE, port=port)
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -3,18 +3,14 @@
 import json
 from dataclasses import dataclass
 from enum import Enum
+from http.client import HTTPException
 
-import urllib3
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-    ProtocolError,
-)
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
-from foxtailshunt.network import ORDER_SOCKET_OPTIONS
+from foxtailshunt.network import ORDER_SOCKET_OPTIONS, source_address
 from foxtailshunt.platform._durations import format_duration
 
 #: Time to establish a connection to an upstream, in seconds; a link takes about 1 ms.
@@ -77,7 +73,8 @@
     def __init__(self, address: Address, upstream_id: str) -> None:
         self._address = address
         self._headers = _HEADERS | {_EXPECTED_UPSTREAM: upstream_id}
-        self._pool = self._new_pool()
+        self._conn: HTTPConnection | None = None
+        self._close_is_announced = False
 
     def grant(
         self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
@@ -116,31 +113,50 @@
         raise OrderError(f"release answered with status {answer.status}", sent=True)
 
     def close(self) -> None:
-        """Close the connection."""
-        self._pool.close()
-
-    def _new_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
-            *self._address, maxsize=1, retries=False, socket_options=ORDER_SOCKET_OPTIONS
-        )
+        """Close the connection by reset, so that nothing of it arrives any more."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            conn.close()
 
     def _describe(self, keys: KeyRange) -> dict[str, object]:
         return {"from": keys.first, "to": keys.last, "fence": keys.fence}
 
     def _post(self, path: str, order: dict[str, object], timeout_s: float) -> _Answer:
-        body = json.dumps(order).encode()
-        timeout = urllib3.Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s)
+        conn = self._connect(path, timeout_s)
         try:
-            resp = self._pool.request(
-                "POST", path, body=body, headers=self._headers, timeout=timeout
-            )
-        except (HTTPError, OSError) as exc:
+            conn.timeout = timeout_s
+            conn.sock.settimeout(timeout_s)
+            conn.request("POST", path, body=json.dumps(order).encode(), headers=self._headers)
+            resp = conn.getresponse()
+            resp.read()
+        except (HTTPError, HTTPException, OSError) as exc:
             # A connection that failed once may stay silent; the next order takes a new one.
-            self._pool.close()
-            self._pool = self._new_pool()
-            sent = not isinstance(exc, (ConnectTimeoutError, NewConnectionError))
-            closed = isinstance(exc, (NewConnectionError, ProtocolError))
-            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", sent, closed) from exc
+            self.close()
+            closed = not isinstance(exc, TimeoutError)
+            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", True, closed) from exc
+        self._close_is_announced = resp.headers.get("Connection", "").lower() == "close"
         if resp.status == _REPLACED_STATUS:
             raise UpstreamReplacedError(f"{path}: another upstream has the address")
         return _Answer(resp.status, resp.headers.get(_HANDOVER))
+
+    def _connect(self, path: str, timeout_s: float) -> HTTPConnection:
+        conn = self._conn
+        if conn is not None and conn.is_connected:
+            return conn
+        self.close()
+        if conn is not None and not self._close_is_announced:
+            # Whatever listens there now may be a new start of the upstream.
+            raise OrderError(f"{path}: the upstream closed the connection", False, True)
+        conn = HTTPConnection(
+            *self._address,
+            timeout=min(timeout_s, CONNECT_TIMEOUT_S),
+            source_address=source_address(),
+            socket_options=ORDER_SOCKET_OPTIONS,
+        )
+        try:
+            conn.connect()
+        except (HTTPError, OSError) as exc:
+            refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            raise OrderError(f"{path}: {type(exc).__name__}: {exc}", False, refused) from exc
+        self._conn = conn
+        return conn
--- a/standins/keyowner/_key_grants.py
+++ b/standins/keyowner/_key_grants.py
@@ -63,6 +63,13 @@
                 held.first, held.last = max(held.first, first), min(held.last, last)
                 held.until = now
 
+    def forget(self) -> None:
+        """Hold nothing any more, as after the end of the process."""
+        now = time.monotonic()
+        with self._lock:
+            for held in self.history:
+                held.until = min(held.until, now)
+
     def holds(self, key: int) -> bool:
         """Return whether a key is held now."""
         now = time.monotonic()
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -1,6 +1,7 @@
 """An upstream: registers itself, takes orders about keys, runs requests, and fails on demand."""
 
 import json
+import socket
 import threading
 import time
 from collections import Counter
@@ -91,7 +92,7 @@
         self._at_work: Counter[int] = Counter()
         self._stopping = threading.Event()
         self._sequence = 0
-        self._server = HttpServer(("127.0.0.1", port), self._handle, _THREADS)
+        self._server = HttpServer(("127.0.0.1", port or _free_port()), self._handle, _THREADS)
         self._server.start()
         if store is not None:
             self.register()
@@ -130,6 +131,11 @@
         self._stopping.set()
         self._server.stop()
 
+    def crash(self) -> None:
+        """End and forget what it held; another may listen at its port at once."""
+        self.stop()
+        self.grants.forget()
+
     def _beat(self) -> None:
         while not self._stopping.wait(_HEARTBEAT_S):
             self.register()
@@ -194,6 +200,13 @@
         return whole
 
 
+def _free_port() -> int:
+    """Return a free port; a server that names its port can be followed by another one there."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 def _sealed(request_id: str, body: bytes) -> WholeAnswer:
     headers = (("Attempt-Id", request_id), ("Response-Seal", "seal"), ("Keep-Alive", "timeout=10"))
     return WholeAnswer(200, body, headers)
