--- /dev/null
+++ b/features/node_adapter.feature
@@ -0,0 +1,97 @@
+Feature: The platform's names and formats are decoded once, at the border
+
+  Scenario: A configuration becomes routes, services and limits
+    When this configuration is decoded
+      """
+      {"version": "r7", "routes": {
+        "r-a": {"host": "Shop.Example", "prefix": "/a/", "route_type": "safe", "timeout": "1000ms",
+                "aim": "0.5s", "priority": 1, "max_attempts": 2,
+                "traffic_split": [{"service": "one", "weight": 90}, {"service": "two", "weight": 10}]},
+        "r-b": {"host": "shop.example", "prefix": "/a/b/", "route_type": "unsafe", "timeout": "1.2s",
+                "aim": "250ms", "priority": 0, "max_attempts": 1, "service": "two", "new_field": 4}},
+       "services": {"one": {"health_path": "/h", "max_conns": 130, "sharded": true, "warm": "5s"},
+                    "two": {"health_path": "/h", "max_conns": 42}},
+       "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout": "3000ms",
+                  "idle_timeout": "15s"}}
+      """
+    Then its version is 7
+    And the routes are
+      | path    | route | idempotent | timeout s | aim s | rank | upstreams | services  |
+      | /a/x    | r-a   | yes        | 1.0       | 0.5   | 1    | 2         | one, two  |
+      | /a/b/x  | r-b   | no         | 1.2       | 0.25  | 0    | 1         | two       |
+      | /a/bx/y | r-a   | yes        | 1.0       | 0.5   | 1    | 2         | one, two  |
+      | /c/x    | none  |            |           |       |      |           |           |
+    And the keyed services are one
+
+  Scenario Outline: A configuration that cannot be read names the place
+    When a configuration is decoded in which <part> is <value>
+    Then it is refused at <place>
+
+    Examples:
+      | part                  | value       | place           |
+      | version               | "7"         | version         |
+      | version               | "r"         | version         |
+      | routes                | []          | routes          |
+      | routes.r-a.timeout    | 1000        | routes.r-a      |
+      | routes.r-a.timeout    | "1000"      | routes.r-a      |
+      | routes.r-a.priority   | -1          | routes.r-a      |
+      | routes.r-a.service    | null        | routes.r-a      |
+      | limits.idle_timeout   | "soon"      | limits          |
+
+  Scenario Outline: An upstream's entry names an upstream or nothing
+    When an entry is decoded in which <part> is <value>
+    Then the entry <result>
+
+    Examples:
+      | part        | value            | result                   |
+      | seq         | 9                | names a ready upstream   |
+      | state       | "draining"       | names a leaving upstream |
+      | born        | 17.5             | names nothing            |
+      | born        | 1786088844109    | names a ready upstream   |
+      | warmup_left | "3s"             | names a ready upstream   |
+      | state       | "resting"        | names nothing            |
+      | slots       | "2"              | names nothing            |
+      | slots       | 0                | names nothing            |
+      | slots       | true             | names nothing            |
+      | address     | "10.0.0.1"       | names nothing            |
+      | address     | "10.0.0.1:99999" | names nothing            |
+      | service     | null             | names nothing            |
+      | zone        | 4                | names nothing            |
+
+  Scenario Outline: An answer of an upstream is judged by what it proves
+    When upstream u1 answers request r1 with <status> and <headers>
+    Then the verdict is <verdict>
+
+    Examples: promises of others are never passed on as proofs
+      | status | headers                                     | verdict   |
+      | 200    | Attempt-Id: r1, Response-Seal: s            | answered  |
+      | 200    | Attempt-Id: r1                              | failed    |
+      | 200    | Response-Seal: s                            | failed    |
+      | 200    | Attempt-Id: r2, Response-Seal: s            | foreign   |
+      | 404    | Attempt-Id: r1, Response-Seal: s            | answered  |
+      | 500    | Attempt-Id: r1                              | answered  |
+      | 503    | Attempt-Id: r1, Not-Executed: 1             | not run   |
+      | 503    | Attempt-Id: r1                              | failed    |
+      | 429    | Attempt-Id: r1                              | failed    |
+      | 421    | Content-Type: text/plain                    | not owner |
+      | 421    | Instance-Id: u1                             | not owner |
+      | 421    | Instance-Id: u2                             | replaced  |
+      | 200    | Attempt-Id: r1, Response-Seal: s, Content-Encoding: gzip | failed |
+
+  Scenario: Headers of one connection and forged ones are not passed on
+    When a request goes to upstream u1 with 800 ms left and these headers
+      | name            | value         |
+      | Host            | shop.example  |
+      | Attempt-Id      | r1            |
+      | Deadline-Ms     | 99999         |
+      | Expect-Instance | other         |
+      | Connection      | close, X-Hop  |
+      | X-Hop           | 1             |
+      | X-Own           | 2             |
+    Then the upstream gets these headers
+      | name            | value        |
+      | Host            | shop.example |
+      | Attempt-Id      | r1           |
+      | X-Own           | 2            |
+      | Deadline-Ms     | 800          |
+      | Expect-Instance | u1           |
--- /dev/null
+++ b/features/steps/node_adapter_steps.py
@@ -0,0 +1,166 @@
+"""Steps for the adapter to the users' platform."""
+
+import json
+from typing import Any
+
+from behave import then, when
+from behave.runner import Context
+
+from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.platform import (
+    UpstreamAnswer,
+    decode_configuration,
+    decode_upstream,
+    judge_answer,
+    upstream_head,
+)
+from foxtailshunt.routing import Route
+
+_CONFIGURATION: dict[str, Any] = {
+    "version": "r7",
+    "routes": {
+        "r-a": {
+            "host": "shop.example",
+            "prefix": "/a/",
+            "route_type": "safe",
+            "timeout": "1000ms",
+            "aim": "500ms",
+            "priority": 1,
+            "max_attempts": 2,
+            "service": "one",
+        }
+    },
+    "services": {"one": {"max_conns": 10, "sharded": True}},
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    },
+}
+_ENTRY: dict[str, Any] = {
+    "service": "one",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left": "0ms",
+    "seq": 4,
+}
+
+
+class AdapterSubject:
+    """Documents with one field changed."""
+
+    @staticmethod
+    def changed(document: dict[str, Any], place: str, value: str) -> bytes:
+        copy = json.loads(json.dumps(document))
+        *path, last = place.split(".")
+        inner = copy
+        for name in path:
+            inner = inner[name]
+        inner[last] = json.loads(value)
+        return json.dumps(copy).encode()
+
+
+def _row(route: Route | None) -> dict[str, str]:
+    if route is None:
+        return {"route": "none"}
+    return {
+        "route": route.name,
+        "idempotent": "yes" if route.idempotent else "no",
+        "timeout s": str(route.timeout_s),
+        "aim s": str(route.aim_s),
+        "rank": str(route.rank),
+        "upstreams": str(route.max_upstreams),
+        "services": ", ".join(part.service for part in route.services),
+    }
+
+
+@when("this configuration is decoded")
+def _(context: Context) -> None:
+    context.routes = decode_configuration(context.text.encode())
+
+
+@when("a configuration is decoded in which {part} is {value}")
+def _(context: Context, part: str, value: str) -> None:
+    document = AdapterSubject.changed(_CONFIGURATION, part, value)
+    context.refusal = None
+    try:
+        decode_configuration(document)
+    except FoxtailshuntError as exc:
+        context.refusal = exc.message
+
+
+@when("an entry is decoded in which {part} is {value}")
+def _(context: Context, part: str, value: str) -> None:
+    document = AdapterSubject.changed(_ENTRY, part, value)
+    try:
+        context.upstream = decode_upstream("servers/u1", document)
+    except ValueError:
+        context.upstream = None
+
+
+@when("upstream {upstream_id} answers request {request_id} with {status:d} and {headers}")
+def _(context: Context, upstream_id: str, request_id: str, status: int, headers: str) -> None:
+    pairs = tuple(
+        (name.strip(), value.strip())
+        for name, _, value in (part.partition(":") for part in headers.split(",") if part)
+    )
+    answer = UpstreamAnswer(status, pairs, b"")
+    context.verdict = judge_answer(answer, request_id, upstream_id)
+
+
+@when("a request goes to upstream {upstream_id} with {left:d} ms left and these headers")
+def _(context: Context, upstream_id: str, left: int) -> None:
+    headers = [(row["name"], row["value"]) for row in context.table]
+    context.head = upstream_head(headers, upstream_id, left / 1000)
+
+
+@then("its version is {version:d}")
+def _(context: Context, version: int) -> None:
+    assert context.routes.version == version
+
+
+@then("the routes are")
+def _(context: Context) -> None:
+    for row in context.table:
+        found = _row(context.routes.match("SHOP.example:80", row["path"]))
+        expected = {name: row[name] for name in found}
+        assert found == expected, (found, expected)
+
+
+@then("the keyed services are {names}")
+def _(context: Context, names: str) -> None:
+    keyed = [name for name, info in context.routes.services.items() if info.keyed]
+    assert keyed == names.split(", "), keyed
+
+
+@then("it is refused at {place}")
+def _(context: Context, place: str) -> None:
+    assert context.refusal is not None, "it was taken"
+    assert context.refusal.startswith(place), context.refusal
+
+
+@then("the entry names a {state} upstream")
+def _(context: Context, state: str) -> None:
+    assert context.upstream is not None
+    assert context.upstream.leaving == (state == "leaving")
+    assert (context.upstream.upstream_id, context.upstream.slots) == ("u1", 2)
+
+
+@then("the entry names nothing")
+def _(context: Context) -> None:
+    assert context.upstream is None, context.upstream
+
+
+@then("the verdict is {verdict}")
+def _(context: Context, verdict: str) -> None:
+    assert context.verdict.value == verdict, context.verdict
+
+
+@then("the upstream gets these headers")
+def _(context: Context) -> None:
+    expected = [(row["name"], row["value"]) for row in context.table]
+    assert list(context.head) == expected, context.head
