--- /dev/null
+++ b/features/steps/node_logs_steps.py
@@ -0,0 +1,137 @@
+"""Steps for the logs of nodes."""
+
+import os
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import eliot
+from behave import given, then, when
+from behave.runner import Context
+
+from foxtailshunt.telemetry import LogWriter, RequestLog
+
+_ROOT = Path(__file__).resolve().parent.parent.parent
+_MOST_WAITING = 2000
+
+
+class LogSubject:
+    """A log writer on a pipe that nobody reads, and what was written."""
+
+    def __init__(self) -> None:
+        self.read_end, write_end = os.pipe()
+        self.writer = LogWriter(write_end)
+        self.writer.start()
+        self.longest_s = 0.0
+
+    def write(self, count: int) -> None:
+        for number in range(count):
+            began = time.monotonic()
+            self.writer({"message_type": "test.line", "number": number, "padding": "x" * 200})
+            self.longest_s = max(self.longest_s, time.monotonic() - began)
+
+    def read_rest(self) -> bytes:
+        parts: list[bytes] = []
+        done = threading.Event()
+
+        def read() -> None:
+            while not done.is_set():
+                parts.append(os.read(self.read_end, 1 << 16))
+                if b"log.dropped" in b"".join(parts):
+                    done.set()
+
+        thread = threading.Thread(target=read, daemon=True)
+        thread.start()
+        done.wait(30)
+        return b"".join(parts)
+
+
+def _tell(request_id: str, *logs: Path) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "foxtailshunt.cli.operator", "explain-request", request_id]
+    return subprocess.run(
+        [*command, *map(str, logs)],
+        cwd=_ROOT,
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@given("a log whose reader has stalled")
+def _(context: Context) -> None:
+    context.log_subject = LogSubject()
+
+
+@when("{count:d} lines are written")
+def _(context: Context, count: int) -> None:
+    context.log_subject.write(count)
+
+
+@when("the story of a request is asked for that no line names")
+def _(context: Context) -> None:
+    context.told = _tell("0123456789abcdef")
+
+
+@when("{ordinary:d} ordinary and {failed:d} failed requests are logged at once")
+def _(context: Context, ordinary: int, failed: int) -> None:
+    context.lines = []
+    context.request_log = RequestLog()
+    eliot.add_destinations(context.lines.append)
+    began = time.monotonic()
+    try:
+        for number in range(max(ordinary, failed)):
+            context.request_log.note("request.answered", failed=False, number=number)
+            context.request_log.note("request.answered", failed=True, number=number, bad=True)
+        context.written = list(context.lines)
+        context.logged_for_s = time.monotonic() - began
+        time.sleep(1.1)
+        context.request_log.note("request.answered", failed=False, last=True)
+    finally:
+        eliot.remove_destination(context.lines.append)
+
+
+@then("the request's story from the log names {result} and upstream {upstream}")
+def _(context: Context, result: str, upstream: str) -> None:
+    fleet = context.requests.fleet
+    log = fleet.folder / "n0.log"
+    request_id = context.answer.request_id
+    fleet.wait_until(lambda: request_id in fleet.nodes["n0"].process.log(), "the line is written")
+    told = _tell(request_id, log)
+    assert told.returncode == 0, told.stderr
+    first = told.stdout.splitlines()[0]
+    assert f"request_id={request_id}" in told.stdout
+    assert result in told.stdout, told.stdout
+    assert f"upstream={upstream}" in told.stdout, first
+
+
+@then("the command ends with exit code {code:d} and one line")
+def _(context: Context, code: int) -> None:
+    assert context.told.returncode == code, context.told
+    assert len(context.told.stderr.splitlines()) == 1, context.told.stderr
+
+
+@then("no write waited, and the lines over the bound are counted")
+def _(context: Context) -> None:
+    subject = context.log_subject
+    waiting = len(subject.writer._lines)
+    assert waiting <= _MOST_WAITING, waiting
+    assert b"log.dropped" in subject.read_rest()
+
+
+@then("at most {ordinary:d} ordinary and {failed:d} failed lines are written")
+def _(context: Context, ordinary: int, failed: int) -> None:
+    bad = [line for line in context.written if line.get("bad")]
+    good = [line for line in context.written if not line.get("bad")]
+    # The budgets go on filling while the requests are logged.
+    assert 0 < len(good) <= ordinary * (1 + context.logged_for_s) + 1, len(good)
+    assert 0 < len(bad) <= failed * (1 + context.logged_for_s) + 1, len(bad)
+
+
+@then("the next line says how many were left out")
+def _(context: Context) -> None:
+    last = context.lines[-1]
+    assert last.get("last"), last
+    assert last["lines_suppressed_before"] > 1000, last
--- a/foxtailshunt/cli/_operator_text.py
+++ b/foxtailshunt/cli/_operator_text.py
@@ -11,7 +11,9 @@
     Explanation,
     FleetStatus,
     ProcessStatus,
+    RequestStory,
     UpstreamStatus,
+    format_line,
 )
 
 _GAP = "  "
@@ -51,6 +53,15 @@
     return f"no change: version {result.version} in the store has the same content"
 
 
+@to_text.register
+def _(result: RequestStory) -> str:
+    lines = [format_line(line) for line in result.lines]
+    if result.context:
+        lines.append("shortly before, at its node or upstream:")
+        lines += [format_line(line) for line in result.context]
+    return "\n".join(lines)
+
+
 @to_text.register
 def _(result: Explanation) -> str:
     lines = [
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -1,7 +1,8 @@
 """``foxtailshunt``: the operators' command line."""
 
+import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 import click
 
@@ -27,11 +28,14 @@
     FleetReader,
     FleetStatus,
     FleetView,
+    RequestStory,
     check_file,
     collect_status,
     explain_key,
     read_file,
+    read_log_lines,
     read_store,
+    tell_story,
 )
 from foxtailshunt.ownership import Address
 from foxtailshunt.protocol import ClientPool
@@ -147,6 +151,24 @@
     return explain_key(view, service, key)
 
 
+@main.command("explain-request", epilog=_EXIT_CODES)
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.File(errors="replace"))
+@json_option
+@prints_result
+def explain_request(request_id: str, logs: tuple[TextIO, ...]) -> RequestStory:
+    """Tell what became of a request, from the logs of all nodes.
+
+    LOGS are files of log lines; without any, standard input is read.
+    """
+    sources = logs or (sys.stdin,)
+    lines = [line for source in sources for line in read_log_lines(source)]
+    story = tell_story(lines, request_id)
+    if not story.lines:
+        raise FoxtailshuntError(ResultCode.BAD_REQUEST, f"no line names request {request_id}")
+    return story
+
+
 def _open_platform(settings: Path | None, platform: tuple[Address, ...]) -> HttpPlatform:
     places = find_places(settings, platform, ())
     if not places.platform:
@@ -167,3 +189,7 @@
 
 def _missing(options: str) -> FoxtailshuntError:
     return FoxtailshuntError(ResultCode.BAD_REQUEST, f"name the fleet with {options}")
+
+
+if __name__ == "__main__":
+    main()
--- a/foxtailshunt/operator/__init__.py
+++ b/foxtailshunt/operator/__init__.py
@@ -6,6 +6,13 @@
 from foxtailshunt.operator._exit_codes import ExitCode, exit_code_of
 from foxtailshunt.operator._explain import Explanation, explain_key
 from foxtailshunt.operator._fleet_reader import FleetReader, FleetView
+from foxtailshunt.operator._request_story import (
+    LogLine,
+    RequestStory,
+    format_line,
+    read_log_lines,
+    tell_story,
+)
 from foxtailshunt.operator._status import (
     FleetStatus,
     ProcessStatus,
@@ -25,12 +32,17 @@
     "FleetReader",
     "FleetStatus",
     "FleetView",
+    "LogLine",
     "ProcessStatus",
+    "RequestStory",
     "UpstreamStatus",
     "check_file",
     "collect_status",
     "exit_code_of",
     "explain_key",
+    "format_line",
     "read_file",
+    "read_log_lines",
     "read_store",
+    "tell_story",
 ]
