--- a/features/steps/protocol_steps.py
+++ b/features/steps/protocol_steps.py
@@ -24,11 +24,11 @@
     ProtocolServer,
     gen,
 )
-from foxtailshunt.protocol.gen import Assigner, Dispatcher, ttypes
+from foxtailshunt.protocol.gen import Assigner, Dispatcher, Peer, ttypes
 
 _FILE = Path(gen.__file__).parent.parent / "foxtailshunt.thrift"
 _WAIT_S = 20.0
-_SERVICES = {"Dispatcher": Dispatcher, "Assigner": Assigner}
+_SERVICES = {"Dispatcher": Dispatcher, "Assigner": Assigner, "Peer": Peer}
 _BASE_TYPES = {
     "bool": TType.BOOL,
     "double": TType.DOUBLE,
