Replace no sender for balance while slots are on their way

The new sender then had slots arriving that it could not take the request memory for, and answered their requests 'unknown'.

--- a/features/fleet_support/_subject.py
+++ b/features/fleet_support/_subject.py
@@ -267,18 +267,39 @@
         return [record for record in read_records(paths) if isinstance(record, RunRecord)]
 
     def _wait_until_at_rest(self) -> None:
-        """Wait until every slot has had the same owner for a while and none is on its way."""
-        before = self.tables.read()
+        """Wait until owners and senders have been the same for a while, evenly spread.
+
+        A sender that is being replaced for balance answers some requests "unknown".
+        """
+        before = self.tables.read(), self._senders()
         unchanged_since = time.monotonic()
         end = unchanged_since + _REST_LIMIT_S
         while time.monotonic() - unchanged_since < _REST_S:
             assert time.monotonic() < end, "the fleet does not come to rest"
             time.sleep(_REST_POLL_S)
-            now = self.tables.read()
-            whole = len(now.owners) == sum(self.fleet.layout.slot_counts.values())
-            if now != before or not whole:
+            now = self.tables.read(), self._senders()
+            whole = len(now[0].owners) == sum(self.fleet.layout.slot_counts.values())
+            if now != before or not whole or not self._is_even(now[1]):
                 before, unchanged_since = now, time.monotonic()
 
+    def _senders(self) -> dict[str, tuple[str, ...]]:
+        """Return the first dispatcher of each upstream, by zone."""
+        return {
+            zone: tuple(
+                row.dispatchers[0] if row.dispatchers else ""
+                for _, row in sorted(self.tables.read_table(zone).rows.items())
+            )
+            for zone in self.fleet.layout.zones
+        }
+
+    def _is_even(self, senders: dict[str, tuple[str, ...]]) -> bool:
+        for zone, names in senders.items():
+            instances = [item.instance_id for item in self.fleet.layout.instances_of(zone)]
+            counts = [names.count(instance_id) for instance_id in instances]
+            if max(counts) - min(counts) > 1:
+                return False
+        return True
+
     def _keys_of(self, zone: str) -> list[str]:
         owners = self.tables.read().owners
         zones = {u.upstream_id: u.zone for u in self.fleet.layout.upstreams}
--- a/features/random_plans.feature
+++ b/features/random_plans.feature
@@ -7,6 +7,7 @@
     And a row whose grant changed has the table's fence, and no other row's fence changed
     And nothing in transit is given before its transit has ended
     And no row names a dispatcher twice or a dispatcher that was not live
+    And no sender is replaced for balance while slots are on their way
     And at the end of a quiet time every slot is owned and the owners are balanced
 
     Examples:
--- a/features/steps/random_plans_steps.py
+++ b/features/steps/random_plans_steps.py
@@ -24,6 +24,7 @@
         self._random = random.Random(seed)
         self.tables = [Table("wanaka", "0", Fence(1, 0), "t", 1, (), (), {}, ())]
         self.finished: list[frozenset[TransitKey]] = []
+        self.inputs: list[PlanInput] = []
         self.live: list[frozenset[str]] = []
         self._configured = set(_UPSTREAMS[:3])
         for _ in range(steps):
@@ -91,6 +92,7 @@
         fence = Fence(table.fence.term, table.fence.version + 1)
         self.tables.append(plan_table(table, inputs, fence))
         self.finished.append(inputs.finished)
+        self.inputs.append(inputs)
         self.live.append(live)
 
     def _cfg(self) -> Configuration:
@@ -182,6 +184,23 @@
             assert not live or set(names) <= live, (table.fence, names)
 
 
+@then("no sender is replaced for balance while slots are on their way")
+def check_senders(context: Context) -> None:
+    history = context.history
+    for before, after, inputs in zip(
+        history.tables, history.tables[1:], history.inputs, strict=False
+    ):
+        fit = {ref.instance_id for ref in inputs.live_dispatchers} - inputs.unfit_dispatchers
+        for name, row in after.rows.items() if after.transits else ():
+            old = before.rows.get(name)
+            if old is None or old.address != row.address:
+                continue  # Another upstream has the name now.
+            if not old.dispatchers or old.dispatchers[0] not in fit:
+                continue
+            if inputs.senders.get(name) in (None, old.dispatchers[0]):
+                assert row.dispatchers[0] == old.dispatchers[0], (after.fence, name)
+
+
 @then("at the end of a quiet time every slot is owned and the owners are balanced")
 def check_end(context: Context) -> None:
     table = context.history.tables[-1]
--- a/foxtailshunt/assigner/_planner.py
+++ b/foxtailshunt/assigner/_planner.py
@@ -178,7 +178,9 @@
     if not live:
         return
     current = {name: row.dispatchers for name, row in draft.rows.items()}
-    chosen = choose_dispatchers(current, live, inputs.senders, inputs.dispatcher_moves)
+    # A sender that changes while slots arrive cannot take over the memory of their requests.
+    moves = 0 if draft.transits else inputs.dispatcher_moves
+    chosen = choose_dispatchers(current, live, inputs.senders, moves)
     for upstream_id, dispatchers in chosen.items():
         if dispatchers != current[upstream_id]:
             draft.set_dispatchers(upstream_id, dispatchers)
