--- a/features/steps/entry_callers_steps.py
+++ b/features/steps/entry_callers_steps.py
@@ -172,9 +172,11 @@
 
 @then("the callers that waited are answered once they send the other half")
 def send_other_halves(context: Context) -> None:
+    codes = set()
     for caller in context.callers:
+        # One at a time: many at once may be over the limit of their rank.
         caller.send(_HALF[1])
-    codes = {caller.read_answer().code for caller in context.callers}
+        codes.add(caller.read_answer().code)
     assert codes == {100}, codes
 
 
