--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -63,6 +63,23 @@
     return passed, failed, skipped, known_red
 
 
+def describe_failures(report: list[dict]) -> list[str]:
+    """Return a line with the error for each step that failed.
+
+    :param report: behave's JSON report.
+    """
+    lines: list[str] = []
+    for feature in report:
+        for scenario in feature.get("elements", []):
+            for step in scenario.get("steps", []):
+                result = step.get("result", {})
+                if result.get("status") in ("failed", "error", "undefined"):
+                    error = result.get("error_message", "")
+                    error = error if isinstance(error, str) else "\n".join(error)
+                    lines.append(f"{scenario['location']}  {step['name']}\n{error}")
+    return lines
+
+
 def print_known_red() -> None:
     """Print the faults that are known and not mended."""
     path = ROOT / "KNOWN-RED.txt"
@@ -79,6 +96,8 @@
     check_failures = run_checks()
     report = run_features(arguments)
     passed, failed, skipped, known_red = count_scenarios(report)
+    for line in describe_failures(report):
+        print(f"failed: {line}")
     for name in known_red:
         print(f"known red (KNOWN-RED.txt): {name}")
     passed += len(CHECKS) - check_failures
