Wait for earlier leaders' grants only as long as they may be in force

An upstream that accepted the new tokens on all of its keys is now held only by the new leader's grants; keys that move before that are marked. The table names the leaders whose grants may be in force, and one that is heard to know the new term sends none.

--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -5,19 +5,15 @@
 from dataclasses import replace
 
 from foxtailshunt.assigning._demand_book import DemandBook
-from foxtailshunt.assigning._key_holder import (
-    CLOCK_RATE_BOUND,
-    GRANT_TIMEOUT_S,
-    HOLD_MARGIN_S,
-    HOLD_S,
-    KeyHolder,
-)
-from foxtailshunt.assigning._leadership import LEADER_KEY, RIGHT_S, Leadership
+from foxtailshunt.assigning._earlier_leaders import EarlierLeaders
+from foxtailshunt.assigning._key_holder import GRANT_TIMEOUT_S, KeyHolder
+from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._pace_reports import CapacityBook
 from foxtailshunt.assigning._placement import Move, Seat, cut_evenly, plan_moves
 from foxtailshunt.assigning._table_record import (
     TABLE_KEY,
+    LeaderProcess,
     TableRecord,
     decode_table,
     encode_table,
@@ -146,14 +142,9 @@
         self._upstreams: dict[str, Upstream] = {}
         self._first_seen_at: float | None = None
         self._holders: dict[str, KeyHolder] = {}
-        #: Until when upstreams may hold keys by grants of the leaders before.
-        self._earlier_grants_end = (
-            parent._now()
-            + (0.0 if parent._leadership.succeeds_itself else RIGHT_S)
-            + GRANT_TIMEOUT_S
-            + HOLD_S * (1 + CLOCK_RATE_BOUND)
-            + HOLD_MARGIN_S
-        )
+        self._earlier = self._earlier_leaders(())
+        #: Moves from upstreams that may still obey earlier leaders.
+        self._contested: set[KeyRange] = set()
         self._moving = 0
         self._read_again_at = float("-inf")
         self._store_is_lost = False
@@ -187,7 +178,8 @@
         return not self._parent._stopping.is_set() and self._leads()
 
     def _leads(self) -> bool:
-        return self._parent._leadership.term == self._term
+        knows_newer = self._view.versions.term > self._term
+        return self._parent._leadership.term == self._term and not knows_newer
 
     def _wait(self, seconds: float) -> None:
         end = self._now() + max(0.02, seconds)
@@ -234,7 +226,7 @@
 
     def _publish_members(self) -> None:
         now = self._now()
-        self._parent._members.note(self._parent.me, now)
+        self._parent._members.note(self._parent.me, self._term, now)
         living = self._parent._members.living(now)
         if living != self._view.members or not self._members_version:
             self._members_version += 1
@@ -251,11 +243,8 @@
                 log_state_change("table.not_read", error=str(exc))
                 self._parent._stopping.wait(STORE_RETRY_S)
                 continue
-            if item is None:
-                record = TableRecord(0, ())
-                self._earlier_grants_end = self._now()
-            else:
-                record = self._decode(item.value)
+            record = TableRecord(0, (), ()) if item is None else self._decode(item.value)
+            self._earlier = self._earlier_leaders(record.leaders)
             self._table_revision = item.revision if item is not None else 0
             fence = record.fence + 1
             ranges = [replace(entry, fence=fence) for entry in record.ranges]
@@ -269,8 +258,13 @@
         self._keep_holders()
         for entry in list(self._ranges):
             if entry.giver is not None:
+                self._contested.add(entry)
                 self._begin_move(entry)
 
+    def _earlier_leaders(self, processes: Iterable[LeaderProcess]) -> EarlierLeaders:
+        parent = self._parent
+        return EarlierLeaders(processes, parent.me, self._term, parent._members, self._now)
+
     def _decode(self, document: bytes) -> TableRecord:
         try:
             return decode_table(document)
@@ -286,7 +280,9 @@
         """
         if self._now() < self._write_again_at:
             return False
-        document = encode_table(TableRecord(fence, tuple(ranges)))
+        me = LeaderProcess(self._parent.me.instance_id, self._parent.me.boot_id)
+        others = tuple(process for process in self._earlier.possible() if process != me)
+        document = encode_table(TableRecord(fence, tuple(ranges), (me, *others)))
         try:
             if self._table_revision is None:
                 self._read_revision()
@@ -365,7 +361,7 @@
     def _new_holder(self, upstream: Upstream) -> KeyHolder:
         holder = KeyHolder(
             upstream,
-            self._earlier_grants_end,
+            self._earlier.grants_end,
             self._owned_by,
             self._foreign_key,
             self._leads,
@@ -405,7 +401,10 @@
             if info.keyed:
                 for move in self._plan(name, level):
                     fence += 1
-                    changed.append((move.keys, _split(move, fence)))
+                    parts = _split(move, fence)
+                    changed.append((move.keys, parts))
+                    if not self._is_taken_over(move.keys.owner):
+                        self._contested.add(parts[0])
         fence = self._refence(changed, fence)
         fresh = self._first_ranges(routes.services, fence + 1)
         if not changed and not fresh:
@@ -490,11 +489,15 @@
         moves = plan_moves(ranges, demand, seats, min(most, MOVES_AT_ONCE))
         return [move for move in moves if self._is_due(move)]
 
+    def _is_taken_over(self, upstream_id: str) -> bool:
+        holder = self._holders.get(upstream_id)
+        return holder is not None and holder.is_taken_over
+
     def _is_due(self, move: Move) -> bool:
         """Leave the keys of an unreachable upstream until its hold has run out."""
         holder = self._holders.get(move.keys.owner)
         if holder is None:
-            return self._now() > self._earlier_grants_end
+            return self._now() > self._earlier.grants_end()
         return holder.is_reachable or self._now() > holder.held_until
 
     def _begin_move(self, keys: KeyRange) -> None:
@@ -545,7 +548,7 @@
         """Return the giver's handover once the giver surely holds the keys no more."""
         holder = self._holders.get(keys.giver or "")
         if holder is None:
-            self._wait_until(self._earlier_grants_end)
+            self._wait_until(self._earlier.grants_end)
             return None, self._leads()
         # Renewals of these keys have ended; one may still be on its way.
         lapsed_at = max(holder.held_until, self._now() + GRANT_TIMEOUT_S)
@@ -558,15 +561,16 @@
                     return None, True
                 except OrderError as exc:
                     log_state_change("release.failed", upstream=keys.giver, error=str(exc))
-                if self._now() > lapsed_at:
+                earlier_end = self._earlier.grants_end() if keys in self._contested else lapsed_at
+                if self._now() > max(lapsed_at, earlier_end):
                     return None, True
                 self._parent._stopping.wait(RELEASE_RETRY_S)
         finally:
             orders.close()
         return None, False
 
-    def _wait_until(self, moment: float) -> None:
-        while self._leads() and self._now() < moment and not self._parent._stopping.is_set():
+    def _wait_until(self, moment: Callable[[], float]) -> None:
+        while self._leads() and self._now() < moment() and not self._parent._stopping.is_set():
             self._parent._stopping.wait(0.1)
 
     def _give(self, keys: KeyRange, handover: str | None) -> None:
--- a/foxtailshunt/assigning/_key_holder.py
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -27,11 +27,20 @@
 PROBE_TIMEOUT_S = 0.3
 
 
+def grant_end(arrived: float) -> float:
+    """Return until when keys are held by a grant that was sent by a moment.
+
+    :param arrived: the moment, in seconds of the clock.
+    """
+    return arrived + GRANT_TIMEOUT_S + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+
+
 class KeyHolder:
     """One upstream as seen by the leader, with a thread that renews its grants.
 
     :param upstream: the upstream.
-    :param held_until: until when it may hold keys by grants of earlier leaders, in seconds.
+    :param earlier_end: returns until when it may hold keys by grants of earlier leaders, in
+        seconds.
     :param owned: returns the ranges that it owns now and that are to be renewed.
     :param foreign_key: returns a key that another upstream owns, to ask for without effect; None
         if there is none.
@@ -44,7 +53,7 @@
     def __init__(
         self,
         upstream: Upstream,
-        held_until: float,
+        earlier_end: Callable[[], float],
         owned: Callable[[str], list[KeyRange]],
         foreign_key: Callable[[str], KeyRange | None],
         may_act: Callable[[], bool],
@@ -53,7 +62,9 @@
         metrics: Metrics,
     ) -> None:
         self.upstream = upstream
-        self._held_until = held_until
+        self._earlier_end = earlier_end
+        self._held_until = float("-inf")
+        self._is_taken_over = False
         self._owned = owned
         self._foreign_key = foreign_key
         self._may_act = may_act
@@ -75,11 +86,20 @@
         """Return whether the upstream answered its last orders."""
         return self._failures < UNREACHABLE_AFTER and not self._is_replaced
 
+    @property
+    def is_taken_over(self) -> bool:
+        """Return whether the upstream has seen this term's fencing token on all of its keys.
+
+        It refuses all grants of earlier leaders from then on.
+        """
+        return self._is_taken_over
+
     @property
     def held_until(self) -> float:
         """Return until when the upstream may hold keys, in seconds of the clock."""
         with self._lock:
-            return self._held_until
+            held_until = self._held_until
+        return held_until if self._is_taken_over else max(held_until, self._earlier_end())
 
     def start(self) -> None:
         """Start renewing."""
@@ -133,7 +153,7 @@
         orders = KeyOrders(self.upstream.address, self._id)
         while not self._stopping.is_set() and self._may_act():
             if self.is_reachable:
-                self._renew_all(orders)
+                self.renew_all(orders)
                 self._wake.wait(RENEW_INTERVAL_S)
                 self._wake.clear()
             elif not self._is_replaced:
@@ -143,12 +163,18 @@
                 self._stopping.wait(PROBE_INTERVAL_S)
         orders.close()
 
-    def _renew_all(self, orders: KeyOrders) -> None:
+    def renew_all(self, orders: KeyOrders) -> None:
+        """Grant everything that the upstream owns once more.
+
+        :param orders: a connection that no other thread uses.
+        """
+        all_accepted = True
         for keys in self._owned(self._id):
             if self._stopping.is_set() or not self.is_reachable:
                 return
-            if (keys.first, keys.last, keys.fence) not in self._refused:
-                self.grant(orders, keys, None)
+            is_refused = (keys.first, keys.last, keys.fence) in self._refused
+            all_accepted &= not is_refused and self.grant(orders, keys, None)
+        self._is_taken_over |= all_accepted
 
     def _look(self, orders: KeyOrders) -> None:
         """Find out whether an unreachable upstream takes orders, without giving it anything.
@@ -173,6 +199,7 @@
         """The upstream has ended: it holds nothing, and its address is another's."""
         log_state_change("upstream.replaced", upstream=self._id)
         self._is_replaced = True
+        self._is_taken_over = True
         with self._lock:
             self._held_until = self._now()
 
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -66,8 +66,6 @@
         self._term: int | None = None
         self._renewed_at = float("-inf")
         self._store_is_lost = False
-        #: True if the leader before was an earlier process of this node, which surely has ended.
-        self.succeeds_itself = False
         #: Who leads, as far as known.
         self.leader: Leader | None = None
         #: Set while this node leads, for those who wait.
@@ -200,7 +198,6 @@
             )
         except ConflictError:
             return
-        self.succeeds_itself = replaces != 0
         if self._stopping.is_set():
             self._store.end_lease(lease, CALL_TIMEOUT_S)
             return
--- a/foxtailshunt/assigning/_table_record.py
+++ b/foxtailshunt/assigning/_table_record.py
@@ -12,6 +12,16 @@
 TABLE_KEY = "foxtailshunt/table"
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderProcess:
+    """A process that has led."""
+
+    #: Name of its instance.
+    instance_id: str
+    #: Incarnation of the process.
+    boot_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class TableRecord:
     """Everybody who may hold keys.
@@ -23,6 +33,8 @@
     fence: int
     #: The ranges of all keyed services.
     ranges: tuple[KeyRange, ...]
+    #: The leader that wrote the table, and earlier ones whose grants may still be in force.
+    leaders: tuple[LeaderProcess, ...]
 
 
 class _Row(BaseModel):
@@ -40,9 +52,15 @@
         return self
 
 
+class _Process(BaseModel):
+    instance_id: str
+    boot_id: str
+
+
 class _Document(BaseModel):
     fence: int = Field(ge=0)
     ranges: list[_Row]
+    leaders: list[_Process]
 
 
 def encode_table(record: TableRecord) -> bytes:
@@ -61,7 +79,9 @@
         | ({"giver": item.giver} if item.giver is not None else {})
         for item in record.ranges
     ]
-    return json.dumps({"fence": record.fence, "ranges": rows}, separators=(",", ":")).encode()
+    leaders = [{"instance_id": x.instance_id, "boot_id": x.boot_id} for x in record.leaders]
+    document = {"fence": record.fence, "ranges": rows, "leaders": leaders}
+    return json.dumps(document, separators=(",", ":")).encode()
 
 
 def decode_table(document: bytes) -> TableRecord:
@@ -82,4 +102,5 @@
         )
         for row in wire.ranges
     )
-    return TableRecord(wire.fence, ranges)
+    leaders = tuple(LeaderProcess(item.instance_id, item.boot_id) for item in wire.leaders)
+    return TableRecord(wire.fence, ranges, leaders)
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -92,7 +92,7 @@
 
     def _take_report(self, req: FollowRequest) -> None:
         now = self._now()
-        self._members.note(from_member_message(req.member), now)
+        self._members.note(from_member_message(req.member), req.known.term, now)
         for demand in req.demands:
             self._demands.note(demand.service_name, demand.key, demand.work_ms / 1000, now)
         for pace in req.paces:
