Take an order that an upstream without keys did not understand as the end of the one before

Cause: addresses of ended upstreams went to the other service. The senders knew 2 s earlier, by 421, that the upstream had been replaced. The stand-in now answers so as well; two of the four new rows of features/node_adapter.feature failed before.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -78,6 +78,18 @@
       | 421    | Instance-Id: u2                             | replaced  |
       | 200    | Attempt-Id: r1, Response-Seal: s, Content-Encoding: gzip | failed |
 
+  Scenario Outline: An order that reaches another upstream shows the end of the one that was meant
+    Given an upstream <kind> at the address of u1, which has ended
+    When keys are <order> u1
+    Then the order shows that u1 has ended
+
+    Examples:
+      | kind         | order          |
+      | with keys    | granted to     |
+      | with keys    | taken back from |
+      | without keys | granted to     |
+      | without keys | taken back from |
+
   Scenario: Headers of one connection and forged ones are not passed on
     When a request goes to upstream u1 with 800 ms left and these headers
       | name            | value         |
--- a/features/steps/node_adapter_steps.py
+++ b/features/steps/node_adapter_steps.py
@@ -3,18 +3,24 @@
 import json
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.fleet import KeyRange
 from foxtailshunt.platform import (
+    KeyOrders,
     UpstreamAnswer,
+    UpstreamReplacedError,
     decode_configuration,
     decode_upstream,
     judge_answer,
     upstream_head,
 )
 from foxtailshunt.routing import Route
+from standins.keyowner import KeyOwner
+
+_ORDER_TIMEOUT_S = 10.0
 
 _CONFIGURATION: dict[str, Any] = {
     "version": "r7",
@@ -112,6 +118,32 @@
     context.verdict = judge_answer(answer, request_id, upstream_id)
 
 
+@given("an upstream {kind} at the address of u1, which has ended")
+def _(context: Context, kind: str) -> None:
+    owner = KeyOwner("u2", "desk", "zone-a", None, keyed=kind == "with keys")
+    context.add_cleanup(owner.stop)
+    context.orders = KeyOrders(owner.address, "u1")
+    context.add_cleanup(context.orders.close)
+
+
+@when("keys are {order} u1")
+def _(context: Context, order: str) -> None:
+    keys = KeyRange("desk", 0, 9, "u1", 3)
+    context.replaced = None
+    try:
+        if order == "granted to":
+            context.orders.grant(keys, 1.0, None, _ORDER_TIMEOUT_S)
+        else:
+            context.orders.release(keys, _ORDER_TIMEOUT_S)
+    except UpstreamReplacedError as exc:
+        context.replaced = exc
+
+
+@then("the order shows that u1 has ended")
+def _(context: Context) -> None:
+    assert context.replaced is not None
+
+
 @when("a request goes to upstream {upstream_id} with {left:d} ms left and these headers")
 def _(context: Context, upstream_id: str, left: int) -> None:
     headers = [(row["name"], row["value"]) for row in context.table]
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -7,6 +7,7 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
+from urllib3.response import HTTPResponse
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
@@ -22,6 +23,9 @@
 _HANDOVER = "Handover"
 _EXPECTED_UPSTREAM = "Expect-Instance"
 _REPLACED_STATUS = 421
+_NOT_UNDERSTOOD_STATUS = 400
+#: Present if an upstream took the order for a request and has not run it.
+_NOT_RUN = "Not-Executed"
 
 
 class OrderError(FoxtailshuntError):
@@ -135,7 +139,7 @@
             closed = not isinstance(exc, TimeoutError)
             raise OrderError(f"{path}: {type(exc).__name__}: {exc}", True, closed) from exc
         self._close_is_announced = resp.headers.get("Connection", "").lower() == "close"
-        if resp.status == _REPLACED_STATUS:
+        if _is_from_another(resp):
             raise UpstreamReplacedError(f"{path}: another upstream has the address")
         return _Answer(resp.status, resp.headers.get(_HANDOVER))
 
@@ -160,3 +164,13 @@
             raise OrderError(f"{path}: {type(exc).__name__}: {exc}", False, refused) from exc
         self._conn = conn
         return conn
+
+
+def _is_from_another(resp: HTTPResponse) -> bool:
+    """Return whether an answer shows that the upstream that was meant no longer has the address.
+
+    An upstream without keys takes an order for a request that lacks its id.
+    """
+    if resp.status == _REPLACED_STATUS:
+        return True
+    return resp.status == _NOT_UNDERSTOOD_STATUS and _NOT_RUN in resp.headers
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -142,6 +142,9 @@
 
     def _handle(self, req: Request) -> Answer:
         arrived = time.monotonic()
+        if not self.keyed and "attempt-id" not in req.headers:
+            # Whatever the path: an upstream without keys knows no orders.
+            return WholeAnswer(400, b"", (("Not-Executed", "1"),))
         if req.headers.get("expect-instance", self.upstream_id) != self.upstream_id:
             return WholeAnswer(421, b"", (("Not-Executed", "1"), ("Instance-Id", self.upstream_id)))
         if req.path in ("/api/grant", "/api/release"):
