Lead on while leaving until the store takes the lead back

It stopped renewing at once, and no other node could be elected. It now goes on leading until the store takes its lease back or its grace ends, and then grants keys for 4.5 s, which outlasts its restart and an election. Who takes over counts with that for processes that leave or have ended; the table also says how long grants of each earlier leader may still be in force. features/node_ownership.feature plays it; with the former stop the scenario fails ('a key was lost').

--- a/features/node_ownership.feature
+++ b/features/node_ownership.feature
@@ -22,6 +22,15 @@
     Then requests for 30 keys through each node are answered while it is silent
     And no key was ever held by two upstreams
 
+  Scenario: The leader is asked to stop while the store is silent
+    Given the nodes serve
+    When the store is silent for 9 seconds
+    And the leading node is asked to stop
+    Then the keys of the living upstreams stay held while it is silent
+    And the node that led has ended by itself
+    And requests for 30 keys through the other node are answered
+    And no key was ever held by two upstreams
+
   Scenario: The store is busy for longer than any grant is held, while a move is due
     Given the nodes serve
     When the store is busy for 4 seconds
--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -15,17 +15,22 @@
       | it at 1 knowing the new term, again at 5  | 6      | 3.948  |
       | it at 1 knowing only its own term         | 2      | 12.948 |
       | another instance at 1 knowing the new term | 2     | 12.948 |
-      | its next process at 2 knowing the new term | 3     | 4.948  |
-      | its next process at 2 knowing no term     | 3      | 12.948 |
+      | it leaving at 1 knowing the new term      | 2      | 6.09   |
+      | its next process at 2 knowing the new term | 3     | 7.09   |
       | it at 11 knowing the new term             | 12     | 12.948 |
 
-  Scenario: The process of an instance that led before has ended when the instance leads again
-    Given the new leader's own instance led before it took over at second 0, as the table says
-    Then at second 0 grants of the earlier leader run until second 2.948
+  Scenario Outline: A leader that led before
+    Given the new leader's <what> led before it took over at second 0, as the table says
+    Then at second 0 grants of the earlier leader run until second <end>
+
+    Examples: the process started at second -1; the one before may have left grants of 4.5 s
+      | what             | end    |
+      | own process      | 2.948  |
+      | earlier process  | 4.09   |
 
   Scenario: Earlier leaders stay in the table until their grants have run out
     Given an instance led until a new leader took over at second 0, as the table says
-    Then at second 12 the table still names the earlier leader
+    Then at second 12 the table still names the earlier leader, for 0.948 s more
     And at second 13 the table names it no more
 
   Scenario Outline: Keys of a lost upstream wait for the grants that it may hold
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -72,6 +72,18 @@
     fleet.nodes[context.leader_before].process.kill()
 
 
+@when("the leading node is asked to stop")
+def _(context: Context) -> None:
+    fleet = _subject(context).fleet
+    context.leader_before = fleet.leader()
+    fleet.nodes[context.leader_before].process.terminate()
+
+
+@then("the node that led has ended by itself")
+def _(context: Context) -> None:
+    assert _subject(context).fleet.nodes[context.leader_before].process.wait(20) == 0
+
+
 @when("the leading node is frozen until another leads")
 def _(context: Context) -> None:
     fleet = _subject(context).fleet
@@ -183,6 +195,7 @@
 
 
 @then("the keys of the living upstreams stay held while it is busy")
+@then("the keys of the living upstreams stay held while it is silent")
 def _(context: Context) -> None:
     subject = _subject(context)
     held = subject.held_by_others()
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -8,13 +8,15 @@
 from foxtailshunt.platform import GrantOutcome, OrderError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics
 
+#: How long keys are held after a grant, in seconds, as the table of ends assumes.
+HOLD_S = 2.4
 _OLD_TERM, _NEW_TERM = 3, 7
 _ADDRESS = ("127.0.0.1", 1)
 _RANGES = [KeyRange("desk", 0, 9, "u0", 5), KeyRange("desk", 20, 29, "u0", 5)]
 
 
-def _member(instance_id: str, boot_id: str = "boot") -> Member:
-    return Member(instance_id, boot_id, "zone-a", _ADDRESS)
+def _member(instance_id: str, boot_id: str = "boot", leaving: bool = False) -> Member:
+    return Member(instance_id, boot_id, "zone-a", _ADDRESS, leaving)
 
 
 class TakeoverSubject:
@@ -25,7 +27,7 @@
         self.members = MemberRegistry()
         self.former = former
         self.leaders = EarlierLeaders(
-            [former], _member("new"), _NEW_TERM, self.members, lambda: self.now
+            [former], _member("new", "new boot"), -1.0, _NEW_TERM, self.members, lambda: self.now
         )
 
     def hear(self, words: str) -> None:
@@ -36,6 +38,7 @@
         at, _, known = rest.partition(" knowing ")
         member = {
             "it": _member("former"),
+            "it leaving": _member("former", leaving=True),
             "its next process": _member("former", "next boot"),
             "another instance": _member("other"),
         }[who]
@@ -80,6 +83,7 @@
             lambda _upstream_id: None,
             lambda: True,
             lambda _keys: None,
+            lambda: HOLD_S,
             lambda: self.now,
             Metrics(),
         )
@@ -87,12 +91,13 @@
 
 @given("an instance led until a new leader took over at second 0, as the table says")
 def _(context: Context) -> None:
-    context.takeover = TakeoverSubject(LeaderProcess("former", "boot"))
+    context.takeover = TakeoverSubject(LeaderProcess("former", "boot", 12.948))
 
 
-@given("the new leader's own instance led before it took over at second 0, as the table says")
-def _(context: Context) -> None:
-    context.takeover = TakeoverSubject(LeaderProcess("new", "earlier boot"))
+@given("the new leader's {what} led before it took over at second 0, as the table says")
+def _(context: Context, what: str) -> None:
+    boot_id = "new boot" if what == "own process" else "earlier boot"
+    context.takeover = TakeoverSubject(LeaderProcess("new", boot_id, 12.948))
 
 
 @when("the new leader hears {words}")
@@ -107,10 +112,12 @@
     assert abs(found - end) < 0.001, found
 
 
-@then("at second {moment:g} the table still names the earlier leader")
+@then("at second {moment:g} the table still names the earlier leader, for 0.948 s more")
 def _(context: Context, moment: float) -> None:
     context.takeover.now = moment
-    assert context.takeover.leaders.possible() == (context.takeover.former,)
+    (found,) = context.takeover.leaders.possible()
+    assert found.boot_id == context.takeover.former.boot_id, found
+    assert abs(found.grants_left_s - 0.948) < 0.001, found
 
 
 @then("at second {moment:g} the table names it no more")
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 from foxtailshunt.assigning._demand_book import DemandBook
-from foxtailshunt.assigning._earlier_leaders import EarlierLeaders
-from foxtailshunt.assigning._key_holder import GRANT_TIMEOUT_S, KeyHolder
+from foxtailshunt.assigning._earlier_leaders import UNKNOWN_LEADER_S, EarlierLeaders
+from foxtailshunt.assigning._key_holder import GRANT_TIMEOUT_S, HOLD_S, LEAVING_HOLD_S, KeyHolder
 from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._pace_reports import CapacityBook
@@ -83,6 +83,8 @@
         metrics: Metrics,
     ) -> None:
         self.me = me
+        self._started = now()
+        self._is_leaving = False
         self._leadership = leadership
         self._store = store
         self._view = view
@@ -98,6 +100,20 @@
         """Start the thread."""
         self._thread.start()
 
+    def prepare_to_leave(self) -> None:
+        """Grant keys for longer from now on, since no other node can lead yet."""
+        self._is_leaving = True
+
+    @property
+    def hold_s(self) -> float:
+        """Return how long keys are held after a grant that is sent now, in seconds.
+
+        Even a longer grant ends when the last one of a leader without word from the store would.
+        """
+        if not self._is_leaving:
+            return HOLD_S
+        return min(LEAVING_HOLD_S, self._leadership.right_left_s + HOLD_S)
+
     def stop(self) -> None:
         """Stop acting; grants in force run on until the next leader renews them."""
         self._stopping.set()
@@ -263,7 +279,9 @@
 
     def _earlier_leaders(self, processes: Iterable[LeaderProcess]) -> EarlierLeaders:
         parent = self._parent
-        return EarlierLeaders(processes, parent.me, self._term, parent._members, self._now)
+        return EarlierLeaders(
+            processes, parent.me, parent._started, self._term, parent._members, self._now
+        )
 
     def _decode(self, document: bytes) -> TableRecord:
         try:
@@ -280,8 +298,8 @@
         """
         if self._now() < self._write_again_at:
             return False
-        me = LeaderProcess(self._parent.me.instance_id, self._parent.me.boot_id)
-        others = tuple(process for process in self._earlier.possible() if process != me)
+        me = LeaderProcess(self._parent.me.instance_id, self._parent.me.boot_id, UNKNOWN_LEADER_S)
+        others = tuple(item for item in self._earlier.possible() if item.boot_id != me.boot_id)
         document = encode_table(TableRecord(fence, tuple(ranges), (me, *others)))
         try:
             if self._table_revision is None:
@@ -366,6 +384,7 @@
             self._foreign_key,
             self._leads,
             self._note_fenced_off,
+            lambda: self._parent.hold_s,
             self._now,
             self._parent._metrics,
         )
--- a/foxtailshunt/assigning/_earlier_leaders.py
+++ b/foxtailshunt/assigning/_earlier_leaders.py
@@ -3,12 +3,15 @@
 import threading
 from collections.abc import Callable, Iterable
 
-from foxtailshunt.assigning._key_holder import grant_end
+from foxtailshunt.assigning._key_holder import HOLD_S, LEAVING_HOLD_S, grant_end
 from foxtailshunt.assigning._leadership import RIGHT_S
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._table_record import LeaderProcess
 from foxtailshunt.fleet import Member
 
+#: How long grants of a leader of which nothing is known may be in force, in seconds.
+UNKNOWN_LEADER_S = grant_end(RIGHT_S, HOLD_S)
+
 
 class EarlierLeaders:
     """The processes that led before and may still renew grants; safe to use from any thread.
@@ -18,7 +21,8 @@
     if these leaders are heard to follow the new one.
 
     :param processes: the earlier leaders, as the ownership table names them.
-    :param me: this node; grants of its own process and of its instance's earlier ones have ended.
+    :param me: this node.
+    :param started: when this node's process started, in seconds of the clock.
     :param term: this node's term.
     :param members: tells which processes follow, and what term they know.
     :param now: returns seconds of a clock that also counts suspension.
@@ -28,40 +32,55 @@
         self,
         processes: Iterable[LeaderProcess],
         me: Member,
+        started: float,
         term: int,
         members: MemberRegistry,
         now: Callable[[], float],
     ) -> None:
+        self._me = me
         self._term = term
         self._members = members
         self._now = now
         self._lock = threading.Lock()
         began = now()
-        #: When each earlier leader sends its last grant at the latest.
-        self._last_order: dict[LeaderProcess, float] = {
-            process: began if process.instance_id == me.instance_id else began + RIGHT_S
-            for process in processes
+        #: When the last grant of each earlier leader has surely run out.
+        self._ends: dict[LeaderProcess, float] = {
+            process: self._first_end(process, began, started) for process in processes
         }
 
     def grants_end(self) -> float:
         """Return when the last grant of all earlier leaders has surely run out, in seconds."""
         with self._lock:
-            self._note_stopped()
-            return max(
-                (grant_end(moment) for moment in self._last_order.values()), default=float("-inf")
-            )
+            self._note_followers()
+            return max(self._ends.values(), default=float("-inf"))
 
     def possible(self) -> tuple[LeaderProcess, ...]:
-        """Return the earlier leaders whose grants may still be in force."""
+        """Return the earlier leaders whose grants may still be in force, and for how long."""
         with self._lock:
-            self._note_stopped()
+            self._note_followers()
             now = self._now()
             return tuple(
-                process for process, moment in self._last_order.items() if grant_end(moment) >= now
+                LeaderProcess(process.instance_id, process.boot_id, end - now)
+                for process, end in self._ends.items()
+                if end > now
             )
 
-    def _note_stopped(self) -> None:
-        for process, moment in self._last_order.items():
-            stopped_at = self._members.stopped_leading_at(process.instance_id, self._term)
-            if stopped_at is not None:
-                self._last_order[process] = min(moment, stopped_at)
+    def _first_end(self, process: LeaderProcess, began: float, started: float) -> float:
+        end = began + process.grants_left_s
+        if process.boot_id == self._me.boot_id:
+            return min(end, grant_end(began, HOLD_S))
+        if process.instance_id == self._me.instance_id:
+            # It ended before this process started.
+            return min(end, grant_end(started, LEAVING_HOLD_S))
+        return end
+
+    def _note_followers(self) -> None:
+        for process, end in self._ends.items():
+            heard = self._members.heard(process.instance_id)
+            if heard is None or heard.known_term < self._term:
+                continue
+            # It knows this term, so it sends no orders of its own; and whatever process ran there
+            # before it has ended.
+            is_same = heard.member.boot_id == process.boot_id
+            hold_s = HOLD_S if is_same and not heard.member.leaving else LEAVING_HOLD_S
+            self._ends[process] = min(end, grant_end(heard.known_since, hold_s))
--- a/foxtailshunt/assigning/_key_holder.py
+++ b/foxtailshunt/assigning/_key_holder.py
@@ -11,6 +11,9 @@
 #: How long an upstream holds keys after a grant, in seconds. Short, because the keys of a lost
 #: upstream wait for its end; longer than an election with the grants that follow it.
 HOLD_S = 2.4
+#: How long an upstream holds keys after a grant of a leader that leaves while the store is away, in
+#: seconds: the restart of the node takes about 1 s and an election 1.3.
+LEAVING_HOLD_S = 4.5
 #: How often grants are renewed, in seconds; three renewals fit into a hold.
 RENEW_INTERVAL_S = 0.55
 #: Part by which an upstream's clock may run slow.
@@ -27,12 +30,13 @@
 PROBE_TIMEOUT_S = 0.3
 
 
-def grant_end(arrived: float) -> float:
+def grant_end(sent: float, hold_s: float) -> float:
     """Return until when keys are held by a grant that was sent by a moment.
 
-    :param arrived: the moment, in seconds of the clock.
+    :param sent: the moment, in seconds of the clock.
+    :param hold_s: how long keys are held after the grant, in seconds.
     """
-    return arrived + GRANT_TIMEOUT_S + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+    return sent + GRANT_TIMEOUT_S + hold_s * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
 
 
 class KeyHolder:
@@ -46,6 +50,7 @@
         if there is none.
     :param may_act: tells whether this node still leads.
     :param on_fenced_off: told of a range that the upstream refused for a higher fencing token.
+    :param hold_s: returns how long keys are held after a grant, in seconds.
     :param now: returns seconds of a clock that also counts suspension.
     :param metrics: counters.
     """
@@ -58,6 +63,7 @@
         foreign_key: Callable[[str], KeyRange | None],
         may_act: Callable[[], bool],
         on_fenced_off: Callable[[KeyRange], None],
+        hold_s: Callable[[], float],
         now: Callable[[], float],
         metrics: Metrics,
     ) -> None:
@@ -69,6 +75,7 @@
         self._foreign_key = foreign_key
         self._may_act = may_act
         self._on_fenced_off = on_fenced_off
+        self._hold_s = hold_s
         self._now = now
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -124,18 +131,19 @@
         """
         if not self._may_act():
             return False
-        before, provisional = self._extend()
+        hold_s = self._hold_s()
+        before, provisional = self._extend(hold_s)
         try:
-            outcome = orders.grant(keys, HOLD_S, handover, GRANT_TIMEOUT_S)
+            outcome = orders.grant(keys, hold_s, handover, GRANT_TIMEOUT_S)
         except OrderError as exc:
             # A failed connection was reset, so that nothing of it arrives after now.
-            self._settle(provisional, max(before, self._hold_end()) if exc.sent else before)
+            self._settle(provisional, max(before, self._hold_end(hold_s)) if exc.sent else before)
             self._failed(keys, exc)
             return False
         except UpstreamReplacedError:
             self._note_replaced()
             return False
-        self._settle(provisional, max(before, self._hold_end()))
+        self._settle(provisional, max(before, self._hold_end(hold_s)))
         self._failures = 0
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
@@ -209,18 +217,18 @@
             self._refused.add((keys.first, keys.last, keys.fence))
             self._on_fenced_off(keys)
 
-    def _hold_end(self) -> float:
+    def _hold_end(self, hold_s: float) -> float:
         """Return until when keys are held by a grant that arrives now at the latest."""
-        return self._now() + HOLD_S * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
+        return self._now() + hold_s * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
 
-    def _extend(self) -> tuple[float, float]:
+    def _extend(self, hold_s: float) -> tuple[float, float]:
         """Take into account that a grant is being sent.
 
         :returns: the end of the hold before, and the provisional one.
         """
         with self._lock:
             before = self._held_until
-            self._held_until = max(before, self._hold_end() + 2 * GRANT_TIMEOUT_S)
+            self._held_until = max(before, self._hold_end(hold_s) + 2 * GRANT_TIMEOUT_S)
             return before, self._held_until
 
     def _settle(self, provisional: float, end: float) -> None:
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -89,16 +89,26 @@
         """Start taking part in elections."""
         self._thread.start()
 
-    def resign(self) -> None:
-        """Give the lead up, so that another node takes it at once."""
-        self._stopping.set()
-        lease, self._lease = self._lease, None
-        self._depose("stopping")
-        if lease is not None:
+    @property
+    def right_left_s(self) -> float:
+        """Return how long this node may act on without word from the store, in seconds."""
+        return max(0.0, RIGHT_S - (self._now() - self._renewed_at))
+
+    def resign(self) -> bool:
+        """Give the lead up, so that another node takes it at once.
+
+        :returns: False if the store does not take it back; this node leads on, since no other can.
+        """
+        lease = self._lease
+        if self._term is not None and lease is not None:
             try:
                 self._store.end_lease(lease, CALL_TIMEOUT_S)
             except StoreError as exc:
                 log_state_change("leader.resign_failed", error=str(exc))
+                return False
+        self._stopping.set()
+        self._depose("stopping")
+        return True
 
     def depose(self, reason: str) -> None:
         """Stop leading because of evidence that another node does.
--- a/foxtailshunt/assigning/_member_registry.py
+++ b/foxtailshunt/assigning/_member_registry.py
@@ -9,8 +9,11 @@
 MEMBER_TIMEOUT_S = 1.6
 
 
-@dataclass(slots=True)
-class _Heard:
+@dataclass(frozen=True, slots=True)
+class HeardMember:
+    """What a node said of itself."""
+
+    #: The node.
     member: Member
     #: When it was heard last, in seconds.
     at: float
@@ -25,7 +28,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._heard: dict[str, _Heard] = {}
+        self._heard: dict[str, HeardMember] = {}
 
     def note(self, member: Member, known_term: int, now: float) -> None:
         """Take a word from a node into account.
@@ -42,20 +45,15 @@
                 and before.known_term == known_term
             )
             known_since = before.known_since if before is not None and is_known else now
-            self._heard[member.instance_id] = _Heard(member, now, known_term, known_since)
-
-    def stopped_leading_at(self, instance_id: str, term: int) -> float | None:
-        """Return from when on an instance surely sends no orders of earlier terms; None if unknown.
+            self._heard[member.instance_id] = HeardMember(member, now, known_term, known_since)
 
-        Its process knows the term, so it does not lead in an earlier one; and whatever process
-        ran there before has ended.
+    def heard(self, instance_id: str) -> HeardMember | None:
+        """Return what an instance said last, or None if it is not heard.
 
         :param instance_id: the instance.
-        :param term: the term in force.
         """
         with self._lock:
-            heard = self._heard.get(instance_id)
-        return heard.known_since if heard is not None and heard.known_term >= term else None
+            return self._heard.get(instance_id)
 
     def living(self, now: float) -> tuple[Member, ...]:
         """Return the nodes that were heard lately, in order of their names.
--- a/foxtailshunt/assigning/_table_record.py
+++ b/foxtailshunt/assigning/_table_record.py
@@ -20,6 +20,8 @@
     instance_id: str
     #: Incarnation of the process.
     boot_id: str
+    #: How long its grants may be in force after the table was written, in seconds.
+    grants_left_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
 class _Process(BaseModel):
     instance_id: str
     boot_id: str
+    grants_left_s: float = Field(ge=0)
 
 
 class _Document(BaseModel):
@@ -79,7 +82,14 @@
         | ({"giver": item.giver} if item.giver is not None else {})
         for item in record.ranges
     ]
-    leaders = [{"instance_id": x.instance_id, "boot_id": x.boot_id} for x in record.leaders]
+    leaders = [
+        {
+            "instance_id": item.instance_id,
+            "boot_id": item.boot_id,
+            "grants_left_s": round(item.grants_left_s, 3),
+        }
+        for item in record.leaders
+    ]
     document = {"fence": record.fence, "ranges": rows, "leaders": leaders}
     return json.dumps(document, separators=(",", ":")).encode()
 
@@ -102,5 +112,7 @@
         )
         for row in wire.ranges
     )
-    leaders = tuple(LeaderProcess(item.instance_id, item.boot_id) for item in wire.leaders)
+    leaders = tuple(
+        LeaderProcess(item.instance_id, item.boot_id, item.grants_left_s) for item in wire.leaders
+    )
     return TableRecord(wire.fence, ranges, leaders)
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -37,6 +37,8 @@
 #: Time after SIGTERM in which the balancer still sends new connections, in seconds: it asks each
 #: second and takes two misses.
 BALANCER_LAG_S = 2.6
+#: Pause before a leaving leader tries again to give the lead up, in seconds; each call is paid for.
+RESIGN_RETRY_S = 0.7
 #: Part of the grace that is kept for the end of the process, in seconds.
 EXIT_RESERVE_S = 0.5
 #: Share of the fleet's repeats that are kept unused, since nodes come and go.
@@ -143,20 +145,30 @@
         self._is_stopping = True
         log_state_change("node.stopping", open_requests=self._sender.load())
         self._peer_service.stop_relaying()
-        self._assigner.stop()
-        self._leadership.resign()
         self._follower.announce_leaving()
         self._front.drain()
+        resigning = threading.Thread(target=self._resign, args=(deadline,), name="resigning")
+        resigning.start()
         time.sleep(max(0.0, began + BALANCER_LAG_S - time.monotonic()))
         self._front.stop_accepting()
         left = self._front.finish(deadline)
         while self._sender.load() != (0, 0) and time.monotonic() < deadline:
             time.sleep(_POLL_S)
+        resigning.join()
         self._follower.stop()
         self._configuration.stop()
         log_state_change("node.stopped", requests_left=left)
         self._log_writer.flush()
 
+    def _resign(self, deadline: float) -> None:
+        """Give the lead up; renew grants for as long as the store does not take it back."""
+        while not self._leadership.resign():
+            self._assigner.prepare_to_leave()
+            if time.monotonic() + RESIGN_RETRY_S > deadline:
+                break
+            time.sleep(RESIGN_RETRY_S)
+        self._assigner.stop()
+
     def reload(self, path: Path) -> None:
         """Read the settings file again and say what changed.
 
