--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -23,9 +23,9 @@
     Given the new leader's <what> led before it took over at second 0, as the table says
     Then at second 0 grants of the earlier leader run until second <end>
 
-    Examples: the process started at second -1; the one before may have left grants of 4.5 s
+    Examples: the process started at second -1; leaving, one may have given grants of 4.5 s
       | what             | end    |
-      | own process      | 2.948  |
+      | own process      | 5.09   |
       | earlier process  | 4.09   |
 
   Scenario: Earlier leaders stay in the table until their grants have run out
--- a/foxtailshunt/assigning/_earlier_leaders.py
+++ b/foxtailshunt/assigning/_earlier_leaders.py
@@ -68,7 +68,7 @@
     def _first_end(self, process: LeaderProcess, began: float, started: float) -> float:
         end = began + process.grants_left_s
         if process.boot_id == self._me.boot_id:
-            return min(end, grant_end(began, HOLD_S))
+            return min(end, grant_end(began, LEAVING_HOLD_S))
         if process.instance_id == self._me.instance_id:
             # It ended before this process started.
             return min(end, grant_end(started, LEAVING_HOLD_S))
