--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -39,6 +39,8 @@
 BALANCER_LAG_S = 2.6
 #: Pause before a leaving leader tries again to give the lead up, in seconds; each call is paid for.
 RESIGN_RETRY_S = 0.7
+#: Longest time that one such try takes, in seconds: 0.5 to connect and 0.8 for the answer.
+LONGEST_RESIGN_S = 1.3
 #: Part of the grace that is kept for the end of the process, in seconds.
 EXIT_RESERVE_S = 0.5
 #: Share of the fleet's repeats that are kept unused, since nodes come and go.
@@ -164,7 +166,9 @@
         """Give the lead up; renew grants for as long as the store does not take it back."""
         while not self._leadership.resign():
             self._assigner.prepare_to_leave()
-            if time.monotonic() + RESIGN_RETRY_S > deadline:
+            left_s = deadline - time.monotonic()
+            if left_s < RESIGN_RETRY_S + LONGEST_RESIGN_S:
+                time.sleep(max(0.0, left_s))
                 break
             time.sleep(RESIGN_RETRY_S)
         self._assigner.stop()
