Refuse waiting requests as soon as their place in the queue shows that they cannot end in time

Cause: a request was judged once, on arrival.

Change: each assignment fills a forecast of the slots' free times with the waiting requests in their order, and judges each by the place that it gets. Those that could not end in time even if the wait were a quarter shorter than expected are refused at once, with the lacking time as Retry-After. Slots whose requests are all overdue count as slow as they have shown to be. A request that waits for a fast upstream no longer makes the next one overlook a free slow one.

Tests: three loads in features/node_slots.feature, two of them red before.

--- a/features/node_slots.feature
+++ b/features/node_slots.feature
@@ -51,3 +51,22 @@
     Given a pool of 0 upstreams with 2 slots and requests of 100 ms
     When 3 requests with a deadline of 1000 ms come together
     Then between 0 and 0 of them are taken
+
+  Scenario: Waiting requests that more urgent ones push back are refused as soon as that shows
+    Given a pool of one upstream with 2 slots and requests of 100 ms
+    When 12 requests of rank 2 with a deadline of 1000 ms come together
+    And 16 requests of rank 0 with a deadline of 1000 ms come after 100 ms
+    Then at least 17 of them are served in time
+    And whoever is refused after waiting is told before 400 ms have passed, with a time to come back
+
+  Scenario: Waiting requests are refused as soon as their upstream shows to be too slow for them
+    Given a pool of one upstream with 2 slots and requests of 100 ms
+    And upstream 0 takes 10 times as long from now on
+    When 14 requests of rank 1 with a deadline of 1200 ms come together
+    Then at least 2 of them are served in time
+    And whoever is refused after waiting is told before 800 ms have passed, with a time to come back
+
+  Scenario: Waiting requests are not refused while they can be served
+    Given a pool of 3 upstreams with 2 slots and requests of 100 ms
+    When 30 requests of rank 1 with a deadline of 1000 ms come together
+    Then at least 30 of them are served in time
--- a/features/steps/node_slots_steps.py
+++ b/features/steps/node_slots_steps.py
@@ -74,6 +74,7 @@
             played = self._tickets[ticket]
             if ticket.state is TicketState.EXPIRED:
                 played.refused_at = self.now
+                played.refusal = ticket.refusal
                 continue
             played.upstream = ticket.upstream.upstream_id
             played.failed = self.now < self.fails_until.get(played.upstream, 0.0)
@@ -124,6 +125,11 @@
     _subject(context).slowness[f"u{number}"] = float(times)
 
 
+@given("upstream {number:d} takes {times:d} times as long from now on")
+def _(context: Context, number: int, times: int) -> None:
+    _subject(context).slowness[f"u{number}"] = float(times)
+
+
 @given("upstream {number:d} fails each request at once for {seconds:d} seconds")
 def _(context: Context, number: int, seconds: int) -> None:
     _subject(context).fails_until[f"u{number}"] = _subject(context).now + seconds
@@ -151,6 +157,25 @@
         subject.advance(deadline / 1000 + 1)
 
 
+@when("{count:d} requests of rank {rank:d} with a deadline of {deadline:d} ms come together")
+def _(context: Context, count: int, rank: int, deadline: int) -> None:
+    subject = _subject(context)
+    for number in range(count):
+        subject.come(f"r{number}", rank, 0.02, deadline / 1000)
+        subject.start()
+
+
+@when(
+    "{count:d} requests of rank {rank:d} with a deadline of {deadline:d} ms come after {pause:d} ms"
+)
+def _(context: Context, count: int, rank: int, deadline: int, pause: int) -> None:
+    subject = _subject(context)
+    subject.advance(pause / 1000)
+    for number in range(count):
+        subject.come(f"u{number}", rank, 0.02, deadline / 1000)
+        subject.start()
+
+
 @when("the refused ones come back when they were told to")
 def _(context: Context) -> None:
     subject = _subject(context)
@@ -208,6 +233,26 @@
     assert len(served) >= 0.9 * len(context.came_back), (len(served), len(context.came_back))
 
 
+@then("at least {least:d} of them are served in time")
+def _(context: Context, least: int) -> None:
+    _subject(context).advance(3.0)
+    served = [played for played in _subject(context).served() if played.ended_at <= played.deadline]
+    assert len(served) >= least, len(served)
+
+
+@then(
+    "whoever is refused after waiting is told before {most:d} ms have passed, "
+    "with a time to come back"
+)
+def _(context: Context, most: int) -> None:
+    refused = [played for played in _subject(context).played if played.refusal is not None]
+    waited = [played for played in refused if played.refused_at > played.came_at]
+    assert waited
+    for played in waited:
+        assert played.refused_at - played.came_at < most / 1000, played
+        assert played.refusal.retry_after_s > 0, played
+
+
 @then("upstream {number:d} runs at most {most:d} of them")
 def _(context: Context, number: int, most: int) -> None:
     ran = [played for played in _subject(context).played if played.upstream == f"u{number}"]
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -190,12 +190,8 @@
     def _not_sent(self, ticket: Ticket, caller: socket.socket | None) -> Outcome:
         if caller_is_gone(caller):
             return Outcome(ResultCode.CANCELLED, "the caller went away before a slot was free")
-        if ticket.state is TicketState.EXPIRED:
-            return Outcome(
-                ResultCode.TOO_LATE,
-                "no slot became free in time",
-                retry_after_s=self._paces.work_s(ticket.call.route),
-            )
+        if ticket.refusal is not None:
+            return self._refused(ticket.call, ticket.refusal)
         return Outcome(
             ResultCode.NOT_DISPATCHER, "the key moved while the request waited", retry_after_s=0.1
         )
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -13,9 +13,13 @@
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.relay._outcome import Call
 from foxtailshunt.relay._pace import PaceBook
+from foxtailshunt.relay._slot_forecast import SlotForecast
 
 #: Part of the estimated time that is added for its spread when a request is judged to fit.
 SPREAD = 0.25
+#: Part of the expected wait that must suffice for a waiting request to be kept: estimates of long
+#: queues are off by about as much.
+LUCKY_WAIT = 0.75
 #: Bounds of a Retry-After, in seconds: callers wait for up to a third of the time they have left.
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
 #: First and longest pause of an upstream that failed, in seconds.
@@ -38,6 +42,16 @@
     DONE = "done"
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is not taken, or given up while it waits."""
+
+    #: Estimated time until its answer, in seconds; None if no upstream could take it.
+    estimate_s: float | None
+    #: When a repeat has a chance, in seconds.
+    retry_after_s: float
+
+
 @dataclass(slots=True, eq=False)
 class Ticket:
     """A request in a pool."""
@@ -51,16 +65,8 @@
     state: TicketState = TicketState.WAITING
     #: The upstream whose slot it has.
     upstream: Upstream | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A request that is not taken."""
-
-    #: Estimated time until its answer, in seconds; None if no upstream could take it.
-    estimate_s: float | None
-    #: When a repeat has a chance, in seconds.
-    retry_after_s: float
+    #: Why it was given up; None unless it is EXPIRED.
+    refusal: Refusal | None = None
 
 
 @dataclass(slots=True)
@@ -75,12 +81,20 @@
     def has_room(self, now: float) -> bool:
         return len(self.running) < self.upstream.slots and now >= self.paused_until
 
-    def free_at(self, now: float) -> float:
-        """Return when a slot is expected to be free."""
+    def free_times(self, now: float) -> list[float]:
+        """Return when each slot is expected to be free."""
         begin = max(now, self.paused_until)
+        times = [max(begin, _expected_end(*span, now)) for span in self.running.values()]
+        # More requests than slots run while an upstream's entry changes.
+        idle = max(0, self.upstream.slots - len(times))
+        return sorted(times)[-self.upstream.slots :] + [begin] * idle
+
+    def slowdown(self, now: float) -> float:
+        """Return how many times as long as expected all requests here have taken at least."""
         if len(self.running) < self.upstream.slots:
-            return begin
-        return max(begin, min(_expected_end(*times, now) for times in self.running.values()))
+            return 1.0
+        ratios = [(now - began) / max(0.001, end - began) for began, end in self.running.values()]
+        return max(1.0, min(ratios, default=1.0))
 
 
 def _expected_end(began: float, expected: float, now: float) -> float:
@@ -149,33 +163,49 @@
         return None
 
     def assign(self, now: float) -> list[Ticket]:
-        """Give free slots to waiting requests and expire those that are too late.
+        """Give free slots to waiting requests and expire those that cannot end in time.
+
+        Requests that were taken are judged anew by their place in the queue, since more urgent ones
+        may have come, or their upstream may have turned slow.
 
         :param now: the time in seconds.
         :returns: the tickets whose state has changed.
         """
-        changed: list[Ticket] = []
         if not self._waiting:
-            return changed
+            return []
         self._waiting.sort(key=lambda ticket: self._order(ticket, now))
+        forecast = self._forecast(now)
         still_waiting: list[Ticket] = []
         for ticket in self._waiting:
-            slots = self._best_slots(ticket.call, now)
-            work_s = self._work_s(ticket.call, slots)
-            if slots is None or now + work_s > ticket.call.deadline:
-                ticket.state = TicketState.EXPIRED
-                changed.append(ticket)
-            elif slots.has_room(now):
+            slots = self._best_slots(ticket.call, forecast, now)
+            if slots is None:
+                self._expire(ticket, None, now)
+                continue
+            upstream_id = slots.upstream.upstream_id
+            wait_s = forecast.free_at(upstream_id) - now
+            work_s = self._work_s(ticket.call, slots) * slots.slowdown(now)
+            if now + LUCKY_WAIT * wait_s + work_s > ticket.call.deadline:
+                self._expire(ticket, wait_s + work_s, now)
+                continue
+            forecast.occupy(upstream_id, work_s)
+            if slots.has_room(now) and wait_s <= 0:
                 ticket.state = TicketState.ASSIGNED
                 ticket.upstream = slots.upstream
                 slots.running[ticket] = (now, now + work_s)
                 slots.last_used = now
-                changed.append(ticket)
             else:
                 still_waiting.append(ticket)
+        changed = [ticket for ticket in self._waiting if ticket.state is not TicketState.WAITING]
         self._waiting = still_waiting
         return changed
 
+    def _expire(self, ticket: Ticket, estimate_s: float | None, now: float) -> None:
+        lacking_s = FIRST_PAUSE_S
+        if estimate_s is not None:
+            lacking_s = estimate_s - (ticket.call.deadline - now)
+        ticket.state = TicketState.EXPIRED
+        ticket.refusal = Refusal(estimate_s, self._retry_after(lacking_s))
+
     def withdraw(self, ticket: Ticket) -> None:
         """Take back a request that waits.
 
@@ -229,14 +259,17 @@
             return (0, latest_start, ticket.queued_at)
         return (1 + call.rank, call.deadline, ticket.queued_at)
 
-    def _best_slots(self, call: Call, now: float) -> _Slots | None:
+    def _forecast(self, now: float) -> SlotForecast:
+        return SlotForecast({name: slots.free_times(now) for name, slots in self._slots.items()})
+
+    def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> _Slots | None:
         """Return the slots at which a request is expected to end first."""
         best: _Slots | None = None
         best_end = float("inf")
         for upstream_id, slots in self._slots.items():
             if upstream_id in call.excluded and len(self._slots) > len(call.excluded):
                 continue
-            free_at = slots.free_at(now)
+            free_at = forecast.free_at(upstream_id)
             if free_at == float("inf"):
                 continue
             end = free_at + self._expected_s(call, slots, now)
@@ -254,14 +287,13 @@
             return min(expected_s, self._paces.work_s(call.route)) * TRY_AGAIN_FAVOUR
         return expected_s
 
-    def _work_s(self, call: Call, slots: _Slots | None) -> float:
-        if slots is None:
-            return 0.0
+    def _work_s(self, call: Call, slots: _Slots) -> float:
         return self._paces.expected_s(call.route, slots.upstream.upstream_id)
 
     def _estimate(self, call: Call, now: float) -> float | None:
         """Return the time until a request that comes now is answered, in seconds."""
-        slots = self._best_slots(call, now)
+        forecast = self._forecast(now)
+        slots = self._best_slots(call, forecast, now)
         if slots is None:
             return None
         probe = Ticket(call, lambda: None, now)
@@ -272,12 +304,14 @@
             if self._order(other, now) <= order
         )
         speed = sum(
-            item.upstream.slots / self._paces.slowness(item.upstream.upstream_id)
-            for item in self._slots.values()
-            if item.free_at(now) != float("inf")
+            item.upstream.slots / self._paces.slowness(name)
+            for name, item in self._slots.items()
+            if forecast.free_at(name) != float("inf")
         )
-        wait_s = max(0.0, slots.free_at(now) - now) + (ahead_s / speed if speed else 0.0)
-        return wait_s + self._work_s(call, slots) * (1 + SPREAD)
+        wait_s = forecast.free_at(slots.upstream.upstream_id) - now
+        wait_s += ahead_s / speed if speed else 0.0
+        work_s = self._work_s(call, slots) * slots.slowdown(now)
+        return wait_s + work_s * (1 + SPREAD)
 
     def _retry_after(self, wait_s: float) -> float:
         # The spread keeps callers that were refused together from coming back together.
