--- /dev/null
+++ b/features/front_support/__init__.py
@@ -0,0 +1,170 @@
+"""A front with the own interface and scripted upstreams behind it."""
+
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from foxtailshunt.callers import OwnCallers
+from foxtailshunt.config import read_configuration, to_route_table
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.fleet import FleetView, KeyRange, OwnershipTable
+from foxtailshunt.front import FrontServer, RequestHandler
+from foxtailshunt.network import Address
+from foxtailshunt.relay import Call, Outcome, PaceBook, RetryBudget
+from foxtailshunt.routing import KEY_COUNT, FrontLimits
+from foxtailshunt.telemetry import Metrics, RequestLog
+from foxtailshunt.timing import MonotonicClock
+
+PATIENCE_S = 20.0
+_STATUS = 201
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Wait for a state, with a generous bound."""
+    deadline = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < deadline, f"never came: {what}"
+        time.sleep(0.01)
+
+
+def random_address() -> Address:
+    """Return a free loopback address that parallel runs hardly share."""
+    host = "127." + ".".join(str(random.randint(1, 254)) for _ in range(3))
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return host, probe.getsockname()[1]
+
+
+def operation(name: str, method: str, path: str, rank: str, **changes: object) -> dict:
+    """Return an operation of a configuration document."""
+    values = {"name": name, "method": method, "path": path, "rank": rank}
+    return {**values, "idempotent": method != "POST", "deadline_ms": 1000, **changes}
+
+
+def make_document(**limits: int) -> dict:
+    """Return a configuration with one service and an operation of each kind."""
+    return {
+        "fleet": "test",
+        "zones": ["wanaka"],
+        "services": [
+            {
+                "name": "desk",
+                "upstreams": [{"id": "u1", "zone": "wanaka", "address": "127.0.0.1:1001"}],
+                "operations": [
+                    operation("get", "GET", "/k/{key}", "urgent"),
+                    operation("head", "HEAD", "/k/{key}", "urgent"),
+                    operation("pay", "POST", "/k/{key}/pay", "careful"),
+                    operation("put", "PUT", "/k/{key}", "careful"),
+                    operation("wait", "GET", "/wait/{key}", "urgent", deadline_ms=20_000),
+                ],
+            }
+        ],
+        "callers": limits,
+    }
+
+
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def code(self) -> int:
+        return int(self.headers["x-result-code"])
+
+
+class ScriptedUpstreams:
+    """Stands in for all that lies behind the front: does what a word says with each try."""
+
+    def __init__(self, scripts: list[str]) -> None:
+        self._scripts = scripts
+        self.calls: list[Call] = []
+        self.release = threading.Event()
+
+    def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
+        self.calls.append(call)
+        place = min(len(self.calls), len(self._scripts)) - 1
+        script = self._scripts[place]
+        if script == "slow":
+            self.release.wait(PATIENCE_S)
+        outcomes = {
+            "no owner": Outcome(ResultCode.NO_OWNER, "scripted", retry_after_s=0.3),
+            "too late": Outcome(ResultCode.TOO_LATE, "scripted", retry_after_s=2.1),
+            "moved": Outcome(ResultCode.KEY_MOVED, "scripted"),
+            "sheds": Outcome(ResultCode.REFUSED_BY_UPSTREAM, "scripted", arrived=True),
+            "lost": Outcome(ResultCode.UPSTREAM_CONNECTION_LOST, "scripted", arrived=True),
+            "foreign": Outcome(ResultCode.ANSWER_MISMATCH, "scripted", arrived=True),
+            "silent": Outcome(ResultCode.DEADLINE_EXCEEDED, "scripted", arrived=True),
+        }
+        if script in outcomes:
+            return replace(outcomes[script], upstream_id="u1")
+        headers = (("X-Kind", "scripted"), ("X-Result-Code", "999"), ("X-Request-Id", "forged"))
+        body = b"\0whole:" + call.body
+        return Outcome(ResultCode.OK, "scripted", _STATUS, headers, body, upstream_id="u1")
+
+
+class FrontSubject:
+    """A front, its view, and scripted upstreams."""
+
+    def __init__(self, scripts: list[str], **limits: int) -> None:
+        clock = MonotonicClock()
+        self.upstreams = ScriptedUpstreams(scripts)
+        self.metrics = Metrics()
+        self.view = FleetView(clock.now)
+        self.address = random_address()
+        handler = RequestHandler(
+            OwnCallers(),
+            self.view,
+            self.upstreams.execute,
+            PaceBook(),
+            RetryBudget(1.0, 100.0),
+            lambda service, key, work_s: None,
+            self.metrics,
+            RequestLog(),
+        )
+        self.server = FrontServer(self.address, handler, self._limits, self.metrics)
+        self.server.start_serving()
+        self._limits_given = limits
+
+    def configure(self) -> None:
+        """Bring configuration and ownership."""
+        document = json.dumps(make_document(**self._limits_given))
+        self.view.take_routes(to_route_table(read_configuration(document), 1), document.encode())
+        self.view.begin_term(1)
+        owned = KeyRange("desk", 0, KEY_COUNT - 1, "u1", 1)
+        self.view.take_ownership(1, 1, OwnershipTable([owned]))
+
+    def request(
+        self, method: str, target: str, headers: dict[str, str] | None = None, body: bytes = b""
+    ) -> CallerAnswer:
+        """Send one request and return the whole answer."""
+        conn = http.client.HTTPConnection(*self.address, timeout=PATIENCE_S)
+        try:
+            conn.request(method, target, body or None, headers or {})
+            response = conn.getresponse()
+            names = {name.lower(): value for name, value in response.getheaders()}
+            return CallerAnswer(response.status, names, response.read())
+        finally:
+            conn.close()
+
+    def connect(self) -> socket.socket:
+        """Return a raw connection."""
+        return socket.create_connection(self.address, timeout=PATIENCE_S)
+
+    def stop(self) -> None:
+        self.upstreams.release.set()
+        if not self.server.is_draining:
+            self.server.drain()
+        self.server.stop_accepting()
+
+    def _limits(self) -> FrontLimits:
+        routes = self.view.routes
+        return routes.limits if routes is not None else FrontLimits()
--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -90,11 +90,12 @@
       | without keys | granted to     |
       | without keys | taken back from |
 
-  Scenario: Headers of one connection and forged ones are not passed on
+  Scenario Outline: Headers of one connection and forged ones are not passed on
     When a request goes to upstream u1 with 800 ms left and these headers
       | name            | value         |
       | Host            | shop.example  |
-      | Attempt-Id      | r1            |
+      | <id name>       | <id>          |
+      | Shard-Key       | <key>         |
       | Deadline-Ms     | 99999         |
       | Expect-Instance | other         |
       | Connection      | close, X-Hop  |
@@ -103,7 +104,13 @@
     Then the upstream gets these headers
       | name            | value        |
       | Host            | shop.example |
-      | Attempt-Id      | r1           |
       | X-Own           | 2            |
+      | Attempt-Id      | r1           |
+      | Shard-Key       | 7            |
       | Deadline-Ms     | 800          |
       | Expect-Instance | u1           |
+
+    Examples: the request is r1 about key 7, whatever its headers say
+      | id name    | id     | key |
+      | Attempt-Id | r1     | 7   |
+      | attempt-id | forged | 9   |
--- a/features/node_slots.feature
+++ b/features/node_slots.feature
@@ -54,7 +54,7 @@
 
   Scenario: Waiting requests that more urgent ones push back are refused as soon as that shows
     Given a pool of one upstream with 2 slots and requests of 100 ms
-    When 12 requests of rank 2 with a deadline of 1000 ms come together
+    When 8 requests of rank 2 with a deadline of 700 ms come together
     And 16 requests of rank 0 with a deadline of 1000 ms come after 100 ms
     Then at least 17 of them are served in time
     And whoever is refused after waiting is told before 400 ms have passed, with a time to come back
@@ -70,3 +70,15 @@
     Given a pool of 3 upstreams with 2 slots and requests of 100 ms
     When 30 requests of rank 1 with a deadline of 1000 ms come together
     Then at least 30 of them are served in time
+
+  Scenario Outline: How long requests take is known after few answers
+    When <count> requests of <taken> ms have been answered
+    Then a request is expected to take <expected> ms, give or take <within>
+
+    Examples: 150 ms are assumed before the first answer
+      | count | taken | expected | within |
+      | 0     | 5     | 150      | 0      |
+      | 1     | 100   | 125      | 1      |
+      | 20    | 5     | 5        | 10     |
+      | 60    | 5     | 5        | 3      |
+      | 60    | 400   | 400      | 15     |
--- a/features/node_support/_fleet.py
+++ b/features/node_support/_fleet.py
@@ -13,7 +13,7 @@
 
 import urllib3
 
-from standins.fleet import ManagedProcess
+from standins.fleet import NodeProcess
 from standins.keyowner import KeyOwner, find_overlaps
 from standins.metadata import MetadataServer, MetadataStore
 
@@ -42,56 +42,6 @@
         return sock.getsockname()[1]
 
 
-class _Node:
-    """One node process."""
-
-    def __init__(self, name: str, zone: str, store: tuple[str, int], folder: Path) -> None:
-        self.name = name
-        self.callers = ("127.0.0.1", _free_port())
-        self.readiness = ("127.0.0.1", _free_port())
-        self.operator = ("127.0.0.1", _free_port())
-        self.settings_path = folder / f"{name}.json"
-        settings = {
-            "instance_id": name,
-            "zone": zone,
-            "host": "127.0.0.1",
-            "callers": f"127.0.0.1:{self.callers[1]}",
-            "readiness": f"127.0.0.1:{self.readiness[1]}",
-            "peer_port": _free_port(),
-            "operator_port": self.operator[1],
-            "store": f"{store[0]}:{store[1]}",
-            "grace": "6s",
-            "repeat_ratio": 0.2,
-            "repeat_reserve": 60,
-        }
-        self.settings_path.write_text(json.dumps(settings))
-        arguments = ["-m", "foxtailshunt.cli.node", "--settings", str(self.settings_path)]
-        self.process = ManagedProcess(name, arguments, folder)
-
-    def is_ready(self) -> bool:
-        """Return whether the balancer would send callers here."""
-        try:
-            resp = urllib3.request(
-                "GET",
-                f"http://127.0.0.1:{self.readiness[1]}/api/readiness",
-                timeout=1.0,
-                retries=False,
-            )
-        except (urllib3.exceptions.HTTPError, OSError):
-            return False
-        return resp.status == 200
-
-    def dump(self) -> dict[str, Any]:
-        """Return the state of the process."""
-        url = f"http://127.0.0.1:{self.operator[1]}/dump"
-        return urllib3.request("GET", url, timeout=5.0, retries=False).json()
-
-    def metrics(self) -> str:
-        """Return the metrics."""
-        url = f"http://127.0.0.1:{self.operator[1]}/metrics"
-        return urllib3.request("GET", url, timeout=5.0, retries=False).data.decode()
-
-
 class NodeFleet:
     """Everything that a scenario starts; ends only what it started."""
 
@@ -100,7 +50,7 @@
         self.store = MetadataStore()
         self.server = MetadataServer(self.store)
         self.owners: dict[str, KeyOwner] = {}
-        self.nodes: dict[str, _Node] = {}
+        self.nodes: dict[str, NodeProcess] = {}
         self.version = 0
 
     def add_owner(self, upstream_id: str, service: str, **manners: Any) -> KeyOwner:
@@ -109,13 +59,29 @@
         self.owners[upstream_id] = owner
         return owner
 
-    def add_node(self, name: str) -> _Node:
+    def add_node(self, name: str) -> NodeProcess:
         """Start a node."""
-        node = _Node(name, "zone-a", self.server.address, self.folder)
+        node = NodeProcess(self._settings(name), self.folder)
         self.nodes[name] = node
         node.process.start()
         return node
 
+    def _settings(self, name: str) -> dict[str, Any]:
+        host, port = self.server.address
+        return {
+            "instance_id": name,
+            "zone": "zone-a",
+            "host": "127.0.0.1",
+            "callers": f"127.0.0.1:{_free_port()}",
+            "readiness": f"127.0.0.1:{_free_port()}",
+            "peer_port": _free_port(),
+            "operator_port": _free_port(),
+            "store": f"{host}:{port}",
+            "grace": "6s",
+            "repeat_ratio": 0.2,
+            "repeat_reserve": 60,
+        }
+
     def configure(self, routes: dict[str, Any], services: dict[str, bool]) -> None:
         """Write a newer configuration; services by name, true if divided by key."""
         self.version += 1
--- a/features/ownership_under_failure.feature
+++ b/features/ownership_under_failure.feature
@@ -4,7 +4,7 @@
     Given a fleet "one-zone" with callers on every key
     When the fleet loses an upstream that owns keys
     Then every key is served again by the fleet
-    And the fleet's lost upstream owns no slot
+    And the fleet's lost upstream owns no key
     And no promise of the fleet was broken
 
   Scenario: An upstream freezes and returns
@@ -15,66 +15,57 @@
     Then every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: A dispatcher is lost
+  Scenario: The node that sends to an upstream is lost
     Given a fleet "one-zone" with callers on every key
-    When the fleet loses a dispatcher that sends
+    When the fleet loses the sending node
     Then every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: A dispatcher is paused past its assents and returns
+  Scenario: The node that sends to an upstream is paused and returns
     Given a fleet "one-zone" with callers on every key
-    When the fleet's dispatcher that sends is paused
+    When the fleet's sending node is paused
     Then every key is served again by the fleet
-    When the fleet's paused dispatcher returns
+    When the fleet's paused node returns
     Then every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: The dispatcher of an upstream that checks no fences is paused and returns
-    Given a fleet "one-zone-unchecked" with callers on every key
-    When the fleet's dispatcher of the upstream without fences is paused
-    Then every key is served again by the fleet
-    When the fleet's paused dispatcher returns
-    Then every key is served again by the fleet
-    And no promise of the fleet was broken
-
-  Scenario: An assigner is lost
+  Scenario: The leader is lost
     Given a fleet "one-zone" with callers on every key
-    When the fleet loses its active assigner
-    Then another assigner of the fleet is active
+    When the fleet loses the leading node
+    Then another node of the fleet leads
     And every key is served again by the fleet
     When the fleet loses an upstream that owns keys
     Then every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: An assigner is paused past its lease and returns
+  Scenario: The leader is paused past its lease and returns
     Given a fleet "one-zone" with callers on every key
-    When the fleet's active assigner is paused
-    Then another assigner of the fleet is active
+    When the fleet's leading node is paused
+    Then another node of the fleet leads
     When the fleet loses an upstream that owns keys
     Then every key is served again by the fleet
-    When the fleet's paused assigner returns
-    Then the fleet's tables never go back
+    When the fleet's paused node returns
+    Then the fleet's term has risen, and never goes back
     And every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: A whole instance is lost
+  Scenario Outline: The store <goes>, for long
     Given a fleet "one-zone" with callers on every key
-    When the fleet loses a whole instance
-    Then every key is served again through the fleet's other entries
-    And no promise of the fleet was broken
-
-  Scenario: The store is down for long
-    Given a fleet "one-zone" with callers on every key
-    When the fleet's store goes down
+    When the fleet's store <goes>
     Then every key is served again by the fleet for 4 s
     When the fleet's store comes back
     Then every key is served again by the fleet
     And no promise of the fleet was broken
 
-  Scenario: The store is down and a dispatcher is lost
+    Examples:
+      | goes        |
+      | goes down   |
+      | goes silent |
+
+  Scenario: The store is down and the node that sends to an upstream is lost
     Given a fleet "one-zone" with callers on every key
     When the fleet's store goes down
-    And the fleet loses a dispatcher that sends
+    And the fleet loses the sending node
     Then every key is served again by the fleet
     When the fleet's store comes back
     Then every key is served again by the fleet
--- a/features/steps/node_adapter_steps.py
+++ b/features/steps/node_adapter_steps.py
@@ -17,7 +17,7 @@
     judge_answer,
     upstream_head,
 )
-from foxtailshunt.routing import Route
+from foxtailshunt.routing import RequestLine, Route
 from standins.keyowner import KeyOwner
 
 _ORDER_TIMEOUT_S = 10.0
@@ -147,7 +147,7 @@
 @when("a request goes to upstream {upstream_id} with {left:d} ms left and these headers")
 def _(context: Context, upstream_id: str, left: int) -> None:
     headers = [(row["name"], row["value"]) for row in context.table]
-    context.head = upstream_head(headers, upstream_id, left / 1000)
+    context.head = upstream_head(tuple(headers), "r1", 7, upstream_id, left / 1000)
 
 
 @then("its version is {version:d}")
@@ -158,7 +158,8 @@
 @then("the routes are")
 def _(context: Context) -> None:
     for row in context.table:
-        found = _row(context.routes.match("SHOP.example:80", row["path"]))
+        match = context.routes.match(RequestLine("GET", "SHOP.example:80", row["path"]))
+        found = _row(match.route if match is not None else None)
         expected = {name: row[name] for name in found}
         assert found == expected, (found, expected)
 
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -128,7 +128,7 @@
     subject.chosen = subject.fleet.owners["u0"]
     _host, port = subject.chosen.address
     subject.chosen.crash()
-    subject.fleet.add_owner("u8", _SERVICE, port=port)
+    subject.fleet.add_owner("u8", _SERVICE, listen=("127.0.0.1", port))
 
 
 @when("an upstream starts anew under its id and its address")
@@ -139,7 +139,7 @@
     old.crash()
     subject.fleet.owners["u0 before"] = old
     subject.chosen = old
-    subject.fleet.add_owner("u0", _SERVICE, port=port)
+    subject.fleet.add_owner("u0", _SERVICE, listen=("127.0.0.1", port))
 
 
 @when("an upstream says that it leaves")
--- a/features/steps/node_slots_steps.py
+++ b/features/steps/node_slots_steps.py
@@ -9,6 +9,7 @@
 
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.relay import Call, PaceBook, Refusal, SlotPool, Ticket, TicketState
+from foxtailshunt.routing import RankFloor
 
 _STEP_S = 0.005
 _FAIL_S = 0.002
@@ -39,12 +40,12 @@
     work_s: float
     slowness: dict[str, float] = field(default_factory=dict)
     fails_until: dict[str, float] = field(default_factory=dict)
+    works: dict[str, float] = field(default_factory=dict)
     now: float = 1000.0
 
     def __post_init__(self) -> None:
         self.paces = PaceBook()
-        for _ in range(400):
-            self.paces.note_answer("route", "elsewhere", self.work_s)
+        self.learn("route", self.work_s)
         self.pool = SlotPool(self.paces, "zone")
         self.pool.set_upstreams(
             Upstream(f"u{n}", "desk", ("h", n + 1), "zone", self.slots, False, 0.0, 0)
@@ -55,12 +56,14 @@
         self._ends: list[tuple[float, int, Ticket]] = []
         self._order = itertools.count()
 
-    def come(self, name: str, rank: int, aim_s: float, deadline_s: float) -> Played:
+    def come(
+        self, name: str, rank: int, aim_s: float, deadline_s: float, route: str = "route"
+    ) -> Played:
         played = Played(name, self.now, self.now + aim_s, self.now + deadline_s)
         self.played.append(played)
         call = Call(
             name, "desk", None, None, "GET", "/", (), b"", played.deadline, played.aim_at, rank,
-            "route",
+            route,
         )  # fmt: skip
         ticket = Ticket(call, lambda: None, self.now)
         self._tickets[ticket] = played
@@ -78,7 +81,7 @@
                 continue
             played.upstream = ticket.upstream.upstream_id
             played.failed = self.now < self.fails_until.get(played.upstream, 0.0)
-            taken_s = self.work_s * self.slowness.get(played.upstream, 1.0)
+            taken_s = self._taken_s(ticket)
             end = self.now + (_FAIL_S if played.failed else taken_s)
             heapq.heappush(self._ends, (end, next(self._order), ticket))
 
@@ -94,10 +97,19 @@
         played = self._tickets[ticket]
         played.ended_at = self.now
         if not played.failed:
-            taken_s = self.work_s * self.slowness.get(played.upstream, 1.0)
-            self.paces.note_answer("route", played.upstream, taken_s)
+            self.paces.note_answer(ticket.call.route, played.upstream, self._taken_s(ticket))
         self.pool.finish(ticket, played.failed, self.now)
 
+    def _taken_s(self, ticket: Ticket) -> float:
+        work_s = self.works.get(ticket.call.route, self.work_s)
+        return work_s * self.slowness.get(self._tickets[ticket].upstream, 1.0)
+
+    def learn(self, route: str, work_s: float) -> None:
+        self.works[route] = work_s
+        for number in range(400):
+            # Each from another upstream, so that none of it is put down to a slow upstream.
+            self.paces.note_answer(route, f"elsewhere-{number}", work_s)
+
     def taken(self) -> list[Played]:
         return [played for played in self.played if played.refusal is None]
 
@@ -284,3 +296,63 @@
     subject = _subject(context)
     met = [played for played in subject.served() if played.ended_at <= played.aim_at]
     assert len(met) >= 0.9 * len(subject.played), (len(met), len(subject.played))
+
+
+_RANKS = {"U": 0, "C": 1, "D": 2}
+_LONG_S = 60.0
+
+
+@given("floors of {careful:g} for careful and {deferrable:g} for deferrable work")
+def _(context: Context, careful: float, deferrable: float) -> None:
+    _subject(context).pool.set_floors((RankFloor(1, careful), RankFloor(2, deferrable)))
+
+
+@given("careful work takes {careful:d} ms")
+def _(context: Context, careful: int) -> None:
+    _subject(context).learn("C", careful / 1000)
+
+
+@when("{letters} wait behind one request")
+def _(context: Context, letters: str) -> None:
+    subject = _subject(context)
+    begun = len(subject.played)
+    subject.come("first", 0, 0.0, _LONG_S)
+    subject.start()
+    for letter in letters:
+        route = letter if letter in subject.works else "route"
+        subject.come(letter, _RANKS[letter], 0.0, _LONG_S, route)
+    subject.advance(len(letters) * 0.4)
+    context.in_turn = sorted(subject.played[begun + 1 :], key=lambda played: played.ended_at)
+
+
+@when("{count:d} careful requests are served while nothing else waits")
+def _(context: Context, count: int) -> None:
+    subject = _subject(context)
+    for _number in range(count):
+        subject.come("C", 1, 0.0, _LONG_S)
+        subject.start()
+        subject.advance(0.2)
+
+
+@then("they are served as {letters}")
+def _(context: Context, letters: str) -> None:
+    served = "".join(played.name for played in context.in_turn)
+    assert served == letters, served
+
+
+@then("a careful request is among the first {count:d} served")
+def _(context: Context, count: int) -> None:
+    assert "C" in [played.name for played in context.in_turn[:count]]
+
+
+@when("{count:d} requests of {taken:d} ms have been answered")
+def _(context: Context, count: int, taken: int) -> None:
+    context.paces = PaceBook()
+    for number in range(count):
+        context.paces.note_answer("route", f"u{number}", taken / 1000)
+
+
+@then("a request is expected to take {expected:d} ms, give or take {within:d}")
+def _(context: Context, expected: int, within: int) -> None:
+    work_ms = context.paces.work_s("route") * 1000
+    assert abs(work_ms - expected) <= within, work_ms
--- a/features/steps/result_codes_steps.py
+++ b/features/steps/result_codes_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then
 from behave.runner import Context
 
-from foxtailshunt.entry import status_of
+from foxtailshunt.callers import status_of
 from foxtailshunt.errors import Family, ResultCode, family_of
 
 _PAGE = Path(__file__).resolve().parents[2] / "docs" / "RESULT-CODES.md"
@@ -40,7 +40,7 @@
     assert listed == [(str(int(code)), code.name) for code in ResultCode]
 
 
-@then("each row's family, HTTP status and Retry-After are those that the entry answers with")
+@then("each row's family, HTTP status and Retry-After are those that a node answers with")
 def check_statuses(context: Context) -> None:
     for row, code in zip(context.page.rows, ResultCode, strict=True):
         assert row[2:5] == expected_cells(code), row
--- /dev/null
+++ b/features/steps/store_client_steps.py
@@ -0,0 +1,248 @@
+"""Steps for the client of the store, run against the stand-in store."""
+
+import threading
+import time
+from collections.abc import Callable
+
+from behave import given, then, when
+from behave.runner import Context
+
+from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.operator import TokenWrite, TokenWriter
+from foxtailshunt.platform import (
+    ConflictError,
+    HistoryLostError,
+    LeaseEndedError,
+    StoreClient,
+    StoreError,
+    StoreItem,
+)
+from foxtailshunt.timing import MonotonicClock
+from standins.metadata import MetadataServer, MetadataStore, StoreFault
+
+_KEY = "foxtailshunt/config"
+_TIMEOUT_S = 0.5
+_GIVE_UP_S = 3.0
+_PATIENCE_S = 20.0
+_PREFIX = "many/"
+_FAULTS = {
+    "is busy": StoreFault.BUSY,
+    "is silent": StoreFault.SILENT,
+    "loses answers": StoreFault.LOSES_ANSWERS,
+}
+
+
+class StoreSubject:
+    """A stand-in store, a client of it, and what the client's last call brought."""
+
+    def __init__(self) -> None:
+        self.store = MetadataStore()
+        self.server = MetadataServer(self.store)
+        self.client = StoreClient(self.server.address)
+        self.outcome = ""
+        self.writer: object = self.client
+
+    def attempt(self, call: Callable[[], int]) -> None:
+        try:
+            self.outcome = "a revision" if call() > 0 else "nothing"
+        except ConflictError:
+            self.outcome = "a conflict"
+        except FoxtailshuntError as exc:
+            self.outcome = exc.code.name
+
+    def revision(self, words: str) -> int:
+        item = self.store.read(_KEY)
+        current = item.revision if item else 0
+        known = {"revision 0": 0, "the current revision": current, "another revision": current + 7}
+        return known[words]
+
+    def write(self, words: str) -> None:
+        condition = {_KEY: self.revision(words)}
+        self.attempt(lambda: self.client.commit(condition, [(_KEY, b"written", 0)], _TIMEOUT_S))
+
+    def content(self) -> str:
+        item = self.store.read(_KEY)
+        return item.value.decode() if item else "nothing"
+
+
+class RacingStore:
+    """Hands calls to a store, and drops or overtakes the first write."""
+
+    def __init__(self, subject: StoreSubject, event: str) -> None:
+        self._subject = subject
+        self._event = event
+        self._is_first = True
+
+    def read(self, key: str, timeout_s: float) -> StoreItem | None:
+        return self._subject.client.read(key, timeout_s)
+
+    def commit(
+        self, conditions: dict[str, int], puts: list[tuple[str, bytes, int]], timeout_s: float
+    ) -> int:
+        if not self._is_first:
+            return self._subject.client.commit(conditions, puts, timeout_s)
+        self._is_first = False
+        if self._event == "a rival writes before the client":
+            self._subject.store.put(_KEY, b"rival")
+            return self._subject.client.commit(conditions, puts, timeout_s)
+        if self._event.startswith("a rival writes after the client"):
+            self._subject.client.commit(conditions, puts, timeout_s)
+        if self._event.startswith("a rival"):
+            self._subject.store.put(_KEY, b"rival")
+        raise StoreError("scripted", may_have_run=True)
+
+
+def _subject(context: Context) -> StoreSubject:
+    return context.store_client
+
+
+@given("a store and a client of it")
+def _(context: Context) -> None:
+    context.store_client = StoreSubject()
+    context.add_cleanup(context.store_client.server.stop)
+
+
+@given("the key holds {content}")
+def _(context: Context, content: str) -> None:
+    if content != "nothing":
+        _subject(context).store.put(_KEY, content.encode())
+
+
+@given("the store {fault}")
+def _(context: Context, fault: str) -> None:
+    _subject(context).server.fault = _FAULTS[fault]
+
+
+@given("callers from {host} find the store busy {also}")
+def _(context: Context, host: str, also: str) -> None:
+    server = _subject(context).server
+    server.faults_of[host] = StoreFault.BUSY
+    if also.startswith("until"):
+        del server.faults_of[host]
+
+
+@given("the client holds the key under a lease of {ttl:g} s that it does not renew")
+def _(context: Context, ttl: float) -> None:
+    client = _subject(context).client
+    context.lease, _ = client.open_lease(ttl, _TIMEOUT_S)
+    client.commit({_KEY: 0}, [(_KEY, b"held", context.lease)], _TIMEOUT_S)
+
+
+@given("{count:d} keys under one prefix")
+def _(context: Context, count: int) -> None:
+    for number in range(count):
+        _subject(context).store.put(f"{_PREFIX}{number:04d}", b"x")
+
+
+@given("nothing else happens")
+def _(context: Context) -> None:
+    pass
+
+
+@given("the answer to the next {count:d} writes is lost")
+def _(context: Context, count: int) -> None:
+    _subject(context).server.lose_answers_of[_KEY] = count
+
+
+@given("a rival {what}")
+def _(context: Context, what: str) -> None:
+    _subject(context).writer = RacingStore(_subject(context), f"a rival {what}")
+
+
+@given("the client's first write never arrives")
+def _(context: Context) -> None:
+    _subject(context).writer = RacingStore(_subject(context), "never arrives")
+
+
+@when("the client writes at {revision}")
+def _(context: Context, revision: str) -> None:
+    _subject(context).write(revision)
+
+
+@when("the store works again")
+def _(context: Context) -> None:
+    _subject(context).server.fault = StoreFault.NONE
+
+
+@when("the client watches the key while another writes it")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    revision = subject.store.revision
+    found: list[bytes | None] = []
+
+    def watch() -> None:
+        changes, _ = subject.client.watch(_KEY, revision, _PATIENCE_S)
+        found.extend(change.item.value if change.item else None for change in changes)
+
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    subject.store.put(_KEY, b"other")
+    watcher.join(_PATIENCE_S)
+    context.watched = found
+
+
+@then("the watch brings the value that the other wrote")
+def _(context: Context) -> None:
+    assert context.watched == [b"other"], context.watched
+
+
+@when("the store forgets its history and the client watches from its beginning")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.store.forget_history()
+    try:
+        subject.client.watch(_KEY, 1, 0.1)
+    except StoreError as exc:
+        context.error = exc
+
+
+@then("the watch ends with HistoryLostError")
+def _(context: Context) -> None:
+    assert isinstance(context.error, HistoryLostError), context.error
+
+
+@then("the key is gone in the end")
+def _(context: Context) -> None:
+    end = time.monotonic() + _PATIENCE_S
+    while _subject(context).content() != "nothing":
+        assert time.monotonic() < end
+        time.sleep(0.02)
+
+
+@then("the lease cannot be renewed")
+def _(context: Context) -> None:
+    try:
+        _subject(context).client.renew_lease(context.lease, _TIMEOUT_S)
+    except LeaseEndedError:
+        return
+    raise AssertionError("the lease was renewed")
+
+
+@then("the client lists all {count:d}")
+def _(context: Context, count: int) -> None:
+    items, _ = _subject(context).client.list_items(_PREFIX, False, _TIMEOUT_S)
+    assert [item.key for item in items] == [f"{_PREFIX}{number:04d}" for number in range(count)]
+
+
+@when("the client writes with a token")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    writer = TokenWriter(subject.writer, MonotonicClock(), _TIMEOUT_S, _GIVE_UP_S)
+    write = TokenWrite(
+        _KEY,
+        b"written",
+        subject.revision("the current revision"),
+        "written",
+        lambda value: value.decode(),
+    )
+    subject.attempt(lambda: writer.write(write))
+
+
+@then("the write ends with {outcome}")
+def _(context: Context, outcome: str) -> None:
+    assert _subject(context).outcome == outcome, _subject(context).outcome
+
+
+@then("the key holds {value}")
+def _(context: Context, value: str) -> None:
+    assert _subject(context).content() == value, _subject(context).content()
--- a/foxtailshunt/assigning/_placement.py
+++ b/foxtailshunt/assigning/_placement.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from foxtailshunt.fleet import KeyRange
-from foxtailshunt.fleet._ownership import KEY_COUNT
+from foxtailshunt.routing import KEY_COUNT
 
 #: Upstreams whose load differs by less of their capacity are left alone.
 TOLERANCE = 0.15
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -36,7 +36,7 @@
         self._term = term
         self._view = parts.view
         self._now = parts.now
-        self._reader = UpstreamReader(parts.store, parts.now)
+        self._reader = UpstreamReader(parts.store, parts.now, parts.view.admit)
         self._lock = threading.RLock()
         self._ranges: list[KeyRange] = []
         self._fence = 0
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -29,11 +29,18 @@
 
     :param store: the store.
     :param now: returns seconds of a clock that also counts suspension.
+    :param admit: returns an upstream as the configuration has it.
     """
 
-    def __init__(self, store: StoreClient, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        now: Callable[[], float],
+        admit: Callable[[Upstream], Upstream],
+    ) -> None:
         self._store = store
         self._now = now
+        self._admit = admit
         self._revision: int | None = None
         self._entries: dict[str, Upstream] = {}
         self._failed_at = float("-inf")
@@ -120,4 +127,4 @@
                 log_state_change("upstream.gone", key=key, after="outage of the store")
                 self._entries.pop(key, None)
             self._missing.clear()
-        return {item.upstream_id: item for item in self._entries.values()}
+        return {item.upstream_id: self._admit(item) for item in self._entries.values()}
--- a/foxtailshunt/entry/_statuses.py
+++ b/foxtailshunt/callers/_statuses.py
@@ -4,9 +4,6 @@
 
 from foxtailshunt.errors import ResultCode
 
-#: Time after which a caller may try again a request that was not run, in seconds.
-RETRY_AFTER_S = 1
-
 
 @dataclass(frozen=True, slots=True)
 class CodeStatus:
@@ -21,23 +18,19 @@
 _STATUSES = {
     ResultCode.NO_ROUTE: CodeStatus(404),
     ResultCode.BAD_REQUEST: CodeStatus(400),
-    ResultCode.QUEUE_FULL: CodeStatus(429, retry_after=True),
     ResultCode.TOO_LATE: CodeStatus(503, retry_after=True),
     ResultCode.NO_OWNER: CodeStatus(503, retry_after=True),
-    ResultCode.NOT_DISPATCHER: CodeStatus(503, retry_after=True),
+    ResultCode.KEY_MOVED: CodeStatus(503, retry_after=True),
     ResultCode.REFUSED_BY_UPSTREAM: CodeStatus(503, retry_after=True),
+    # Nobody reads this answer.
     ResultCode.CANCELLED: CodeStatus(499),
     ResultCode.STOPPING: CodeStatus(503, retry_after=True),
-    ResultCode.ENTRY_LIMIT: CodeStatus(429, retry_after=True),
     ResultCode.NO_CONFIG: CodeStatus(503, retry_after=True),
-    ResultCode.DISPATCHER_UNREACHABLE: CodeStatus(503, retry_after=True),
+    ResultCode.NODE_UNREACHABLE: CodeStatus(503, retry_after=True),
     ResultCode.DEADLINE_EXCEEDED: CodeStatus(504),
     ResultCode.UPSTREAM_CONNECTION_LOST: CodeStatus(502),
-    ResultCode.DISPATCHER_CONNECTION_LOST: CodeStatus(502),
+    ResultCode.NODE_CONNECTION_LOST: CodeStatus(502),
     ResultCode.ANSWER_MISMATCH: CodeStatus(502),
-    ResultCode.MEMORY_TOO_YOUNG: CodeStatus(502),
-    ResultCode.STILL_RUNNING: CodeStatus(504),
-    ResultCode.ASSENT_LAPSED: CodeStatus(502),
 }
 
 
--- a/foxtailshunt/cli/_operator_options.py
+++ b/foxtailshunt/cli/_operator_options.py
@@ -9,20 +9,19 @@
 import click
 
 from foxtailshunt.cli._operator_text import to_json, to_text
-from foxtailshunt.config import load_settings
-from foxtailshunt.config._address import parse_address
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.network import Address, parse_address
+from foxtailshunt.node import load_node_settings
 from foxtailshunt.operator import ExitCode, exit_code_of
-from foxtailshunt.ownership import Address
 
-#: Longest wait for one answer of the platform or of a process, in seconds.
+#: Longest wait for one answer of a node, in seconds.
 TIMEOUT_S = 2.0
 
 
 class AddressType(click.ParamType):
-    """An IPv4 address and port on the command line."""
+    """A host and port on the command line."""
 
-    name = "IP:PORT"
+    name = "HOST:PORT"
 
     def convert(
         self, value: Any, param: click.Parameter | None, ctx: click.Context | None
@@ -40,31 +39,27 @@
 class Places:
     """Where a command finds the fleet."""
 
-    #: Addresses of the platform.
-    platform: tuple[Address, ...]
-    #: Addresses of assigners.
-    peers: tuple[Address, ...]
+    #: Address of the store; None if neither an option nor the settings name it.
+    store: Address | None
+    #: Operator addresses of nodes.
+    nodes: tuple[Address, ...]
 
 
-def platform_option(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Add ``--platform``."""
-    return click.option(
-        "--platform",
-        "platform",
-        type=AddressType(),
-        multiple=True,
-        help="Address of the platform's key-value service; may be given several times.",
-    )(command)
+def store_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add ``--store``."""
+    return click.option("--store", type=AddressType(), help="Address of the platform's store.")(
+        command
+    )
 
 
-def peer_option(command: Callable[..., Any]) -> Callable[..., Any]:
-    """Add ``--peer``."""
+def node_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add ``--node``."""
     return click.option(
-        "--peer",
-        "peers",
+        "--node",
+        "nodes",
         type=AddressType(),
         multiple=True,
-        help="Address of an assigner; may be given several times.",
+        help="Operator address of a node; may be given several times.",
     )(command)
 
 
@@ -73,7 +68,7 @@
     return click.option(
         "--settings",
         type=click.Path(path_type=Path),
-        help="Settings file of an instance, to take the addresses from.",
+        help="Settings file of a node, to take the addresses from.",
     )(command)
 
 
@@ -82,21 +77,18 @@
     return click.option("--json", "as_json", is_flag=True, help="Print a JSON document.")(command)
 
 
-def find_places(
-    settings: Path | None, platform: tuple[Address, ...], peers: tuple[Address, ...]
-) -> Places:
+def find_places(settings: Path | None, store: Address | None, nodes: tuple[Address, ...]) -> Places:
     """Return the addresses of the options; those of the settings file come last.
 
     :param settings: the settings file, if one was named.
-    :param platform: addresses of ``--platform``.
-    :param peers: addresses of ``--peer``.
+    :param store: address of ``--store``.
+    :param nodes: addresses of ``--node``.
     :raises DocumentError: the settings file is not valid.
     """
     if settings is None:
-        return Places(platform, peers)
-    read = load_settings(settings)
-    own = (read.assigner.advertised_address,)
-    return Places(platform + read.platform_addresses, peers + own + read.peer_addresses)
+        return Places(store, nodes)
+    read = load_node_settings(settings)
+    return Places(store or read.store, (*nodes, (read.host, read.operator_port)))
 
 
 def prints_result(command: Callable[..., Any]) -> Callable[..., None]:
--- a/foxtailshunt/cli/_operator_text.py
+++ b/foxtailshunt/cli/_operator_text.py
@@ -10,7 +10,7 @@
     CheckResult,
     Explanation,
     FleetStatus,
-    ProcessStatus,
+    NodeStatus,
     RequestStory,
     UpstreamStatus,
     format_line,
@@ -67,40 +67,45 @@
     lines = [
         f"service: {result.service}",
         f"key: {result.key}",
-        f"slot: {result.slot}",
-        f"home zone: {result.home_zone}",
+        f"number: {result.number}",
         f"owner: {result.owner or 'none'}",
     ]
-    if result.owner is not None and result.fence is not None:
-        lines.append(f"table of zone: {result.zone}")
-        lines.append(f"dispatchers: {', '.join(result.dispatchers) or 'none'}")
-        lines.append(f"fence: {result.fence[0]}.{result.fence[1]}")
+    if result.owner is not None:
+        lines.append(f"zone: {result.zone or 'unknown'}")
+        lines.append(f"fence: {result.fence}")
+    lines.append(f"table: {result.table}")
     return "\n".join([*lines, f"rule: {result.rule}"])
 
 
 @to_text.register
 def _(result: FleetStatus) -> str:
-    lines = [f"configuration: version {result.cfg_version} is the newest known", "", "zones"]
-    for zone, assigner in result.active_assigners.items():
-        lines.append(f"{_GAP}{zone}: active assigner {assigner or 'none known'}")
-    lines += ["", "processes", *_table([_process_cells(process) for process in result.processes])]
-    lines += ["", "upstreams", *_table([_upstream_cells(item) for item in result.upstreams])]
-    if result.silent_assigners:
-        lines += ["", f"no answer from assigners at {', '.join(result.silent_assigners)}"]
+    lines = [
+        f"configuration: version {result.cfg_version} is the newest known",
+        f"leader: {result.leader or 'none known'}",
+        f"keys with an owner: {result.owned_share:.1%}",
+        "",
+        "nodes",
+        *_table([_node_cells(node) for node in result.nodes]),
+        "",
+        "upstreams",
+        *_table([_upstream_cells(item) for item in result.upstreams]),
+    ]
     return "\n".join(lines)
 
 
-def _process_cells(process: ProcessStatus) -> list[str]:
-    state = "unreachable" if not process.reachable else f"version {process.cfg_version}"
-    cells = [process.zone, process.instance, process.role, process.operator_address, state]
-    return [*cells, "stopping" if process.stopping else ""]
+def _node_cells(node: NodeStatus) -> list[str]:
+    state = "unreachable" if not node.reachable else f"version {node.cfg_version}"
+    load = "" if node.load is None else f"{node.load[0]} waiting, {node.load[1]} running"
+    role = "leads" if node.leads else ""
+    cells = [node.zone, node.instance, node.operator_address, state, load, role]
+    return [*cells, "stopping" if node.stopping else ""]
 
 
 def _upstream_cells(item: UpstreamStatus) -> list[str]:
-    owned = f"{item.slots} slots, {item.pins} pins"
-    dispatchers = "dispatchers " + (",".join(item.dispatchers) or "none")
-    state = "draining" if item.draining else ""
-    return [item.zone, item.service, item.upstream, owned, dispatchers, state]
+    owned = f"{item.keys} keys"
+    moving = f"{item.moving_keys} on their way" if item.moving_keys else ""
+    state = "leaving" if item.leaving else ""
+    return [item.zone, item.service, item.upstream, owned, moving, state]
 
 
 def _table(rows: list[list[str]]) -> list[str]:
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -11,36 +11,30 @@
     AddressType,
     find_places,
     json_option,
-    peer_option,
-    platform_option,
+    node_option,
     prints_result,
     settings_option,
+    store_option,
 )
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
-from foxtailshunt.kvstore import HttpPlatform
-from foxtailshunt.membership import View
+from foxtailshunt.network import Address
 from foxtailshunt.operator import (
     ApplyResult,
     CheckResult,
     ConfigApplier,
     DumpClient,
     Explanation,
-    FleetReader,
     FleetStatus,
-    FleetView,
     RequestStory,
     check_file,
     collect_status,
     explain_key,
     read_file,
+    read_first_node,
     read_log_lines,
-    read_store,
     tell_story,
 )
-from foxtailshunt.ownership import Address
-from foxtailshunt.protocol import ClientPool
-from foxtailshunt.protocol.gen import Assigner
-from foxtailshunt.telemetry import Metrics
+from foxtailshunt.platform import StoreClient
 from foxtailshunt.timing import MonotonicClock
 
 _EXIT_CODES = """\b
@@ -51,14 +45,13 @@
   3  another change came first; nothing was changed
   4  the store did not say whether the change was taken
 """
-_MAX_IDLE = 1
 
 
 @click.group(epilog=_EXIT_CODES)
 def main() -> None:
     """Change a fleet by its configuration file, and see what it does.
 
-    The platform's store holds the configuration; a change is a whole new file that is accepted as
+    The store holds the configuration; a change is a whole new file that is accepted as
     a whole or not at all. COMMAND --help describes each command.
     """
 
@@ -74,7 +67,7 @@
 
 @main.command(epilog=_EXIT_CODES)
 @click.argument("file", type=click.Path(path_type=Path))
-@platform_option
+@store_option
 @settings_option
 @click.option(
     "--expect-version",
@@ -84,34 +77,34 @@
 @json_option
 @prints_result
 def apply(
-    file: Path,
-    platform: tuple[Address, ...],
-    settings: Path | None,
-    expect_version: int | None,
+    file: Path, store: Address | None, settings: Path | None, expect_version: int | None
 ) -> ApplyResult:
     """Make the configuration FILE the newest version.
 
-    The version is accepted once it stands in the platform's store; the fleet takes it into force
-    within seconds, as `status` shows. A file with the content of the newest version changes
-    nothing. The slots of an existing service cannot change.
+    The version is accepted once it stands in the store; the fleet takes it into force within
+    seconds, as `status` shows. A file with the content of the newest version changes nothing.
     """
     check_file(file)
-    applier = ConfigApplier(_open_platform(settings, platform), MonotonicClock())
-    return applier.apply(read_file(file), expect_version)
+    place = find_places(settings, store, ()).store
+    if place is None:
+        raise _missing("--store or --settings")
+    return ConfigApplier(StoreClient(place), MonotonicClock()).apply(
+        read_file(file), expect_version
+    )
 
 
 @main.command(epilog=_EXIT_CODES)
-@peer_option
+@node_option
 @settings_option
 @json_option
 @prints_result
-def status(peers: tuple[Address, ...], settings: Path | None) -> FleetStatus:
-    """Show zones, processes with the configuration version in force, and upstreams.
+def status(nodes: tuple[Address, ...], settings: Path | None) -> FleetStatus:
+    """Show every node with the configuration version in force, and every upstream with its keys.
 
-    Asks assigners for what they know, then every process at its operator port. Ends with exit
-    code 1 only if no assigner answers.
+    Asks one node for the others, then every node at its operator port. Ends with exit code 1 only
+    if no node answers.
     """
-    return collect_status(_read_fleet(settings, peers), DumpClient(TIMEOUT_S))
+    return collect_status(_nodes(settings, nodes), DumpClient(TIMEOUT_S))
 
 
 @main.command(epilog=_EXIT_CODES)
@@ -119,36 +112,31 @@
 @json_option
 @prints_result
 def dump(address: Address) -> dict[str, Any]:
-    """Show the state of the process whose operator port is at ADDRESS (IP:PORT)."""
+    """Show the state of the node whose operator port is at ADDRESS (HOST:PORT)."""
     return DumpClient(TIMEOUT_S).read(address)
 
 
 @main.command(epilog=_EXIT_CODES)
 @click.argument("service")
 @click.argument("key")
-@peer_option
-@platform_option
+@click.option("--number", "is_number", is_flag=True, help="KEY is a number from 0 to 65535.")
+@node_option
 @settings_option
 @json_option
 @prints_result
 def explain(
     service: str,
     key: str,
-    peers: tuple[Address, ...],
-    platform: tuple[Address, ...],
+    is_number: bool,
+    nodes: tuple[Address, ...],
     settings: Path | None,
 ) -> Explanation:
-    """Show which upstream owns KEY of SERVICE now, and why.
+    """Show which upstream owns KEY of SERVICE now, and why, as the first node that answers knows.
 
-    Asks assigners, or the platform's store if only --platform is given.
+    KEY is the text that stands in requests.
     """
-    places = find_places(settings, platform, peers)
-    view: View
-    if places.peers:
-        view = _read_fleet(settings, peers).view
-    else:
-        view = read_store(_open_platform(settings, platform))
-    return explain_key(view, service, key)
+    node = read_first_node(DumpClient(TIMEOUT_S), _nodes(settings, nodes))
+    return explain_key(node, service, key, is_number)
 
 
 @main.command("explain-request", epilog=_EXIT_CODES)
@@ -169,22 +157,11 @@
     return story
 
 
-def _open_platform(settings: Path | None, platform: tuple[Address, ...]) -> HttpPlatform:
-    places = find_places(settings, platform, ())
-    if not places.platform:
-        raise _missing("--platform or --settings")
-    return HttpPlatform(places.platform, Metrics(), TIMEOUT_S)
-
-
-def _read_fleet(settings: Path | None, peers: tuple[Address, ...]) -> FleetView:
-    places = find_places(settings, (), peers)
-    if not places.peers:
-        raise _missing("--peer or --settings")
-    pool = ClientPool(Assigner, _MAX_IDLE)
-    try:
-        return FleetReader(pool, TIMEOUT_S).read(places.peers)
-    finally:
-        pool.close()
+def _nodes(settings: Path | None, nodes: tuple[Address, ...]) -> tuple[Address, ...]:
+    places = find_places(settings, None, nodes)
+    if not places.nodes:
+        raise _missing("--node or --settings")
+    return places.nodes
 
 
 def _missing(options: str) -> FoxtailshuntError:
--- a/foxtailshunt/config/__init__.py
+++ b/foxtailshunt/config/__init__.py
@@ -1,40 +1,21 @@
-"""The operators' configuration file and a process's settings file."""
+"""The operators' configuration file and its record in the store."""
 
-from foxtailshunt.config._configuration import (
-    Configuration,
-    EntryLimits,
-    FloorShares,
-    Operation,
-    QueueLimits,
-    Rank,
-    Service,
-    Upstream,
-    UpstreamLimits,
-)
-from foxtailshunt.config._file import configuration_from_json
+from foxtailshunt.config._file import FileModel, read_configuration, to_route_table
 from foxtailshunt.config._record import (
     CONFIG_KEY,
     ConfigRecord,
     config_record_from_json,
     config_record_to_json,
+    decode_config_record,
 )
-from foxtailshunt.config._settings import Settings, load_settings
 
 __all__ = [
     "CONFIG_KEY",
     "ConfigRecord",
-    "Configuration",
-    "EntryLimits",
-    "FloorShares",
-    "Operation",
-    "QueueLimits",
-    "Rank",
-    "Service",
-    "Settings",
-    "Upstream",
-    "UpstreamLimits",
+    "FileModel",
     "config_record_from_json",
     "config_record_to_json",
-    "configuration_from_json",
-    "load_settings",
+    "decode_config_record",
+    "read_configuration",
+    "to_route_table",
 ]
--- a/foxtailshunt/config/_file.py
+++ b/foxtailshunt/config/_file.py
@@ -1,30 +1,47 @@
-"""Validated models of the operators' configuration file, and their conversion to data classes."""
+"""Validated models of the operators' configuration file, and the routes that it describes."""
 
+import ipaddress
 from collections.abc import Iterable
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
-from foxtailshunt.config._address import AddressText, parse_address
-from foxtailshunt.config._configuration import (
-    Configuration,
-    EntryLimits,
-    FloorShares,
+from foxtailshunt.errors import DocumentError
+from foxtailshunt.network import parse_address
+from foxtailshunt.routing import (
+    FrontLimits,
     Operation,
-    QueueLimits,
-    Rank,
-    Service,
-    Upstream,
-    UpstreamLimits,
+    OperationRoutes,
+    RankFloor,
+    Route,
+    RouteTable,
+    ServiceInfo,
+    WeightedService,
 )
-from foxtailshunt.errors import DocumentError
 
 #: Largest configuration document, in bytes.
 MAX_FILE_BYTES = 1_000_000
+#: Ranks in the order in which they are served.
+RANKS = ("urgent", "careful", "deferrable")
+
 
+def _check_address(text: str) -> str:
+    host, _ = parse_address(text)
+    ipaddress.IPv4Address(host)
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 Share = Annotated[float, Field(ge=0, le=1)]
-Count = Annotated[int, Field(ge=1, le=100_000)]
+Milliseconds = Annotated[int, Field(ge=10, le=600_000)]
 
 
 class _Model(BaseModel):
@@ -40,15 +57,13 @@
     key_query: Name | None = None
     rank: Literal["urgent", "careful", "deferrable"]
     idempotent: bool
-    deadline_ms: Annotated[int, Field(ge=10, le=600_000)]
+    deadline_ms: Milliseconds
+    aim_ms: Milliseconds | None = None
+    max_upstreams: Annotated[int, Field(ge=1, le=10)] = 2
 
-    @model_validator(mode="after")
-    def check_key(self) -> "OperationModel":
-        """Check that the key stands in exactly one place."""
-        in_path = self.path.split("/").count("{key}")
-        if in_path + (self.key_query is not None) != 1:
-            raise ValueError("the key must stand once: as {key} in path, or as key_query")
-        return self
+    def count_keys(self) -> int:
+        """Return in how many places the key stands."""
+        return self.path.split("/").count("{key}") + (self.key_query is not None)
 
 
 class UpstreamModel(_Model):
@@ -57,15 +72,6 @@
     id: Name
     zone: Name
     address: AddressText
-    checks_fences: bool = True
-
-
-class UpstreamLimitsModel(_Model):
-    """Limits towards each upstream."""
-
-    slots: Count = 2
-    connections: Count = 40
-    slow_start_ms: Annotated[int, Field(ge=0, le=600_000)] = 2000
 
 
 class FloorSharesModel(_Model):
@@ -82,45 +88,39 @@
         return self
 
 
-class QueueLimitsModel(_Model):
-    """Queue lengths."""
-
-    urgent: Count = 64
-    careful: Count = 64
-    deferrable: Count = 64
-
-
 class ServiceModel(_Model):
     """One service."""
 
     name: Name
-    slots: Annotated[int, Field(ge=1, le=65_536)]
+    keyed: bool = True
     upstreams: Annotated[tuple[UpstreamModel, ...], Field(min_length=1, strict=False)]
     operations: Annotated[tuple[OperationModel, ...], Field(min_length=1, strict=False)]
-    upstream_limits: UpstreamLimitsModel = UpstreamLimitsModel()
+    connections: Annotated[int, Field(ge=1, le=100_000)] = 40
     floors: FloorSharesModel = FloorSharesModel()
-    queues: QueueLimitsModel = QueueLimitsModel()
-    retry_budget: Share = 0.1
-    offline_limit_s: Annotated[float, Field(gt=0, le=86_400)] | None = None
-    max_moves: Count = 16
 
     @model_validator(mode="after")
-    def check_names(self) -> "ServiceModel":
-        """Check that operations have names of their own and no two share method and path."""
+    def check_operations(self) -> "ServiceModel":
+        """Check that operations have names of their own, no two share a path, and keys stand."""
         _check_unique("operation name", (operation.name for operation in self.operations))
         patterns = (f"{item.method} {_path_shape(item.path)}" for item in self.operations)
         _check_unique("operation", patterns)
+        wanted = 1 if self.keyed else 0
+        for operation in self.operations:
+            if operation.count_keys() != wanted:
+                raise ValueError(
+                    f"operation {operation.name}: the key must stand {_times(wanted)}: "
+                    "as {key} in path, or as key_query"
+                )
         return self
 
 
-class EntryLimitsModel(_Model):
-    """Limits of each entry process."""
+class CallersModel(_Model):
+    """Limits on what callers send to one node."""
 
-    urgent: Count = 48
-    careful: Count = 32
-    deferrable: Count = 16
-    max_body_bytes: Annotated[int, Field(ge=0, le=1_000_000)] = 65_536
-    max_connections: Count = 1024
+    max_header_bytes: Annotated[int, Field(ge=1_024, le=16_384)] = 16_384
+    max_body_bytes: Annotated[int, Field(ge=0, le=64_000_000)] = 65_536
+    header_timeout_ms: Milliseconds = 3_000
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 class FileModel(_Model):
@@ -129,9 +129,7 @@
     fleet: Name
     zones: Annotated[tuple[Name, ...], Field(min_length=1, strict=False)]
     services: Annotated[tuple[ServiceModel, ...], Field(min_length=1, strict=False)]
-    entry: EntryLimitsModel = EntryLimitsModel()
-    request_memory_s: Annotated[float, Field(ge=1, le=3600)] = 120.0
-    request_clock_skew_s: Annotated[float, Field(ge=0, le=60)] = 2.0
+    callers: CallersModel = CallersModel()
 
     @model_validator(mode="after")
     def check_references(self) -> "FileModel":
@@ -148,21 +146,40 @@
         return self
 
 
-def configuration_from_json(text: str, version: int) -> Configuration:
+def read_configuration(text: str) -> FileModel:
     """Validate a configuration file.
 
     :param text: the file's content.
-    :param version: the version that the store's record gives it.
-    :returns: the configuration.
     :raises DocumentError: the file is not valid; the message names each place.
     """
     if len(text.encode()) > MAX_FILE_BYTES:
         raise DocumentError(f"the configuration is over {MAX_FILE_BYTES} bytes")
     try:
-        model = FileModel.model_validate_json(text)
+        return FileModel.model_validate_json(text)
     except ValidationError as exc:
         raise DocumentError(describe_validation_error(exc))
-    return _to_configuration(model, version)
+
+
+def to_route_table(model: FileModel, version: int) -> RouteTable:
+    """Return what a configuration puts into force.
+
+    :param model: the configuration.
+    :param version: the version that the store's record gives it.
+    """
+    operations = OperationRoutes(
+        Operation(item.method, item.path, item.key_query, _to_route(service.name, item))
+        for service in model.services
+        for item in service.operations
+    )
+    callers = model.callers
+    limits = FrontLimits(
+        max_header_bytes=callers.max_header_bytes,
+        max_body_bytes=callers.max_body_bytes,
+        header_timeout_s=callers.header_timeout_ms / 1000,
+        idle_timeout_s=callers.idle_timeout_ms / 1000,
+    )
+    services = {service.name: _to_service(service) for service in model.services}
+    return RouteTable(version, operations, services, limits)
 
 
 def describe_validation_error(exc: ValidationError) -> str:
@@ -202,45 +219,29 @@
     return "/".join("{}" if segment.startswith("{") else segment for segment in segments)
 
 
-def _to_configuration(model: FileModel, version: int) -> Configuration:
-    return Configuration(
-        version=version,
-        fleet=model.fleet,
-        zones=model.zones,
-        services={service.name: _to_service(service) for service in model.services},
-        entry=EntryLimits(**model.entry.model_dump()),
-        request_memory_s=model.request_memory_s,
-        request_clock_skew_s=model.request_clock_skew_s,
-    )
+def _times(count: int) -> str:
+    return "once" if count else "nowhere, since the service is not divided by key"
 
 
-def _to_service(model: ServiceModel) -> Service:
-    limits = model.upstream_limits
-    return Service(
-        name=model.name,
-        slot_count=model.slots,
-        upstreams=tuple(_to_upstream(upstream) for upstream in model.upstreams),
-        operations=tuple(_to_operation(operation) for operation in model.operations),
-        limits=UpstreamLimits(limits.slots, limits.connections, limits.slow_start_ms / 1000),
-        floors=FloorShares(model.floors.careful, model.floors.deferrable),
-        queues=QueueLimits(**model.queues.model_dump()),
-        retry_budget=model.retry_budget,
-        offline_limit_s=model.offline_limit_s,
-        max_moves=model.max_moves,
+def _to_route(service: str, model: OperationModel) -> Route:
+    return Route(
+        name=f"{service}.{model.name}",
+        idempotent=model.idempotent,
+        timeout_s=model.deadline_ms / 1000,
+        # Without an aim the rank alone decides who goes first.
+        aim_s=0.0 if model.aim_ms is None else model.aim_ms / 1000,
+        rank=RANKS.index(model.rank),
+        max_upstreams=model.max_upstreams,
+        services=(WeightedService(service, 1.0),),
     )
 
 
-def _to_upstream(model: UpstreamModel) -> Upstream:
-    return Upstream(model.id, model.zone, parse_address(model.address), model.checks_fences)
-
-
-def _to_operation(model: OperationModel) -> Operation:
-    return Operation(
+def _to_service(model: ServiceModel) -> ServiceInfo:
+    shares = model.floors.model_dump()
+    return ServiceInfo(
         name=model.name,
-        method=model.method,
-        path=model.path,
-        key_query=model.key_query,
-        rank=Rank(model.rank),
-        idempotent=model.idempotent,
-        deadline_s=model.deadline_ms / 1000,
+        keyed=model.keyed,
+        max_connections=model.connections,
+        floors=tuple(RankFloor(RANKS.index(name), share) for name, share in shares.items()),
+        upstream_addresses=frozenset(parse_address(item.address) for item in model.upstreams),
     )
--- a/foxtailshunt/config/_record.py
+++ b/foxtailshunt/config/_record.py
@@ -6,8 +6,13 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from foxtailshunt.config._file import describe_validation_error
+from foxtailshunt.config._file import (
+    describe_validation_error,
+    read_configuration,
+    to_route_table,
+)
 from foxtailshunt.errors import DocumentError
+from foxtailshunt.routing import RouteTable
 
 #: The key of the record in the platform's store.
 CONFIG_KEY = "foxtailshunt/config"
@@ -42,7 +47,7 @@
     return json.dumps(values, ensure_ascii=False)
 
 
-def config_record_from_json(text: str) -> ConfigRecord:
+def config_record_from_json(text: str | bytes) -> ConfigRecord:
     """Read the value that stands in the store.
 
     :param text: the value.
@@ -53,3 +58,13 @@
     except ValidationError as exc:
         raise DocumentError(f"record {CONFIG_KEY}: {describe_validation_error(exc)}")
     return ConfigRecord(model.version, model.token, model.document)
+
+
+def decode_config_record(value: bytes) -> RouteTable:
+    """Return what a record in the store puts into force.
+
+    :param value: the stored bytes.
+    :raises DocumentError: it is malformed; the message names the place.
+    """
+    record = config_record_from_json(value)
+    return to_route_table(read_configuration(record.document), record.version)
--- a/foxtailshunt/fleet/_ownership.py
+++ b/foxtailshunt/fleet/_ownership.py
@@ -5,9 +5,6 @@
 
 from foxtailshunt.fleet._types import KeyRange
 
-#: Number of keys of a service; keys run from 0.
-KEY_COUNT = 65_536
-
 
 class OwnershipTable:
     """The ranges of all keyed services; it never changes.
--- a/foxtailshunt/fleet/_types.py
+++ b/foxtailshunt/fleet/_types.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-Address = tuple[str, int]
+from foxtailshunt.network import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,3 +61,5 @@
     address: Address
     #: True once it takes no more work from other nodes.
     leaving: bool = False
+    #: Where it serves metrics and dumps; None if it does not say.
+    operator_address: Address | None = None
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -69,6 +69,16 @@
             self._news.notify_all()
             return True
 
+    def admit(self, upstream: Upstream) -> Upstream:
+        """Return an upstream as the configuration has it: leaving unless it may serve.
+
+        :param upstream: the upstream as it registered.
+        """
+        routes = self.routes
+        if routes is None or routes.may_serve(upstream.service, upstream.address):
+            return upstream
+        return replace(upstream, leaving=True)
+
     def begin_term(self, term: int) -> bool:
         """Take a leader's term into account; false if a newer one is known.
 
--- a/foxtailshunt/front/__init__.py
+++ b/foxtailshunt/front/__init__.py
@@ -2,6 +2,6 @@
 
 from foxtailshunt.front._front_server import FrontServer
 from foxtailshunt.front._readiness_server import ReadinessServer
-from foxtailshunt.front._request_handler import Reply, RequestHandler
+from foxtailshunt.front._request_handler import RequestHandler
 
-__all__ = ["FrontServer", "ReadinessServer", "Reply", "RequestHandler"]
+__all__ = ["FrontServer", "ReadinessServer", "RequestHandler"]
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -8,10 +8,12 @@
 import traceback as traceback_module
 from collections.abc import Callable
 
-from cheroot.server import Gateway, HeaderReader, HTTPConnection
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HTTPConnection
 
+from foxtailshunt.callers import Reply
 from foxtailshunt.fleet import Address
-from foxtailshunt.front._request_handler import Reply, RequestHandler
+from foxtailshunt.front._request_handler import RequestHandler
 from foxtailshunt.http import StrictHttpRequest, make_file
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBinding, Metrics, log_state_change
@@ -46,9 +48,6 @@
 class _FrontRequest(StrictHttpRequest):
     """A request whose malformed head is answered and closes its connection."""
 
-    # Unlike the entry, nothing here has answered an Expect header before.
-    header_reader = HeaderReader()
-
     def simple_response(self, status: str, msg: str = "") -> None:
         """Answer a malformed request.
 
@@ -56,15 +55,11 @@
         :param msg: one sentence for the caller.
         """
         self.close_connection = True
-        if status.startswith("413") and not self.ready:
+        if status.startswith("413") and not self.ready and "headers" in msg:
             status = "431 Request Header Fields Too Large"
         self.server.count_rejected(status[:3])
-        body = (msg or status).encode()
-        head = (
-            f"HTTP/1.1 {status}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
-        self.conn.wfile.write(head.encode("latin-1") + body)
+        reply = self.server.handler.reject(int(status[:3]), msg or status)
+        self.conn.wfile.write(_format_reply(reply, self))
         self.sent_headers = True
 
 
@@ -85,7 +80,9 @@
     def respond(self) -> None:
         """Serve the request."""
         req = self.req
-        body = req.rfile.read()
+        body = self._read_body()
+        if body is None:
+            return
         req.conn.socket.settimeout(WRITE_TIMEOUT_S)
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
@@ -107,6 +104,31 @@
         req.sent_headers = True
         req.conn.wfile.write(_format_reply(reply, req))
 
+    def _read_body(self) -> bytes | None:
+        """Return the whole body, or None after the request was refused."""
+        req = self.req
+        try:
+            body = req.rfile.read()
+            if req.chunked_read:
+                for _ in req.rfile.read_trailer_lines():
+                    pass
+        except ValueError:
+            req.simple_response("400 Bad Request", "The chunked body is malformed.")
+            return None
+        except TimeoutError:
+            req.simple_response("408 Request Timeout", "The body did not arrive in time.")
+            return None
+        except (MaxSizeExceeded, OSError) as exc:
+            # The library raises an error without a number for a chunk that is too large.
+            if isinstance(exc, OSError) and exc.errno is not None:
+                raise
+            req.simple_response("413 Content Too Large", "The body is too large.")
+            return None
+        if not req.chunked_read and len(body) != int(req.inheaders.get(b"Content-Length", 0)):
+            req.simple_response("400 Bad Request", "The body ended early.")
+            return None
+        return body
+
 
 class FrontServer(EarlyBinding):
     """Serves callers.
@@ -259,7 +281,7 @@
     if req.close_connection:
         lines.append("Connection: close")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    body = b"" if is_empty or req.method == b"HEAD" else reply.body
+    body = b"" if is_empty or getattr(req, "method", b"") == b"HEAD" else reply.body
     return head.encode("latin-1") + body
 
 
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from foxtailshunt.errors import Family, ResultCode
+from foxtailshunt.callers import CallerInterface, CallFacts, Failure, Reply, status_of
+from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import FleetView
-from foxtailshunt.platform import CallFacts, RequestHeaderError, read_call
 from foxtailshunt.relay import (
     Attempts,
     Call,
@@ -17,7 +17,7 @@
     RetryBudget,
     next_step,
 )
-from foxtailshunt.routing import Route, WeightedChoice
+from foxtailshunt.routing import RequestLine, Route, WeightedChoice
 from foxtailshunt.telemetry import Metrics, RequestLog
 
 #: Longest time that a request waits for its key's new owner, in seconds; a move takes about 0.3.
@@ -32,18 +32,6 @@
 NoteDemand = Callable[[str, int, float], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer to a caller."""
-
-    #: HTTP status; 0 if the caller is gone and gets none.
-    status: int
-    #: Headers without the body's length.
-    headers: tuple[tuple[str, str], ...]
-    #: Body.
-    body: bytes
-
-
 @dataclass(slots=True)
 class _Progress:
     call_facts: CallFacts
@@ -60,6 +48,7 @@
 class RequestHandler:
     """Answers callers' requests; safe to use from any thread.
 
+    :param callers: reads requests and forms answers.
     :param view: what is known of the fleet.
     :param execute: has a request sent, from this node or another.
     :param paces: estimates of how long requests take.
@@ -71,6 +60,7 @@
 
     def __init__(
         self,
+        callers: CallerInterface,
         view: FleetView,
         execute: Execute,
         paces: PaceBook,
@@ -79,6 +69,7 @@
         metrics: Metrics,
         log: RequestLog,
     ) -> None:
+        self._callers = callers
         self._view = view
         self._execute = execute
         self._paces = paces
@@ -105,24 +96,44 @@
         :param caller: the caller's connection, watched for its end.
         """
         started = time.monotonic()
+        request_id = ""
+        try:
+            request_id = self._callers.request_id(headers)
+            progress = self._begin(request_id, method, target, headers, started)
+        except FoxtailshuntError as exc:
+            return self._refuse(request_id, exc)
+        outcome = self._serve(progress, method, target, headers, body, caller)
+        return self._answer(progress, outcome)
+
+    def reject(self, status: int, detail: str) -> Reply:
+        """Return the answer to bytes that are no request.
+
+        :param status: HTTP status.
+        :param detail: what is wrong.
+        """
+        return self._callers.failure("", Failure(status, ResultCode.BAD_REQUEST, detail))
+
+    def _begin(
+        self,
+        request_id: str,
+        method: str,
+        target: str,
+        headers: tuple[tuple[str, str], ...],
+        started: float,
+    ) -> _Progress:
         routes = self._view.routes
         if routes is None:
-            return self._refuse(ResultCode.NO_CONFIG, "no configuration yet", 0.5)
+            raise FoxtailshuntError(ResultCode.NO_CONFIG, "no configuration yet")
         host = next((value for name, value in headers if name.lower() == "host"), "")
-        route = routes.match(host, target.partition("?")[0])
-        if route is None:
-            return _own_answer(404, ResultCode.NO_ROUTE, "no route")
-        try:
-            facts = read_call(headers)
-        except RequestHeaderError as exc:
-            return _own_answer(400, exc.code, exc.message)
-        patience_s = route.timeout_s
+        match = routes.match(RequestLine(method, host, target))
+        if match is None:
+            raise FoxtailshuntError(ResultCode.NO_ROUTE, "no route")
+        facts = self._callers.read(request_id, match, headers)
+        patience_s = match.route.timeout_s
         if facts.patience_s is not None:
             patience_s = min(patience_s, facts.patience_s)
-        service = self._choice.choose(route)
-        progress = _Progress(facts, route, service, started, started + patience_s)
-        outcome = self._serve(progress, method, target, headers, body, caller)
-        return self._answer(progress, outcome)
+        service = self._choice.choose(match.route)
+        return _Progress(facts, match.route, service, started, started + patience_s)
 
     def _serve(
         self,
@@ -258,27 +269,34 @@
             ownership=f"{versions.term}.{versions.ownership}",
             upstreams_age_s=self._view.upstreams_age_s(),
         )
+        request_id = progress.call_facts.request_id
         if code is ResultCode.OK:
-            return Reply(outcome.status, outcome.headers, outcome.body)
+            return self._callers.success(request_id, outcome.status, outcome.headers, outcome.body)
         if code is ResultCode.CANCELLED:
             return Reply(0, (), b"")
-        if outcome.family is Family.NOT_RUN:
-            retry_after_s = outcome.retry_after_s or DEFAULT_RETRY_AFTER_S
-            return _own_answer(503, code, outcome.detail, retry_after_s)
-        status = 504 if code is ResultCode.DEADLINE_EXCEEDED else 502
-        return _own_answer(status, code, outcome.detail)
+        return self._callers.failure(
+            request_id, _failure(code, outcome.detail, outcome.retry_after_s)
+        )
 
-    def _refuse(self, code: ResultCode, detail: str, retry_after_s: float) -> Reply:
+    def _refuse(self, request_id: str, exc: FoxtailshuntError) -> Reply:
+        """Answer a request that was not begun."""
         self._metrics.count(
-            "foxtailshunt_requests_total", "Requests by result.", {"rank": "-", "result": code.name}
+            "foxtailshunt_requests_total",
+            "Requests by result.",
+            {"rank": "-", "result": exc.code.name},
+        )
+        self._log.note(
+            "request.refused",
+            failed=True,
+            request_id=request_id,
+            result=exc.code.name,
+            detail=exc.message,
+            configuration=self._view.versions.configuration,
         )
-        return _own_answer(503, code, detail, retry_after_s)
+        return self._callers.failure(request_id, _failure(exc.code, exc.message))
 
 
-def _own_answer(
-    status: int, code: ResultCode, detail: str, retry_after_s: float | None = None
-) -> Reply:
-    headers = [("Content-Type", "text/plain"), ("X-Result-Code", str(int(code)))]
-    if retry_after_s is not None:
-        headers.append(("Retry-After", f"{retry_after_s:.2f}"))
-    return Reply(status, tuple(headers), f"{code.name}: {detail}\n".encode())
+def _failure(code: ResultCode, detail: str, retry_after_s: float | None = None) -> Failure:
+    status = status_of(code)
+    wait_s = (retry_after_s or DEFAULT_RETRY_AFTER_S) if status.retry_after else None
+    return Failure(status.status, code, detail, wait_s)
--- a/foxtailshunt/http/_strict_request.py
+++ b/foxtailshunt/http/_strict_request.py
@@ -1,6 +1,6 @@
 """Requests of which nothing is read two ways."""
 
-from cheroot.server import HeaderReader, HTTPRequest
+from cheroot.server import HTTPRequest
 
 from foxtailshunt.http._plain_head import PlainHead, read_plain_head
 
@@ -8,18 +8,9 @@
 MAX_HEAD_BYTES = 16_384
 
 
-class _StrictHeaderReader(HeaderReader):
-    """Drops ``Expect``, which is answered before a worker reads the request."""
-
-    def _allow_header(self, key_name: bytes) -> bool:
-        return key_name != b"Expect"
-
-
 class StrictHttpRequest(HTTPRequest):
     """A request that is refused if its framing is ambiguous."""
 
-    header_reader = _StrictHeaderReader()
-
     def parse_request(self) -> None:
         """Read the head: at once if it is plain, else as cheroot does."""
         head = self.conn.rfile.take_head(MAX_HEAD_BYTES)
--- a/foxtailshunt/network/_readiness.py
+++ b/foxtailshunt/network/_readiness.py
@@ -60,3 +60,21 @@
         return not caller.recv(1, socket.MSG_PEEK)
     except OSError:
         return True
+
+
+def is_quiet(sock: socket.socket) -> bool:
+    """Return whether a socket is open and has nothing to read.
+
+    :param sock: the socket.
+    """
+    timeout = sock.gettimeout()
+    sock.setblocking(False)
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(timeout)
+    return False
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -1,17 +1,13 @@
 """Keeps the newest configuration of the store in force."""
 
 import threading
+from collections.abc import Callable
+from dataclasses import dataclass
 
+from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import FleetView
-from foxtailshunt.platform import (
-    CONFIGURATION_KEY,
-    OPERATOR_PREFIX,
-    ConfigurationError,
-    HistoryLostError,
-    StoreClient,
-    StoreError,
-    decode_configuration,
-)
+from foxtailshunt.platform import HistoryLostError, StoreClient, StoreError
+from foxtailshunt.routing import RouteTable
 from foxtailshunt.telemetry import log_state_change
 
 #: Longest wait for an answer of the store, in seconds; a slow store takes 0.4.
@@ -22,32 +18,55 @@
 RETRY_S = 0.4
 
 
-def take_document(view: FleetView, document: bytes, source: str) -> None:
-    """Put a configuration into force if it can be read and is newer.
+@dataclass(frozen=True, slots=True)
+class ConfigurationFormat:
+    """Where the configuration stands in the store and how it is read."""
 
-    :param view: where it is put.
-    :param document: its bytes.
-    :param source: where it came from, for the log.
+    #: Prefix under which it is listed and watched.
+    prefix: str
+    #: Its key.
+    key: str
+    #: Returns what its bytes put into force; raises DocumentError if they are malformed.
+    decode: Callable[[bytes], RouteTable]
+
+
+class ConfigurationKeeper:
+    """Puts configurations into force, from the store or from other nodes.
+
+    :param fmt: how they are read.
+    :param view: where they are put.
     """
-    try:
-        routes = decode_configuration(document)
-    except ConfigurationError as exc:
-        log_state_change("configuration.unreadable", source=source, reason=exc.message)
-        return
-    if view.take_routes(routes, document):
-        log_state_change("configuration.in_force", version=routes.version, source=source)
+
+    def __init__(self, fmt: ConfigurationFormat, view: FleetView) -> None:
+        self.format = fmt
+        self._view = view
+
+    def take(self, document: bytes, source: str) -> None:
+        """Put a configuration into force if it can be read and is newer.
+
+        :param document: its bytes.
+        :param source: where it came from, for the log.
+        """
+        try:
+            routes = self.format.decode(document)
+        except DocumentError as exc:
+            log_state_change("configuration.unreadable", source=source, reason=exc.message)
+            return
+        if self._view.take_routes(routes, document):
+            log_state_change("configuration.in_force", version=routes.version, source=source)
 
 
 class ConfigurationWatch:
     """A thread that waits for changes of the configuration.
 
     :param store: the store.
-    :param view: where configurations are put into force.
+    :param keeper: puts configurations into force.
     """
 
-    def __init__(self, store: StoreClient, view: FleetView) -> None:
+    def __init__(self, store: StoreClient, keeper: ConfigurationKeeper) -> None:
         self._store = store
-        self._view = view
+        self._keeper = keeper
+        self._format = keeper.format
         self._stopping = threading.Event()
         self._failing = False
         self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
@@ -71,19 +90,19 @@
                 self._stopping.wait(RETRY_S)
 
     def _read(self) -> int:
-        items, revision = self._store.list_items(OPERATOR_PREFIX, False, READ_TIMEOUT_S)
+        items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
         self._note_working()
         for item in items:
-            if item.key == CONFIGURATION_KEY:
-                take_document(self._view, item.value, "store")
+            if item.key == self._format.key:
+                self._keeper.take(item.value, "store")
         return revision
 
     def _follow(self, revision: int) -> None:
         while not self._stopping.is_set():
-            changes, revision = self._store.watch(OPERATOR_PREFIX, revision, WATCH_S)
+            changes, revision = self._store.watch(self._format.prefix, revision, WATCH_S)
             for change in changes:
-                if change.key == CONFIGURATION_KEY and change.item is not None:
-                    take_document(self._view, change.item.value, "store")
+                if change.key == self._format.key and change.item is not None:
+                    self._keeper.take(change.item.value, "store")
 
     def _note_failing(self, exc: StoreError) -> None:
         if not self._failing:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -15,7 +15,8 @@
 )
 from foxtailshunt.errors import FoxtailshuntError, PeerUnreachableError
 from foxtailshunt.fleet import FleetView, Member, OwnershipTable, Versions
-from foxtailshunt.node._configuration_watch import take_document
+from foxtailshunt.network import Address
+from foxtailshunt.node._configuration_watch import ConfigurationKeeper
 from foxtailshunt.node._messages import (
     from_member_message,
     from_ownership_message,
@@ -81,12 +82,14 @@
     :param me: this node.
     :param view: what is known.
     :param leadership: tells who leads.
+    :param keeper: puts configurations of the leader into force.
     :param store: the store, for reading when the leader is silent.
     :param tally: demand of this node's requests.
     :param paces: what upstreams' answers took.
     :param demands: where a leader's own demand is noted.
     :param capacities: where a leader's own reports are noted.
     :param now: returns seconds of a clock that also counts suspension.
+    :param seeds: nodes to ask while neither a leader nor any member is known.
     """
 
     def __init__(
@@ -94,23 +97,27 @@
         me: Member,
         view: FleetView,
         leadership: Leadership,
+        keeper: ConfigurationKeeper,
         store: StoreClient,
         tally: DemandTally,
         paces: PaceBook,
         demands: DemandBook,
         capacities: CapacityBook,
         now: Callable[[], float],
+        seeds: tuple[Address, ...],
     ) -> None:
+        self._seeds = seeds
         self._me = me
         self._view = view
         self._leadership = leadership
+        self._keeper = keeper
         self._tally = tally
         self._paces = paces
         self._demands = demands
         self._capacities = capacities
         self._now = now
         self._store = store
-        self._reader = UpstreamReader(store, now)
+        self._reader = UpstreamReader(store, now, view.admit)
         self._clients = ClientPool(Peer, 1)
         self._stopping = threading.Event()
         self._failures = 0
@@ -195,6 +202,7 @@
         others = self._other_addresses()
         if leader is not None and self._failures % 2 == 0:
             return leader.address
+        others = others or list(self._seeds)
         if others:
             return others[(self._failures // 2) % len(others)]
         return leader.address if leader is not None else None
@@ -235,7 +243,7 @@
 
     def _take(self, reply: FollowReply, known: Versions) -> None:
         if reply.configuration is not None:
-            take_document(self._view, reply.configuration, "peer")
+            self._keeper.take(reply.configuration, "peer")
         versions = reply.versions
         if not versions.term or not self._view.begin_term(versions.term):
             return
--- /dev/null
+++ b/foxtailshunt/node/_gauges.py
@@ -0,0 +1,72 @@
+"""What a node's metrics tell beside its counters: queues, budgets, and the age of its knowledge."""
+
+from foxtailshunt.assigning import Leadership
+from foxtailshunt.fleet import FleetView
+from foxtailshunt.relay import RetryBudget, Sender
+from foxtailshunt.routing import KEY_COUNT
+from foxtailshunt.telemetry import Metrics
+
+#: How often the gauges are set, in seconds; metrics are usually collected every few seconds.
+GAUGE_INTERVAL_S = 1.0
+
+
+class GaugeKeeper:
+    """Sets the gauges of a node.
+
+    :param metrics: where they are set.
+    :param view: what the node knows.
+    :param sender: its queues.
+    :param leadership: tells whether it leads.
+    :param budget: its repeats.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        view: FleetView,
+        sender: Sender,
+        leadership: Leadership,
+        budget: RetryBudget,
+    ) -> None:
+        self._metrics = metrics
+        self._view = view
+        self._sender = sender
+        self._leadership = leadership
+        self._budget = budget
+
+    def update(self) -> None:
+        """Set all gauges to what they are now."""
+        view = self._view
+        waiting, running = self._sender.load()
+        versions = view.versions
+        self._set("waiting_requests", "Requests that wait for a slot here.", waiting)
+        self._set("running_requests", "Requests that this node has at upstreams.", running)
+        self._set("configuration_version", "Configuration in force.", versions.configuration)
+        self._set("leader_term", "Newest term known.", versions.term)
+        leads = self._leadership.term is not None
+        self._set("leads_ratio", "1 if this node leads.", float(leads))
+        self._set("members_nodes", "Nodes known to live.", len(view.members))
+        age_s = view.upstreams_age_s()
+        if age_s is not None:
+            self._set("upstreams_age_seconds", "Age of the list of upstreams.", age_s)
+        services = view.routes.services if view.routes is not None else {}
+        for name, info in services.items():
+            self._set_service(name, info.keyed)
+
+    def _set_service(self, name: str, keyed: bool) -> None:
+        upstreams = len(self._view.by_service.get(name, ()))
+        self._set("upstreams_known", "Upstreams of a service.", upstreams, name)
+        left = self._budget.left(name)
+        self._set("repeats_left_requests", "Repeats that the budget allows now.", left, name)
+        if keyed:
+            served = sum(
+                item.last - item.first + 1
+                for item in self._view.ownership.of_service(name)
+                if not item.moving
+            )
+            doc = "Keys without an owner that may be sent requests."
+            self._set("unserved_keys", doc, KEY_COUNT - served, name)
+
+    def _set(self, name: str, doc: str, value: float, service: str | None = None) -> None:
+        labels = None if service is None else {"service": service}
+        self._metrics.set_gauge(f"foxtailshunt_{name}", doc, value, labels)
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -33,13 +33,14 @@
 
     :param member: the member.
     """
-    host, port = member.address
+    operator = member.operator_address
     return NodeMember(
         instance_id=member.instance_id,
         boot_id=member.boot_id,
         zone=member.zone,
-        endpoint=Endpoint(host=host, port=port),
+        endpoint=Endpoint(*member.address),
         leaving=member.leaving,
+        operator_endpoint=None if operator is None else Endpoint(*operator),
     )
 
 
@@ -48,8 +49,15 @@
 
     :param wire: the message.
     """
-    address = (wire.endpoint.host, wire.endpoint.port)
-    return Member(wire.instance_id, wire.boot_id, wire.zone, address, wire.leaving)
+    operator = wire.operator_endpoint
+    return Member(
+        instance_id=wire.instance_id,
+        boot_id=wire.boot_id,
+        zone=wire.zone,
+        address=(wire.endpoint.host, wire.endpoint.port),
+        leaving=wire.leaving,
+        operator_address=None if operator is None else (operator.host, operator.port),
+    )
 
 
 def to_members_message(members: tuple[Member, ...]) -> list[NodeMember]:
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -1,6 +1,5 @@
 """Composes the parts of a node and stops them in order."""
 
-import os
 import threading
 import time
 from pathlib import Path
@@ -13,14 +12,28 @@
     Leadership,
     MemberRegistry,
 )
+from foxtailshunt.callers import CallerInterface, OwnCallers
+from foxtailshunt.config import CONFIG_KEY, decode_config_record
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import FleetView, Member
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
-from foxtailshunt.node._configuration_watch import ConfigurationWatch
+from foxtailshunt.node._configuration_watch import (
+    ConfigurationFormat,
+    ConfigurationKeeper,
+    ConfigurationWatch,
+)
+from foxtailshunt.node._dump import describe_node
 from foxtailshunt.node._follower import DemandTally, Follower
+from foxtailshunt.node._gauges import GAUGE_INTERVAL_S, GaugeKeeper
 from foxtailshunt.node._peer_service import PeerService
-from foxtailshunt.node._settings import NodeSettings, load_node_settings
-from foxtailshunt.platform import StoreClient
+from foxtailshunt.node._settings import InterfaceKind, NodeSettings, load_node_settings
+from foxtailshunt.platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    PlatformCallers,
+    StoreClient,
+    decode_configuration,
+)
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay import Forwarder, PaceBook, RetryBudget, Sender
@@ -30,9 +43,10 @@
     OperatorServer,
     RequestLog,
     log_state_change,
+    log_thread_error,
     start_node_logging,
 )
-from foxtailshunt.timing import MonotonicClock
+from foxtailshunt.timing import MonotonicClock, TimerService
 
 #: Time after SIGTERM in which the balancer still sends new connections, in seconds: it asks each
 #: second and takes two misses.
@@ -47,6 +61,8 @@
 REPEAT_CAUTION = 0.7
 #: Nodes among which the reserve of repeats is divided while the members are not known.
 ASSUMED_NODES = 12
+#: How often lines that the log left out are told of, in seconds.
+SUPPRESSED_LINES_S = 1.0
 #: Stack of a thread, in bytes; the deepest call chains take a tenth of it.
 THREAD_STACK_BYTES = 512 * 1024
 _POLL_S = 0.02
@@ -65,12 +81,20 @@
         self._settings = settings
         now = MonotonicClock().now
         peer_address = (settings.host, settings.peer_port)
-        me = Member(settings.instance_id, boot_id, settings.zone, peer_address)
+        operator_address = (settings.host, settings.operator_port)
+        me = Member(
+            settings.instance_id,
+            boot_id,
+            settings.zone,
+            peer_address,
+            operator_address=operator_address,
+        )
+        fmt, callers = _interface(settings.interface)
         self._log_writer = start_node_logging(settings.instance_id, boot_id)
         self._metrics = Metrics()
         log = RequestLog()
         self._view = FleetView(now)
-        self._store = StoreClient(settings.store)
+        self._store = StoreClient(settings.store, self._count_store_call)
         paces = PaceBook()
         tally = DemandTally()
         demands = DemandBook()
@@ -95,6 +119,7 @@
             max(1.0, settings.repeat_reserve * REPEAT_CAUTION / ASSUMED_NODES),
         )
         handler = RequestHandler(
+            callers,
             self._view,
             self._forwarder.execute,
             paces,
@@ -107,29 +132,38 @@
             self._view, self._sender, self._leadership, members, demands, capacities, now
         )
         self._peer_server = ProtocolServer(
-            Peer, self._peer_service, peer_address, self._count_bad_frame
+            Peer,
+            self._peer_service,
+            (settings.host, settings.peer_listen_port or settings.peer_port),
+            self._count_bad_frame,
         )
+        keeper = ConfigurationKeeper(fmt, self._view)
         self._follower = Follower(
             me,
             self._view,
             self._leadership,
+            keeper,
             self._store,
             tally,
             paces,
             demands,
             capacities,
             now,
+            settings.peers,
         )
-        self._configuration = ConfigurationWatch(self._store, self._view)
+        self._configuration = ConfigurationWatch(self._store, keeper)
         self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
-        self._operator = OperatorServer(
-            (settings.host, settings.operator_port), self._metrics, self._dump, self._is_ready
-        )
+        self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
+        self._timers = TimerService(MonotonicClock(), lambda exc: log_thread_error("timer", exc))
+        self._timers.subscribe(SUPPRESSED_LINES_S, log.tell_suppressed)
+        gauges = GaugeKeeper(self._metrics, self._view, self._sender, self._leadership, budget)
+        self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
         self._is_stopping = False
 
     def start(self) -> None:
         """Start all parts."""
+        self._timers.start()
         self._configuration.start()
         self._leadership.start()
         self._peer_server.start()
@@ -159,6 +193,7 @@
         resigning.join()
         self._follower.stop()
         self._configuration.stop()
+        self._timers.stop()
         log_state_change("node.stopped", requests_left=left)
         self._log_writer.flush()
 
@@ -199,18 +234,26 @@
     def _count_bad_frame(self) -> None:
         self._metrics.count("foxtailshunt_bad_frames_total", "Malformed frames of other nodes.")
 
+    def _count_store_call(self, call: str, answer: str) -> None:
+        self._metrics.count(
+            "foxtailshunt_store_calls_total",
+            "Calls to the store by their answer's status.",
+            {"call": call, "answer": answer},
+        )
+
     def _dump(self) -> dict[str, Any]:
-        view = self._view
-        waiting, running = self._sender.load()
-        return {
-            "instance": self._settings.instance_id,
-            "pid": os.getpid(),
-            "leads": self._leadership.term is not None,
-            "versions": str(view.versions),
-            "upstreams_age_s": view.upstreams_age_s(),
-            "upstreams": [str(item) for item in view.upstreams.values()],
-            "members": [str(item) for item in view.members],
-            "ranges": [str(item) for item in view.ownership.ranges],
-            "waiting": waiting,
-            "running": running,
-        }
+        leads = self._leadership.term is not None
+        return describe_node(
+            self._settings.instance_id, leads, self._is_stopping, self._view, self._sender.load()
+        )
+
+
+def _interface(kind: InterfaceKind) -> tuple[ConfigurationFormat, CallerInterface]:
+    """Return how configurations are read and how callers speak.
+
+    :param kind: the interface.
+    """
+    if kind is InterfaceKind.OWN:
+        return ConfigurationFormat(CONFIG_KEY, CONFIG_KEY, decode_config_record), OwnCallers()
+    fmt = ConfigurationFormat(OPERATOR_PREFIX, CONFIGURATION_KEY, decode_configuration)
+    return fmt, PlatformCallers()
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -1,33 +1,30 @@
 """The settings file of a node."""
 
-import re
+from enum import Enum
 from pathlib import Path
 from typing import Annotated, Any
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import Address
+from foxtailshunt.network import Address, parse_address
+from foxtailshunt.platform import Seconds
 
-_TIME = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
+class InterfaceKind(Enum):
+    """Which interface callers and operators use."""
 
-def _parse_address(value: Any) -> Address:
-    host, _, port = str(value).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"not HOST:PORT: {value!r}")
-    return host, int(port)
+    #: The platform's headers, and its operator's configuration.
+    PLATFORM = "platform"
+    #: The product's own headers, and the configuration of the operators' command line.
+    OWN = "own"
 
 
-def _parse_seconds(value: Any) -> float:
-    match = _TIME.fullmatch(value) if isinstance(value, str) else None
-    if match is None:
-        raise ValueError(f"not a time such as 1500ms or 2.5s: {value!r}")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+def _parse_address(value: Any) -> Address:
+    return parse_address(str(value))
 
 
 HostPort = Annotated[Address, BeforeValidator(_parse_address)]
-Seconds = Annotated[float, BeforeValidator(_parse_seconds)]
 
 
 class NodeSettings(BaseModel):
@@ -45,14 +42,20 @@
     callers: HostPort
     #: Where the balancer asks whether the node is ready.
     readiness: HostPort
-    #: Port for other nodes.
+    #: Port that other nodes connect to.
     peer_port: int = Field(gt=0, lt=65_536)
+    #: Port that is listened on for them where a port map stands between; 0 if it is the same.
+    peer_listen_port: int = Field(default=0, ge=0, lt=65_536)
     #: Port for metrics and dumps.
     operator_port: int = Field(gt=0, lt=65_536)
     #: The platform's store.
     store: HostPort
     #: Time between SIGTERM and SIGKILL, in seconds.
     grace: Seconds
+    #: Other nodes to ask for what they know while the store does not answer; may be stale.
+    peers: tuple[HostPort, ...] = ()
+    #: The interface for callers and operators.
+    interface: InterfaceKind = InterfaceKind.PLATFORM
     #: Repeats that the fleet may send, as a share of first sends.
     repeat_ratio: float = Field(ge=0, le=1)
     #: Repeats that the fleet may send beside that share in the platform's window.
--- a/foxtailshunt/operator/__init__.py
+++ b/foxtailshunt/operator/__init__.py
@@ -5,7 +5,7 @@
 from foxtailshunt.operator._dump_client import DumpClient, DumpError
 from foxtailshunt.operator._exit_codes import ExitCode, exit_code_of
 from foxtailshunt.operator._explain import Explanation, explain_key
-from foxtailshunt.operator._fleet_reader import FleetReader, FleetView
+from foxtailshunt.operator._node_dump import NodeDump, read_first_node, read_node
 from foxtailshunt.operator._request_story import (
     LogLine,
     RequestStory,
@@ -15,11 +15,11 @@
 )
 from foxtailshunt.operator._status import (
     FleetStatus,
-    ProcessStatus,
+    NodeStatus,
     UpstreamStatus,
     collect_status,
 )
-from foxtailshunt.operator._store_reader import read_store
+from foxtailshunt.operator._token_write import Store, TokenWrite, TokenWriter
 
 __all__ = [
     "ApplyResult",
@@ -29,12 +29,14 @@
     "DumpError",
     "ExitCode",
     "Explanation",
-    "FleetReader",
     "FleetStatus",
-    "FleetView",
     "LogLine",
-    "ProcessStatus",
+    "NodeDump",
+    "NodeStatus",
     "RequestStory",
+    "Store",
+    "TokenWrite",
+    "TokenWriter",
     "UpstreamStatus",
     "check_file",
     "collect_status",
@@ -42,7 +44,8 @@
     "explain_key",
     "format_line",
     "read_file",
+    "read_first_node",
     "read_log_lines",
-    "read_store",
+    "read_node",
     "tell_story",
 ]
--- a/foxtailshunt/operator/_check.py
+++ b/foxtailshunt/operator/_check.py
@@ -3,11 +3,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from foxtailshunt.config import configuration_from_json
+from foxtailshunt.config import read_configuration
 from foxtailshunt.errors import DocumentError
 
-_UNNUMBERED = 0
-
 
 @dataclass(frozen=True, slots=True)
 class CheckResult:
@@ -42,12 +40,12 @@
     :raises DocumentError: it is not valid; the message names each place.
     """
     try:
-        cfg = configuration_from_json(read_file(path), _UNNUMBERED)
+        model = read_configuration(read_file(path))
     except DocumentError as exc:
         raise DocumentError(f"{path}: {exc.message}")
     return CheckResult(
-        fleet=cfg.fleet,
-        zones=len(cfg.zones),
-        upstreams={name: len(service.upstreams) for name, service in cfg.services.items()},
-        operations={name: len(service.operations) for name, service in cfg.services.items()},
+        fleet=model.fleet,
+        zones=len(model.zones),
+        upstreams={service.name: len(service.upstreams) for service in model.services},
+        operations={service.name: len(service.operations) for service in model.services},
     )
--- a/foxtailshunt/operator/_dump_client.py
+++ b/foxtailshunt/operator/_dump_client.py
@@ -7,7 +7,7 @@
 from urllib3.exceptions import HTTPError
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
-from foxtailshunt.ownership import Address
+from foxtailshunt.network import Address
 
 _OK = 200
 _MAX_DUMP_BYTES = 16 * 1024 * 1024
@@ -20,7 +20,7 @@
     """
 
     def __init__(self, message: str) -> None:
-        super().__init__(ResultCode.DISPATCHER_UNREACHABLE, message)
+        super().__init__(ResultCode.NODE_UNREACHABLE, message)
 
 
 class DumpClient:
--- a/foxtailshunt/operator/_explain.py
+++ b/foxtailshunt/operator/_explain.py
@@ -2,93 +2,106 @@
 
 from dataclasses import dataclass
 
-from foxtailshunt.config import Configuration
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
-from foxtailshunt.membership import View
-from foxtailshunt.ownership import Table, UpstreamRow, slot_of_key
+from foxtailshunt.operator._node_dump import NodeDump, RangePart, UpstreamPart
+from foxtailshunt.routing import KEY_COUNT, number_of_key
 
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """Where a key goes."""
+    """Where a key goes, as one node knows."""
 
     #: The service.
     service: str
-    #: The key.
+    #: The key as it was asked for.
     key: str
-    #: The key's slot.
-    slot: int
-    #: The availability zone that the slot is homed in.
-    home_zone: str
-    #: The zone whose table names the owner; None if no table does.
-    zone: str | None
+    #: Its number.
+    number: int
     #: The owner's id; None if the key has no owner now.
     owner: str | None
-    #: The owner's dispatchers in order.
-    dispatchers: tuple[str, ...]
-    #: Term and version of the owner's fence.
-    fence: tuple[int, int] | None
+    #: Availability zone of the owner; None if the owner is not registered.
+    zone: str | None
+    #: Fencing token of the owner's grant.
+    fence: int | None
+    #: Term and version of the ownership table.
+    table: str
+    #: Age of the node's list of upstreams, in seconds; None if it has read none.
+    upstreams_age_s: float | None
     #: Why this upstream, in one sentence.
     rule: str
 
 
-def explain_key(view: View, service_name: str, key: str) -> Explanation:
-    """Return where a key goes by the newest configuration and tables.
+def explain_key(node: NodeDump, service: str, key: str, is_number: bool) -> Explanation:
+    """Return where a key goes by what a node knows.
 
-    :param view: configuration and tables.
-    :param service_name: the service.
-    :param key: the key.
-    :raises FoxtailshuntError: with ``BAD_REQUEST`` for an unknown service, with ``NO_CONFIG`` if
-        there is no configuration.
+    :param node: the node's dump.
+    :param service: the service.
+    :param key: the key as it stands in requests, or its number.
+    :param is_number: whether the key is given as its number.
+    :raises FoxtailshuntError: with ``BAD_REQUEST`` for an unknown service or a bad number, with
+        ``NO_CONFIG`` if the node has no configuration.
     """
-    cfg = view.cfg
-    if cfg is None:
-        raise FoxtailshuntError(ResultCode.NO_CONFIG, "the fleet has no configuration yet")
-    slot, home_zone = _locate(cfg, service_name, key)
-    for table in view.tables():
-        for row in table.rows.values():
-            if row.service == service_name and row.owns(slot, key):
-                return _owned(table, row, service_name, key, slot, home_zone)
-    rule = _rule_without_owner(view, service_name, key, slot)
-    return Explanation(service_name, key, slot, home_zone, None, None, (), None, rule)
-
-
-def _locate(cfg: Configuration, service_name: str, key: str) -> tuple[int, str]:
-    service = cfg.services.get(service_name)
-    if service is None:
-        known = ", ".join(sorted(cfg.services))
+    _check_service(node, service)
+    number = _number(key) if is_number else number_of_key(key)
+    found = _find(node, service, number)
+    upstream = _upstream(node, found.owner) if found is not None else None
+    return Explanation(
+        service=service,
+        key=key,
+        number=number,
+        owner=found.owner if found is not None else None,
+        zone=upstream.zone if upstream is not None else None,
+        fence=found.fence if found is not None else None,
+        table=f"{node.versions.term}.{node.versions.ownership}",
+        upstreams_age_s=node.upstreams_age_s,
+        rule=_rule(found, upstream),
+    )
+
+
+def _check_service(node: NodeDump, service: str) -> None:
+    if not node.services:
+        raise FoxtailshuntError(
+            ResultCode.NO_CONFIG, f"{node.instance} has no configuration with services yet"
+        )
+    keyed = {item.name: item.keyed for item in node.services}
+    if service not in keyed:
+        known = ", ".join(sorted(keyed))
+        raise FoxtailshuntError(
+            ResultCode.BAD_REQUEST, f"no service '{service}'; there are: {known}"
+        )
+    if not keyed[service]:
         raise FoxtailshuntError(
-            ResultCode.BAD_REQUEST, f"no service '{service_name}'; there are: {known}"
+            ResultCode.BAD_REQUEST, f"service '{service}' is not divided by key"
         )
-    slot = slot_of_key(key, service.slot_count)
-    return slot, cfg.homes(service)[slot]
 
 
-def _owned(
-    table: Table, row: UpstreamRow, service_name: str, key: str, slot: int, home_zone: str
-) -> Explanation:
-    rule = "the key is pinned to this upstream" if key in row.pins else "the upstream owns the slot"
-    if row.draining:
-        rule += "; it is leaving and the slot will move"
-    return Explanation(
-        service=service_name,
-        key=key,
-        slot=slot,
-        home_zone=home_zone,
-        zone=table.zone,
-        owner=row.upstream_id,
-        dispatchers=row.dispatchers,
-        fence=(row.fence.term, row.fence.version),
-        rule=rule,
-    )
+def _number(text: str) -> int:
+    number = int(text) if text.isascii() and text.isdigit() else -1
+    if not 0 <= number < KEY_COUNT:
+        raise FoxtailshuntError(
+            ResultCode.BAD_REQUEST, f"'{text}' is no number of a key from 0 to {KEY_COUNT - 1}"
+        )
+    return number
+
+
+def _find(node: NodeDump, service: str, number: int) -> RangePart | None:
+    for item in node.ranges:
+        if item.service == service and item.first <= number <= item.last:
+            return item
+    return None
+
+
+def _upstream(node: NodeDump, upstream_id: str) -> UpstreamPart | None:
+    return next((item for item in node.upstreams if item.upstream_id == upstream_id), None)
 
 
-def _rule_without_owner(view: View, service_name: str, key: str, slot: int) -> str:
-    for table in view.tables():
-        for transit in table.transits:
-            if transit.service == service_name and (slot in transit.slots or key in transit.pins):
-                return (
-                    f"no owner now: {transit.upstream_id} in {table.zone} "
-                    "has not surely released it"
-                )
-    return "no owner now: no table lists the slot"
+def _rule(found: RangePart | None, upstream: UpstreamPart | None) -> str:
+    if found is None:
+        return "no owner now: no range of the ownership table holds the key"
+    if found.moving:
+        return f"the key moves to this upstream; {found.giver} has not surely given it up"
+    if upstream is None:
+        return "the upstream owns the key but is not registered; the key will move"
+    if upstream.leaving:
+        return "the upstream owns the key and is leaving; the key will move"
+    return f"the upstream owns keys {found.first} to {found.last}"
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -4,14 +4,15 @@
 """
 
 from foxtailshunt.platform._answers import UpstreamAnswer, Verdict, judge_answer
-from foxtailshunt.platform._configuration import ConfigurationError, decode_configuration
+from foxtailshunt.platform._configuration import decode_configuration
+from foxtailshunt.platform._durations import Seconds
 from foxtailshunt.platform._grants import (
     GrantOutcome,
     KeyOrders,
     OrderError,
     UpstreamReplacedError,
 )
-from foxtailshunt.platform._requests import CallFacts, RequestHeaderError, read_call, upstream_head
+from foxtailshunt.platform._requests import PlatformCallers, upstream_head
 from foxtailshunt.platform._store import (
     ConflictError,
     HistoryLostError,
@@ -32,15 +33,14 @@
     "CONFIGURATION_KEY",
     "OPERATOR_PREFIX",
     "UPSTREAM_PREFIX",
-    "CallFacts",
-    "ConfigurationError",
     "ConflictError",
     "GrantOutcome",
     "HistoryLostError",
     "KeyOrders",
     "LeaseEndedError",
     "OrderError",
-    "RequestHeaderError",
+    "PlatformCallers",
+    "Seconds",
     "StoreChange",
     "StoreClient",
     "StoreError",
@@ -51,6 +51,5 @@
     "decode_configuration",
     "decode_upstream",
     "judge_answer",
-    "read_call",
     "upstream_head",
 ]
--- a/foxtailshunt/platform/_configuration.py
+++ b/foxtailshunt/platform/_configuration.py
@@ -5,23 +5,21 @@
 
 from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
-from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.errors import DocumentError
 from foxtailshunt.platform._durations import Seconds
-from foxtailshunt.routing import FrontLimits, Route, RouteTable, ServiceInfo, WeightedService
+from foxtailshunt.routing import (
+    FrontLimits,
+    HostRoute,
+    HostRoutes,
+    Route,
+    RouteTable,
+    ServiceInfo,
+    WeightedService,
+)
 
 _VERSION = re.compile(r"r(\d+)")
 
 
-class ConfigurationError(FoxtailshuntError):
-    """A configuration that cannot be read; the one in force stays.
-
-    :param message: what is wrong and where.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(ResultCode.MALFORMED_DOCUMENT, message)
-
-
 def _parse_version(value: Any) -> int:
     match = _VERSION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
@@ -74,15 +72,18 @@
     """Return the configuration of a document in the store.
 
     :param document: the stored bytes.
-    :raises ConfigurationError: it cannot be read.
+    :raises DocumentError: it cannot be read.
     """
     try:
         wire = _WireConfiguration.model_validate_json(document)
     except ValidationError as exc:
         first = exc.errors()[0]
         place = ".".join(str(part) for part in first["loc"])
-        raise ConfigurationError(f"{place}: {first['msg']}") from exc
-    routes = tuple(_to_route(name, route) for name, route in wire.routes.items())
+        raise DocumentError(f"{place}: {first['msg']}") from exc
+    routes = HostRoutes(
+        HostRoute(route.host, route.prefix, _to_route(name, route))
+        for name, route in wire.routes.items()
+    )
     services = {
         name: ServiceInfo(name=name, keyed=item.sharded, max_connections=item.max_conns)
         for name, item in wire.services.items()
@@ -102,11 +103,9 @@
     elif wire.service is not None:
         services = (WeightedService(wire.service, 1.0),)
     else:
-        raise ConfigurationError(f"routes.{name}: no service")
+        raise DocumentError(f"routes.{name}: no service")
     return Route(
         name=name,
-        host=wire.host.lower(),
-        prefix=wire.prefix,
         idempotent=wire.route_type == "safe",
         timeout_s=wire.timeout,
         aim_s=wire.aim,
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -3,17 +3,17 @@
 import base64
 import json
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
 import urllib3
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address
-from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS
+from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS, source_address
 from foxtailshunt.platform._durations import format_duration, parse_duration_s
 
 #: Time to establish a connection to the store, in seconds; links take about 1 ms.
@@ -91,16 +91,24 @@
     item: StoreItem | None
 
 
+def _note_nothing(call: str, answer: str) -> None:
+    """Count no call."""
+
+
 class StoreClient:
     """Calls the store; safe to use from any thread.
 
     Each thread has a connection of its own, so that a waiting watch delays no other call.
 
     :param address: host and port of the store.
+    :param note_call: told the call and what it was answered, for counting.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, note_call: Callable[[str, str], None] = _note_nothing
+    ) -> None:
         self._address = address
+        self._note_call = note_call
         self._local = threading.local()
 
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
@@ -240,8 +248,13 @@
             )
             answer = json.loads(resp.data) if resp.data else {}
         except (HTTPError, OSError, ValueError) as exc:
+            self._note_call(_call_name(path), "none")
             self._drop_pool()
-            raise StoreError(f"{path}: {type(exc).__name__}: {exc}", may_have_run=True) from exc
+            reached = not isinstance(exc, (NewConnectionError, ConnectTimeoutError))
+            raise StoreError(
+                f"{path}: {type(exc).__name__}: {exc}", may_have_run=reached and method != "GET"
+            ) from exc
+        self._note_call(_call_name(path), str(resp.status))
         if resp.status in (429, 503):
             raise StoreError(f"{path}: status {resp.status}", may_have_run=False)
         return resp.status, answer if isinstance(answer, dict) else {}
@@ -258,6 +271,7 @@
                 maxsize=1,
                 retries=False,
                 socket_options=KEEPALIVE_SOCKET_OPTIONS,
+                source_address=source_address(),
             )
         return pool
 
@@ -267,6 +281,11 @@
         pool.close()
 
 
+def _call_name(path: str) -> str:
+    """Return the name of a call without the lease that it is about."""
+    return path.split("/")[2]
+
+
 def _to_item(wire: dict[str, Any]) -> StoreItem:
     return StoreItem(
         key=wire["key"],
--- a/foxtailshunt/platform/_upstreams.py
+++ b/foxtailshunt/platform/_upstreams.py
@@ -4,7 +4,8 @@
 
 from pydantic import BaseModel, Field, StrictBool, StrictInt, ValidationError, field_validator
 
-from foxtailshunt.fleet import Address, Upstream
+from foxtailshunt.fleet import Upstream
+from foxtailshunt.network import parse_address
 from foxtailshunt.platform._durations import Seconds
 
 #: Keys that the operator writes.
@@ -33,18 +34,6 @@
         return value
 
 
-def parse_address(text: str) -> Address:
-    """Return host and port of an address.
-
-    :param text: for example ``10.1.0.9:8080``.
-    :raises ValueError: it is no address.
-    """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
-
-
 def decode_upstream(key: str, value: bytes) -> Upstream:
     """Return the upstream of an entry.
 
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -1,13 +1,10 @@
 """Clients of the inner protocol: one connection, and a pool of connections to one peer."""
 
 import logging
-import select
 import socket
 import struct
 import threading
 import time
-from collections.abc import Callable
-from dataclasses import dataclass
 from types import ModuleType
 from typing import Any
 
@@ -20,6 +17,7 @@
 from foxtailshunt.network import (
     KEEPALIVE_SOCKET_OPTIONS,
     Readiness,
+    is_quiet,
     source_address,
     wait_readable,
 )
@@ -35,26 +33,6 @@
 _CALL_ERRORS = (TException, OSError, EOFError, ValueError, TypeError, IndexError, struct.error)
 
 
-class MismatchedReplyError(PeerUnreachableError):
-    """A peer's reply did not answer the request; the connection was reset.
-
-    :param message: what was called.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, sent=True)
-
-
-class SilentPeerError(PeerUnreachableError):
-    """A used connection stayed silent and was given up early; the connection was reset.
-
-    :param message: what was called.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, sent=True)
-
-
 class CallerGoneError(PeerUnreachableError):
     """The caller for whom a call was made went away; the connection was reset.
 
@@ -65,20 +43,10 @@
         super().__init__(message, sent=True)
 
 
-@dataclass(frozen=True, slots=True)
-class Patience:
-    """How long to wait on a used connection, which may have gone silent, before doubting it."""
-
-    #: Time without a reply after which the connection is doubted, in seconds.
-    wait_s: float
-    #: Called once then; returns whether the call is given up, so that it can be made anew.
-    gives_up: Callable[[], bool]
-
-
 class PeerClient:
     """One connection to a peer's Thrift service; used by one thread at a time.
 
-    :param service: the generated service module, for example ``gen.Dispatcher``.
+    :param service: the generated service module, for example ``gen.Peer``.
     :param address: host and port of the peer.
     """
 
@@ -86,8 +54,6 @@
         self.address = address
         #: When the connection was last put aside, in seconds of the monotonic clock.
         self.idle_since = 0.0
-        #: True once a reply was read from the connection.
-        self.is_used = False
         self._socket = TSocket(*address)
         self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
         self._client = service.Client(TCompactProtocolAccelerated(self._transport))
@@ -110,7 +76,6 @@
         method: str,
         req: Any,
         timeout_s: float,
-        patience: Patience | None = None,
         caller: socket.socket | None = None,
     ) -> Any:
         """Send one request and wait for its reply.
@@ -118,7 +83,6 @@
         :param method: name of the service's method.
         :param req: its request struct.
         :param timeout_s: seconds to wait on the socket.
-        :param patience: when a used connection is doubted; None for never.
         :param caller: given up if this connection is closed by its peer; None for never.
         :returns: its reply struct.
         :raises CallerGoneError: the caller closed its connection.
@@ -128,8 +92,6 @@
         self._socket.setTimeout(timeout_s * 1000)
         try:
             getattr(self._client, f"send_{method}")(req)
-            if patience is not None and self.is_used:
-                self._check_silence(method, patience)
             if caller is not None:
                 self._wait_for_reply(method, timeout_s, caller)
             reply = getattr(self._client, f"recv_{method}")()
@@ -139,16 +101,8 @@
         except _CALL_ERRORS as exc:
             self.reset()
             raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
-        self.is_used = True
         return reply
 
-    def _check_silence(self, method: str, patience: Patience) -> None:
-        poll = select.poll()
-        poll.register(self._socket.handle, select.POLLIN)
-        if not poll.poll(patience.wait_s * 1000) and patience.gives_up():
-            self.reset()
-            raise SilentPeerError(f"{method} at {self.address} brought no reply")
-
     def _wait_for_reply(self, method: str, timeout_s: float, caller: socket.socket) -> None:
         readiness = wait_readable(self._socket.handle, timeout_s, caller)
         if readiness is Readiness.CALLER_GONE:
@@ -192,8 +146,6 @@
         req: Any,
         timeout_s: float,
         max_idle_s: float | None = None,
-        accepts: Callable[[Any], bool] | None = None,
-        patience: Patience | None = None,
         caller: socket.socket | None = None,
     ) -> Any:
         """Call a peer on an idle connection, or on a new one.
@@ -206,20 +158,12 @@
         :param req: its request struct.
         :param timeout_s: seconds to wait for the reply.
         :param max_idle_s: a connection that was idle for longer is reset and replaced.
-        :param accepts: returns whether a reply answers the request; a connection that brought
-            another reply is reset.
-        :param patience: when a used connection is doubted; None for never.
         :param caller: the call is given up if this connection is closed by its peer.
         :returns: the reply struct.
         :raises PeerUnreachableError: ``sent`` tells whether the peer may have seen the request.
-        :raises MismatchedReplyError: the reply was not accepted.
-        :raises SilentPeerError: a used connection was given up.
         """
         client = self._take(address, max_idle_s)
-        reply = client.call(method, req, timeout_s, patience, caller)
-        if accepts is not None and not accepts(reply):
-            client.reset()
-            raise MismatchedReplyError(f"{method} at {address} was answered by another reply")
+        reply = client.call(method, req, timeout_s, caller)
         self._put_back(client)
         return reply
 
@@ -272,28 +216,4 @@
     :returns: False if the peer closed the connection or sent something nobody asked for.
     """
     handle = client._socket.handle
-    if handle is None:
-        return False
-    return is_quiet(handle)
-
-
-def is_quiet(sock: socket.socket) -> bool:
-    """Return whether a socket is open and has nothing to read.
-
-    :param sock: the socket.
-    """
-    timeout = sock.gettimeout()
-    sock.setblocking(False)
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except (BlockingIOError, InterruptedError):
-        return True
-    except OSError:
-        return False
-    finally:
-        sock.settimeout(timeout)
-    return False
-
-
-#: A factory of clients, for parts that are handed one.
-ClientFactory = Callable[[tuple[str, int]], PeerClient]
+    return handle is not None and is_quiet(handle)
--- a/foxtailshunt/protocol/gen/__init__.py
+++ b/foxtailshunt/protocol/gen/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Dispatcher', 'Assigner', 'Peer']
+__all__ = ['ttypes', 'constants', 'Peer']
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -7,7 +7,8 @@
 from foxtailshunt.relay._retry_budget import RetryBudget
 from foxtailshunt.relay._retry_policy import Attempts, NextStep, next_step
 from foxtailshunt.relay._sender import Sender
-from foxtailshunt.relay._slot_pool import Refusal, SlotPool, Ticket, TicketState
+from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._ticket import Refusal, Ticket, TicketState
 
 __all__ = [
     "Attempts",
--- a/foxtailshunt/relay/_channel.py
+++ b/foxtailshunt/relay/_channel.py
@@ -14,11 +14,11 @@
 from foxtailshunt.network import (
     UPSTREAM_SOCKET_OPTIONS,
     Readiness,
+    is_quiet,
     source_address,
     wait_readable,
 )
 from foxtailshunt.platform import UpstreamAnswer
-from foxtailshunt.protocol import is_quiet
 
 #: Time to establish a connection to an upstream, in seconds; a link takes about 1 ms.
 CONNECT_TIMEOUT_S = 0.12
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -116,9 +116,7 @@
             self._clients.forget(member.address)
             if not exc.sent:
                 return None
-            code = (
-                ResultCode.DISPATCHER_CONNECTION_LOST if in_time else ResultCode.DEADLINE_EXCEEDED
-            )
+            code = ResultCode.NODE_CONNECTION_LOST if in_time else ResultCode.DEADLINE_EXCEEDED
             return Outcome(code, exc.message, arrived=True)
         self._trust(member.address)
         outcome = to_outcome(reply)
--- a/foxtailshunt/relay/_pace.py
+++ b/foxtailshunt/relay/_pace.py
@@ -5,7 +5,8 @@
 
 #: Time that a request of an unknown route is taken to need, in seconds; sheets say 84 to 210 ms.
 FIRST_WORK_S = 0.15
-#: Weight of the newest answer in a route's mean; about the last 50 answers count.
+#: Weight of the newest answer in a route's mean, so that about the last 50 answers count; the first
+#: answers weigh more, and the assumed time as much as one answer.
 ROUTE_WEIGHT = 0.02
 #: Weight of the newest answer in an upstream's slowness; about the last 8 answers count.
 UPSTREAM_WEIGHT = 0.12
@@ -45,6 +46,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._work_s: dict[str, float] = {}
+        #: Answers of each route so far.
+        self._answered: dict[str, int] = {}
         self._slowness: dict[str, float] = {}
         self._tallies: dict[str, _Tally] = {}
 
@@ -81,10 +84,12 @@
             mean = self._work_s.get(route)
             if mean is None:
                 mean = self._work_s[route] = FIRST_WORK_S
+            answered = self._answered[route] = self._answered.get(route, 0) + 1
             bounded = min(taken_s, MAX_RATIO * mean)
             slowness = self._slowness.get(upstream_id, 1.0)
             # Dividing by the slowness keeps a slow upstream from making all its routes look long.
-            self._work_s[route] = mean + ROUTE_WEIGHT * (bounded / slowness - mean)
+            weight = max(ROUTE_WEIGHT, 1 / (answered + 1))
+            self._work_s[route] = mean + weight * (bounded / slowness - mean)
             self._note_ratio(upstream_id, bounded / mean)
             tally = self._tallies.setdefault(upstream_id, _Tally())
             tally.taken_s += bounded
--- a/foxtailshunt/relay/_retry_budget.py
+++ b/foxtailshunt/relay/_retry_budget.py
@@ -28,6 +28,14 @@
             tokens = self._tokens.get(service, self._reserve)
             self._tokens[service] = min(self._reserve, tokens + self._ratio)
 
+    def left(self, service: str) -> float:
+        """Return how many repeats may be sent now.
+
+        :param service: name of the service.
+        """
+        with self._lock:
+            return self._tokens.get(service, self._reserve)
+
     def take(self, service: str) -> bool:
         """Take the right to one repeat; false if none is left.
 
--- a/foxtailshunt/relay/_retry_policy.py
+++ b/foxtailshunt/relay/_retry_policy.py
@@ -52,7 +52,7 @@
     if outcome.family is Family.UNKNOWN and not attempts.idempotent:
         return NextStep.ANSWER
     if not outcome.arrived:
-        moved = outcome.code in (ResultCode.NOT_DISPATCHER, ResultCode.STOPPING)
+        moved = outcome.code in (ResultCode.KEY_MOVED, ResultCode.STOPPING)
         return NextStep.TRY_AGAIN if moved and _is_early(attempts) else NextStep.ANSWER
     if outcome.code is ResultCode.DEADLINE_EXCEEDED:
         return NextStep.ANSWER
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -12,7 +12,9 @@
 from foxtailshunt.relay._channel import ChannelError, UpstreamChannel
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._pace import PaceBook
-from foxtailshunt.relay._slot_pool import Refusal, SlotPool, Ticket, TicketState
+from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._ticket import Refusal, Ticket, TicketState
+from foxtailshunt.routing import RankFloor
 from foxtailshunt.telemetry import Metrics, RequestLog, log_state_change
 
 #: Time kept for the way back of an answer, in seconds.
@@ -89,6 +91,7 @@
             if lane.filled_from is not upstreams:
                 lane.pool.set_upstreams(upstreams)
                 lane.filled_from = upstreams
+            lane.pool.set_floors(self._floors(call.service))
             refusal = lane.pool.offer(ticket, time.monotonic())
             if refusal is None:
                 self._assign(lane)
@@ -153,6 +156,11 @@
                 self._lanes[name] = lane
             return lane
 
+    def _floors(self, service: str) -> tuple[RankFloor, ...]:
+        routes = self._view.routes
+        info = routes.services.get(service) if routes is not None else None
+        return info.floors if info is not None else ()
+
     def _new_ticket(self, call: Call) -> tuple[Ticket, threading.Event]:
         woken = threading.Event()
         return Ticket(call, woken.set, time.monotonic()), woken
@@ -193,7 +201,7 @@
         if ticket.refusal is not None:
             return self._refused(ticket.call, ticket.refusal)
         return Outcome(
-            ResultCode.NOT_DISPATCHER, "the key moved while the request waited", retry_after_s=0.1
+            ResultCode.KEY_MOVED, "the key moved while the request waited", retry_after_s=0.1
         )
 
     def _refused(self, call: Call, refusal: Refusal) -> Outcome:
@@ -203,6 +211,7 @@
             ResultCode.TOO_LATE,
             f"estimated {estimate}, remaining {remaining_s:.3f} s",
             retry_after_s=refusal.retry_after_s,
+            upstream_id=call.upstream_id,
         )
 
     def _send(self, lane: _Lane, ticket: Ticket, caller: socket.socket | None) -> Outcome:
@@ -216,7 +225,7 @@
                 return Outcome(ResultCode.CANCELLED, "the caller went away")
             if self._has_moved(ticket.call):
                 failed = False
-                return Outcome(ResultCode.NOT_DISPATCHER, "the key moved", retry_after_s=0.1)
+                return Outcome(ResultCode.KEY_MOVED, "the key moved", retry_after_s=0.1)
             outcome = self._exchange(ticket.call, upstream, caller)
             failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
             self._note_pace(ticket.call, upstream, outcome, time.monotonic() - started)
@@ -249,7 +258,13 @@
         try:
             channel = self._take_channel(upstream)
             remaining_s = call.deadline - time.monotonic()
-            head = upstream_head(call.headers, upstream.upstream_id, remaining_s - RETURN_TIME_S)
+            head = upstream_head(
+                call.headers,
+                call.request_id,
+                call.key,
+                upstream.upstream_id,
+                remaining_s - RETURN_TIME_S,
+            )
             answer = channel.exchange(
                 call.method,
                 call.target,
