--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -6,14 +6,17 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from enum import Enum
+from collections import deque
+from collections.abc import Iterable
 
 from foxtailshunt.fleet import Upstream
+from foxtailshunt.relay._floor_credits import FloorCredits
 from foxtailshunt.relay._outcome import Call
 from foxtailshunt.relay._pace import PaceBook
 from foxtailshunt.relay._slot_forecast import SlotForecast
+from foxtailshunt.relay._ticket import Refusal, Ticket, TicketState
+from foxtailshunt.relay._upstream_slots import UpstreamSlots
+from foxtailshunt.routing import RankFloor
 
 #: Part of the estimated time that is added for its spread when a request is judged to fit.
 SPREAD = 0.25
@@ -24,86 +27,12 @@
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
 #: First and longest pause of an upstream that failed, in seconds.
 FIRST_PAUSE_S, LONGEST_PAUSE_S = 0.25, 4.0
-#: Time that a request still takes which should have ended already: at least so many seconds, and
-#: this share of the time that it has taken.
-OVERDUE_S, OVERDUE_SHARE = 0.05, 0.3
 #: An upstream that has had no request for so long is tried again, in seconds at common speed.
 TRY_AGAIN_S = 1.5
 #: Part of its expected time that counts then, so that it is preferred once.
 TRY_AGAIN_FAVOUR = 0.3
 
 
-class TicketState(Enum):
-    """Where a request stands."""
-
-    WAITING = "waiting"
-    ASSIGNED = "assigned"
-    EXPIRED = "expired"
-    DONE = "done"
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A request that is not taken, or given up while it waits."""
-
-    #: Estimated time until its answer, in seconds; None if no upstream could take it.
-    estimate_s: float | None
-    #: When a repeat has a chance, in seconds.
-    retry_after_s: float
-
-
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """A request in a pool."""
-
-    #: The request.
-    call: Call
-    #: Called once its state is no longer WAITING.
-    wake: Callable[[], None]
-    #: When it came, in seconds of the monotonic clock.
-    queued_at: float
-    state: TicketState = TicketState.WAITING
-    #: The upstream whose slot it has.
-    upstream: Upstream | None = None
-    #: Why it was given up; None unless it is EXPIRED.
-    refusal: Refusal | None = None
-
-
-@dataclass(slots=True)
-class _Slots:
-    upstream: Upstream
-    #: Requests at the upstream: when each began, and when it is expected to end.
-    running: dict[Ticket, tuple[float, float]] = field(default_factory=dict)
-    failures: int = 0
-    paused_until: float = 0.0
-    last_used: float = 0.0
-
-    def has_room(self, now: float) -> bool:
-        return len(self.running) < self.upstream.slots and now >= self.paused_until
-
-    def free_times(self, now: float) -> list[float]:
-        """Return when each slot is expected to be free."""
-        begin = max(now, self.paused_until)
-        times = [max(begin, _expected_end(*span, now)) for span in self.running.values()]
-        # More requests than slots run while an upstream's entry changes.
-        idle = max(0, self.upstream.slots - len(times))
-        return sorted(times)[-self.upstream.slots :] + [begin] * idle
-
-    def slowdown(self, now: float) -> float:
-        """Return how many times as long as expected all requests here have taken at least."""
-        if len(self.running) < self.upstream.slots:
-            return 1.0
-        ratios = [(now - began) / max(0.001, end - began) for began, end in self.running.values()]
-        return max(1.0, min(ratios, default=1.0))
-
-
-def _expected_end(began: float, expected: float, now: float) -> float:
-    """Return when a request ends; one that is overdue is taken to be as slow as it has shown."""
-    if expected > now:
-        return expected
-    return now + max(OVERDUE_S, OVERDUE_SHARE * (now - began))
-
-
 class SlotPool:
     """The slots of the upstreams that serve the same requests, and the requests that wait.
 
@@ -114,8 +43,16 @@
     def __init__(self, paces: PaceBook, zone: str) -> None:
         self._paces = paces
         self._zone = zone
-        self._slots: dict[str, _Slots] = {}
+        self._slots: dict[str, UpstreamSlots] = {}
         self._waiting: list[Ticket] = []
+        self._credits = FloorCredits(())
+
+    def set_floors(self, floors: tuple[RankFloor, ...]) -> None:
+        """Take the floors of the lower ranks.
+
+        :param floors: the floors; without any, only the order of requests counts.
+        """
+        self._credits.set_floors(floors)
 
     @property
     def waiting(self) -> int:
@@ -142,7 +79,7 @@
         for upstream_id, upstream in wanted.items():
             slots = self._slots.get(upstream_id)
             if slots is None or slots.paused_until == float("inf"):
-                self._slots[upstream_id] = _Slots(upstream)
+                self._slots[upstream_id] = UpstreamSlots(upstream)
             else:
                 slots.upstream = upstream
 
@@ -173,7 +110,7 @@
         """
         if not self._waiting:
             return []
-        self._waiting.sort(key=lambda ticket: self._order(ticket, now))
+        self._waiting = self._in_line(self._waiting, now)
         forecast = self._forecast(now)
         still_waiting: list[Ticket] = []
         for ticket in self._waiting:
@@ -193,6 +130,8 @@
                 ticket.upstream = slots.upstream
                 slots.running[ticket] = (now, now + work_s)
                 slots.last_used = now
+                ticket.charged_s = work_s
+                self._charge(ticket, work_s)
             else:
                 still_waiting.append(ticket)
         changed = [ticket for ticket in self._waiting if ticket.state is not TicketState.WAITING]
@@ -228,7 +167,9 @@
         slots = self._slots.get(ticket.upstream.upstream_id)
         if slots is None:
             return
-        slots.running.pop(ticket, None)
+        times = slots.running.pop(ticket, None)
+        if times is not None:
+            self._charge(ticket, now - times[0] - ticket.charged_s)
         if failed:
             slots.failures += 1
             self._pause(slots, now)
@@ -245,12 +186,54 @@
         ends = [s.paused_until for s in self._slots.values() if now < s.paused_until < now + 60]
         return min(ends, default=None)
 
-    def _pause(self, slots: _Slots, now: float) -> None:
+    def _pause(self, slots: UpstreamSlots, now: float) -> None:
         # The only upstream of a key is not paused: its requests have nowhere else to go.
         if len(self._slots) > 1:
             pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (slots.failures - 1))
             slots.paused_until = max(slots.paused_until, now + pause_s)
 
+    def _charge(self, ticket: Ticket, cost_s: float) -> None:
+        ranks = {other.call.rank for other in self._waiting if other is not ticket}
+        self._credits.charge(ticket.call.rank, cost_s, ticket.by_floor, ranks)
+
+    def _in_line(self, tickets: list[Ticket], now: float) -> list[Ticket]:
+        """Return requests in the order in which they are served."""
+        ordered = sorted(tickets, key=lambda ticket: self._order(ticket, now))
+        if not self._credits:
+            return ordered
+        credits = self._credits.copy()
+        by_rank: dict[int, deque[Ticket]] = {}
+        for ticket in ordered:
+            by_rank.setdefault(ticket.call.rank, deque()).append(ticket)
+        in_line: list[Ticket] = []
+        taken: set[int] = set()
+        for head in ordered:
+            while (rank := credits.most_owed(by_rank.keys())) is not None:
+                owed = by_rank[rank][0]
+                owed.by_floor = any(other < rank for other in by_rank)
+                self._stand(owed, in_line, by_rank, credits)
+                taken.add(id(owed))
+            if id(head) not in taken:
+                head.by_floor = False
+                self._stand(head, in_line, by_rank, credits)
+                taken.add(id(head))
+        return in_line
+
+    def _stand(
+        self,
+        ticket: Ticket,
+        in_line: list[Ticket],
+        by_rank: dict[int, deque[Ticket]],
+        credits: FloorCredits,
+    ) -> None:
+        rank = ticket.call.rank
+        in_line.append(ticket)
+        by_rank[rank].remove(ticket)
+        if not by_rank[rank]:
+            del by_rank[rank]
+        work_s = self._paces.work_s(ticket.call.route)
+        credits.charge(rank, work_s, ticket.by_floor, by_rank.keys())
+
     def _order(self, ticket: Ticket, now: float) -> tuple[int, float, float]:
         """Requests that can still meet their aim go first, the least slack first; then by rank."""
         call = ticket.call
@@ -262,9 +245,9 @@
     def _forecast(self, now: float) -> SlotForecast:
         return SlotForecast({name: slots.free_times(now) for name, slots in self._slots.items()})
 
-    def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> _Slots | None:
+    def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> UpstreamSlots | None:
         """Return the slots at which a request is expected to end first."""
-        best: _Slots | None = None
+        best: UpstreamSlots | None = None
         best_end = float("inf")
         for upstream_id, slots in self._slots.items():
             if upstream_id in call.excluded and len(self._slots) > len(call.excluded):
@@ -279,7 +262,7 @@
                 best, best_end = slots, end
         return best
 
-    def _expected_s(self, call: Call, slots: _Slots, now: float) -> float:
+    def _expected_s(self, call: Call, slots: UpstreamSlots, now: float) -> float:
         expected_s = self._paces.expected_s(call.route, slots.upstream.upstream_id)
         slowness = self._paces.slowness(slots.upstream.upstream_id)
         if len(self._slots) > 1 and now - slots.last_used > TRY_AGAIN_S * max(1.0, slowness):
@@ -287,7 +270,7 @@
             return min(expected_s, self._paces.work_s(call.route)) * TRY_AGAIN_FAVOUR
         return expected_s
 
-    def _work_s(self, call: Call, slots: _Slots) -> float:
+    def _work_s(self, call: Call, slots: UpstreamSlots) -> float:
         return self._paces.expected_s(call.route, slots.upstream.upstream_id)
 
     def _estimate(self, call: Call, now: float) -> float | None:
@@ -297,12 +280,9 @@
         if slots is None:
             return None
         probe = Ticket(call, lambda: None, now)
-        order = self._order(probe, now)
-        ahead_s = sum(
-            self._paces.work_s(other.call.route)
-            for other in self._waiting
-            if self._order(other, now) <= order
-        )
+        line = self._in_line([*self._waiting, probe], now)
+        ahead = line[: line.index(probe)]
+        ahead_s = sum(self._paces.work_s(other.call.route) for other in ahead)
         speed = sum(
             item.upstream.slots / self._paces.slowness(name)
             for name, item in self._slots.items()
--- a/foxtailshunt/routing/__init__.py
+++ b/foxtailshunt/routing/__init__.py
@@ -1,14 +1,35 @@
 """Routes, services and limits in force, and how a request finds its route."""
 
-from foxtailshunt.routing._route_table import RouteTable
-from foxtailshunt.routing._types import FrontLimits, Route, ServiceInfo, WeightedService
+from foxtailshunt.routing._host_routes import HostRoute, HostRoutes
+from foxtailshunt.routing._keys import KEY_COUNT, number_of_key
+from foxtailshunt.routing._operation_routes import Operation, OperationRoutes
+from foxtailshunt.routing._route_table import RouteFinder, RouteTable
+from foxtailshunt.routing._types import (
+    FrontLimits,
+    RankFloor,
+    RequestLine,
+    Route,
+    RouteMatch,
+    ServiceInfo,
+    WeightedService,
+)
 from foxtailshunt.routing._weighted_choice import WeightedChoice
 
 __all__ = [
+    "KEY_COUNT",
     "FrontLimits",
+    "HostRoute",
+    "HostRoutes",
+    "Operation",
+    "OperationRoutes",
+    "RankFloor",
+    "RequestLine",
     "Route",
+    "RouteFinder",
+    "RouteMatch",
     "RouteTable",
     "ServiceInfo",
     "WeightedChoice",
     "WeightedService",
+    "number_of_key",
 ]
--- a/foxtailshunt/routing/_route_table.py
+++ b/foxtailshunt/routing/_route_table.py
@@ -1,13 +1,28 @@
-"""The routes of one configuration."""
+"""One version of the configuration."""
 
-from foxtailshunt.routing._types import FrontLimits, Route, ServiceInfo
+from typing import Protocol
+
+from foxtailshunt.network import Address
+from foxtailshunt.routing._types import FrontLimits, RequestLine, RouteMatch, ServiceInfo
+
+
+class RouteFinder(Protocol):
+    """Finds the route of a request."""
+
+    def find(self, line: RequestLine) -> RouteMatch | None:
+        """Return the route of a request, or None if there is none.
+
+        :param line: what the request is routed by.
+        :raises FoxtailshuntError: with ``BAD_REQUEST`` if the request names its key wrongly.
+        """
+        ...
 
 
 class RouteTable:
-    """One version of the configuration; it never changes.
+    """Routes, services and limits of one version; it never changes.
 
     :param version: number of the version; a higher one is newer.
-    :param routes: its routes.
+    :param finder: finds its routes.
     :param services: its services by name.
     :param limits: limits on callers.
     """
@@ -15,30 +30,30 @@
     def __init__(
         self,
         version: int,
-        routes: tuple[Route, ...],
+        finder: RouteFinder,
         services: dict[str, ServiceInfo],
         limits: FrontLimits,
     ) -> None:
         self.version = version
         self.services = services
         self.limits = limits
-        self._by_host: dict[str, dict[str, Route]] = {}
-        for route in routes:
-            self._by_host.setdefault(route.host, {})[route.prefix] = route
+        self._finder = finder
+
+    def match(self, line: RequestLine) -> RouteMatch | None:
+        """Return the route of a request, or None if there is none.
+
+        :param line: what the request is routed by.
+        :raises FoxtailshuntError: with ``BAD_REQUEST`` if the request names its key wrongly.
+        """
+        return self._finder.find(line)
 
-    def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path, or None.
+    def may_serve(self, service: str, address: Address) -> bool:
+        """Return whether an upstream may get new work.
 
-        :param host: host that the request names; a port and the case do not matter.
-        :param path: the path without its query.
+        :param service: the service that it belongs to.
+        :param address: the upstream's address.
         """
-        prefixes = self._by_host.get(host.partition(":")[0].lower())
-        if prefixes is None:
-            return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = prefixes.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
-        return None
+        info = self.services.get(service)
+        if info is None or info.upstream_addresses is None:
+            return True
+        return address in info.upstream_addresses
--- a/foxtailshunt/routing/_types.py
+++ b/foxtailshunt/routing/_types.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from foxtailshunt.network import Address
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -15,19 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """How the requests of one host and path prefix are served."""
+    """How the requests of one kind are served."""
 
     #: Name of the route; stable while the configuration changes.
     name: str
-    #: Host that requests name, in lower case.
-    host: str
-    #: Beginning of the path; begins and ends with a slash.
-    prefix: str
     #: True if a request may run more than once.
     idempotent: bool
     #: Longest time that a request may be kept waiting, in seconds.
     timeout_s: float
-    #: Time within which an answer is worth most, in seconds.
+    #: Time within which an answer is worth most, in seconds; 0 if only the rank counts.
     aim_s: float
     #: Rank; 0 is the most urgent.
     rank: int
@@ -37,6 +35,16 @@
     services: tuple[WeightedService, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RankFloor:
+    """The share of an upstream's capacity that a rank keeps while more urgent work floods in."""
+
+    #: The rank.
+    rank: int
+    #: The share, from 0 to 1.
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceInfo:
     """One service."""
@@ -47,6 +55,10 @@
     keyed: bool
     #: Connections that one of its upstreams accepts from all callers together.
     max_connections: int
+    #: Floors of the lower ranks; ranks without one are served when nothing more urgent waits.
+    floors: tuple[RankFloor, ...] = ()
+    #: Addresses of the upstreams that may serve; None if all that register may.
+    upstream_addresses: frozenset[Address] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,3 +73,25 @@
     header_timeout_s: float = 3.0
     #: Time that a connection may stay idle, in seconds.
     idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLine:
+    """What a request is routed by."""
+
+    #: HTTP method.
+    method: str
+    #: Host that the request names; empty if none.
+    host: str
+    #: Path and query.
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class RouteMatch:
+    """The route of a request."""
+
+    #: The route.
+    route: Route
+    #: The key that stands in the request's target; None if the target has none.
+    key: str | None = None
--- a/foxtailshunt/telemetry/__init__.py
+++ b/foxtailshunt/telemetry/__init__.py
@@ -1,7 +1,7 @@
 """Metrics, structured logs and the operator port."""
 
 from foxtailshunt.telemetry._early_binding import EarlyBinding
-from foxtailshunt.telemetry._logs import log_state_change, log_thread_error, start_logging
+from foxtailshunt.telemetry._logs import log_state_change, log_thread_error
 from foxtailshunt.telemetry._metrics import Metrics
 from foxtailshunt.telemetry._operator_server import OperatorServer
 from foxtailshunt.telemetry._request_log import LogWriter, RequestLog, start_node_logging
@@ -14,6 +14,5 @@
     "RequestLog",
     "log_state_change",
     "log_thread_error",
-    "start_logging",
     "start_node_logging",
 ]
--- a/foxtailshunt/telemetry/_logs.py
+++ b/foxtailshunt/telemetry/_logs.py
@@ -1,21 +1,10 @@
-"""Structured logs: JSON lines on standard error, written only for changes of state."""
+"""Structured lines for changes of state."""
 
-import sys
 import traceback
 
 import eliot
 
 
-def start_logging(program: str, instance_id: str) -> None:
-    """Send log lines to standard error.
-
-    :param program: name of the program, added to each line.
-    :param instance_id: the instance, added to each line.
-    """
-    eliot.add_global_fields(program=program, instance=instance_id)
-    eliot.to_file(sys.stderr)
-
-
 def log_state_change(event: str, **fields: object) -> None:
     """Write one line for a change of state.
 
--- a/foxtailshunt/telemetry/_operator_server.py
+++ b/foxtailshunt/telemetry/_operator_server.py
@@ -7,7 +7,7 @@
 
 from cheroot import wsgi
 
-from foxtailshunt.ownership import Address
+from foxtailshunt.network import Address
 from foxtailshunt.telemetry._early_binding import EarlyBinding
 from foxtailshunt.telemetry._metrics import Metrics
 
--- a/foxtailshunt/telemetry/_request_log.py
+++ b/foxtailshunt/telemetry/_request_log.py
@@ -134,3 +134,10 @@
         if suppressed:
             fields["lines_suppressed_before"] = suppressed
         eliot.log_message(message_type=event, **fields)
+
+    def tell_suppressed(self) -> None:
+        """Write how many lines were left out since the last line, if any were."""
+        with self._lock:
+            suppressed, self._suppressed = self._suppressed, 0
+        if suppressed:
+            eliot.log_message(message_type="log.suppressed", lines=suppressed)
--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -1,23 +1,16 @@
 """The demo: a fleet on loopback, a configuration applied, a trace replayed through every entry."""
 
-import random
 import sys
-import time
-from dataclasses import replace
 from pathlib import Path
 
 import click
 
-from foxtailshunt.errors import ResultCode
-from standins.fleet import Fleet, FleetOptions, wait_for
+from standins.fleet import Fleet, FleetOptions
 from standins.traffic import (
-    Caller,
     CallerRequest,
     OperationCatalog,
     ReplayResult,
-    TraceLine,
     count_by_code,
-    new_request_id,
     read_trace,
     replay_trace,
 )
@@ -26,7 +19,6 @@
 
 _INSTANCES_PER_ZONE = {"kea-ridge": 3, "nadroga": 2}
 _TRACE_SEED = 1
-_FIRST_BALANCE_S = 6.0
 
 
 class Printer:
@@ -64,41 +56,15 @@
         print(f"starting {fleet_name}: {len(fleet.layout.instances)} instances, ", end="")
         print(f"{len(fleet.layout.upstreams)} upstreams, {len(fleet.layout.zones)} zones")
         fleet.start()
+        first = fleet.node(fleet.layout.instances[0])
         catalog = OperationCatalog(fleet.layout.document)
-        print("waiting until the dispatchers' request memories are older than new request ids")
-        wait_for_memories(fleet, catalog, trace)
         printer = Printer(catalog)
         results = replay_trace(trace, fleet.entries, catalog, printer.show, _TRACE_SEED)
-        status = fleet.run_operator("status", "--settings", str(fleet.settings_path(_first(fleet))))
+        status = fleet.run_operator("status", "--settings", str(first.settings_path))
         print(status.stdout or status.stderr)
     sys.exit(summarize(results))
 
 
-def wait_for_memories(fleet: Fleet, catalog: OperationCatalog, trace: list[TraceLine]) -> None:
-    """Wait until requests that must not repeat are taken for every key of the trace.
-
-    A dispatcher that has just become the sender answers them "unknown" for the allowed difference
-    of the callers' clocks, and first places are evened out for some seconds after a first start.
-
-    :param fleet: a started fleet.
-    :param catalog: the operations.
-    :param trace: the trace that follows.
-    """
-    time.sleep(_FIRST_BALANCE_S)
-    caller = Caller(fleet.entries[0], catalog)
-    source = random.Random(_TRACE_SEED)
-    for service, operation, key in {(t.service, t.operation, t.key) for t in trace}:
-        req = CallerRequest(service, operation, key, None)
-        if catalog.rank(req) and not catalog.idempotent(req):
-            wait_for(lambda req=req: _is_taken(caller, req, source), f"requests for {key}")
-    caller.close()
-
-
-def _is_taken(caller: Caller, req: CallerRequest, source: random.Random) -> bool:
-    answer = caller.send(replace(req, request_id=new_request_id(source)))
-    return answer.code is ResultCode.OK
-
-
 def summarize(results: list[ReplayResult]) -> int:
     """Print the closing summary.
 
@@ -111,9 +77,5 @@
     return 1 if wrong else 0
 
 
-def _first(fleet: Fleet) -> object:
-    return fleet.layout.instances[0]
-
-
 if __name__ == "__main__":
     main()
--- a/standins/_process.py
+++ b/standins/_process.py
@@ -10,7 +10,7 @@
 class StandinProcess:
     """A running stand-in.
 
-    :param module: its module, such as ``standins.platform``.
+    :param module: its module, such as ``standins.proxy``.
     :param arguments: its command line; ``--listen 127.0.0.1:0`` takes a free port.
     :raises RuntimeError: it ended before it was ready.
     """
--- a/standins/fleet/__init__.py
+++ b/standins/fleet/__init__.py
@@ -1,19 +1,19 @@
-"""Starts whole fleets of stand-ins and programs as plain processes on loopback."""
+"""Starts whole fleets of stand-ins and nodes on loopback."""
 
-from standins.fleet._fleet import PROGRAMS, Fleet, FleetOptions, records_name
+from standins.fleet._fleet import Fleet, FleetOptions
 from standins.fleet._layout import InstanceLayout, Layout, UpstreamLayout
+from standins.fleet._node import NodeProcess
 from standins.fleet._process import ManagedProcess, ProcessFailedError
 from standins.fleet._wait import wait_for
 
 __all__ = [
-    "PROGRAMS",
     "Fleet",
     "FleetOptions",
     "InstanceLayout",
     "Layout",
     "ManagedProcess",
+    "NodeProcess",
     "ProcessFailedError",
     "UpstreamLayout",
-    "records_name",
     "wait_for",
 ]
--- a/standins/load/_sender.py
+++ b/standins/load/_sender.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 from typing import TextIO
 
-from foxtailshunt.config._address import parse_address
 from foxtailshunt.errors import Family
+from foxtailshunt.network import parse_address
 from standins.load._outcomes import Outcome, outcome_to_line
 from standins.load._spec import LoadSpec, StreamSpec
 from standins.load._summary import StreamSummary
--- a/standins/measuring/__init__.py
+++ b/standins/measuring/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the whole system; run by ``scripts/measure``."""
+"""Measurements of the nodes on this machine."""
--- a/standins/traffic/_background.py
+++ b/standins/traffic/_background.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import dataclass
 
-from foxtailshunt.ownership import Address
+from foxtailshunt.network import Address
 from standins.load import Outcome
 from standins.traffic._caller import Caller, CallerRequest, OperationCatalog
 from standins.traffic._request_id import new_request_id
