--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -1,5 +1,6 @@
 """The callers' HTTP server: one thread for each connection."""
 
+import http.client
 import os
 import select
 import socket
@@ -29,19 +30,6 @@
 
 _BACKLOG = 512
 _ACCEPT_POLL_S = 0.1
-_REASONS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    408: "Request Timeout",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 _NO_BODY_STATUSES = (204, 304)
 
 
@@ -272,7 +260,7 @@
 
 
 def _format_reply(reply: Reply, req: _FrontRequest) -> bytes:
-    reason = _REASONS.get(reply.status, "Status")
+    reason = http.client.responses.get(reply.status, "Status")
     lines = [f"HTTP/1.1 {reply.status} {reason}"]
     lines += [f"{name}: {value}" for name, value in reply.headers]
     is_empty = reply.status in _NO_BODY_STATUSES
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -9,7 +9,8 @@
 from foxtailshunt.fleet import Address, FleetView, Upstream
 from foxtailshunt.network import caller_is_gone
 from foxtailshunt.platform import UpstreamAnswer, Verdict, judge_answer, upstream_head
-from foxtailshunt.relay._channel import ChannelError, UpstreamChannel
+from foxtailshunt.relay._channel import ChannelError
+from foxtailshunt.relay._channel_pool import ChannelPool
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._pace import PaceBook
 from foxtailshunt.relay._slot_pool import SlotPool
@@ -24,8 +25,6 @@
 #: First and longest time for which requests are refused at once after an upstream could not be
 #: connected to, in seconds.
 FIRST_UNREACHABLE_S, LONGEST_UNREACHABLE_S = 0.2, 0.8
-#: Idle connections kept to one upstream.
-MAX_IDLE_CHANNELS = 3
 #: Retry-After where the owner of a key is not known or is changing, in seconds: a move takes 0.3.
 OWNER_RETRY_AFTER_S = 0.4
 
@@ -59,12 +58,11 @@
         self._log = log
         self._lanes_lock = threading.Lock()
         self._lanes: dict[str, _Lane] = {}
-        self._channels_lock = threading.Lock()
+        self._channels = ChannelPool()
         #: Upstreams that could not be connected to: until when, and for how long the last time.
         self._unreachable: dict[str, tuple[float, float]] = {}
         #: Incarnations of upstreams at whose address another upstream answers.
         self._replaced: frozenset[tuple[str, Address, int]] = frozenset()
-        self._idle: dict[tuple[str, Address], list[UpstreamChannel]] = {}
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         """Queue a request, send it and return what became of it.
@@ -256,7 +254,7 @@
             return verdict is not Verdict.FOREIGN
 
         try:
-            channel = self._take_channel(upstream)
+            channel = self._channels.take(upstream)
             remaining_s = call.deadline - time.monotonic()
             head = upstream_head(
                 call.headers,
@@ -276,7 +274,7 @@
             )
         except ChannelError as exc:
             return self._channel_failed(upstream, exc)
-        self._put_back(upstream, channel)
+        self._channels.put_back(upstream, channel)
         self._note_connection(upstream.upstream_id, connected=True)
         return self._judge(call, upstream, answer)
 
@@ -325,30 +323,6 @@
             ResultCode.ANSWER_MISMATCH, detail, upstream_id=upstream.upstream_id, arrived=True
         )
 
-    def _take_channel(self, upstream: Upstream) -> UpstreamChannel:
-        key = (upstream.upstream_id, upstream.address)
-        while True:
-            with self._channels_lock:
-                idle = self._idle.get(key)
-                channel = idle.pop() if idle else None
-            if channel is None:
-                return UpstreamChannel(upstream.address)
-            if channel.is_usable():
-                return channel
-            channel.reset()
-
-    def _put_back(self, upstream: Upstream, channel: UpstreamChannel) -> None:
-        key = (upstream.upstream_id, upstream.address)
-        kept = channel.is_usable()
-        if kept:
-            with self._channels_lock:
-                idle = self._idle.setdefault(key, [])
-                kept = len(idle) < MAX_IDLE_CHANNELS
-                if kept:
-                    idle.append(channel)
-        if not kept:
-            channel.reset()
-
 
 def _incarnation(upstream: Upstream) -> tuple[str, Address, int]:
     return upstream.upstream_id, upstream.address, upstream.started_ms
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections import deque
 from collections.abc import Iterable
 
 from foxtailshunt.fleet import Upstream
@@ -16,6 +15,7 @@
 from foxtailshunt.relay._slot_forecast import SlotForecast
 from foxtailshunt.relay._ticket import Refusal, Ticket, TicketState
 from foxtailshunt.relay._upstream_slots import UpstreamSlots
+from foxtailshunt.relay._waiting_line import WaitingLine
 from foxtailshunt.routing import RankFloor
 
 #: Part of the estimated time that is added for its spread when a request is judged to fit.
@@ -193,6 +193,8 @@
             slots.paused_until = max(slots.paused_until, now + pause_s)
 
     def _charge(self, ticket: Ticket, cost_s: float) -> None:
+        if not self._credits:
+            return
         ranks = {other.call.rank for other in self._waiting if other is not ticket}
         self._credits.charge(ticket.call.rank, cost_s, ticket.by_floor, ranks)
 
@@ -201,38 +203,8 @@
         ordered = sorted(tickets, key=lambda ticket: self._order(ticket, now))
         if not self._credits:
             return ordered
-        credits = self._credits.copy()
-        by_rank: dict[int, deque[Ticket]] = {}
-        for ticket in ordered:
-            by_rank.setdefault(ticket.call.rank, deque()).append(ticket)
-        in_line: list[Ticket] = []
-        taken: set[int] = set()
-        for head in ordered:
-            while (rank := credits.most_owed(by_rank.keys())) is not None:
-                owed = by_rank[rank][0]
-                owed.by_floor = any(other < rank for other in by_rank)
-                self._stand(owed, in_line, by_rank, credits)
-                taken.add(id(owed))
-            if id(head) not in taken:
-                head.by_floor = False
-                self._stand(head, in_line, by_rank, credits)
-                taken.add(id(head))
-        return in_line
-
-    def _stand(
-        self,
-        ticket: Ticket,
-        in_line: list[Ticket],
-        by_rank: dict[int, deque[Ticket]],
-        credits: FloorCredits,
-    ) -> None:
-        rank = ticket.call.rank
-        in_line.append(ticket)
-        by_rank[rank].remove(ticket)
-        if not by_rank[rank]:
-            del by_rank[rank]
-        work_s = self._paces.work_s(ticket.call.route)
-        credits.charge(rank, work_s, ticket.by_floor, by_rank.keys())
+        line = WaitingLine(self._credits, lambda ticket: self._paces.work_s(ticket.call.route))
+        return line.arrange(ordered)
 
     def _order(self, ticket: Ticket, now: float) -> tuple[int, float, float]:
         """Requests that can still meet their aim go first, the least slack first; then by rank."""
