--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,6 +8,7 @@
 from features.fleet_support import FleetSubject
 from standins.fleet import InstanceLayout, wait_for
 from standins.metadata import StoreFault
+from standins.proxy import Direction
 
 _PROBED = 20
 
@@ -220,6 +221,21 @@
     subject.cut_from_store([item for item in instances if item != reaching])
 
 
+@when("the fleet's open connections to {what} go silent {direction}")
+def silence(context: Context, what: str, direction: str) -> None:
+    subject = context.fleet_subject
+    upstream = subject.busiest_upstream(_first_zone(subject))
+    targets = {
+        "the store": lambda: subject.fleet.layout.store_known,
+        "an upstream that owns keys": lambda: upstream.known_address,
+        "the sending node": lambda: subject.sender_of(upstream).peer_known,
+        "the leading node": lambda: subject.leader().peer_known,
+    }
+    directions = {"in both ways": Direction.BOTH, "for the answers": Direction.TO_CALLER}
+    subject.mark_fault()
+    subject.fleet.proxy.silence_open_connections(targets[what](), directions[direction])
+
+
 @when("the fleet's cuts are healed")
 def heal(context: Context) -> None:
     context.fleet_subject.heal()
