--- a/features/audit.feature
+++ b/features/audit.feature
@@ -18,3 +18,16 @@
       | a repeat was told not run, first ran | non-repeatable | ran,not run     | 1    |               |
       | both told not run but ran            | non-repeatable | not run,not run | 1    | false not run |
       | another request's answer             | repeatable     | wrong           | 1    | wrong answer  |
+
+  Scenario Outline: Keys held by two upstreams are found: <case>
+    Given an upstream of "desk" that was granted keys 0 to 99 with fence 3
+    And an upstream of "<service>" that was granted keys 50 to 149 with fence <fence> <when>
+    Then <count> wrongly held runs of keys are found
+
+    Examples: a higher fence is right only once the earlier grant has ended
+      | case                        | service | fence | when              | count |
+      | at the same time            | desk    | 4     | at the same time  | 1     |
+      | under a fence that is lower | desk    | 2     | after its release | 1     |
+      | both                        | desk    | 3     | at the same time  | 2     |
+      | one after the other         | desk    | 4     | after its release | 0     |
+      | keys of another service     | counter | 3     | at the same time  | 0     |
--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -1,12 +1,16 @@
 """Steps for the audit of answers."""
 
+import time
+
 from behave import given, then, when
 from behave.runner import Context
 
+from standins.keyowner import KeyOwner, find_overlaps
 from standins.load import Outcome
 from standins.traffic import AuditFinding, audit_outcomes
 
 REQUEST_ID = "request-1"
+_HOLD_S = 60.0
 
 
 class AuditSubject:
@@ -41,3 +45,43 @@
 @then('the audit finds ""')
 def check_no_findings(context: Context) -> None:
     assert context.audit.findings == []
+
+
+def _granted(context: Context, service: str, first: int, last: int, fence: int) -> None:
+    owner = KeyOwner(f"u{len(context.owners)}", service, "zone", None)
+    context.add_cleanup(owner.stop)
+    context.owners.append(owner)
+    assert owner.grants.grant(first, last, fence, _HOLD_S, time.monotonic())
+
+
+@given(
+    'an upstream of "{service}" that was granted keys {first:d} to {last:d} with fence {fence:d}'
+)
+def grant_first(context: Context, service: str, first: int, last: int, fence: int) -> None:
+    context.owners = []
+    _granted(context, service, first, last, fence)
+
+
+@given(
+    'an upstream of "{service}" that was granted keys {first:d} to {last:d} '
+    "with fence {fence:d} at the same time"
+)
+def grant_at_the_same_time(
+    context: Context, service: str, first: int, last: int, fence: int
+) -> None:
+    _granted(context, service, first, last, fence)
+
+
+@given(
+    'an upstream of "{service}" that was granted keys {first:d} to {last:d} '
+    "with fence {fence:d} after its release"
+)
+def grant_after_release(context: Context, service: str, first: int, last: int, fence: int) -> None:
+    context.owners[0].grants.release(0, 99, fence)
+    _granted(context, service, first, last, fence)
+
+
+@then("{count:d} wrongly held runs of keys are found")
+def check_overlaps(context: Context, count: int) -> None:
+    found = find_overlaps(context.owners)
+    assert len(found) == count, found
--- a/standins/keyowner/_overlaps.py
+++ b/standins/keyowner/_overlaps.py
@@ -6,12 +6,13 @@
 
 
 def find_overlaps(owners: list[KeyOwner]) -> list[str]:
-    """Return a line for each run of keys that two upstreams held wrongly.
+    """Return a line for each run of keys that two upstreams of a service held wrongly.
 
     :param owners: the upstreams.
     """
     found = []
-    for left, right in combinations(owners, 2):
+    pairs = (pair for pair in combinations(owners, 2) if pair[0].service == pair[1].service)
+    for left, right in pairs:
         for a in left.grants.history:
             for b in right.grants.history:
                 first, last = max(a.first, b.first), min(a.last, b.last)
