--- a/features/node_logs.feature
+++ b/features/node_logs.feature
@@ -25,3 +25,10 @@
     When 5000 ordinary and 5000 failed requests are logged at once
     Then 20 ordinary and 100 failed lines are written
     And with the line after a second all 9880 that were left out are told of
+
+  Scenario: A store that is away is told of once, and its return once
+    Given a node in front of an upstream "desk" with keys and an upstream "counter" without
+    When the store is busy until the leader has tried 5 times to renew its lease
+    Then the log tells once that the leader has lost the store, and not that it is back
+    When the store answers again
+    Then the log tells once that the leader has the store back
--- a/features/steps/node_logs_steps.py
+++ b/features/steps/node_logs_steps.py
@@ -13,6 +13,7 @@
 from behave.runner import Context
 
 from foxtailshunt.telemetry import LogWriter, RequestLog
+from standins.metadata import StoreFault
 
 _ROOT = Path(__file__).resolve().parent.parent.parent
 _MOST_WAITING = 2000
@@ -149,3 +150,41 @@
     told = [line.get("lines_suppressed_before", 0) for line in context.flood.lines]
     assert sum(told) == count, told
     assert told[-1] > 0, told
+
+
+def _told(context: Context, event: str) -> int:
+    log = context.requests.fleet.nodes["n0"].process.log()
+    lines = [line for line in log.splitlines() if f'"message_type":"{event}"' in line]
+    return sum('"part":"leadership"' in line for line in lines)
+
+
+@when("the store is busy until the leader has tried {count:d} times to renew its lease")
+def lose_store(context: Context, count: int) -> None:
+    fleet = context.requests.fleet
+    context.told_before = (_told(context, "store.lost"), _told(context, "store.regained"))
+    fleet.server.fault = StoreFault.BUSY
+    wanted = fleet.server.calls("/api/kv-keep") + count
+    fleet.wait_until(lambda: fleet.server.calls("/api/kv-keep") >= wanted, "renewals")
+
+
+@then("the log tells once that the leader has lost the store, and not that it is back")
+def check_lost(context: Context) -> None:
+    lost, regained = context.told_before
+    fleet = context.requests.fleet
+    fleet.wait_until(lambda: _told(context, "store.lost") > lost, "the line")
+    assert _told(context, "store.lost") == lost + 1
+    assert _told(context, "store.regained") == regained
+
+
+@when("the store answers again")
+def regain_store(context: Context) -> None:
+    context.requests.fleet.server.fault = StoreFault.NONE
+
+
+@then("the log tells once that the leader has the store back")
+def check_regained(context: Context) -> None:
+    lost, regained = context.told_before
+    fleet = context.requests.fleet
+    fleet.wait_until(lambda: _told(context, "store.regained") > regained, "the line")
+    assert _told(context, "store.regained") == regained + 1
+    assert _told(context, "store.lost") == lost + 1
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -124,7 +124,7 @@
                     self._keep()
                 else:
                     self._seek()
-                self._note_store(None)
+                    self._note_store(None)
             except StoreError as exc:
                 self._note_store(exc)
                 self._stopping.wait(RETRY_S)
