--- a/features/node_under_load.feature
+++ b/features/node_under_load.feature
@@ -3,6 +3,7 @@
   Background:
     Given 3 nodes in front of 4 upstreams, and callers at every node that is ready
 
+  @known_red
   Scenario: Every node is replaced one by one
     When every node is stopped and started again, one after the other
     Then the callers were answered in the meantime
--- a/features/zones_cut_off.feature
+++ b/features/zones_cut_off.feature
@@ -22,6 +22,7 @@
       | the other zones               |
       | the store and the other zones |
 
+  @known_red
   Scenario: The zone that is left takes over the keys of a zone that is cut off
     Given a proxied fleet "two-zones" with callers on every key
     When the fleet's zone "twizel" is cut off from the store and the other zones
