--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -70,7 +70,7 @@
         if self._stopping.is_set():
             return to_relay_reply(Outcome(ResultCode.STOPPING, "the sender is stopping"))
         call = to_call(req, time.monotonic())
-        return to_relay_reply(self._sender.execute(call, current_connection()))
+        return to_relay_reply(self._sender.execute_for_peer(call, current_connection()))
 
     def follow(self, req: FollowRequest) -> FollowReply:
         """Record the report of a follower and return what changed since its known versions.
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -112,8 +112,8 @@
             now,
             self._metrics,
         )
-        self._sender = Sender(self._view, latencies, settings.zone, self._metrics, log)
-        self._forwarder = Forwarder(local_member, self._view, self._sender)
+        self._sender = Sender(self._view, latencies, local_member, self._metrics, log)
+        self._forwarder = Forwarder(local_member, self._view, self._sender, self._metrics)
         budget = RetryBudget(
             settings.repeat_ratio * RETRY_BUDGET_SHARE,
             max(1.0, settings.repeat_reserve * RETRY_BUDGET_SHARE / ASSUMED_NODE_COUNT),
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -44,6 +44,9 @@
   7: optional string upstream_id,
   /* True if the request arrived at an upstream, regardless of the result. */
   8: required bool arrived,
+  /* How long the request waited for a slot at the replying node, and then for the upstream. */
+  9: optional i64 queued_ms,
+  10: optional i64 upstream_ms,
 }
 
 struct KeyDemand {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -399,11 +399,13 @@
      - retry_after_ms
      - upstream_id
      - arrived
+     - queued_ms
+     - upstream_ms
 
     """
 
 
-    def __init__(self, outcome=None, status=None, headers=None, body=None, reason=None, retry_after_ms=None, upstream_id=None, arrived=None,):
+    def __init__(self, outcome=None, status=None, headers=None, body=None, reason=None, retry_after_ms=None, upstream_id=None, arrived=None, queued_ms=None, upstream_ms=None,):
         self.outcome = outcome
         self.status = status
         self.headers = headers
@@ -412,6 +414,8 @@
         self.retry_after_ms = retry_after_ms
         self.upstream_id = upstream_id
         self.arrived = arrived
+        self.queued_ms = queued_ms
+        self.upstream_ms = upstream_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -468,6 +472,16 @@
                     self.arrived = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.queued_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.upstream_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -513,6 +527,14 @@
             oprot.writeFieldBegin('arrived', TType.BOOL, 8)
             oprot.writeBool(self.arrived)
             oprot.writeFieldEnd()
+        if self.queued_ms is not None:
+            oprot.writeFieldBegin('queued_ms', TType.I64, 9)
+            oprot.writeI64(self.queued_ms)
+            oprot.writeFieldEnd()
+        if self.upstream_ms is not None:
+            oprot.writeFieldBegin('upstream_ms', TType.I64, 10)
+            oprot.writeI64(self.upstream_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1598,6 +1620,8 @@
     (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
     (7, TType.STRING, 'upstream_id', 'UTF8', None, ),  # 7
     (8, TType.BOOL, 'arrived', None, None, ),  # 8
+    (9, TType.I64, 'queued_ms', None, None, ),  # 9
+    (10, TType.I64, 'upstream_ms', None, None, ),  # 10
 )
 all_structs.append(KeyDemand)
 KeyDemand.thrift_spec = (
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -15,6 +15,7 @@
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._sender import Sender
+from foxtailshunt.telemetry import Metrics
 
 #: First and longest backoff after a node could not be reached, in seconds.
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.5, 4.0
@@ -42,9 +43,11 @@
     :param me: this node.
     :param view: the node's view of members and upstreams.
     :param sender: sends requests from this node.
+    :param metrics: counters and histograms.
     """
 
-    def __init__(self, me: Member, view: FleetView, sender: Sender) -> None:
+    def __init__(self, me: Member, view: FleetView, sender: Sender, metrics: Metrics) -> None:
+        self._metrics = metrics
         self._me = me
         self._view = view
         self._sender = sender
@@ -104,18 +107,24 @@
 
     def _forward(self, member: Member, call: Call, caller: socket.socket | None) -> Outcome | None:
         """Forward a request; return None if the node provably did not execute it."""
-        remaining_s = max(0.01, call.deadline - time.monotonic()) + REPLY_GRACE_S
+        started = time.monotonic()
+        remaining_s = max(0.01, call.deadline - started) + REPLY_GRACE_S
         try:
             reply: RelayReply = self._clients.call(
                 member.address,
                 "relay",
-                to_relay_request(call, time.monotonic()),
+                to_relay_request(call, started),
                 remaining_s,
                 max_idle_s=MAX_IDLE_S,
                 caller=caller,
             )
         except CallerDisconnectedError:
-            return Outcome(ResultCode.CANCELLED, "the caller disconnected", arrived=True)
+            return Outcome(
+                ResultCode.CANCELLED,
+                "the caller disconnected",
+                arrived=True,
+                sender=member.instance_id,
+            )
         except PeerUnreachableError as exc:
             in_time = time.monotonic() < call.deadline
             self._back_off(member.address)
@@ -123,9 +132,14 @@
             if not exc.sent:
                 return None
             code = ResultCode.NODE_CONNECTION_LOST if in_time else ResultCode.DEADLINE_EXCEEDED
-            return Outcome(code, exc.message, arrived=True)
+            return Outcome(code, exc.message, arrived=True, sender=member.instance_id)
         self._clear_backoff(member.address)
-        outcome = to_outcome(reply)
+        outcome = to_outcome(reply, member.instance_id)
+        self._metrics.observe(
+            "foxtailshunt_relay_overhead_seconds",
+            "Time between nodes: from forwarding to the reply, without queue and upstream.",
+            max(0.0, time.monotonic() - started - outcome.queued_s - outcome.upstream_s),
+        )
         if outcome.code is ResultCode.STOPPING and outcome.family is Family.NOT_RUN:
             return None
         return outcome
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -70,13 +70,16 @@
         retry_after_ms=None if retry_after_s is None else int(retry_after_s * _MS_PER_S),
         upstream_id=outcome.upstream_id,
         arrived=outcome.arrived,
+        queued_ms=int(outcome.queued_s * _MS_PER_S),
+        upstream_ms=int(outcome.upstream_s * _MS_PER_S),
     )
 
 
-def to_outcome(reply: RelayReply) -> Outcome:
+def to_outcome(reply: RelayReply, sender: str) -> Outcome:
     """Return the outcome in a message.
 
     :param reply: the message.
+    :param sender: instance that replied.
     """
     retry_after_ms = reply.retry_after_ms
     return Outcome(
@@ -88,4 +91,7 @@
         retry_after_s=None if retry_after_ms is None else retry_after_ms / _MS_PER_S,
         upstream_id=reply.upstream_id,
         arrived=reply.arrived,
+        sender=sender,
+        queued_s=(reply.queued_ms or 0) / _MS_PER_S,
+        upstream_s=(reply.upstream_ms or 0) / _MS_PER_S,
     )
--- a/foxtailshunt/relay/_outcome.py
+++ b/foxtailshunt/relay/_outcome.py
@@ -57,6 +57,12 @@
     upstream_id: str | None = None
     #: True if the request reached, or may have reached, an upstream.
     arrived: bool = False
+    #: Instance that queued the request and sent it to the upstream; empty if unknown.
+    sender: str = ""
+    #: Time in that instance's queue, in seconds.
+    queued_s: float = 0.0
+    #: Time that the upstream took, in seconds; 0 if the request was not sent to one.
+    upstream_s: float = 0.0
 
     @property
     def family(self) -> Family:
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -3,10 +3,10 @@
 import socket
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from foxtailshunt.errors import ResultCode
-from foxtailshunt.fleet import Address, FleetView, Upstream
+from foxtailshunt.fleet import Address, FleetView, Member, Upstream
 from foxtailshunt.network import caller_disconnected
 from foxtailshunt.platform import (
     AttemptResult,
@@ -49,7 +49,7 @@
 
     :param view: the node's view of upstreams, routes and key ownership.
     :param latencies: latency estimates by route and upstream.
-    :param zone: the node's availability zone.
+    :param me: this node.
     :param metrics: counters and histograms.
     :param log: log of decisions about requests.
     """
@@ -58,13 +58,13 @@
         self,
         view: FleetView,
         latencies: LatencyEstimator,
-        zone: str,
+        me: Member,
         metrics: Metrics,
         log: RequestLog,
     ) -> None:
         self._view = view
         self._latencies = latencies
-        self._zone = zone
+        self._me = me
         self._metrics = metrics
         self._log = log
         self._pools_lock = threading.Lock()
@@ -81,6 +81,34 @@
         :param call: the request.
         :param caller: the caller's connection; the request is cancelled if it is closed.
         """
+        started = time.monotonic()
+        outcome = self._execute(call, caller)
+        queued_s = max(0.0, time.monotonic() - started - outcome.upstream_s)
+        return replace(outcome, sender=self._me.instance_id, queued_s=queued_s)
+
+    def execute_for_peer(self, call: Call, caller: socket.socket | None) -> Outcome:
+        """Queue a request of another node, send it and return its outcome; logs the outcome.
+
+        :param call: the request.
+        :param caller: the other node's connection; the request is cancelled if it is closed.
+        """
+        remaining_s = call.deadline - time.monotonic()
+        outcome = self.execute(call, caller)
+        self._log.log_decision(
+            "request.relayed",
+            failed=outcome.code is not ResultCode.OK,
+            request_id=call.request_id,
+            service=call.service,
+            upstream=outcome.upstream_id,
+            result=outcome.code.name,
+            detail=outcome.detail,
+            queued_ms=round(outcome.queued_s * 1000),
+            upstream_ms=round(outcome.upstream_s * 1000),
+            remaining_ms=round(remaining_s * 1000),
+        )
+        return outcome
+
+    def _execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         upstreams = self._eligible_upstreams(call)
         if not upstreams:
             return Outcome(
@@ -163,7 +191,7 @@
         with self._pools_lock:
             locked = self._pools.get(name)
             if locked is None:
-                locked = _LockedPool(SlotPool(self._latencies, self._zone), threading.Lock())
+                locked = _LockedPool(SlotPool(self._latencies, self._me.zone), threading.Lock())
                 self._pools[name] = locked
             return locked
 
@@ -245,8 +273,9 @@
                 return Outcome(ResultCode.KEY_MOVED, "the key moved", retry_after_s=0.1)
             outcome = self._exchange(entry.call, upstream, caller)
             failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
-            self._record_latency(entry.call, upstream, outcome, time.monotonic() - started)
-            return outcome
+            upstream_s = time.monotonic() - started
+            self._record_latency(entry.call, upstream, outcome, upstream_s)
+            return replace(outcome, upstream_s=upstream_s)
         finally:
             with locked.lock:
                 locked.pool.finish(entry, failed, time.monotonic())
