Show that one node sends all requests of a service without keys (known red)

The times in a reply between nodes are rounded like those in the log, or both lines of a trace may differ by 1 ms.

--- a/features/steps/large_services_steps.py
+++ b/features/steps/large_services_steps.py
@@ -96,3 +96,24 @@
     subject = context.large_service
     for name in context.forwarding_nodes:
         assert subject.metric(name, "foxtailshunt_relay_overhead_seconds_count") == 1, name
+
+
+@when("{count:d} callers send a request to each node")
+def _(context: Context, count: int) -> None:
+    for _caller in range(count):
+        context.large_service.send_to_each_node()
+
+
+@then("each request is answered")
+def _(context: Context) -> None:
+    answers = [answer for each in context.large_service.answers.values() for answer in each]
+    assert all(answer.status == 200 for answer in answers), answers
+
+
+@then("no node has sent more than half of them")
+def _(context: Context) -> None:
+    subject = context.large_service
+    name = 'foxtailshunt_upstream_seconds_count{service="counter"}'
+    counts = {node: subject.metric(node, name) for node in subject.fleet.nodes}
+    assert sum(counts.values()) == sum(map(len, subject.answers.values())), counts
+    assert max(counts.values()) <= sum(counts.values()) / 2, counts
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -70,8 +70,8 @@
         retry_after_ms=None if retry_after_s is None else int(retry_after_s * _MS_PER_S),
         upstream_id=outcome.upstream_id,
         arrived=outcome.arrived,
-        queued_ms=int(outcome.queued_s * _MS_PER_S),
-        upstream_ms=int(outcome.upstream_s * _MS_PER_S),
+        queued_ms=round(outcome.queued_s * _MS_PER_S),
+        upstream_ms=round(outcome.upstream_s * _MS_PER_S),
     )
 
 
