Divide the upstreams of a large service without keys among several sending nodes

What callers saw: on a fleet of 91 nodes, a third of the requests to the service without keys timed out although upstreams ran them in time or had free slots. Cause: all upstreams of such a service shared one sending node, chosen by hash. Each request passes its link and its processor twice, so that its capacity, not that of the upstreams, bounded the service. 85 of the 91 instances have 0.43 cores and a link of 10 Mbit/s. Change: from 12 upstreams on, they are divided into groups of about six in one zone, each with a sending node of its own (relay/_upstream_groups.py). Each node selects a group by the delays of its own requests, prefers its zone, and tries a second group if the first refuses for lack of time (relay/_group_selector.py). Small services keep one sending node, which knows all free slots.

--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -36,7 +36,7 @@
 )
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import Forwarder, LatencyEstimator, RetryBudget, Sender
+from foxtailshunt.relay import Forwarder, LatencyEstimator, RetryBudget, Sender, UpstreamGroups
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import (
     Metrics,
@@ -112,8 +112,9 @@
             now,
             self._metrics,
         )
-        self._sender = Sender(self._view, latencies, local_member, self._metrics, log)
-        self._forwarder = Forwarder(local_member, self._view, self._sender, self._metrics)
+        groups = UpstreamGroups(self._view)
+        self._sender = Sender(self._view, groups, latencies, local_member, self._metrics, log)
+        self._forwarder = Forwarder(local_member, self._view, groups, self._sender, self._metrics)
         budget = RetryBudget(
             settings.repeat_ratio * RETRY_BUDGET_SHARE,
             max(1.0, settings.repeat_reserve * RETRY_BUDGET_SHARE / ASSUMED_NODE_COUNT),
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -32,6 +32,8 @@
   12: required string route,
   /* Upstreams that the request was already sent to. */
   13: required list<string> excluded,
+  /* Group of upstreams that the replying node sends to; absent if there is only one. */
+  14: optional string group,
 }
 
 struct RelayReply {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -176,11 +176,12 @@
      - rank
      - route
      - excluded
+     - group
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None, group=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -194,6 +195,7 @@
         self.rank = rank
         self.route = route
         self.excluded = excluded
+        self.group = group
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -280,6 +282,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -348,6 +355,10 @@
                 oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 14)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1608,6 +1619,7 @@
     (11, TType.I32, 'rank', None, None, ),  # 11
     (12, TType.STRING, 'route', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.STRING, 'group', 'UTF8', None, ),  # 14
 )
 all_structs.append(RelayReply)
 RelayReply.thrift_spec = (
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to upstreams: queueing, admission, retries and connections."""
 
 from foxtailshunt.relay._forwarder import Forwarder
+from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._outcome import Call, Outcome
@@ -9,11 +10,13 @@
 from foxtailshunt.relay._retry_policy import AttemptHistory, RetryDecision, decide_retry
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
 
 __all__ = [
     "AttemptHistory",
     "Call",
     "Forwarder",
+    "GroupSelector",
     "RetryDecision",
     "Outcome",
     "LatencyEstimator",
@@ -23,7 +26,10 @@
     "SlotPool",
     "QueueEntry",
     "QueueEntryState",
+    "UpstreamGroup",
+    "UpstreamGroups",
     "decide_retry",
+    "form_groups",
     "to_call",
     "to_relay_reply",
 ]
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -3,24 +3,30 @@
 Sends requests from this node itself if it is that node or the others can't be reached.
 """
 
+import random
 import socket
 import threading
 import time
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 
 from foxtailshunt.errors import Family, PeerUnreachableError, ResultCode
 from foxtailshunt.fleet import Address, FleetView, Member, rank_by_rendezvous
 from foxtailshunt.protocol import CallerDisconnectedError, ClientPool, RelayReply
 from foxtailshunt.protocol.gen import Peer
+from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._sender import Sender
+from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.telemetry import Metrics
 
 #: First and longest backoff after a node could not be reached, in seconds.
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.5, 4.0
 #: Number of unreachable nodes after which this node sends a request itself.
 MAX_NODES_TRIED = 2
+#: Number of upstream groups that are tried if they refuse a request for lack of time.
+MAX_GROUPS_TRIED = 2
 #: Time after a request's deadline until which the other node's reply is accepted, in seconds.
 REPLY_GRACE_S = 0.06
 #: Maximum number of idle connections to each node.
@@ -42,11 +48,21 @@
 
     :param me: this node.
     :param view: the node's view of members and upstreams.
+    :param groups: upstream groups of services without keys.
     :param sender: sends requests from this node.
     :param metrics: counters and histograms.
     """
 
-    def __init__(self, me: Member, view: FleetView, sender: Sender, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        me: Member,
+        view: FleetView,
+        groups: UpstreamGroups,
+        sender: Sender,
+        metrics: Metrics,
+    ) -> None:
+        self._groups = groups
+        self._selector = GroupSelector(me.zone, random.Random())
         self._metrics = metrics
         self._me = me
         self._view = view
@@ -63,8 +79,40 @@
         :param call: the request.
         :param caller: the caller's connection; the request is cancelled if it is closed.
         """
+        if call.key is None:
+            return self._execute_at_group(call, caller)
+        return self._execute_at_sender(call, self._senders_for_owner(call), caller)
+
+    def _execute_at_group(self, call: Call, caller: socket.socket | None) -> Outcome:
+        """Send a request of a service without keys to the upstreams of one of its groups."""
+        groups = self._groups.of_service(call.service)
+        tried: set[str] = set()
+        outcome: Outcome | None = None
+        while len(tried) < MAX_GROUPS_TRIED:
+            started = time.monotonic()
+            group = self._selector.select(call.service, groups, started, tried)
+            if group is None:
+                break
+            tried.add(group.name)
+            outcome = self._execute_at_sender(
+                replace(call, group=group.name), group.senders, caller
+            )
+            now = time.monotonic()
+            delay_s = max(0.0, now - started - outcome.upstream_s)
+            if outcome.code is ResultCode.TOO_LATE:
+                delay_s = max(delay_s, call.deadline - now)
+            if outcome.code is not ResultCode.CANCELLED:
+                self._selector.record(call.service, group.name, delay_s, now)
+            if outcome.code is not ResultCode.TOO_LATE or outcome.arrived:
+                return outcome
+        return outcome or self._sender.execute(call, caller)
+
+    def _execute_at_sender(
+        self, call: Call, senders: Sequence[Member], caller: socket.socket | None
+    ) -> Outcome:
+        """Forward a request to the first of its senders that can be reached."""
         tried = 0
-        for member in self._senders(call):
+        for member in senders:
             if member.instance_id == self._me.instance_id:
                 break
             if self._is_backed_off(member.address):
@@ -81,28 +129,24 @@
         """Close all idle connections."""
         self._clients.close()
 
-    def _senders(self, call: Call) -> list[Member]:
-        """Return the nodes that may send a request, the preferred one first."""
+    def _senders_for_owner(self, call: Call) -> list[Member]:
+        """Return the nodes that may send to the owner of a key, the preferred one first."""
         members = self._view.members
-        if call.key is None:
-            rendezvous_key, zone = call.service, None
-        else:
-            upstream = self._view.upstreams.get(call.upstream_id or "")
-            if upstream is None:
-                return []
-            rendezvous_key, zone = upstream.upstream_id, upstream.zone
+        upstream = self._view.upstreams.get(call.upstream_id or "")
+        if upstream is None:
+            return []
         with self._lock:
             if self._ranked_members is not members:
                 self._ranked_members = members
                 self._ranked.clear()
-            ranked = self._ranked.get(rendezvous_key)
+            ranked = self._ranked.get(upstream.upstream_id)
         if ranked is None:
             serving = [member for member in members if not member.leaving]
-            same_zone = [member for member in serving if zone in (None, member.zone)]
-            ranked = rank_by_rendezvous(rendezvous_key, same_zone or serving)
+            same_zone = [member for member in serving if member.zone == upstream.zone]
+            ranked = rank_by_rendezvous(upstream.upstream_id, same_zone or serving)
             with self._lock:
                 if self._ranked_members is members:
-                    self._ranked[rendezvous_key] = ranked
+                    self._ranked[upstream.upstream_id] = ranked
         return ranked
 
     def _forward(self, member: Member, call: Call, caller: socket.socket | None) -> Outcome | None:
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -29,6 +29,7 @@
         rank=call.rank,
         route=call.route,
         excluded=sorted(call.excluded),
+        group=call.group or None,
     )
 
 
@@ -52,6 +53,7 @@
         rank=req.rank,
         route=req.route,
         excluded=frozenset(req.excluded),
+        group=req.group or "",
     )
 
 
--- a/foxtailshunt/relay/_outcome.py
+++ b/foxtailshunt/relay/_outcome.py
@@ -35,6 +35,8 @@
     route: str
     #: Upstreams that earlier attempts were sent to.
     excluded: frozenset[str] = frozenset()
+    #: Name of the upstream group that is to serve the request; empty if its service has only one.
+    group: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -20,6 +20,7 @@
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
 from foxtailshunt.telemetry import Metrics, RequestLog, log_state_change
 
@@ -48,6 +49,7 @@
     """Queues requests for slots and sends them; safe to use from any thread.
 
     :param view: the node's view of upstreams, routes and key ownership.
+    :param groups: upstream groups of services without keys.
     :param latencies: latency estimates by route and upstream.
     :param me: this node.
     :param metrics: counters and histograms.
@@ -57,12 +59,14 @@
     def __init__(
         self,
         view: FleetView,
+        groups: UpstreamGroups,
         latencies: LatencyEstimator,
         me: Member,
         metrics: Metrics,
         log: RequestLog,
     ) -> None:
         self._view = view
+        self._groups = groups
         self._latencies = latencies
         self._me = me
         self._metrics = metrics
@@ -162,8 +166,8 @@
 
     def _eligible_upstreams(self, call: Call) -> tuple[Upstream, ...]:
         if call.key is None:
-            found = self._view.upstreams_by_service.get(call.service, ())
-            return self._without_replaced(call.service, found) if self._replaced else found
+            found = self._groups.upstreams_of(call.service, call.group)
+            return self._without_replaced(call, found) if self._replaced else found
         upstream = self._view.upstreams.get(call.upstream_id or "")
         if upstream is None or upstream.leaving or upstream.service != call.service:
             return ()
@@ -171,10 +175,10 @@
             return ()
         return self._single(upstream)
 
-    def _without_replaced(self, service: str, found: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
+    def _without_replaced(self, call: Call, found: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
         """Return the upstreams that were not replaced, as the pool's own tuple if it is equal."""
         remaining = tuple(item for item in found if _incarnation(item) not in self._replaced)
-        locked = self._pools.get(f"service {service}")
+        locked = self._pools.get(_pool_name(call))
         current = locked.current_upstreams if locked is not None else None
         return current if isinstance(current, tuple) and current == remaining else remaining
 
@@ -187,7 +191,7 @@
         return (upstream,)
 
     def _locked_pool(self, call: Call) -> _LockedPool:
-        name = f"service {call.service}" if call.key is None else f"upstream {call.upstream_id}"
+        name = _pool_name(call)
         with self._pools_lock:
             locked = self._pools.get(name)
             if locked is None:
@@ -374,6 +378,13 @@
         )
 
 
+def _pool_name(call: Call) -> str:
+    """Return the name of the pool of slots that serves a request."""
+    if call.key is None:
+        return f"service {call.service} {call.group}"
+    return f"upstream {call.upstream_id}"
+
+
 def _incarnation(upstream: Upstream) -> tuple[str, Address, int]:
     """Return the id, address and start time, which together identify one run of an upstream."""
     return upstream.upstream_id, upstream.address, upstream.started_ms
--- /dev/null
+++ b/foxtailshunt/relay/_upstream_groups.py
@@ -0,0 +1,125 @@
+"""Divides the upstreams of a service without keys into groups, each with a sending node.
+
+One sending node knows the free slots of its upstreams exactly, but every request passes through
+its link and its processor. A service with many upstreams therefore has several sending nodes. The
+module performs no I/O.
+"""
+
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from foxtailshunt.fleet import FleetView, Member, Upstream, rank_by_rendezvous
+
+#: Minimum number of upstreams for which a further sending node is used. Groups of this size even
+#: out differences in latency and stay below the capacity of a small instance's link.
+UPSTREAMS_PER_GROUP = 6
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamGroup:
+    """Upstreams of a service without keys that have the same sending node."""
+
+    #: Name of the group, unique in its service; empty if it is the only one.
+    name: str
+    #: Availability zone of the upstreams; None if they are in several.
+    zone: str | None
+    #: The upstreams; none of them is leaving.
+    upstreams: tuple[Upstream, ...]
+    #: Nodes that may send to the upstreams, the preferred one first.
+    senders: tuple[Member, ...]
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that the upstreams process concurrently."""
+        return sum(item.slots for item in self.upstreams)
+
+
+def form_groups(
+    service: str, upstreams: Iterable[Upstream], members: Iterable[Member]
+) -> tuple[UpstreamGroup, ...]:
+    """Divide the upstreams of a service into groups.
+
+    All nodes with the same view form the same groups. A change of the upstreams or members
+    affects few groups.
+
+    :param service: name of the service.
+    :param upstreams: upstreams of the service.
+    :param members: nodes of the fleet.
+    """
+    available = [item for item in upstreams if not item.leaving]
+    serving = [member for member in members if not member.leaving]
+    if _group_count(len(available)) == 1:
+        senders = tuple(rank_by_rendezvous(service, serving))
+        return (UpstreamGroup("", None, tuple(available), senders),)
+    groups = []
+    taken: set[str] = set()
+    for zone in sorted({item.zone for item in available}):
+        in_zone = [item for item in available if item.zone == zone]
+        candidates = [member for member in serving if member.zone == zone] or serving
+        for name, found in _divide(zone, in_zone).items():
+            ranked = rank_by_rendezvous(f"{service}/{name}", candidates)
+            # A node sends for several groups only if there are fewer nodes than groups.
+            ranked.sort(key=lambda member: member.instance_id in taken)
+            taken.update(member.instance_id for member in ranked[:1])
+            groups.append(UpstreamGroup(name, zone, tuple(found), tuple(ranked)))
+    return tuple(groups)
+
+
+def _group_count(upstream_count: int) -> int:
+    return max(1, upstream_count // UPSTREAMS_PER_GROUP)
+
+
+def _divide(zone: str, upstreams: list[Upstream]) -> dict[str, list[Upstream]]:
+    """Return the upstreams of a zone by the name of their group."""
+    names = [f"{zone}/{index}" for index in range(_group_count(len(upstreams)))]
+    groups: dict[str, list[Upstream]] = {}
+    for item in upstreams:
+        name = max(names, key=lambda name: _score(name, item.upstream_id))
+        groups.setdefault(name, []).append(item)
+    return dict(sorted(groups.items()))
+
+
+def _score(group: str, upstream_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{group}\0{upstream_id}".encode())
+
+
+class UpstreamGroups:
+    """The groups of each service according to the node's view; safe to use from any thread.
+
+    :param view: the node's view of upstreams and members.
+    """
+
+    def __init__(self, view: FleetView) -> None:
+        self._view = view
+        self._lock = threading.Lock()
+        #: Groups by service, with the parts of the view from which they were formed.
+        self._formed: dict[str, tuple[object, object, tuple[UpstreamGroup, ...]]] = {}
+
+    def of_service(self, service: str) -> tuple[UpstreamGroup, ...]:
+        """Return the groups of a service.
+
+        :param service: name of the service.
+        """
+        members = self._view.members
+        upstreams = self._view.upstreams_by_service.get(service, ())
+        with self._lock:
+            formed = self._formed.get(service)
+            if formed is None or formed[0] is not upstreams or formed[1] is not members:
+                groups = form_groups(service, upstreams, members)
+                formed = self._formed[service] = (upstreams, members, groups)
+            return formed[2]
+
+    def upstreams_of(self, service: str, name: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a group.
+
+        :param service: name of the service.
+        :param name: name of the group.
+        :returns: all upstreams of the service if another node formed the group from another view.
+        """
+        for group in self.of_service(service):
+            if group.name == name:
+                return group.upstreams
+        return self._view.upstreams_by_service.get(service, ())
