Decode and encode calls of other nodes with the compiled protocol

What callers saw: on a fleet of 91 nodes, other nodes lost the leader 30 to 75 times a second (leader.silent) and routed by outdated tables. Cause: one of several; the server decoded and encoded each call in Python, unlike the client. A reply with 140 upstreams took 3.8 ms, which is 0.8 s of the 0.43 cores of a small leader when all 90 nodes fetch a new list. Change: the server uses the compiled protocol of the library. It replaces bytes that are not UTF-8 where the other one rejects them, so that a request with the replacement character is decoded again by the strict one. Result: measured with 300 repetitions each, processor time of decoding a poll 299 us before and 23 us after, of encoding 140 upstreams 3,781 and 117 us, of decoding a forwarded request of 4 KB 99 and 11 us. All malformed frames of features/protocol.feature still close their connection.

--- a/features/protocol.feature
+++ b/features/protocol.feature
@@ -28,6 +28,11 @@
       | a call of the binary protocol       | 1     |
       | half a frame, then closes           | 0     |
 
+  Scenario: Text with the replacement character of Unicode is not a malformed call
+    Given a server of the peer protocol with an open connection
+    When the open connection calls with the replacement character in a text
+    Then the call succeeds
+
   Scenario: A call of an unknown method returns an error
     Given a server of the peer protocol with an open connection
     When another connection calls a method that the service does not have
--- a/features/steps/protocol_steps.py
+++ b/features/steps/protocol_steps.py
@@ -337,3 +337,15 @@
             return
         time.sleep(0.02)
     raise AssertionError("the server still accepts connections")
+
+
+@when("the open connection calls with the replacement character in a text")
+def _(context: Context) -> None:
+    req = _request()
+    req.target = "/\ufffd"
+    context.reply = context.protocol_subject.client.call("relay", req, _TIMEOUT_S)
+
+
+@then("the call succeeds")
+def _(context: Context) -> None:
+    assert context.reply == _REPLY, context.reply
--- a/foxtailshunt/protocol/_server.py
+++ b/foxtailshunt/protocol/_server.py
@@ -7,13 +7,13 @@
 from types import ModuleType
 from typing import Any
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.protocol.TCompactProtocol import TCompactProtocol, TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS
 from foxtailshunt.protocol._limits import MAX_FRAME_BYTES
-from foxtailshunt.protocol._validation import ValidatingHandler
+from foxtailshunt.protocol._validation import ReplacedTextError, ValidatingHandler
 
 _BACKLOG = 512
 _RECEIVE_BYTES = 65_536
@@ -51,7 +51,10 @@
         address: tuple[str, int],
         on_bad_frame: Callable[[], None],
     ) -> None:
-        self._processor = service.Processor(ValidatingHandler(handler))
+        self._processor = service.Processor(ValidatingHandler(handler, is_text_checked=True))
+        self._strict_processor = service.Processor(
+            ValidatingHandler(handler, is_text_checked=False)
+        )
         self._on_bad_frame = on_bad_frame
         self._stopping = threading.Event()
         self._lock = threading.Lock()
@@ -137,14 +140,27 @@
     def _process(self, frame: bytes) -> bytes:
         """Run the call in a frame and return the reply frame.
 
-        Decoding from a buffer of one frame keeps a truncated call from reading the next frame.
+        Decoding from a buffer of one frame keeps a truncated call from reading the next frame. The
+        compiled decoder takes a tenth of the processor time, but replaces bytes that are not UTF-8
+        where the other one rejects them.
         """
         reply = TMemoryBuffer()
-        self._processor.process(TCompactProtocol(TMemoryBuffer(frame)), TCompactProtocol(reply))
+        try:
+            self._processor.process(_compiled(TMemoryBuffer(frame)), _compiled(reply))
+        except ReplacedTextError:
+            reply = TMemoryBuffer()
+            strict = TCompactProtocol(TMemoryBuffer(frame))
+            self._strict_processor.process(strict, _compiled(reply))
         body = reply.getvalue()
         return _FRAME_HEADER.pack(len(body)) + body
 
 
+def _compiled(buffer: TMemoryBuffer) -> TCompactProtocolAccelerated:
+    return TCompactProtocolAccelerated(
+        buffer, string_length_limit=MAX_FRAME_BYTES, container_length_limit=MAX_FRAME_BYTES
+    )
+
+
 def _read_frame(conn: socket.socket) -> bytes | None:
     """Return the next frame, or None if the peer closed the connection.
 
