Send followers only what changed, combine changes, and prefer large instances as leader

Cause: the leader's work grew with the product of nodes and changes. Each change of one upstream sent the list of all upstreams to all nodes (0.7 MB for 90 nodes and 140 upstreams, over half a second of a link of 10 Mbit/s), each change of the table woke and answered all nodes, and the leader was any of the 91 instances, although 6 of them have five times the processor. Change: followers get the changed upstreams and the ids of those that are gone; a reply to the same follower waits until 1 ms for each node of the fleet has passed since its last one; in elections an instance with less than a core waits up to 0.3 s longer (settings cpu_share and cpu_speed). Result: features/following.feature; the scenarios on changes, combining and elections fail before, as there are no such replies, pacer and delay.

--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -33,10 +33,23 @@
 #: Longest random delay before a node tries to become leader, in seconds; it lets most nodes see a
 #: new leader before they try.
 MAX_ELECTION_DELAY_S = 0.12
+#: Processor capacity from which an instance has no extra delay in elections, in cores.
+FULL_CAPACITY_CORES = 1.0
+#: Extra delay of an instance with hardly any capacity, in seconds: larger instances win elections,
+#: since the leader's work grows with the fleet. Upstreams keep their keys for longer.
+MAX_CAPACITY_DELAY_S = 0.3
 #: Delay before a failed call is retried, in seconds.
 RETRY_DELAY_S = 0.3
 
 
+def election_delay_s(capacity_cores: float) -> float:
+    """Return the extra delay before an instance tries to become leader, in seconds.
+
+    :param capacity_cores: processor capacity of the instance, in cores.
+    """
+    return MAX_CAPACITY_DELAY_S * max(0.0, 1 - capacity_cores / FULL_CAPACITY_CORES)
+
+
 @dataclass(frozen=True, slots=True)
 class Leader:
     """The current leader, as recorded in the store."""
@@ -57,9 +70,17 @@
     :param local_member: this node.
     :param store: the store.
     :param now: returns seconds of a clock that also advances during suspension.
+    :param capacity_cores: processor capacity of this instance, in cores.
     """
 
-    def __init__(self, local_member: Member, store: StoreClient, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        local_member: Member,
+        store: StoreClient,
+        now: Callable[[], float],
+        capacity_cores: float,
+    ) -> None:
+        self._capacity_delay_s = election_delay_s(capacity_cores)
         self._local_member = local_member
         self._store = store
         self._now = now
@@ -154,7 +175,7 @@
             self._follow(item)
             return
         self._update_leader(None)
-        self._stopping.wait(random.uniform(0, MAX_ELECTION_DELAY_S))
+        self._stopping.wait(self._election_delay_s())
         self._try_to_become_leader()
 
     def _follow(self, item: StoreItem) -> None:
@@ -178,7 +199,7 @@
                 return
 
     def _lead_unless_taken(self, revision: int) -> None:
-        wait_s = random.uniform(0, MAX_ELECTION_DELAY_S)
+        wait_s = self._election_delay_s()
         changes, _ = self._store.watch(LEADER_KEY, revision, wait_s)
         created = [change.item for change in changes if change.item is not None]
         if created:
@@ -186,6 +207,9 @@
             return
         self._try_to_become_leader()
 
+    def _election_delay_s(self) -> float:
+        return self._capacity_delay_s + random.uniform(0, MAX_ELECTION_DELAY_S)
+
     def _is_earlier_process(self, leader: Leader | None) -> bool:
         return (
             leader is not None
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -3,7 +3,7 @@
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
 from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
-from foxtailshunt.fleet._view import FleetView, Versions
+from foxtailshunt.fleet._view import FleetView, UpstreamChanges, Versions
 
 __all__ = [
     "Address",
@@ -12,6 +12,7 @@
     "Member",
     "OwnershipTable",
     "Upstream",
+    "UpstreamChanges",
     "Versions",
     "rank_by_rendezvous",
 ]
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -8,9 +8,9 @@
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
 from foxtailshunt.routing import RouteTable
 
-#: Number of ownership tables kept to compute changes for followers, which are at most a second
-#: behind.
-MAX_EARLIER_TABLES = 24
+#: Number of earlier versions of a part that are kept to compute changes for followers, which are at
+#: most a second behind.
+MAX_EARLIER_VERSIONS = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +29,16 @@
     members: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamChanges:
+    """The difference between two lists of upstreams."""
+
+    #: Upstreams that are new or differ.
+    changed: tuple[Upstream, ...]
+    #: Ids of upstreams that are gone.
+    removed: tuple[str, ...]
+
+
 class FleetView:
     """Holds the current view and notifies threads that wait for a change.
 
@@ -51,6 +61,8 @@
         self.upstreams_read_at: float | None = None
         #: Earlier ownership tables of the term by version, to compute changes for followers.
         self._earlier: dict[int, OwnershipTable] = {}
+        #: Earlier lists of upstreams of the term by version.
+        self._earlier_upstreams: dict[int, dict[str, Upstream]] = {}
         #: Upstreams by service, for load balancing.
         self.upstreams_by_service: dict[str, tuple[Upstream, ...]] = {}
 
@@ -92,6 +104,7 @@
                 configuration = self.versions.configuration
                 self.versions = Versions(configuration=configuration, term=term)
                 self._earlier.clear()
+                self._earlier_upstreams.clear()
                 self._changed.notify_all()
             return True
 
@@ -115,10 +128,47 @@
             if is_newer:
                 self.upstreams_read_at = read_at
             if upstreams is not None and is_newer:
+                if self.versions.upstreams:
+                    self._earlier_upstreams[self.versions.upstreams] = self.upstreams
+                    self._earlier_upstreams.pop(version - MAX_EARLIER_VERSIONS, None)
                 self._replace_upstreams(upstreams)
                 self.versions = replace(self.versions, upstreams=version)
                 self._changed.notify_all()
 
+    def apply_upstream_changes(
+        self, term: int, known: int, version: int, changes: UpstreamChanges, age_s: float
+    ) -> None:
+        """Apply changes of the list of upstreams if they are based on the current one.
+
+        :param term: term of the leader that published them.
+        :param known: version of the list on which they are based.
+        :param version: version of the resulting list.
+        :param changes: the changes.
+        :param age_s: time since the resulting list was read, in seconds.
+        """
+        with self._changed:
+            if (term, known) != (self.versions.term, self.versions.upstreams):
+                return
+            upstreams = {
+                name: item for name, item in self.upstreams.items() if name not in changes.removed
+            }
+            upstreams.update((item.upstream_id, item) for item in changes.changed)
+            self.update_upstreams(term, version, upstreams, age_s)
+
+    def upstream_changes_since(self, known: int) -> UpstreamChanges | None:
+        """Return the changes since a version of this term; None if that list is no longer kept.
+
+        :param known: the version.
+        """
+        with self._changed:
+            earlier = self._earlier_upstreams.get(known)
+            if earlier is None:
+                return None
+            return UpstreamChanges(
+                tuple(item for name, item in self.upstreams.items() if earlier.get(name) != item),
+                tuple(name for name in earlier if name not in self.upstreams),
+            )
+
     def update_upstreams_from_store(self, upstreams: dict[str, Upstream], read_at: float) -> None:
         """Update the list of upstreams with one that this node read from the store.
 
@@ -131,6 +181,7 @@
             self.upstreams_read_at = read_at
             # The leader has to send its next list in full, since this one did not come from it.
             self.versions = replace(self.versions, upstreams=0)
+            self._earlier_upstreams.clear()
             if upstreams != self.upstreams:
                 self._replace_upstreams(upstreams)
                 self._changed.notify_all()
@@ -156,7 +207,7 @@
             if term == self.versions.term and version > self.versions.ownership:
                 if self.versions.ownership:
                     self._earlier[self.versions.ownership] = self.ownership
-                    self._earlier.pop(version - MAX_EARLIER_TABLES, None)
+                    self._earlier.pop(version - MAX_EARLIER_VERSIONS, None)
                 self.ownership = ownership
                 self.versions = replace(self.versions, ownership=version)
                 self._changed.notify_all()
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -21,13 +21,8 @@
 from foxtailshunt.fleet import FleetView, Member, OwnershipTable, Versions
 from foxtailshunt.network import Address
 from foxtailshunt.node._configuration_watch import ConfigurationApplier
-from foxtailshunt.node._messages import (
-    from_member_message,
-    from_ownership_message,
-    from_upstreams_message,
-    to_member_message,
-    to_versions_message,
-)
+from foxtailshunt.node._follow_reply import apply_reply
+from foxtailshunt.node._messages import to_member_message, to_versions_message
 from foxtailshunt.platform import StoreClient, StoreError
 from foxtailshunt.protocol import (
     ClientPool,
@@ -258,30 +253,7 @@
     def _apply_reply(self, reply: FollowReply, known: Versions) -> None:
         if reply.configuration is not None:
             self._configuration_applier.apply(reply.configuration, "peer")
-        versions = reply.versions
-        if not versions.term or not self._view.begin_term(versions.term):
-            return
-        if reply.upstreams is not None or versions.upstreams:
-            upstreams = reply.upstreams
-            self._view.update_upstreams(
-                versions.term,
-                versions.upstreams,
-                None if upstreams is None else from_upstreams_message(upstreams),
-                reply.upstreams_age_ms / 1000,
-            )
-        if reply.ownership is not None:
-            ownership = OwnershipTable(from_ownership_message(reply.ownership))
-            self._view.update_ownership(versions.term, versions.ownership, ownership)
-        if reply.ownership_changes is not None:
-            self._view.apply_ownership_changes(
-                versions.term,
-                known.ownership,
-                versions.ownership,
-                from_ownership_message(reply.ownership_changes),
-            )
-        if reply.members is not None:
-            members = tuple(from_member_message(message) for message in reply.members)
-            self._view.update_members(versions.term, versions.members, members)
+        apply_reply(self._view, reply, known)
 
     def _read_stored_table(self) -> None:
         """Load the stored ownership table, used after a fleet restart until there is a leader."""
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -68,10 +68,10 @@
     return [to_member_message(member) for member in members]
 
 
-def to_upstreams_message(upstreams: dict[str, Upstream]) -> list[UpstreamRecord]:
+def to_upstreams_message(upstreams: Iterable[Upstream]) -> list[UpstreamRecord]:
     """Convert upstreams to messages.
 
-    :param upstreams: the upstreams by id.
+    :param upstreams: the upstreams.
     """
     return [
         UpstreamRecord(
@@ -84,7 +84,7 @@
             warmup_ms=int(item.warmup_s * _MS_PER_S),
             started_ms=item.started_ms,
         )
-        for item in upstreams.values()
+        for item in upstreams
     ]
 
 
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -7,13 +7,9 @@
 from foxtailshunt.assigning import CapacityEstimator, DemandTracker, Leadership, MemberRegistry
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Versions
-from foxtailshunt.node._messages import (
-    from_member_message,
-    to_members_message,
-    to_ownership_message,
-    to_upstreams_message,
-    to_versions_message,
-)
+from foxtailshunt.node._follow_reply import build_reply
+from foxtailshunt.node._messages import from_member_message
+from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.protocol import (
     FollowReply,
     FollowRequest,
@@ -57,6 +53,7 @@
         self._capacity_estimator = capacity_estimator
         self._now = now
         self._stopping = threading.Event()
+        self._pacer = ReplyPacer(now)
 
     def stop_relaying(self) -> None:
         """Refuse further requests of other nodes, which then choose another sender."""
@@ -90,7 +87,9 @@
             members=req.known.members,
         )
         self._view.wait_for_change(known, min(MAX_POLL_WAIT_S, req.wait_ms / 1000))
-        return self._build_reply(known, leads)
+        if req.wait_ms > 0:
+            time.sleep(self._pacer.delay_s(req.member.instance_id, len(self._view.members)))
+        return build_reply(self._view, known, leads)
 
     def _record_report(self, req: FollowRequest) -> None:
         now = self._now()
@@ -107,30 +106,3 @@
                 report.answered,
                 report.failed,
             )
-
-    def _build_reply(self, known: Versions, leads: bool) -> FollowReply:
-        view = self._view
-        versions = view.versions
-        reply = FollowReply(
-            versions=to_versions_message(versions),
-            leads=leads,
-            upstreams_age_ms=int((view.upstreams_age_s() or 0.0) * 1000),
-        )
-        if versions.configuration > known.configuration:
-            reply.configuration = view.document
-        same_term = versions.term == known.term
-        if versions.upstreams and not (same_term and versions.upstreams <= known.upstreams):
-            reply.upstreams = to_upstreams_message(view.upstreams)
-        if versions.ownership and not (same_term and versions.ownership <= known.ownership):
-            self._add_ownership(reply, known, same_term)
-        if versions.members and not (same_term and versions.members <= known.members):
-            reply.members = to_members_message(view.members)
-        return reply
-
-    def _add_ownership(self, reply: FollowReply, known: Versions, same_term: bool) -> None:
-        view = self._view
-        changes = view.ownership_changes_since(known.ownership) if same_term else None
-        if changes is not None and view.versions.ownership == reply.versions.ownership:
-            reply.ownership_changes = to_ownership_message(changes)
-        else:
-            reply.ownership = to_ownership_message(view.ownership.ranges)
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -100,7 +100,9 @@
         demand_tracker = DemandTracker()
         capacity_estimator = CapacityEstimator()
         members = MemberRegistry()
-        self._leadership = Leadership(local_member, self._store, now)
+        self._leadership = Leadership(
+            local_member, self._store, now, settings.cpu_share * settings.cpu_speed
+        )
         self._assigner = Assigner(
             local_member,
             self._leadership,
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -56,6 +56,10 @@
     peers: tuple[HostPort, ...] = ()
     #: Interface for callers and operators.
     interface: InterfaceKind = InterfaceKind.PLATFORM
+    #: Share of a processor core that the node may use.
+    cpu_share: float = Field(default=1.0, gt=0)
+    #: Speed of the core, as a multiple of that of the fleet's ordinary instances.
+    cpu_speed: float = Field(default=1.0, gt=0)
     #: Retries that the fleet may send, as a ratio of first attempts.
     repeat_ratio: float = Field(ge=0, le=1)
     #: Retries that the fleet may send in addition in the platform's window.
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -129,6 +129,9 @@
   7: required i64 upstreams_age_ms,
   /* Sent instead of ownership: changed ranges, which replace the ranges that they overlap. */
   8: optional list<OwnedRange> ownership_changes,
+  /* Sent instead of upstreams: those that are new or differ, and the ids of those that are gone. */
+  9: optional list<UpstreamRecord> upstream_changes,
+  10: optional list<string> upstreams_removed,
 }
 
 service Peer {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1427,11 +1427,13 @@
      - members
      - upstreams_age_ms
      - ownership_changes
+     - upstream_changes
+     - upstreams_removed
 
     """
 
 
-    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None, ownership_changes=None,):
+    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None, ownership_changes=None, upstream_changes=None, upstreams_removed=None,):
         self.versions = versions
         self.leads = leads
         self.configuration = configuration
@@ -1440,6 +1442,8 @@
         self.members = members
         self.upstreams_age_ms = upstreams_age_ms
         self.ownership_changes = ownership_changes
+        self.upstream_changes = upstream_changes
+        self.upstreams_removed = upstreams_removed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1515,6 +1519,27 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.upstream_changes = []
+                    (_etype237, _size234) = iprot.readListBegin()
+                    for _i238 in range(_size234):
+                        _elem239 = UpstreamRecord()
+                        _elem239.read(iprot)
+                        self.upstream_changes.append(_elem239)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.upstreams_removed = []
+                    (_etype244, _size241) = iprot.readListBegin()
+                    for _i245 in range(_size241):
+                        _elem246 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams_removed.append(_elem246)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1569,6 +1594,20 @@
                 iter233.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.upstream_changes is not None:
+            oprot.writeFieldBegin('upstream_changes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstream_changes))
+            for iter240 in self.upstream_changes:
+                iter240.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.upstreams_removed is not None:
+            oprot.writeFieldBegin('upstreams_removed', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.upstreams_removed))
+            for iter247 in self.upstreams_removed:
+                oprot.writeString(iter247.encode('utf-8') if sys.version_info[0] == 2 else iter247)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1713,6 +1752,8 @@
     (6, TType.LIST, 'members', (TType.STRUCT, [NodeMember, None], False), None, ),  # 6
     (7, TType.I64, 'upstreams_age_ms', None, None, ),  # 7
     (8, TType.LIST, 'ownership_changes', (TType.STRUCT, [OwnedRange, None], False), None, ),  # 8
+    (9, TType.LIST, 'upstream_changes', (TType.STRUCT, [UpstreamRecord, None], False), None, ),  # 9
+    (10, TType.LIST, 'upstreams_removed', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
