Read responses of upstreams strictly and within limits

Cause: http.client takes the end of the connection within a head as the end of the head, takes a Content-Length that is no number for a body that ends with the connection, and reads heads, interim responses and trailers of any length; bodies were read up to 64 MB, although a frame between nodes holds 4 MB. Responses to grants were read without any limit, each byte with a new timeout, so that one upstream could block its renewals for ever. Change: http/_response.py reads a response that must end with its blank line, has one valid length or coding, a head of at most 64 KiB and a body of at most 3 MiB; http/_channel.py gives it one deadline. Both serve requests and grants; the grants' second HTTP client is gone. Evidence: features/faulty_responses.feature.

--- /dev/null
+++ b/features/faulty_responses.feature
@@ -0,0 +1,81 @@
+Feature: Faulty responses of upstreams never pass for complete or for those of other requests
+
+  Scenario Outline: A response whose head is cut short is not a success
+    Given an upstream that closes the connection after <part> of a response
+    When request r1 is sent
+    Then it is unknown whether the request was executed
+
+    Examples: without the cut, each of them would be a success or a refusal
+      | part                                                                     |
+      | nothing                                                                  |
+      | HTTP/1.1 200 OK                                                          |
+      | HTTP/1.1 200 OK;                                                         |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: seal                       |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: seal;                      |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: seal;Content-Le            |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: seal;Content-Length: 1     |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: seal;Content-Length: 0;    |
+      | HTTP/1.1 503 Busy;Attempt-Id: r1;Not-Executed: 1;                        |
+      | HTTP/1.1 421 Other;Attempt-Id: r1;                                       |
+      | HTTP/1.1 100 Continue;;HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;  |
+
+  Scenario Outline: A response with an ambiguous frame is not a success
+    Given an upstream that closes the connection after <response> of a response
+    When request r1 is sent
+    Then it is unknown whether the request was executed
+
+    Examples:
+      | response                                                                                      |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Content-Length: 4x;;body                       |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Content-Length: -4;;body                       |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Content-Length: 4;Content-Length: 2;;body      |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: gzip;;body                  |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;garbage;Content-Length: 9;;body                |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;4;body;            |
+      | HTTP/1.1 103 Hints;Attempt-Id: r1;Response-Seal: s;Content-Length: 4;;body                     |
+
+  Scenario: A response without a length that ends with its connection is complete
+    Given an upstream that closes the connection after HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;;body of a response
+    When request r1 is sent
+    Then the outcome is a success with the body "body"
+
+  Scenario Outline: A response without end is cut off
+    Given an upstream whose response has <part> without end
+    When request r1 is sent
+    Then it is unknown whether the request was executed
+    And the upstream's connection was closed after at most 16 MB
+
+    Examples:
+      | part                  |
+      | a status line         |
+      | header lines          |
+      | one header line       |
+      | interim responses     |
+      | a body without length |
+      | a body of 1 TB        |
+      | chunks                |
+      | a chunk extension     |
+      | trailers              |
+
+  Scenario Outline: A response to a grant without end is cut off
+    Given an upstream whose response has <part> without end
+    When keys are granted
+    Then the grant has failed
+    And the upstream's connection was closed after at most 16 MB
+
+    Examples:
+      | part                  |
+      | header lines          |
+      | a body without length |
+      | trailers              |
+
+  Scenario Outline: A response that trickles in is cut off at the deadline
+    Given an upstream whose response has <part> without end, one byte at a time
+    When <what>
+    Then <outcome>
+    And the upstream's connection was closed after at most 1 MB
+
+    Examples:
+      | part            | what                | outcome                                         |
+      | one header line | request r1 is sent  | it is unknown whether the request was executed  |
+      | one header line | keys are granted    | the grant has failed                            |
--- /dev/null
+++ b/features/scripted_upstream/__init__.py
@@ -0,0 +1,141 @@
+"""Upstream that answers each request with scripted bytes, and a sender in front of it."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterable
+
+from foxtailshunt.fleet import FleetView, Member, Upstream
+from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, UpstreamGroups
+from foxtailshunt.telemetry import Metrics, RequestLog
+from foxtailshunt.timing import MonotonicClock
+
+_END_OF_HEAD = b"\r\n\r\n"
+_RECEIVE_BYTES = 65_536
+
+#: Returns the parts of the response to a request, from its head, its number on the connection and
+#: its number at the upstream; both count from 0.
+Script = Callable[[bytes, int, int], Iterable[bytes]]
+
+
+class ScriptedUpstream:
+    """A TCP server that sends what a script returns.
+
+    :param script: returns the parts of each response.
+    :param closes: whether each connection is closed after a response.
+    """
+
+    def __init__(self, script: Script, closes: bool) -> None:
+        self._script = script
+        self._closes = closes
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.requests: list[bytes] = []
+        self.bytes_sent = 0
+        self.connections = 0
+        #: Set when a connection has ended because the other side closed it.
+        self.was_closed = threading.Event()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self._listener.getsockname()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        number = 0
+        with conn:
+            try:
+                while (head := _read_request(conn)) is not None:
+                    with self._lock:
+                        total = len(self.requests)
+                        self.requests.append(head)
+                    for part in self._script(head, number, total):
+                        conn.sendall(part)
+                        self.bytes_sent += len(part)
+                    number += 1
+                    if self._closes:
+                        return
+            except OSError:
+                pass
+        self.was_closed.set()
+
+
+def _read_request(conn: socket.socket) -> bytes | None:
+    """Return the head of the next request after reading its body; None at the end."""
+    data = b""
+    while _END_OF_HEAD not in data:
+        part = conn.recv(_RECEIVE_BYTES)
+        if not part:
+            return None
+        data += part
+    head, _, rest = data.partition(_END_OF_HEAD)
+    length = int(header(head, b"content-length") or 0)
+    while len(rest) < length:
+        rest += conn.recv(_RECEIVE_BYTES)
+    return head
+
+
+def header(head: bytes, name: bytes) -> bytes | None:
+    """Return the value of a header of a request head, or None."""
+    for line in head.split(b"\r\n")[1:]:
+        key, _, value = line.partition(b":")
+        if key.lower() == name:
+            return value.strip()
+    return None
+
+
+def answer(head: bytes) -> bytes:
+    """Return a complete, sealed response to a request."""
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\nContent-Length: 4\r\n\r\nbody"
+        % (header(head, b"attempt-id") or b"")
+    )
+
+
+class SenderSubject:
+    """A sender with one upstream of a service without keys.
+
+    :param upstream: the upstream.
+    """
+
+    def __init__(self, upstream: ScriptedUpstream) -> None:
+        now = MonotonicClock().now
+        self._now = now
+        view = FleetView(now)
+        item = Upstream("u1", "counter", upstream.address, "zone", 2, False, 0.0, 0)
+        view.begin_term(1)
+        view.update_upstreams(1, 1, {"u1": item}, 0.0)
+        me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
+        self._sender = Sender(
+            view, UpstreamGroups(view), LatencyEstimator(), me, Metrics(), RequestLog()
+        )
+
+    def send(self, request_id: str, timeout_s: float) -> Outcome:
+        """Send a request and return its outcome."""
+        deadline = self._now() + timeout_s
+        call = Call(
+            request_id=request_id,
+            service="counter",
+            key=None,
+            upstream_id=None,
+            method="POST",
+            target="/issue/x",
+            headers=(("Attempt-Id", request_id),),
+            body=b"x",
+            deadline=deadline,
+            latency_objective_at=deadline,
+            rank=0,
+            route="issue",
+        )
+        return self._sender.execute(call, None)
--- /dev/null
+++ b/features/steps/faulty_responses_steps.py
@@ -0,0 +1,175 @@
+"""Steps for upstreams that send faulty responses."""
+
+import itertools
+import time
+from collections.abc import Iterator
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.scripted_upstream import ScriptedUpstream, SenderSubject, answer, header
+from foxtailshunt.errors import Family
+from foxtailshunt.fleet import KeyRange
+from foxtailshunt.platform import GrantOutcome, KeyGrantClient, KeyGrantError
+
+_TIMEOUT_S = 20.0
+_TRICKLE_TIMEOUT_S = 0.5
+_CHUNK = b"x" * 16_384
+_OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+#: The beginning of each endless response, and what is repeated.
+_ENDLESS = {
+    "a status line": (b"HTTP/1.1 200 ", _CHUNK),
+    "header lines": (_OK, b"X-Line: 1\r\n" * 1000),
+    "one header line": (_OK + b"X-Line: ", _CHUNK),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "a body without length": (_OK + b"\r\n", _CHUNK),
+    "a body of 1 TB": (_OK + b"Content-Length: 1000000000000\r\n\r\n", _CHUNK),
+    "chunks": (_CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
+    "a chunk extension": (_CHUNKED + b"4;", _CHUNK),
+    "trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-Trailer: 1\r\n" * 1000),
+}
+
+
+class FaultySubject:
+    """A scripted upstream with the clients that call it."""
+
+    def __init__(self, upstream: ScriptedUpstream, timeout_s: float = _TIMEOUT_S) -> None:
+        self.upstream = upstream
+        self.timeout_s = timeout_s
+        self.sender = SenderSubject(upstream)
+        self.grants = KeyGrantClient(upstream.address, "u1")
+
+    def grant(self) -> GrantOutcome:
+        keys = KeyRange("desk", 0, 9, "u1", 3)
+        return self.grants.grant(keys, 1.0, None, self.timeout_s)
+
+    def close(self) -> None:
+        self.grants.close()
+        self.upstream.close()
+
+
+class RefusingScript:
+    """Refuses the first request of each connection, and writes the refusal again before the next.
+
+    :param refusal: status and headers of the refusal.
+    """
+
+    def __init__(self, refusal: str) -> None:
+        status, _, headers = refusal.partition(" ")
+        lines = "".join(f"{text.strip()}\r\n" for text in headers.split(","))
+        head = f"HTTP/1.1 {status} Refused\r\n{lines}Content-Length: 0\r\n\r\n"
+        self._refusal = head.encode()
+        #: Ids of the requests that were executed.
+        self.executed: list[bytes | None] = []
+
+    def __call__(self, head: bytes, number: int, total: int) -> Iterator[bytes]:
+        if number == 0 and total == 0:
+            yield self._refusal
+            return
+        self.executed.append(header(head, b"attempt-id"))
+        yield (self._refusal if number > 0 else b"") + answer(head)
+
+
+def _endless(part: str) -> Iterator[bytes]:
+    begin, repeated = _ENDLESS[part]
+    return itertools.chain([begin], itertools.repeat(repeated))
+
+
+def _trickle(part: str) -> Iterator[bytes]:
+    begin, repeated = _ENDLESS[part]
+    yield begin
+    while True:
+        time.sleep(0.01)
+        yield repeated[:1]
+
+
+def _use(context: Context, subject: FaultySubject) -> None:
+    context.faulty = subject
+    context.add_cleanup(subject.close)
+
+
+@given("an upstream that refuses the first request of each connection with {refusal}")
+def _(context: Context, refusal: str) -> None:
+    context.script = RefusingScript(refusal)
+
+
+@given("writes the refusal once more when the next request arrives")
+def _(context: Context) -> None:
+    _use(context, FaultySubject(ScriptedUpstream(context.script, closes=False)))
+
+
+@given("an upstream that closes the connection after {part} of a response")
+def _(context: Context, part: str) -> None:
+    data = b"" if part == "nothing" else part.replace(";", "\r\n").encode()
+    _use(context, FaultySubject(ScriptedUpstream(lambda *_: [data], closes=True)))
+
+
+@given("an upstream whose response has {part} without end")
+def _(context: Context, part: str) -> None:
+    _use(context, FaultySubject(ScriptedUpstream(lambda *_: _endless(part), closes=False)))
+
+
+@given("an upstream whose response has {part} without end, one byte at a time")
+def _(context: Context, part: str) -> None:
+    upstream = ScriptedUpstream(lambda *_: _trickle(part), closes=False)
+    _use(context, FaultySubject(upstream, _TRICKLE_TIMEOUT_S))
+
+
+@when("request {request_id} is sent")
+def _(context: Context, request_id: str) -> None:
+    context.outcome = context.faulty.sender.send(request_id, context.faulty.timeout_s)
+
+
+@when("keys are granted")
+def _(context: Context) -> None:
+    context.error = None
+    try:
+        context.faulty.grant()
+    except KeyGrantError as exc:
+        context.error = exc
+
+
+@when("keys are granted twice on one client")
+def _(context: Context) -> None:
+    context.grant_outcomes = [context.faulty.grant() for _call in range(2)]
+
+
+@then("its outcome is a refusal")
+def _(context: Context) -> None:
+    assert context.outcome.family is Family.NOT_RUN, context.outcome
+
+
+@then("the upstream has run request {request_id} if the outcome is not a refusal, else it has not")
+def _(context: Context, request_id: str) -> None:
+    was_executed = request_id.encode() in context.script.executed
+    assert was_executed == (context.outcome.family is not Family.NOT_RUN), context.outcome
+
+
+@then("the first grant is refused and the second one is accepted")
+def _(context: Context) -> None:
+    expected = [GrantOutcome.FENCED_OFF, GrantOutcome.ACCEPTED]
+    assert context.grant_outcomes == expected, context.grant_outcomes
+
+
+@then("it is unknown whether the request was executed")
+def _(context: Context) -> None:
+    assert context.outcome.family is Family.UNKNOWN, context.outcome
+
+
+@then('the outcome is a success with the body "{body}"')
+def _(context: Context, body: str) -> None:
+    assert context.outcome.family is Family.RAN, context.outcome
+    assert context.outcome.body == body.encode(), context.outcome
+
+
+@then("the grant has failed")
+def _(context: Context) -> None:
+    assert context.error is not None, "the grant was accepted"
+
+
+@then("the upstream's connection was closed after at most {size:d} MB")
+def _(context: Context, size: int) -> None:
+    upstream = context.faulty.upstream
+    assert upstream.was_closed.wait(_TIMEOUT_S), "the connection is still open"
+    assert upstream.bytes_sent <= size * 1024 * 1024, upstream.bytes_sent
--- a/foxtailshunt/http/__init__.py
+++ b/foxtailshunt/http/__init__.py
@@ -1,12 +1,27 @@
-"""Strict parsing of callers' HTTP requests, built on cheroot."""
+"""Strict HTTP: callers' requests, built on cheroot, and responses of upstreams."""
 
+from foxtailshunt.http._channel import HttpChannel, format_request
+from foxtailshunt.http._response import (
+    MAX_RESPONSE_BODY_BYTES,
+    MAX_RESPONSE_HEAD_BYTES,
+    HttpResponse,
+    MalformedResponseError,
+    read_response,
+)
 from foxtailshunt.http._socket_files import SocketReader, SocketWriter, make_socket_file
 from foxtailshunt.http._strict_request import MAX_HEAD_BYTES, StrictHttpRequest
 
 __all__ = [
     "MAX_HEAD_BYTES",
+    "MAX_RESPONSE_BODY_BYTES",
+    "MAX_RESPONSE_HEAD_BYTES",
+    "HttpChannel",
+    "HttpResponse",
+    "MalformedResponseError",
     "SocketReader",
     "SocketWriter",
     "StrictHttpRequest",
+    "format_request",
     "make_socket_file",
+    "read_response",
 ]
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -1,17 +1,14 @@
 """Client of the upstream API that grants key ranges to an upstream and releases them."""
 
 import json
-from dataclasses import dataclass
+import time
 from enum import Enum
 from http.client import HTTPException
 
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
-from urllib3.response import HTTPResponse
-
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address, KeyRange
-from foxtailshunt.network import RESET_ON_CLOSE_SOCKET_OPTIONS, source_address
+from foxtailshunt.http import HttpChannel, HttpResponse, format_request
+from foxtailshunt.network import RESET_ON_CLOSE_SOCKET_OPTIONS, format_address
 from foxtailshunt.platform._durations import format_duration
 
 #: Timeout of connecting to an upstream, in seconds; connecting takes about 1 ms on a working link.
@@ -19,13 +16,13 @@
 
 _GRANT_PATH = "/api/grant"
 _RELEASE_PATH = "/api/release"
-_HEADERS = {"Content-Type": "application/json"}
-_HANDOVER = "Handover"
+_HANDOVER = "handover"
 _EXPECTED_UPSTREAM = "Expect-Instance"
+_OK_STATUS = 200
 _MISDIRECTED_STATUS = 421
 _BAD_REQUEST_STATUS = 400
 #: Present if an upstream without keys treated the call as a request and has not run it.
-_NOT_EXECUTED = "Not-Executed"
+_NOT_EXECUTED = "not-executed"
 
 
 class KeyGrantError(FoxtailshuntError):
@@ -61,12 +58,6 @@
     FENCED_OFF = "fenced off"
 
 
-@dataclass(frozen=True, slots=True)
-class _Response:
-    status: int
-    handover: str | None
-
-
 class KeyGrantClient:
     """Grants key ranges to one upstream and releases them; used by one thread at a time.
 
@@ -76,9 +67,12 @@
 
     def __init__(self, address: Address, upstream_id: str) -> None:
         self._address = address
-        self._headers = _HEADERS | {_EXPECTED_UPSTREAM: upstream_id}
-        self._conn: HTTPConnection | None = None
-        self._close_announced = False
+        self._headers = (
+            ("Host", format_address(address)),
+            ("Content-Type", "application/json"),
+            (_EXPECTED_UPSTREAM, upstream_id),
+        )
+        self._channel: HttpChannel | None = None
 
     def grant(
         self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
@@ -96,7 +90,7 @@
         if handover is not None:
             payload["handover"] = handover
         response = self._post(_GRANT_PATH, payload, timeout_s)
-        if response.status == 200:
+        if response.status == _OK_STATUS:
             return GrantOutcome.ACCEPTED
         if response.status == 409:
             return GrantOutcome.FENCED_OFF
@@ -112,65 +106,71 @@
         :raises UpstreamReplacedError: the intended upstream has terminated.
         """
         response = self._post(_RELEASE_PATH, self._range_fields(keys), timeout_s)
-        if response.status == 200:
-            return response.handover
+        if response.status == _OK_STATUS:
+            return _header(response, _HANDOVER)
         raise KeyGrantError(f"release answered with status {response.status}", sent=True)
 
     def close(self) -> None:
         """Reset the connection, so that no unsent data arrives later."""
-        conn, self._conn = self._conn, None
-        if conn is not None:
-            conn.close()
+        channel, self._channel = self._channel, None
+        if channel is not None:
+            channel.reset()
 
     def _range_fields(self, keys: KeyRange) -> dict[str, object]:
         return {"from": keys.first, "to": keys.last, "fence": keys.fence}
 
-    def _post(self, path: str, payload: dict[str, object], timeout_s: float) -> _Response:
-        conn = self._connect(path, timeout_s)
+    def _post(self, path: str, payload: dict[str, object], timeout_s: float) -> HttpResponse:
+        channel = self._connect(path, timeout_s)
+        deadline = time.monotonic() + timeout_s
         try:
-            conn.timeout = timeout_s
-            conn.sock.settimeout(timeout_s)
-            conn.request("POST", path, body=json.dumps(payload).encode(), headers=self._headers)
-            resp = conn.getresponse()
-            resp.read()
-        except (HTTPError, HTTPException, OSError) as exc:
+            body = json.dumps(payload).encode()
+            channel.send(format_request("POST", path, self._headers, body), deadline)
+            response = channel.receive("POST", deadline)
+        except (HTTPException, OSError, ValueError) as exc:
             # A connection that failed once may stay unresponsive; the next call opens a new one.
             self.close()
             was_closed = not isinstance(exc, TimeoutError)
             raise KeyGrantError(f"{path}: {type(exc).__name__}: {exc}", True, was_closed) from exc
-        self._close_announced = resp.headers.get("Connection", "").lower() == "close"
-        if _is_from_other_upstream(resp):
+        if response.status != _OK_STATUS or response.closes_connection:
+            # A refusal names no call, so a copy of it could pass for the next response.
+            self.close()
+        if _is_from_other_upstream(response):
             raise UpstreamReplacedError(f"{path}: another upstream responds at the address")
-        return _Response(resp.status, resp.headers.get(_HANDOVER))
+        return response
 
-    def _connect(self, path: str, timeout_s: float) -> HTTPConnection:
-        conn = self._conn
-        if conn is not None and conn.is_connected:
-            return conn
+    def _connect(self, path: str, timeout_s: float) -> HttpChannel:
+        channel = self._channel
+        if channel is not None and channel.is_idle():
+            return channel
         self.close()
-        if conn is not None and not self._close_announced:
+        if channel is not None:
             # A restarted upstream may be listening at the address now.
             raise KeyGrantError(f"{path}: the upstream closed the connection", False, True)
-        conn = HTTPConnection(
-            *self._address,
-            timeout=min(timeout_s, CONNECT_TIMEOUT_S),
-            source_address=source_address(),
-            socket_options=RESET_ON_CLOSE_SOCKET_OPTIONS,
-        )
         try:
-            conn.connect()
-        except (HTTPError, OSError) as exc:
-            was_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+            channel = HttpChannel(
+                self._address, min(timeout_s, CONNECT_TIMEOUT_S), RESET_ON_CLOSE_SOCKET_OPTIONS
+            )
+        except OSError as exc:
+            was_refused = isinstance(exc, ConnectionRefusedError)
             raise KeyGrantError(f"{path}: {type(exc).__name__}: {exc}", False, was_refused) from exc
-        self._conn = conn
-        return conn
+        self._channel = channel
+        return channel
+
+
+def _header(response: HttpResponse, name: str) -> str | None:
+    """Return the value of a header, or None.
+
+    :param response: the response.
+    :param name: header name in lower case.
+    """
+    return next((value for key, value in response.headers if key.lower() == name), None)
 
 
-def _is_from_other_upstream(resp: HTTPResponse) -> bool:
+def _is_from_other_upstream(response: HttpResponse) -> bool:
     """Return whether a response shows that another upstream now has the address.
 
     An upstream without keys treats the call as an ordinary request that lacks its id.
     """
-    if resp.status == _MISDIRECTED_STATUS:
+    if response.status == _MISDIRECTED_STATUS:
         return True
-    return resp.status == _BAD_REQUEST_STATUS and _NOT_EXECUTED in resp.headers
+    return response.status == _BAD_REQUEST_STATUS and _header(response, _NOT_EXECUTED) is not None
