Do not use a connection again after a refusal

Cause: refusals need not carry the id of their request, and a request that is sent again has the id that it had before, so a copy of an earlier refusal passes for the response to the next request. The price is a new connection for each refusal.

--- a/features/faulty_responses.feature
+++ b/features/faulty_responses.feature
@@ -1,5 +1,29 @@
 Feature: Faulty responses of upstreams never pass for complete or for those of other requests
 
+  Scenario Outline: A refusal that is written once more is not the response to the next request
+    Given an upstream that refuses the first request of each connection with <refusal>
+    And writes the refusal once more when the next request arrives
+    When request r1 is sent
+    Then its outcome is a refusal
+    When request <next> is sent
+    Then the upstream has run request <next> if the outcome is not a refusal, else it has not
+
+    Examples: a request that is sent again has the id that it had before
+      | refusal                                          | next |
+      | 503 Not-Executed: 1                              | r2   |
+      | 503 Not-Executed: 1                              | r1   |
+      | 503 Not-Executed: 1, Attempt-Id: r1              | r2   |
+      | 503 Not-Executed: 1, Attempt-Id: r1              | r1   |
+      | 421 Instance-Id: u1                              | r2   |
+      | 421 Instance-Id: u1, Attempt-Id: r1              | r1   |
+      | 429 Not-Executed: 1                              | r2   |
+
+  Scenario: A refusal of a grant that is written once more is not the response to the next call
+    Given an upstream that refuses the first request of each connection with 409 Content-Type: text/plain
+    And writes the refusal once more when the next request arrives
+    When keys are granted twice on one client
+    Then the first grant is refused and the second one is accepted
+
   Scenario Outline: A response whose head is cut short is not a success
     Given an upstream that closes the connection after <part> of a response
     When request r1 is sent
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -35,6 +35,11 @@
     #: The upstream failed; the request may have run.
     FAILED = "failed"
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the upstream states that it has not run the request."""
+        return self in (AttemptResult.NOT_RUN, AttemptResult.NOT_OWNER, AttemptResult.REPLACED)
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamResponse:
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -328,9 +328,15 @@
             )
         except ChannelError as exc:
             return self._to_failed_outcome(upstream, exc)
-        self._channels.release(upstream, channel)
+        result = classify_response(response, call.request_id, upstream.upstream_id)
+        if result.is_refusal:
+            # A copy of the refusal could pass for the response to the next request: a refusal need
+            # not name its request, and a request that is sent again has the same id.
+            channel.reset()
+        else:
+            self._channels.release(upstream, channel)
         self._record_connection(upstream.upstream_id, connected=True)
-        return self._to_outcome(call, upstream, response)
+        return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
         if not exc.sent:
@@ -345,8 +351,9 @@
             )
         return Outcome(exc.code, exc.message, upstream_id=upstream.upstream_id, arrived=True)
 
-    def _to_outcome(self, call: Call, upstream: Upstream, response: UpstreamResponse) -> Outcome:
-        result = classify_response(response, call.request_id, upstream.upstream_id)
+    def _to_outcome(
+        self, upstream: Upstream, response: UpstreamResponse, result: AttemptResult
+    ) -> Outcome:
         if result is AttemptResult.ANSWERED:
             return Outcome(
                 ResultCode.OK,
@@ -360,7 +367,7 @@
         detail = f"status {response.status}, {result.value}"
         if result is AttemptResult.REPLACED:
             self._mark_replaced(upstream)
-        if result in (AttemptResult.NOT_RUN, AttemptResult.NOT_OWNER, AttemptResult.REPLACED):
+        if result.is_refusal:
             code = (
                 ResultCode.REFUSED_BY_UPSTREAM
                 if result is AttemptResult.NOT_RUN
