Read responses of the store strictly and within limits

Cause: the store's client took a head that was cut short for a complete 200, 404, 412 or 503, and fields missing in a response raised KeyError, which ended the threads of the election and of the configuration. Bodies were read without limit, and each byte with a new timeout. A refusal written once more passed for the response to the next call. Change: the client uses http/_channel.py, as requests and grants do; an incomplete, malformed or endless response is a StoreError that states whether a write may have taken effect; the connection is reset after any status but 200. The endless responses of the tests are shared by both features. Evidence: features/store_client.feature.

--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -1,8 +1,10 @@
 """Upstream that answers each request with scripted bytes, and a sender in front of it."""
 
+import itertools
 import socket
 import threading
-from collections.abc import Callable, Iterable
+import time
+from collections.abc import Callable, Iterable, Iterator
 
 from foxtailshunt.fleet import FleetView, Member, Upstream
 from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, UpstreamGroups
@@ -12,6 +14,22 @@
 _END_OF_HEAD = b"\r\n\r\n"
 _RECEIVE_BYTES = 65_536
 
+_CHUNK = b"x" * 16_384
+_OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+#: The beginning of each endless response, and what is repeated.
+_ENDLESS = {
+    "a status line": (b"HTTP/1.1 200 ", _CHUNK),
+    "header lines": (_OK, b"X-Line: 1\r\n" * 1000),
+    "one header line": (_OK + b"X-Line: ", _CHUNK),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
+    "a body without length": (_OK + b"\r\n", _CHUNK),
+    "a body of 1 TB": (_OK + b"Content-Length: 1000000000000\r\n\r\n", _CHUNK),
+    "chunks": (_CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
+    "a chunk extension": (_CHUNKED + b"4;", _CHUNK),
+    "trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-Trailer: 1\r\n" * 1000),
+}
+
 #: Returns the parts of the response to a request, from its head, its number on the connection and
 #: its number at the upstream; both count from 0.
 Script = Callable[[bytes, int, int], Iterable[bytes]]
@@ -103,6 +121,21 @@
     )
 
 
+def endless(part: str) -> Iterator[bytes]:
+    """Return a response that does not end."""
+    begin, repeated = _ENDLESS[part]
+    return itertools.chain([begin], itertools.repeat(repeated))
+
+
+def trickle(part: str) -> Iterator[bytes]:
+    """Return a response that does not end and comes one byte at a time."""
+    begin, repeated = _ENDLESS[part]
+    yield begin
+    while True:
+        time.sleep(0.01)
+        yield repeated[:1]
+
+
 class SenderSubject:
     """A sender with one upstream of a service without keys.
 
--- a/features/steps/faulty_responses_steps.py
+++ b/features/steps/faulty_responses_steps.py
@@ -1,34 +1,24 @@
 """Steps for upstreams that send faulty responses."""
 
-import itertools
-import time
 from collections.abc import Iterator
 
 from behave import given, then, when
 from behave.runner import Context
 
-from features.scripted_upstream import ScriptedUpstream, SenderSubject, answer, header
+from features.scripted_upstream import (
+    ScriptedUpstream,
+    SenderSubject,
+    answer,
+    endless,
+    header,
+    trickle,
+)
 from foxtailshunt.errors import Family
 from foxtailshunt.fleet import KeyRange
 from foxtailshunt.platform import GrantOutcome, KeyGrantClient, KeyGrantError
 
 _TIMEOUT_S = 20.0
 _TRICKLE_TIMEOUT_S = 0.5
-_CHUNK = b"x" * 16_384
-_OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: seal\r\n"
-_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
-#: The beginning of each endless response, and what is repeated.
-_ENDLESS = {
-    "a status line": (b"HTTP/1.1 200 ", _CHUNK),
-    "header lines": (_OK, b"X-Line: 1\r\n" * 1000),
-    "one header line": (_OK + b"X-Line: ", _CHUNK),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1000),
-    "a body without length": (_OK + b"\r\n", _CHUNK),
-    "a body of 1 TB": (_OK + b"Content-Length: 1000000000000\r\n\r\n", _CHUNK),
-    "chunks": (_CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
-    "a chunk extension": (_CHUNKED + b"4;", _CHUNK),
-    "trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-Trailer: 1\r\n" * 1000),
-}
 
 
 class FaultySubject:
@@ -71,19 +61,6 @@
         yield (self._refusal if number > 0 else b"") + answer(head)
 
 
-def _endless(part: str) -> Iterator[bytes]:
-    begin, repeated = _ENDLESS[part]
-    return itertools.chain([begin], itertools.repeat(repeated))
-
-
-def _trickle(part: str) -> Iterator[bytes]:
-    begin, repeated = _ENDLESS[part]
-    yield begin
-    while True:
-        time.sleep(0.01)
-        yield repeated[:1]
-
-
 def _use(context: Context, subject: FaultySubject) -> None:
     context.faulty = subject
     context.add_cleanup(subject.close)
@@ -107,12 +84,12 @@
 
 @given("an upstream whose response has {part} without end")
 def _(context: Context, part: str) -> None:
-    _use(context, FaultySubject(ScriptedUpstream(lambda *_: _endless(part), closes=False)))
+    _use(context, FaultySubject(ScriptedUpstream(lambda *_: endless(part), closes=False)))
 
 
 @given("an upstream whose response has {part} without end, one byte at a time")
 def _(context: Context, part: str) -> None:
-    upstream = ScriptedUpstream(lambda *_: _trickle(part), closes=False)
+    upstream = ScriptedUpstream(lambda *_: trickle(part), closes=False)
     _use(context, FaultySubject(upstream, _TRICKLE_TIMEOUT_S))
 
 
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -2,12 +2,15 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from behave import given, then, when
 from behave.runner import Context
 
+from features.scripted_upstream import Script, ScriptedUpstream, endless, trickle
+from foxtailshunt.assigning import Leadership
 from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.fleet import Member
 from foxtailshunt.operator import ConditionalWrite, ConditionalWriter
 from foxtailshunt.platform import (
     ConflictError,
@@ -23,6 +26,8 @@
 _KEY = "foxtailshunt/config"
 _TIMEOUT_S = 0.5
 _WRITE_DEADLINE_S = 3.0
+#: Long enough to receive as much as the client accepts.
+_ENDLESS_TIMEOUT_S = 10.0
 _WAIT_TIMEOUT_S = 20.0
 _PREFIX = "many/"
 _FAULTS = {
@@ -41,6 +46,8 @@
         self.client = StoreClient(self.server.address)
         self.outcome = ""
         self.writer: object = self.client
+        self.scripted: ScriptedUpstream | None = None
+        self.timeout_s = _TIMEOUT_S
 
     def attempt(self, call: Callable[[], int]) -> None:
         try:
@@ -60,11 +67,44 @@
         condition = {_KEY: self.revision(description)}
         self.attempt(lambda: self.client.commit(condition, [(_KEY, b"written", 0)], _TIMEOUT_S))
 
+    def use(self, upstream: ScriptedUpstream, timeout_s: float = _TIMEOUT_S) -> None:
+        """Call a scripted server instead of the stand-in store."""
+        self.scripted = upstream
+        self.timeout_s = timeout_s
+        self.client = StoreClient(upstream.address)
+
     def content(self) -> str:
         item = self.store.read(_KEY)
         return item.value.decode() if item else "nothing"
 
 
+class RepeatingRefusal:
+    """Refuses the first call, and writes the refusal again before the next response.
+
+    :param refusal: status and reason of the refusal.
+    """
+
+    def __init__(self, refusal: str) -> None:
+        self._refusal = f"HTTP/1.1 {refusal}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+
+    def __call__(self, head: bytes, number: int, total: int) -> Iterator[bytes]:
+        if total == 0:
+            yield self._refusal
+            return
+        yield (self._refusal if number > 0 else b"") + _json_response(b'{"revision":7}')
+
+
+def _elect(head: bytes) -> bytes:
+    """Return the response of a store without a leader."""
+    if b"/kv-key" in head:
+        return b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}"
+    return _json_response(b'{"lease":3,"ttl_time":"1200ms","revision":7}')
+
+
+def _json_response(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 class RacingStore:
     """Passes calls to a store; drops the first write, or adds a write of another client."""
 
@@ -154,6 +194,107 @@
     _subject(context).writer = RacingStore(_subject(context), "never arrives")
 
 
+def _use_script(
+    context: Context, script: Script, closes: bool, timeout_s: float = _TIMEOUT_S
+) -> None:
+    server = ScriptedUpstream(script, closes)
+    context.add_cleanup(server.close)
+    _subject(context).use(server, timeout_s)
+
+
+@given("a store that closes the connection after {part} of a response")
+def _(context: Context, part: str) -> None:
+    data = b"" if part == "nothing" else part.replace(";", "\r\n").encode()
+    _use_script(context, lambda *_: [data], closes=True)
+
+
+@given("a store whose response has {part} without end")
+def _(context: Context, part: str) -> None:
+    _use_script(context, lambda *_: endless(part), closes=False, timeout_s=_ENDLESS_TIMEOUT_S)
+
+
+@given("a store whose response has {part} without end, one byte at a time")
+def _(context: Context, part: str) -> None:
+    _use_script(context, lambda *_: trickle(part), closes=False)
+
+
+@given("a store that refuses the first call with {refusal} and writes the refusal once more")
+def _(context: Context, refusal: str) -> None:
+    _use_script(context, RepeatingRefusal(refusal), closes=False)
+
+
+@given("a store whose first {count:d} responses are cut short")
+def _(context: Context, count: int) -> None:
+    def script(head: bytes, number: int, total: int) -> Iterator[bytes]:
+        yield b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" if total < count else _elect(head)
+
+    _use_script(context, script, closes=False)
+
+
+@when("a node takes part in elections")
+def _(context: Context) -> None:
+    member = Member("n1", "boot", "zone", ("127.0.0.1", 1))
+    client = _subject(context).client
+    context.leadership = Leadership(member, client, MonotonicClock().now, 1.0)
+    context.add_cleanup(context.leadership.resign)
+    context.leadership.start()
+
+
+@then("it becomes leader")
+def _(context: Context) -> None:
+    assert context.leadership.leading.wait(_WAIT_TIMEOUT_S)
+
+
+@when("the client {call} a lease")
+def _(context: Context, call: str) -> None:
+    subject = _subject(context)
+    client, timeout_s = subject.client, subject.timeout_s
+    calls = {
+        "opens": lambda: client.open_lease(1.0, timeout_s),
+        "renews": lambda: client.renew_lease(1, timeout_s),
+    }
+    context.error = _error_of(calls[call])
+
+
+@when("the client {call} the key")
+def _(context: Context, call: str) -> None:
+    subject = _subject(context)
+    client, timeout_s = subject.client, subject.timeout_s
+    calls = {
+        "reads": lambda: client.read(_KEY, timeout_s),
+        "watches": lambda: client.watch(_KEY, 1, 0.1),
+    }
+    context.error = _error_of(calls[call])
+
+
+@when("the client lists keys")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    context.error = _error_of(lambda: subject.client.list_items("", False, subject.timeout_s))
+
+
+def _error_of(call: Callable[[], object]) -> Exception | None:
+    try:
+        call()
+    except Exception as exc:
+        return exc
+    return None
+
+
+@then("the call ends with a StoreError")
+def _(context: Context) -> None:
+    unexpected = (ConflictError, HistoryLostError, LeaseEndedError)
+    assert isinstance(context.error, StoreError), repr(context.error)
+    assert not isinstance(context.error, unexpected), repr(context.error)
+
+
+@then("the store's connection was closed after at most {size:d} MB")
+def _(context: Context, size: int) -> None:
+    server = _subject(context).scripted
+    assert server.was_closed.wait(_WAIT_TIMEOUT_S), "the connection is still open"
+    assert server.bytes_sent <= size * 1024 * 1024, server.bytes_sent
+
+
 @when("the client writes at {revision}")
 def _(context: Context, revision: str) -> None:
     _subject(context).write(revision)
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -88,3 +88,79 @@
     And the store is silent
     When the client writes with a token
     Then the write ends with STORE_UNKNOWN
+
+  Scenario Outline: A write whose response is incomplete or malformed may have taken effect
+    Given a store that closes the connection after <part> of a response
+    When the client writes at revision 0
+    Then the write ends with STORE_UNKNOWN
+
+    Examples:
+      | part                                               |
+      | nothing                                            |
+      | HTTP/1.1 200 OK                                    |
+      | HTTP/1.1 200 OK;                                   |
+      | HTTP/1.1 200 OK;Content-Length: 14;                |
+      | HTTP/1.1 200 OK;Content-Length: 14;;{"revision":   |
+      | HTTP/1.1 200 OK;Content-Length: 0;;                |
+      | HTTP/1.1 200 OK;Content-Length: 2;;{}              |
+      | HTTP/1.1 200 OK;Content-Length: 2;;[]              |
+      | HTTP/1.1 200 OK;Content-Length: 16;;{"revision":"x"} |
+      | HTTP/1.1 404 Not Found;                            |
+      | HTTP/1.1 412 Precondition Failed;                  |
+      | HTTP/1.1 429 Too Many Requests;                    |
+      | HTTP/1.1 503 Service Unavailable;                  |
+
+  Scenario Outline: A read whose response is incomplete or malformed fails
+    Given a store that closes the connection after <part> of a response
+    When the client <call>
+    Then the call ends with a StoreError
+
+    Examples:
+      | call              | part                                                           |
+      | reads the key     | HTTP/1.1 200 OK;                                               |
+      | reads the key     | HTTP/1.1 404 Not Found;                                        |
+      | reads the key     | HTTP/1.1 200 OK;Content-Length: 2;;{}                          |
+      | reads the key     | HTTP/1.1 200 OK;;{"key":"k","value":"?","revision":1}          |
+      | lists keys        | HTTP/1.1 200 OK;Content-Length: 0;;                            |
+      | lists keys        | HTTP/1.1 200 OK;;{"as_of":1,"items":[{"key":"k"}]}             |
+      | watches the key   | HTTP/1.1 200 OK;                                               |
+      | watches the key   | HTTP/1.1 200 OK;;{"as_of":"x","events":[]}                     |
+      | opens a lease     | HTTP/1.1 200 OK;;{"lease":1,"ttl_time":"soon"}                 |
+      | renews a lease    | HTTP/1.1 404 Not Found;                                        |
+      | renews a lease    | HTTP/1.1 200 OK;                                               |
+
+  Scenario Outline: A response of the store without end is cut off
+    Given a store whose response has <part> without end
+    When the client reads the key
+    Then the call ends with a StoreError
+    And the store's connection was closed after at most 256 MB
+
+    Examples:
+      | part                  |
+      | header lines          |
+      | interim responses     |
+      | a body without length |
+      | trailers              |
+
+  Scenario: A response of the store that trickles in is cut off at the deadline
+    Given a store whose response has one header line without end, one byte at a time
+    When the client reads the key
+    Then the call ends with a StoreError
+    And the store's connection was closed after at most 1 MB
+
+  Scenario Outline: A refusal that the store writes once more is not the response to the next call
+    Given a store that refuses the first call with <refusal> and writes the refusal once more
+    When the client writes at revision 0
+    And the client writes at revision 0
+    Then the write ends with a revision
+
+    Examples:
+      | refusal                   |
+      | 503 Service Unavailable   |
+      | 429 Too Many Requests     |
+      | 412 Precondition Failed   |
+
+  Scenario: A node takes part in elections after a malformed response of the store
+    Given a store whose first 3 responses are cut short
+    When a node takes part in elections
+    Then it becomes leader
--- a/foxtailshunt/http/_channel.py
+++ b/foxtailshunt/http/_channel.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from foxtailshunt.http._response import HttpResponse, read_response
+from foxtailshunt.http._response import MAX_RESPONSE_BODY_BYTES, HttpResponse, read_response
 from foxtailshunt.network import Address, is_idle, source_address
 
 # l_onoff = 1, l_linger = 0: close() resets the connection and discards unsent data.
@@ -62,17 +62,20 @@
         self.sock.settimeout(max(0.001, deadline - time.monotonic()))
         self.sock.sendall(message)
 
-    def receive(self, method: str, deadline: float) -> HttpResponse:
+    def receive(
+        self, method: str, deadline: float, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+    ) -> HttpResponse:
         """Receive a response.
 
         :param method: method of the request.
         :param deadline: time by which the response has to be complete, in seconds of the monotonic
             clock.
+        :param max_body_bytes: maximum size of the body, in bytes.
         :raises http.client.HTTPException: the response is malformed, incomplete or too large.
         :raises OSError: receiving failed, for example because of the deadline.
         """
         self._reader.deadline = deadline
-        return read_response(self._buffered, method)
+        return read_response(self._buffered, method, max_body_bytes)
 
     def reset(self) -> None:
         """Reset the connection, so that the server stops working and unsent data is discarded."""
--- a/foxtailshunt/http/_response.py
+++ b/foxtailshunt/http/_response.py
@@ -11,7 +11,7 @@
 
 #: Maximum size of a response's head, including those of interim responses, in bytes.
 MAX_RESPONSE_HEAD_BYTES = 65_536
-#: Maximum size of a response body, in bytes: it has to fit into a frame between nodes.
+#: Maximum size of an upstream's response body, in bytes: it has to fit into a frame between nodes.
 MAX_RESPONSE_BODY_BYTES = 3 * 1024 * 1024
 #: Limit on the bytes after the head, as a multiple of the limit of the body; leaves room for the
 #: framing of small chunks.
@@ -40,11 +40,14 @@
     closes_connection: bool
 
 
-def read_response(source: io.BufferedReader, method: str) -> HttpResponse:
+def read_response(
+    source: io.BufferedReader, method: str, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+) -> HttpResponse:
     """Read one response.
 
     :param source: the connection; stays open.
     :param method: method of the request.
+    :param max_body_bytes: maximum size of the body, in bytes.
     :raises http.client.HTTPException: the response is malformed, incomplete or too large.
     :raises OSError: reading failed.
     """
@@ -53,9 +56,11 @@
     bounded.allow(MAX_RESPONSE_HEAD_BYTES)
     response.begin()
     _check_head(response)
-    bounded.allow(_FRAMING_FACTOR * MAX_RESPONSE_BODY_BYTES)
-    body = response.read(MAX_RESPONSE_BODY_BYTES + 1)
-    if len(body) > MAX_RESPONSE_BODY_BYTES:
+    if response.length is not None and response.length > max_body_bytes:
+        raise MalformedResponseError("the body is too large")
+    bounded.allow(_FRAMING_FACTOR * max_body_bytes)
+    body = response.read(max_body_bytes + 1)
+    if len(body) > max_body_bytes:
         raise MalformedResponseError("the body is too large")
     if response.length not in (None, 0):
         raise http.client.IncompleteRead(body, response.length)
@@ -75,8 +80,6 @@
     lengths = set(response.headers.get_all("Content-Length", ()))
     if len(lengths) > 1 or any(not (text.isascii() and text.isdigit()) for text in lengths):
         raise MalformedResponseError("Content-Length is not one number")
-    if response.length is not None and response.length > MAX_RESPONSE_BODY_BYTES:
-        raise MalformedResponseError("the body is too large")
 
 
 class _BoundedSource:
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -14,15 +14,14 @@
 )
 from foxtailshunt.platform._requests import PlatformCallerInterface, upstream_request_headers
 from foxtailshunt.platform._responses import AttemptResult, UpstreamResponse, classify_response
-from foxtailshunt.platform._store import (
+from foxtailshunt.platform._store import StoreClient
+from foxtailshunt.platform._store_errors import (
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
-    StoreChange,
-    StoreClient,
     StoreError,
-    StoreItem,
 )
+from foxtailshunt.platform._store_messages import StoreChange, StoreItem
 from foxtailshunt.platform._upstreams import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -3,92 +3,51 @@
 import base64
 import json
 import threading
+import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from typing import Any
+from http.client import HTTPException
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
-import urllib3
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
-
-from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address
-from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS, source_address
-from foxtailshunt.platform._durations import format_duration, parse_duration_s
+from foxtailshunt.http import HttpChannel, HttpResponse, format_request
+from foxtailshunt.network import (
+    KEEPALIVE_SOCKET_OPTIONS,
+    WaitOutcome,
+    format_address,
+    wait_readable,
+)
+from foxtailshunt.platform._durations import format_duration
+from foxtailshunt.platform._store_errors import (
+    ConflictError,
+    HistoryLostError,
+    LeaseEndedError,
+    StoreError,
+)
+from foxtailshunt.platform._store_messages import (
+    StoreChange,
+    StoreItem,
+    to_changes,
+    to_item,
+    to_lease,
+    to_page,
+    to_revision,
+)
 
 #: Timeout of connecting to the store, in seconds; connecting takes about 1 ms on a working link.
 CONNECT_TIMEOUT_S = 0.5
 #: Timeout of a watch beyond its own wait, in seconds; a slow store takes 0.4 s to respond.
 WATCH_MARGIN_S = 1.5
+#: Time in which a response that has begun in time has to be complete, in seconds; a page of 1 MB
+#: takes 1.6 s on a link of 5 Mbit/s.
+MAX_TRANSFER_S = 4.0
+#: Maximum size of a response body, in bytes; a watch returns the changes of 20 s at most.
+MAX_BODY_BYTES = 32 * 1024 * 1024
 
-_HEADERS = {"Content-Type": "application/json"}
-
-
-class StoreError(FoxtailshuntError):
-    """A call to the store that failed.
-
-    :param message: the call and the failure.
-    :param may_have_run: False if the call has definitely had no effect.
-    """
-
-    def __init__(self, message: str, may_have_run: bool) -> None:
-        code = ResultCode.STORE_UNKNOWN if may_have_run else ResultCode.STORE_UNAVAILABLE
-        super().__init__(code, message)
-        self.may_have_run = may_have_run
-
-
-class ConflictError(StoreError):
-    """A precondition of a commit did not hold; nothing was changed.
-
-    :param message: the call.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, may_have_run=False)
-
-
-class LeaseEndedError(StoreError):
-    """The lease of a call has expired or was ended.
-
-    :param message: the call.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, may_have_run=False)
-
-
-class HistoryLostError(StoreError):
-    """The store no longer keeps the requested part of its change history.
-
-    :param message: the call.
-    """
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, may_have_run=False)
+_OK_STATUS = 200
+_DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 
-
-@dataclass(frozen=True, slots=True)
-class StoreItem:
-    """A key with its value, as stored."""
-
-    #: The key.
-    key: str
-    #: The value.
-    value: bytes
-    #: Revision of the last change of the key.
-    revision: int
-    #: Lease that the key is bound to; 0 for none.
-    lease: int
-
-
-@dataclass(frozen=True, slots=True)
-class StoreChange:
-    """A change of a key."""
-
-    #: The key.
-    key: str
-    #: The new item; None if the key was removed.
-    item: StoreItem | None
+T = TypeVar("T")
 
 
 def _ignore_call(call: str, status: str) -> None:
@@ -108,6 +67,10 @@
         self, address: Address, on_call: Callable[[str, str], None] = _ignore_call
     ) -> None:
         self._address = address
+        self._headers = (
+            ("Host", format_address(address)),
+            ("Content-Type", "application/json"),
+        )
         self._on_call = on_call
         self._local = threading.local()
 
@@ -121,8 +84,8 @@
         status, reply = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
         if status == 404:
             return None
-        self._expect(status, 200, f"read {key}")
-        return _to_item(reply)
+        self._expect(status, f"read {key}")
+        return _decode(f"read {key}", False, to_item, reply)
 
     def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list[StoreItem], int]:
         """Return the items under a prefix and the revision from which to watch for changes.
@@ -137,15 +100,15 @@
         query: dict[str, Any] = {"prefix": prefix} | ({"allow_stale": 1} if stale else {})
         while True:
             status, reply = self._call("GET", "/api/kv-range", query, None, timeout_s)
-            self._expect(status, 200, f"list {prefix}")
+            self._expect(status, f"list {prefix}")
+            page = _decode(f"list {prefix}", False, to_page, reply)
             # The pages are not a snapshot, so the watch has to start at the first page's revision.
             if first_revision is None:
-                first_revision = int(reply["as_of"])
-            page = [_to_item(wire) for wire in reply["items"]]
-            items.extend(page)
-            if not reply.get("has_more") or not page:
+                first_revision = page.revision
+            items.extend(page.items)
+            if not page.has_more or not page.items:
                 return items, first_revision
-            query["after"] = page[-1].key
+            query["after"] = page.items[-1].key
 
     def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
         """Wait for changes of the keys under a prefix.
@@ -161,9 +124,8 @@
         status, reply = self._call("GET", "/api/kv-watch", query, None, wait_s + WATCH_MARGIN_S)
         if status == 410:
             raise HistoryLostError(f"watch {prefix} after {after}")
-        self._expect(status, 200, f"watch {prefix}")
-        changes = [_to_change(wire) for wire in reply["events"]]
-        return changes, int(reply["as_of"])
+        self._expect(status, f"watch {prefix}")
+        return _decode(f"watch {prefix}", False, to_changes, reply)
 
     def commit(
         self,
@@ -200,8 +162,8 @@
             raise ConflictError(f"commit {keys}")
         if status == 404:
             raise LeaseEndedError(f"commit {keys}")
-        self._expect(status, 200, f"commit {keys}")
-        return int(reply["revision"])
+        self._expect(status, f"commit {keys}")
+        return _decode(f"commit {keys}", True, to_revision, reply)
 
     def open_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
         """Open a lease and return its id and its time to live in seconds.
@@ -212,8 +174,8 @@
         """
         body = {"ttl_time": format_duration(ttl_s)}
         status, reply = self._call("POST", "/api/kv-lease", None, body, timeout_s)
-        self._expect(status, 200, "open lease")
-        return int(reply["lease"]), parse_duration_s(reply["ttl_time"])
+        self._expect(status, "open lease")
+        return _decode("open lease", True, to_lease, reply)
 
     def renew_lease(self, lease: int, timeout_s: float) -> None:
         """Renew a lease.
@@ -226,7 +188,7 @@
         status, _ = self._call("POST", f"/api/kv-keep/{lease}", None, {}, timeout_s)
         if status == 404:
             raise LeaseEndedError(f"renew lease {lease}")
-        self._expect(status, 200, "renew lease")
+        self._expect(status, "renew lease")
 
     def end_lease(self, lease: int, timeout_s: float) -> None:
         """End a lease, which removes its keys.
@@ -241,45 +203,58 @@
         self, method: str, path: str, query: dict[str, Any] | None, body: Any, timeout_s: float
     ) -> tuple[int, dict[str, Any]]:
         target = f"{path}?{urlencode(query)}" if query else path
-        payload = None if body is None else json.dumps(body).encode()
-        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        payload = b"" if body is None else json.dumps(body).encode()
+        may_have_run = False
         try:
-            resp = self._pool().request(
-                method, target, body=payload, headers=_HEADERS, timeout=timeout
-            )
-            reply = json.loads(resp.data) if resp.data else {}
-        except (HTTPError, OSError, ValueError) as exc:
+            channel = self._connect(timeout_s)
+            may_have_run = method != "GET"
+            response = self._exchange(channel, method, target, payload, timeout_s)
+            has_reply = response.status == _OK_STATUS and response.body
+            reply = json.loads(response.body) if has_reply else {}
+            if not isinstance(reply, dict):
+                raise ValueError("the response is not an object")
+        except (HTTPException, OSError, ValueError) as exc:
             self._on_call(_call_name(path), "none")
-            self._drop_pool()
-            connected = not isinstance(exc, (NewConnectionError, ConnectTimeoutError))
-            raise StoreError(
-                f"{path}: {type(exc).__name__}: {exc}", may_have_run=connected and method != "GET"
-            ) from exc
-        self._on_call(_call_name(path), str(resp.status))
-        if resp.status in (429, 503):
-            raise StoreError(f"{path}: status {resp.status}", may_have_run=False)
-        return resp.status, reply if isinstance(reply, dict) else {}
-
-    def _expect(self, status: int, expected: int, call: str) -> None:
-        if status != expected:
+            self._disconnect()
+            raise StoreError(f"{path}: {type(exc).__name__}: {exc}", may_have_run) from exc
+        self._on_call(_call_name(path), str(response.status))
+        if response.status != _OK_STATUS or response.closes_connection:
+            # A refusal names no call, so a copy of it could pass for the next response.
+            self._disconnect()
+        if response.status in (429, 503):
+            raise StoreError(f"{path}: status {response.status}", may_have_run=False)
+        return response.status, reply
+
+    def _exchange(
+        self, channel: HttpChannel, method: str, target: str, payload: bytes, timeout_s: float
+    ) -> HttpResponse:
+        deadline = time.monotonic() + timeout_s
+        channel.send(format_request(method, target, self._headers, payload), deadline)
+        remaining_s = max(0.0, deadline - time.monotonic())
+        if wait_readable(channel.sock, remaining_s, None) is WaitOutcome.TIMED_OUT:
+            raise TimeoutError("timed out waiting for the response")
+        return channel.receive(method, time.monotonic() + MAX_TRANSFER_S, MAX_BODY_BYTES)
+
+    def _expect(self, status: int, call: str) -> None:
+        if status != _OK_STATUS:
             raise StoreError(f"{call}: status {status}", may_have_run=True)
 
-    def _pool(self) -> urllib3.HTTPConnectionPool:
-        pool = getattr(self._local, "pool", None)
-        if pool is None:
-            pool = self._local.pool = urllib3.HTTPConnectionPool(
-                *self._address,
-                maxsize=1,
-                retries=False,
-                socket_options=KEEPALIVE_SOCKET_OPTIONS,
-                source_address=source_address(),
-            )
-        return pool
+    def _connect(self, timeout_s: float) -> HttpChannel:
+        channel: HttpChannel | None = getattr(self._local, "channel", None)
+        if channel is not None and channel.is_idle():
+            return channel
+        self._disconnect()
+        self._local.channel = HttpChannel(
+            self._address, min(CONNECT_TIMEOUT_S, timeout_s), KEEPALIVE_SOCKET_OPTIONS
+        )
+        return self._local.channel
 
-    def _drop_pool(self) -> None:
-        # A connection on which a response was lost may deliver no further responses.
-        pool, self._local.pool = self._local.pool, None
-        pool.close()
+    def _disconnect(self) -> None:
+        """Reset the connection: if a response was lost on it, it may deliver no further ones."""
+        channel: HttpChannel | None = getattr(self._local, "channel", None)
+        self._local.channel = None
+        if channel is not None:
+            channel.reset()
 
 
 def _call_name(path: str) -> str:
@@ -287,14 +262,19 @@
     return path.split("/")[2]
 
 
-def _to_item(wire: dict[str, Any]) -> StoreItem:
-    return StoreItem(
-        key=wire["key"],
-        value=base64.b64decode(wire["value"]),
-        revision=int(wire["revision"]),
-        lease=int(wire.get("lease", 0)),
-    )
-
+def _decode(
+    call: str, may_have_run: bool, convert: Callable[[dict[str, Any]], T], reply: dict[str, Any]
+) -> T:
+    """Return the converted fields of a response.
 
-def _to_change(wire: dict[str, Any]) -> StoreChange:
-    return StoreChange(wire["key"], None if wire.get("tombstone") else _to_item(wire))
+    :param call: the call, for the error.
+    :param may_have_run: whether the call may have had an effect.
+    :param convert: converts the fields.
+    :param reply: the body of the response.
+    :raises StoreError: a field is missing or malformed.
+    """
+    try:
+        return convert(reply)
+    except _DECODE_ERRORS as exc:
+        message = f"{call}: malformed response: {type(exc).__name__}: {exc}"
+        raise StoreError(message, may_have_run) from exc
