Watch the leader from the store's current revision

Cause: a node watched the leader's key from the revision of the election. After the store had discarded that part of its history, which it may do after 20 s, each watch was answered with 410: two calls of each node every 0.3 s until the next election. Change: the node watches from the revision of the store at which it read the key, as it does for lists. A lost history is logged as such, not as a lost store, and store.regained at the first read instead of after a watch. Evidence: the scenario in features/store_client.feature; before: the next watch started at 2, the revision of the election.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -1,5 +1,7 @@
 """Steps for the store client, run against the stand-in store."""
 
+import json
+import queue
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -8,7 +10,7 @@
 from behave.runner import Context
 
 from features.scripted_upstream import Script, ScriptedUpstream, endless, trickle
-from foxtailshunt.assigning import Leadership
+from foxtailshunt.assigning import LEADER_KEY, Leadership
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.fleet import Member
 from foxtailshunt.operator import ConditionalWrite, ConditionalWriter
@@ -16,6 +18,7 @@
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    StoreChange,
     StoreClient,
     StoreError,
     StoreItem,
@@ -240,6 +243,50 @@
     context.leadership.start()
 
 
+class RecordingStoreClient(StoreClient):
+    """Records from which revision each watch starts."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address)
+        #: The revisions, in order.
+        self.watched_after: queue.SimpleQueue[int] = queue.SimpleQueue()
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
+        self.watched_after.put(after)
+        return super().watch(prefix, after, wait_s)
+
+
+@given("another node is leader")
+def _(context: Context) -> None:
+    store = _subject(context).store
+    leader = {"instance_id": "n2", "boot_id": "boot", "at": ["127.0.0.1", 2]}
+    store.put(LEADER_KEY, json.dumps(leader).encode())
+    store.put(_KEY, b"written after the election")
+
+
+@given("a node that watches the leader")
+def _(context: Context) -> None:
+    context.recording = RecordingStoreClient(_subject(context).server.address)
+    member = Member("n1", "boot", "zone", ("127.0.0.1", 1))
+    leadership = Leadership(member, context.recording, MonotonicClock().now, 1.0)
+    context.add_cleanup(leadership.resign)
+    leadership.start()
+    context.recording.watched_after.get(timeout=_WAIT_TIMEOUT_S)
+
+
+@when("the store discards its history")
+def _(context: Context) -> None:
+    store = _subject(context).store
+    store.put(_KEY, b"discarded with the history")
+    store.compact()
+
+
+@then("the node's next watch starts from what the store still keeps")
+def _(context: Context) -> None:
+    after = context.recording.watched_after.get(timeout=_WAIT_TIMEOUT_S)
+    assert after >= _subject(context).store.revision, after
+
+
 @then("it becomes leader")
 def _(context: Context) -> None:
     assert context.leadership.leading.wait(_WAIT_TIMEOUT_S)
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -4,7 +4,7 @@
 from foxtailshunt.assigning._capacity_estimator import CapacityEstimator
 from foxtailshunt.assigning._demand_tracker import DemandTracker
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
-from foxtailshunt.assigning._leadership import Leadership, election_delay_s
+from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
@@ -18,6 +18,7 @@
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 
 __all__ = [
+    "LEADER_KEY",
     "TABLE_KEY",
     "Assigner",
     "CapacityEstimator",
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -9,6 +9,7 @@
 from foxtailshunt.fleet import Member
 from foxtailshunt.platform import (
     ConflictError,
+    HistoryLostError,
     LeaseEndedError,
     StoreClient,
     StoreError,
@@ -149,6 +150,9 @@
                 else:
                     self._follow_or_lead()
                     self._log_store_state(None)
+            except HistoryLostError as exc:
+                log_state_change("store.history_lost", part="leadership", watch=exc.message)
+                self._stopping.wait(random.uniform(0, RETRY_DELAY_S))
             except StoreError as exc:
                 self._log_store_state(exc)
                 self._stopping.wait(RETRY_DELAY_S)
@@ -170,23 +174,28 @@
         self._stopping.wait(RENEW_INTERVAL_S)
 
     def _follow_or_lead(self) -> None:
-        item = self._store.read(LEADER_KEY, CALL_TIMEOUT_S)
+        item, revision = self._store.read_to_watch(LEADER_KEY, CALL_TIMEOUT_S)
+        self._log_store_state(None)
         if item is not None:
-            self._follow(item)
+            self._follow(item, revision)
             return
         self._update_leader(None)
         self._stopping.wait(self._election_delay_s())
         self._try_to_become_leader()
 
-    def _follow(self, item: StoreItem) -> None:
-        """Watch the leader's key until it is deleted, then try to become leader."""
+    def _follow(self, item: StoreItem, revision: int) -> None:
+        """Watch the leader's key until it is deleted, then try to become leader.
+
+        :param item: the leader's key.
+        :param revision: revision of the store when the key was read. The key's own revision is
+            that of the election, which the store's history may no longer contain.
+        """
         self._update_leader(item)
         if self._is_earlier_process(self.leader):
             # The key belongs to an earlier process of this instance, which has ended. Waiting for
             # its lease to expire would only delay the election.
             self._try_to_become_leader(replaces=item.revision)
             return
-        revision = item.revision
         while not self._stopping.is_set():
             changes, revision = self._store.watch(LEADER_KEY, revision, WATCH_TIMEOUT_S)
             ended = False
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -29,6 +29,7 @@
     StoreItem,
     to_changes,
     to_item,
+    to_item_at,
     to_lease,
     to_page,
     to_revision,
@@ -87,6 +88,20 @@
         self._expect(status, f"read {key}")
         return _decode(f"read {key}", False, to_item, reply)
 
+    def read_to_watch(self, key: str, timeout_s: float) -> tuple[StoreItem | None, int]:
+        """Return the item of a key and the revision from which to watch the key for changes.
+
+        :param key: the key.
+        :param timeout_s: maximum wait in seconds.
+        :returns: the item and the store's revision; None and 0 if the key does not exist.
+        :raises StoreError: the call failed.
+        """
+        status, reply = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
+        if status == 404:
+            return None, 0
+        self._expect(status, f"read {key}")
+        return _decode(f"read {key}", False, to_item_at, reply)
+
     def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list[StoreItem], int]:
         """Return the items under a prefix and the revision from which to watch for changes.
 
--- a/foxtailshunt/platform/_store_messages.py
+++ b/foxtailshunt/platform/_store_messages.py
@@ -57,6 +57,15 @@
     )
 
 
+def to_item_at(wire: dict[str, Any]) -> tuple[StoreItem, int]:
+    """Return the item of a key, and the revision of the store when it was read.
+
+    :param wire: body of the response.
+    :raises KeyError, TypeError, ValueError: a field is missing or malformed.
+    """
+    return to_item(wire), int(wire["as_of"])
+
+
 def to_revision(wire: dict[str, Any]) -> int:
     """Return the revision of a change.
 
--- a/standins/metadata/_server.py
+++ b/standins/metadata/_server.py
@@ -103,8 +103,11 @@
         query = {name: values[0] for name, values in parse_qs(req.query).items()}
         body = json.loads(req.body) if req.body else {}
         if req.path == "/api/kv-key":
+            revision = self.store.revision
             item = self.store.read(query["key"])
-            return json_response(200, _item_json(item)) if item else json_response(404, {})
+            if item is None:
+                return json_response(404, {})
+            return json_response(200, _item_json(item) | {"as_of": revision})
         if req.path == "/api/kv-range":
             return self._range(query)
         if req.path == "/api/kv-watch":
