--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -172,3 +172,27 @@
             route="issue",
         )
         return self._sender.execute(call, None)
+
+
+def json_response(body: bytes) -> bytes:
+    """Return a response with status 200.
+
+    :param body: its body.
+    """
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+class RepeatingRefusal:
+    """Refuses the first call, and writes the refusal again before the next response.
+
+    :param refusal: status and reason of the refusal.
+    """
+
+    def __init__(self, refusal: str) -> None:
+        self._refusal = f"HTTP/1.1 {refusal}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+
+    def __call__(self, head: bytes, number: int, total: int) -> Iterator[bytes]:
+        if total == 0:
+            yield self._refusal
+            return
+        yield (self._refusal if number > 0 else b"") + json_response(b'{"revision":7}')
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -159,14 +159,3 @@
       | 503 Service Unavailable   |
       | 429 Too Many Requests     |
       | 412 Precondition Failed   |
-
-  Scenario: A node watches the leader from the present after the store has discarded its history
-    Given another node is leader
-    And a node that watches the leader
-    When the store discards its history
-    Then the node's next watch starts from what the store still keeps
-
-  Scenario: A node takes part in elections after a malformed response of the store
-    Given a store whose first 3 responses are cut short
-    When a node takes part in elections
-    Then it becomes leader
