--- a/features/steps/large_services_steps.py
+++ b/features/steps/large_services_steps.py
@@ -19,8 +19,8 @@
 class LargeService:
     """Several nodes in front of one service without keys."""
 
-    def __init__(self, node_count: int, upstream_count: int) -> None:
-        self.fleet = NodeFleet()
+    def __init__(self, fleet: NodeFleet, node_count: int, upstream_count: int) -> None:
+        self.fleet = fleet
         route = {"service": _SERVICE, "route_type": "unsafe", "timeout": "8000ms"}
         self.fleet.configure({"issue": route}, {_SERVICE: False, _KEYED_SERVICE: True})
         self.fleet.add_owner("k0", _KEYED_SERVICE)
@@ -54,8 +54,8 @@
 
 @given("{nodes:d} nodes in front of a service without keys that has {upstreams:d} upstreams")
 def _(context: Context, nodes: int, upstreams: int) -> None:
-    context.large_service = LargeService(nodes, upstreams)
-    context.fleet_subject = context.large_service.fleet
+    context.fleet_subject = NodeFleet()
+    context.large_service = LargeService(context.fleet_subject, nodes, upstreams)
 
 
 @when("a caller sends a request to each node")
--- a/features/steps/node_requests_steps.py
+++ b/features/steps/node_requests_steps.py
@@ -17,8 +17,8 @@
 class RequestScenario:
     """A node with two upstreams, and the callers' requests and responses."""
 
-    def __init__(self) -> None:
-        self.fleet = NodeFleet()
+    def __init__(self, fleet: NodeFleet) -> None:
+        self.fleet = fleet
         self.routes = {
             "hold": {"service": _DESK, "route_type": "unsafe", "timeout": "8000ms"},
             "look": {"service": _DESK, "route_type": "safe", "timeout": "8000ms"},
@@ -54,8 +54,8 @@
 
 @given('a node in front of an upstream "desk" with keys and an upstream "counter" without')
 def _(context: Context) -> None:
-    context.requests = RequestScenario()
-    context.fleet_subject = context.requests.fleet
+    context.fleet_subject = NodeFleet()
+    context.requests = RequestScenario(context.fleet_subject)
 
 
 @given("the upstream {manner}")
--- a/features/steps/node_under_load_steps.py
+++ b/features/steps/node_under_load_steps.py
@@ -21,8 +21,8 @@
 class LoadSubject:
     """A fleet under the load of callers, who send non-idempotent requests to ready nodes."""
 
-    def __init__(self, nodes: int, upstreams: int) -> None:
-        self.fleet = NodeFleet()
+    def __init__(self, fleet: NodeFleet, nodes: int, upstreams: int) -> None:
+        self.fleet = fleet
         self.crashed: KeyOwner | None = None
         self.fleet.configure(
             {"hold": {"service": _SERVICE, "route_type": "unsafe", "timeout": "8000ms"}},
@@ -85,8 +85,8 @@
     "{nodes:d} nodes in front of {upstreams:d} upstreams, and callers at every node that is ready"
 )
 def _(context: Context, nodes: int, upstreams: int) -> None:
-    context.load = LoadSubject(nodes, upstreams)
-    context.fleet_subject = context.load.fleet
+    context.fleet_subject = NodeFleet()
+    context.load = LoadSubject(context.fleet_subject, nodes, upstreams)
 
 
 @when("every node is stopped and started again, one after the other")
