Give servers of tests ports that outgoing connections do not take

Cause, supposed: a port found by binding port 0 may be assigned to another server or to an outgoing connection before its server starts; the node then ends with ADDRESS_IN_USE and the scenario waits for it in vain. Change: one function for all, which takes ports below those of outgoing connections and none twice in a row; three copies are gone.

--- a/features/node_support/_fleet.py
+++ b/features/node_support/_fleet.py
@@ -2,7 +2,6 @@
 
 import json
 import shutil
-import socket
 import tempfile
 import time
 import uuid
@@ -14,6 +13,7 @@
 import urllib3
 
 from standins.fleet import NodeProcess
+from standins.http import free_port
 from standins.keyowner import KeyOwner, find_overlaps
 from standins.metadata import MetadataServer, MetadataStore
 
@@ -36,12 +36,6 @@
     request_id: str
 
 
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class NodeFleet:
     """Starts store, upstreams and nodes for a scenario, and stops just those."""
 
@@ -72,10 +66,10 @@
             "instance_id": name,
             "zone": "zone-a",
             "host": "127.0.0.1",
-            "callers": f"127.0.0.1:{_free_port()}",
-            "readiness": f"127.0.0.1:{_free_port()}",
-            "peer_port": _free_port(),
-            "operator_port": _free_port(),
+            "callers": f"127.0.0.1:{free_port()}",
+            "readiness": f"127.0.0.1:{free_port()}",
+            "peer_port": free_port(),
+            "operator_port": free_port(),
             "store": f"{host}:{port}",
             "grace": "6s",
             "repeat_ratio": 0.2,
--- a/features/steps/node_program_steps.py
+++ b/features/steps/node_program_steps.py
@@ -14,6 +14,7 @@
 from behave.runner import Context
 
 from features.front_support import WAIT_TIMEOUT_S, random_address, wait_until
+from standins.http import free_port
 
 _NODE_PROGRAM = str(Path(sys.executable).parent / "foxtailshunt-node")
 _SAMPLE_PATTERN = re.compile(r'[a-z_:]+(\{([a-z_]+="[^"]*",?)*\})? [0-9.e+-]+(inf)?', re.I)
@@ -29,9 +30,9 @@
         self.log_path = Path(folder.name) / "log"
         self._context = context
         self.host, peer_port = random_address()
-        self.operator_port = self._free_port()
-        callers = f"{self.host}:{self._free_port()}"
-        readiness = f"{self.host}:{self._free_port()}"
+        self.operator_port = free_port(self.host)
+        callers = f"{self.host}:{free_port(self.host)}"
+        readiness = f"{self.host}:{free_port(self.host)}"
         self.addresses = [callers, readiness, f"{self.host}:{self.operator_port}"]
         self.settings: dict = {
             "instance_id": "n1",
@@ -75,11 +76,6 @@
     def get(self, path: str) -> urllib3.BaseHTTPResponse:
         return urllib3.request("GET", f"http://{self.addresses[2]}{path}", retries=False)
 
-    def _free_port(self) -> int:
-        with socket.socket() as probe:
-            probe.bind((self.host, 0))
-            return probe.getsockname()[1]
-
     def _occupy_address(self) -> tuple[str, int]:
         listener = socket.create_server((self.host, 0))
         self._context.add_cleanup(listener.close)
--- a/standins/http/__init__.py
+++ b/standins/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP server of the stand-ins, with faulty responses on request."""
 
+from standins.http._ports import free_port
 from standins.http._process import AddressParam, serve_until_terminated
 from standins.http._request import Request
 from standins.http._responses import (
@@ -26,6 +27,7 @@
     "WithheldResponse",
     "ResponseWithoutLength",
     "CompleteResponse",
+    "free_port",
     "json_response",
     "serve_until_terminated",
 ]
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -1,7 +1,6 @@
 """Simulated upstream: registers itself, accepts key grants, executes requests, injects faults."""
 
 import json
-import socket
 import threading
 import time
 from collections import Counter
@@ -17,6 +16,7 @@
     ResponseWithoutLength,
     TruncatedResponse,
     WithheldResponse,
+    free_port,
     json_response,
 )
 from standins.keyowner._key_grants import KeyGrants
@@ -97,7 +97,7 @@
         self._in_flight: Counter[int] = Counter()
         self._stopping = threading.Event()
         self._sequence = 0
-        self._server = HttpServer(listen or ("127.0.0.1", _free_port()), self._handle, _THREADS)
+        self._server = HttpServer(listen or ("127.0.0.1", free_port()), self._handle, _THREADS)
         self._server.start()
         if store is not None:
             self.register()
@@ -223,16 +223,6 @@
         return complete
 
 
-def _free_port() -> int:
-    """Return a free port.
-
-    A server that binds a fixed port can be replaced by another one on the same port.
-    """
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def _sealed_response(request_id: str, body: bytes) -> CompleteResponse:
     headers = (("Attempt-Id", request_id), ("Response-Seal", "seal"), ("Keep-Alive", "timeout=10"))
     return CompleteResponse(200, body, headers)
