Check the frames of responses' bodies and heads without relying on http.client

Cause: three cases in which http.client and the checks before it read a response differently. A Content-Length of more than 4,300 digits, and one that follows a line with a carriage return before its end, are ignored, so that the body ends with the connection, wherever it breaks. 'chunked ' with a trailing space passed the check as chunked and was read as unframed. A chunk of size -1 was read to the end of the connection without limit. Sizes such as +4, 0x4 and 0_4, chunks longer than their size and Transfer-Encoding beside Content-Length or twice were accepted. Change: http.client decodes the head only; http/_response.py reads the body, with strict sizes of chunks. A carriage return within a line, or two descriptions of the length, make a response malformed. Evidence: features/faulty_responses.feature. Before: 8 of 13 new ambiguous frames were a success, a complete chunked response was misread, and a chunk of size -1 ended in MemoryError at a limit of 6 GB. After: all 59 scenarios pass, and so does features/store_client.feature.

--- a/features/faulty_responses.feature
+++ b/features/faulty_responses.feature
@@ -57,6 +57,31 @@
       | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;garbage;Content-Length: 9;;body                |
       | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;4;body;            |
       | HTTP/1.1 103 Hints;Attempt-Id: r1;Response-Seal: s;Content-Length: 4;;body                     |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Content-Length: <a number of 5,000 digits>;;body |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;X: y<CR>;Content-Length: 9;;body               |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;X: y<CR>Content-Length: 2;;body                |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: gzip, chunked;;4;body;0;;   |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;Transfer-Encoding: gzip;;4;body;0;; |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;Content-Length: 4;;4;body;0;; |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;-4;body;0;;        |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;+4;body;0;;        |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;0x4;body;0;;       |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;0_4;body;0;;       |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;3;body;0;;         |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;5;body;0;;         |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;4;body;0;          |
+
+  Scenario Outline: A complete chunked response is a success
+    Given an upstream that closes the connection after <response> of a response
+    When request r1 is sent
+    Then the outcome is a success with the body "body"
+
+    Examples:
+      | response                                                                                      |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;4;body;0;;        |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: Chunked<space>;;4;body;0;; |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;1;b;03;ody;00;;   |
+      | HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;Transfer-Encoding: chunked;;4<space>;body;0;X-Trailer: 1;; |
 
   Scenario: A response without a length that ends with its connection is complete
     Given an upstream that closes the connection after HTTP/1.1 200 OK;Attempt-Id: r1;Response-Seal: s;;body of a response
@@ -79,6 +104,7 @@
       | a body of 1 TB        |
       | chunks                |
       | a chunk extension     |
+      | a chunk of size -1    |
       | trailers              |
 
   Scenario Outline: A response to a grant without end is cut off
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -27,6 +27,7 @@
     "a body of 1 TB": (_OK + b"Content-Length: 1000000000000\r\n\r\n", _CHUNK),
     "chunks": (_CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
     "a chunk extension": (_CHUNKED + b"4;", _CHUNK),
+    "a chunk of size -1": (_CHUNKED + b"-1\r\n", _CHUNK),
     "trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-Trailer: 1\r\n" * 1000),
 }
 
--- a/features/steps/faulty_responses_steps.py
+++ b/features/steps/faulty_responses_steps.py
@@ -19,6 +19,8 @@
 
 _TIMEOUT_S = 20.0
 _TRICKLE_TIMEOUT_S = 0.5
+#: What marks in a table stand for.
+_MARKS = {";": "\r\n", "<CR>": "\r", "<space>": " ", "<a number of 5,000 digits>": "9" * 5000}
 
 
 class FaultySubject:
@@ -61,6 +63,13 @@
         yield (self._refusal if number > 0 else b"") + answer(head)
 
 
+def _unescape(text: str) -> str:
+    """Return the bytes of a response as text, from the notation of the tables."""
+    for mark, meaning in _MARKS.items():
+        text = text.replace(mark, meaning)
+    return text
+
+
 def _use(context: Context, subject: FaultySubject) -> None:
     context.faulty = subject
     context.add_cleanup(subject.close)
@@ -78,7 +87,7 @@
 
 @given("an upstream that closes the connection after {part} of a response")
 def _(context: Context, part: str) -> None:
-    data = b"" if part == "nothing" else part.replace(";", "\r\n").encode()
+    data = b"" if part == "nothing" else _unescape(part).encode()
     _use(context, FaultySubject(ScriptedUpstream(lambda *_: [data], closes=True)))
 
 
--- a/foxtailshunt/http/_response.py
+++ b/foxtailshunt/http/_response.py
@@ -1,11 +1,14 @@
 """Reads HTTP responses strictly and within limits.
 
-``http.client`` takes the end of the connection within a head as the end of the head, ignores a
-``Content-Length`` that is not a number, and reads heads and trailers of any length.
+``http.client`` decodes the head only. It takes the end of the connection within a head as the end
+of the head and a carriage return within a line as the end of the line, ignores a ``Content-Length``
+that is not a number, and reads heads of any length; these are checked here. Bodies are read here,
+since it also reads chunks of negative size, without limit.
 """
 
 import http.client
 import io
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +20,10 @@
 #: framing of small chunks.
 _FRAMING_FACTOR = 2
 _FIRST_FINAL_STATUS = 200
+_MAX_LENGTH_DIGITS = 18
+_CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
+_CHUNK_END = b"\r\n"
+_LINE_ENDS = (b"\r\n", b"\n")
 
 
 class MalformedResponseError(http.client.HTTPException):
@@ -56,14 +63,8 @@
     bounded.allow(MAX_RESPONSE_HEAD_BYTES)
     response.begin()
     _check_head(response)
-    if response.length is not None and response.length > max_body_bytes:
-        raise MalformedResponseError("the body is too large")
     bounded.allow(_FRAMING_FACTOR * max_body_bytes)
-    body = response.read(max_body_bytes + 1)
-    if len(body) > max_body_bytes:
-        raise MalformedResponseError("the body is too large")
-    if response.length not in (None, 0):
-        raise http.client.IncompleteRead(body, response.length)
+    body = _read_body(bounded, response, max_body_bytes)
     return HttpResponse(
         response.status, tuple(response.getheaders()), body, bool(response.will_close)
     )
@@ -74,14 +75,68 @@
         raise MalformedResponseError(f"unexpected interim status {response.status}")
     if response.headers.defects:
         raise MalformedResponseError("the head has a line that is not a header")
-    coding = response.headers.get("Transfer-Encoding")
-    if coding is not None and coding.strip().lower() != "chunked":
-        raise MalformedResponseError(f"unsupported transfer coding {coding[:40]!r}")
-    lengths = set(response.headers.get_all("Content-Length", ()))
-    if len(lengths) > 1 or any(not (text.isascii() and text.isdigit()) for text in lengths):
+    codings = response.headers.get_all("Transfer-Encoding", ())
+    lengths = response.headers.get_all("Content-Length", ())
+    if codings and lengths:
+        raise MalformedResponseError("both Transfer-Encoding and Content-Length are present")
+    if codings and [text.strip().lower() for text in codings] != ["chunked"]:
+        raise MalformedResponseError(f"unsupported transfer coding {codings[0][:40]!r}")
+    if len(set(lengths)) > 1 or not all(_is_length(text) for text in lengths):
         raise MalformedResponseError("Content-Length is not one number")
 
 
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_LENGTH_DIGITS
+
+
+def _read_body(
+    source: "_BoundedSource", response: http.client.HTTPResponse, max_body_bytes: int
+) -> bytes:
+    if response.length == 0:
+        return b""
+    if "Transfer-Encoding" in response.headers:
+        return _read_chunks(source, max_body_bytes)
+    if response.length is None:
+        body = source.read(max_body_bytes + 1)
+        if len(body) > max_body_bytes:
+            raise MalformedResponseError("the body is too large")
+        return body
+    if response.length > max_body_bytes:
+        raise MalformedResponseError("the body is too large")
+    return _read_exactly(source, response.length)
+
+
+def _read_chunks(source: "_BoundedSource", max_body_bytes: int) -> bytes:
+    """Return the content of all chunks, after reading the trailers."""
+    chunks: list[bytes] = []
+    left = max_body_bytes
+    while True:
+        line = source.readline(MAX_RESPONSE_HEAD_BYTES)
+        matched = _CHUNK_SIZE_LINE.fullmatch(line)
+        if matched is None:
+            raise MalformedResponseError(f"malformed chunk size {line[:40]!r}")
+        size = int(matched[1], 16)
+        if size > left:
+            raise MalformedResponseError("the body is too large")
+        if size == 0:
+            break
+        chunks.append(_read_exactly(source, size))
+        left -= size
+        if _read_exactly(source, len(_CHUNK_END)) != _CHUNK_END:
+            raise MalformedResponseError("a chunk does not end after its size")
+    while (line := source.readline(MAX_RESPONSE_HEAD_BYTES)) not in _LINE_ENDS:
+        if not line.endswith(b"\n"):
+            raise MalformedResponseError("a trailer is too long")
+    return b"".join(chunks)
+
+
+def _read_exactly(source: "_BoundedSource", size: int) -> bytes:
+    data = source.read(size)
+    if len(data) < size:
+        raise http.client.IncompleteRead(data, size - len(data))
+    return data
+
+
 class _BoundedSource:
     """File of a connection that http.client can neither close nor read without limit."""
 
@@ -105,11 +160,14 @@
         """Read a line.
 
         :param limit: maximum number of bytes to return.
-        :raises MalformedResponseError: the connection ended within the response.
+        :raises MalformedResponseError: the connection ended within the response, or a carriage
+            return is not part of a line end.
         """
         line = self._take(self._source.readline(min(limit, self._left + 1)))
         if not line.endswith(b"\n") and len(line) < limit and (line or self._has_read):
             raise MalformedResponseError("the connection ended within a line or between lines")
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise MalformedResponseError("a line has a carriage return that does not end it")
         self._has_read = True
         return line
 
