Send changes of upstreams only to followers that apply them

Cause: since the leader sends only the changed upstreams. A node of an earlier build ignores that field, keeps its old list and its version, and asks again at once. Change: a follower states that it applies changes; any other gets the whole list. Evidence: features/following.feature, the scenario of a build that ignores changes; the parameter did not exist before.

--- a/features/following.feature
+++ b/features/following.feature
@@ -15,6 +15,13 @@
     Then the reply has 140 upstreams
     And the follower knows the upstreams of the leader
 
+  Scenario: A follower of a build that ignores changes of upstreams gets the list in full
+    Given a leader with 140 upstreams and a follower that knows them
+    When 1 upstream joins, 1 is leaving and 1 is gone
+    And the follower polls without accepting changes of upstreams
+    Then the reply has 140 upstreams
+    And the follower knows the upstreams of the leader
+
   Scenario: A follower of an earlier term gets all upstreams
     Given a leader with 140 upstreams and a follower that knows them
     When another leader with 20 upstreams begins a term
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -38,10 +38,10 @@
         self._version += 1
         self.leader.update_upstreams(self._term, self._version, dict(self.upstreams), 0.0)
 
-    def poll(self) -> FollowReply:
+    def poll(self, accepts_changes: bool = True) -> FollowReply:
         self._now += 0.01
         known = self.follower.versions
-        reply = build_reply(self.leader, known, leads=True)
+        reply = build_reply(self.leader, known, True, accepts_changes)
         apply_reply(self.follower, reply, known)
         return reply
 
@@ -123,6 +123,11 @@
     context.reply = context.following.poll()
 
 
+@when("the follower polls without accepting changes of upstreams")
+def _(context: Context) -> None:
+    context.reply = context.following.poll(accepts_changes=False)
+
+
 @when("the follower reads the list of upstreams from the store")
 def _(context: Context) -> None:
     context.following.read_from_store()
--- a/foxtailshunt/node/_follow_reply.py
+++ b/foxtailshunt/node/_follow_reply.py
@@ -15,12 +15,15 @@
 _MS_PER_S = 1000
 
 
-def build_reply(view: FleetView, known: Versions, leads: bool) -> FollowReply:
+def build_reply(
+    view: FleetView, known: Versions, leads: bool, accepts_upstream_changes: bool
+) -> FollowReply:
     """Return what changed in a view.
 
     :param view: the view of the replying node.
     :param known: the versions that the follower knows.
     :param leads: whether the replying node is the leader.
+    :param accepts_upstream_changes: whether the follower applies changes of the list of upstreams.
     """
     versions = view.versions
     reply = FollowReply(
@@ -32,7 +35,7 @@
         reply.configuration = view.document
     same_term = versions.term == known.term
     if versions.upstreams and not (same_term and versions.upstreams <= known.upstreams):
-        _add_upstreams(view, reply, known, same_term)
+        _add_upstreams(view, reply, known, same_term and accepts_upstream_changes)
     if versions.ownership and not (same_term and versions.ownership <= known.ownership):
         _add_ownership(view, reply, known, same_term)
     if versions.members and not (same_term and versions.members <= known.members):
@@ -40,8 +43,10 @@
     return reply
 
 
-def _add_upstreams(view: FleetView, reply: FollowReply, known: Versions, same_term: bool) -> None:
-    changes = view.upstream_changes_since(known.upstreams) if same_term else None
+def _add_upstreams(
+    view: FleetView, reply: FollowReply, known: Versions, may_send_changes: bool
+) -> None:
+    changes = view.upstream_changes_since(known.upstreams) if may_send_changes else None
     if changes is not None and view.versions.upstreams == reply.versions.upstreams:
         reply.upstream_changes = to_upstreams_message(changes.changed)
         reply.upstreams_removed = list(changes.removed)
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -246,6 +246,7 @@
                 )
                 for report in self._latencies.drain_reports()
             ],
+            accepts_upstream_changes=True,
         )
         reply: FollowReply = clients.call(address, "follow", req, wait_s + POLL_TIMEOUT_MARGIN_S)
         self._apply_reply(reply, known)
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -89,7 +89,7 @@
         self._view.wait_for_change(known, min(MAX_POLL_WAIT_S, req.wait_ms / 1000))
         if req.wait_ms > 0:
             time.sleep(self._pacer.delay_s(req.member.instance_id, len(self._view.members)))
-        return build_reply(self._view, known, leads)
+        return build_reply(self._view, known, leads, bool(req.accepts_upstream_changes))
 
     def _record_report(self, req: FollowRequest) -> None:
         now = self._now()
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -114,6 +114,8 @@
   3: required i64 wait_ms,
   4: required list<KeyDemand> demands,
   5: required list<UpstreamPace> paces,
+  /* True if the calling node applies upstream_changes; nodes of earlier builds ignore them. */
+  6: optional bool accepts_upstream_changes,
 }
 
 /* Parts that the calling node already knows are absent. */
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1293,16 +1293,18 @@
      - wait_ms
      - demands
      - paces
+     - accepts_upstream_changes
 
     """
 
 
-    def __init__(self, member=None, known=None, wait_ms=None, demands=None, paces=None,):
+    def __init__(self, member=None, known=None, wait_ms=None, demands=None, paces=None, accepts_upstream_changes=None,):
         self.member = member
         self.known = known
         self.wait_ms = wait_ms
         self.demands = demands
         self.paces = paces
+        self.accepts_upstream_changes = accepts_upstream_changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1352,6 +1354,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.accepts_upstream_changes = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1388,6 +1395,10 @@
                 iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.accepts_upstream_changes is not None:
+            oprot.writeFieldBegin('accepts_upstream_changes', TType.BOOL, 6)
+            oprot.writeBool(self.accepts_upstream_changes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1740,6 +1751,7 @@
     (3, TType.I64, 'wait_ms', None, None, ),  # 3
     (4, TType.LIST, 'demands', (TType.STRUCT, [KeyDemand, None], False), None, ),  # 4
     (5, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 5
+    (6, TType.BOOL, 'accepts_upstream_changes', None, None, ),  # 6
 )
 all_structs.append(FollowReply)
 FollowReply.thrift_spec = (
