Do not use a connection again after a response that does not name its request

Cause: resets connections after refusals. A failure without an id, such as a 500, left its connection in use; written once more, it passed for the response to the next request. Change: a connection is used again only after a response that carries the id of its request. Evidence: features/faulty_responses.feature, the scenario of a failure without an id: it got the 500 before, the response to its own request after.

--- a/features/faulty_responses.feature
+++ b/features/faulty_responses.feature
@@ -18,6 +18,13 @@
       | 421 Instance-Id: u1, Attempt-Id: r1              | r1   |
       | 429 Not-Executed: 1                              | r2   |
 
+  Scenario: A failure without an id that is written once more is not the response to the next request
+    Given an upstream that fails the first request of each connection with 500 Content-Type: text/plain
+    And writes the failure once more when the next request arrives
+    When request r1 is sent
+    And request r2 is sent
+    Then the outcome is a success with the body "body"
+
   Scenario: A refusal of a grant that is written once more is not the response to the next call
     Given an upstream that refuses the first request of each connection with 409 Content-Type: text/plain
     And writes the refusal once more when the next request arrives
--- a/features/steps/faulty_responses_steps.py
+++ b/features/steps/faulty_responses_steps.py
@@ -76,11 +76,13 @@
 
 
 @given("an upstream that refuses the first request of each connection with {refusal}")
+@given("an upstream that fails the first request of each connection with {refusal}")
 def _(context: Context, refusal: str) -> None:
     context.script = RefusingScript(refusal)
 
 
 @given("writes the refusal once more when the next request arrives")
+@given("writes the failure once more when the next request arrives")
 def _(context: Context) -> None:
     _use(context, FaultySubject(ScriptedUpstream(context.script, closes=False)))
 
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -62,6 +62,13 @@
                 return value
         return None
 
+    def names_request(self, request_id: str) -> bool:
+        """Return whether the response carries the id of a request.
+
+        :param request_id: id of the request.
+        """
+        return self.header(_REQUEST_ID) == request_id
+
     @property
     def keep_alive_s(self) -> float | None:
         """Return the upstream's keep-alive timeout in seconds, or None if it states none."""
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -329,9 +329,9 @@
         except ChannelError as exc:
             return self._to_failed_outcome(upstream, exc)
         result = classify_response(response, call.request_id, upstream.upstream_id)
-        if result.is_refusal:
-            # A copy of the refusal could pass for the response to the next request: a refusal need
-            # not name its request, and a request that is sent again has the same id.
+        if result.is_refusal or not response.names_request(call.request_id):
+            # A copy of the response could pass for that to the next request, if it does not name
+            # its request or if the refused request is sent again with the same id.
             channel.reset()
         else:
             self._channels.release(upstream, channel)
