Assign queued requests by the present list of upstreams

Cause: the pool of a service without keys, or of a group of its upstreams, learnt of changes only when another request arrived. Groups made this likelier: they get fewer requests than the whole service, and a group that ends gets none, while its queue lives on. Change: each assignment of slots uses the upstreams that the view has now. Requests for keys wait until their keys have moved, as before.

--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -4,7 +4,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
 
 from foxtailshunt.fleet import FleetView, Member, Upstream
 from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, UpstreamGroups
@@ -138,23 +139,41 @@
 
 
 class SenderSubject:
-    """A sender with one upstream of a service without keys.
+    """A sender with the upstreams of a service without keys.
 
-    :param upstream: the upstream.
+    :param servers: the upstreams by id.
+    :param slots: slots of each upstream.
     """
 
-    def __init__(self, upstream: ScriptedUpstream) -> None:
+    def __init__(self, servers: Mapping[str, ScriptedUpstream], slots: int = 2) -> None:
         now = MonotonicClock().now
         self._now = now
-        view = FleetView(now)
-        item = Upstream("u1", "counter", upstream.address, "zone", 2, False, 0.0, 0)
-        view.begin_term(1)
-        view.update_upstreams(1, 1, {"u1": item}, 0.0)
+        self._view = FleetView(now)
+        self._upstreams = {
+            name: Upstream(name, "counter", server.address, "zone", slots, False, 0.0, 0)
+            for name, server in servers.items()
+        }
+        self._version = 0
+        self._view.begin_term(1)
+        self._publish()
         me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
         self._sender = Sender(
-            view, UpstreamGroups(view), LatencyEstimator(), me, Metrics(), RequestLog()
+            self._view, UpstreamGroups(self._view), LatencyEstimator(), me, Metrics(), RequestLog()
         )
 
+    def _publish(self) -> None:
+        self._version += 1
+        self._view.update_upstreams(1, self._version, dict(self._upstreams), 0.0)
+
+    def set_leaving(self, name: str) -> None:
+        """Let an upstream begin to leave."""
+        self._upstreams[name] = replace(self._upstreams[name], leaving=True)
+        self._publish()
+
+    def load(self) -> tuple[int, int]:
+        """Return the numbers of queued requests and of those at upstreams."""
+        return self._sender.load()
+
     def send(self, request_id: str, timeout_s: float) -> Outcome:
         """Send a request and return its outcome."""
         deadline = self._now() + timeout_s
--- a/features/steps/faulty_responses_steps.py
+++ b/features/steps/faulty_responses_steps.py
@@ -29,7 +29,7 @@
     def __init__(self, upstream: ScriptedUpstream, timeout_s: float = _TIMEOUT_S) -> None:
         self.upstream = upstream
         self.timeout_s = timeout_s
-        self.sender = SenderSubject(upstream)
+        self.sender = SenderSubject({"u1": upstream})
         self.grants = KeyGrantClient(upstream.address, "u1")
 
     def grant(self) -> GrantOutcome:
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -44,6 +44,12 @@
     #: The tuple of upstreams that the pool was last set to, compared by identity.
     current_upstreams: object = None
 
+    def update_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Set the upstreams that may get new requests; the caller holds the lock."""
+        if self.current_upstreams is not upstreams:
+            self.pool.set_upstreams(upstreams)
+            self.current_upstreams = upstreams
+
 
 class Sender:
     """Queues requests for slots and sends them; safe to use from any thread.
@@ -129,13 +135,11 @@
         locked = self._locked_pool(call)
         entry, state_changed = self._new_entry(call)
         with locked.lock:
-            if locked.current_upstreams is not upstreams:
-                locked.pool.set_upstreams(upstreams)
-                locked.current_upstreams = upstreams
+            locked.update_upstreams(upstreams)
             locked.pool.set_floors(self._floors(call.service))
             refusal = locked.pool.enqueue(entry, time.monotonic())
             if refusal is None:
-                self._assign(locked)
+                self._assign(locked, call)
         if refusal is not None:
             return self._refusal_outcome(call, refusal)
         self._wait_for_slot(locked, entry, state_changed, caller)
@@ -208,7 +212,16 @@
         state_changed = threading.Event()
         return QueueEntry(call, state_changed.set, time.monotonic()), state_changed
 
-    def _assign(self, locked: _LockedPool) -> None:
+    def _assign(self, locked: _LockedPool, call: Call) -> None:
+        """Assign free slots to queued requests; the caller holds the lock of the pool.
+
+        :param locked: the pool.
+        :param call: one of the requests that it serves.
+        """
+        if call.key is None:
+            # Upstreams may have begun to leave since the last request was queued. Requests for keys
+            # wait until their keys have moved.
+            locked.update_upstreams(self._eligible_upstreams(call))
         for entry in locked.pool.assign(time.monotonic()):
             entry.wake()
 
@@ -234,7 +247,7 @@
                 if caller_disconnected(caller) or self._key_has_moved(entry.call):
                     locked.pool.cancel(entry)
                     return
-                self._assign(locked)
+                self._assign(locked, entry.call)
 
     def _key_has_moved(self, call: Call) -> bool:
         if call.key is None:
@@ -283,7 +296,7 @@
         finally:
             with locked.lock:
                 locked.pool.finish(entry, failed, time.monotonic())
-                self._assign(locked)
+                self._assign(locked, entry.call)
 
     def _record_latency(
         self, call: Call, upstream: Upstream, outcome: Outcome, elapsed_s: float
