--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 import time
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import Address, FleetView, Member, Upstream
@@ -19,7 +19,8 @@
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
-from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
+from foxtailshunt.relay._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
 from foxtailshunt.telemetry import Metrics, RequestLog, log_state_change
@@ -28,29 +29,10 @@
 RESPONSE_RESERVE_S = 0.02
 #: Interval at which queued requests check whether their caller is still connected, in seconds.
 CALLER_CHECK_INTERVAL_S = 0.2
-#: First and longest time for which requests for a key are refused without a connection attempt
-#: after a connection to its owner failed, in seconds.
-FIRST_UNREACHABLE_S, MAX_UNREACHABLE_S = 0.2, 0.8
 #: Retry-After while the owner of a key is unknown or changing, in seconds; a handover takes 0.3 s.
 OWNER_RETRY_AFTER_S = 0.4
 
 
-@dataclass(slots=True)
-class _LockedPool:
-    """A pool with its lock."""
-
-    pool: SlotPool
-    lock: threading.Lock
-    #: The tuple of upstreams that the pool was last set to, compared by identity.
-    current_upstreams: object = None
-
-    def update_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
-        """Set the upstreams that may get new requests; the caller holds the lock."""
-        if self.current_upstreams is not upstreams:
-            self.pool.set_upstreams(upstreams)
-            self.current_upstreams = upstreams
-
-
 class Sender:
     """Queues requests for slots and sends them; safe to use from any thread.
 
@@ -77,11 +59,9 @@
         self._me = me
         self._metrics = metrics
         self._log = log
-        self._pools_lock = threading.Lock()
-        self._pools: dict[str, _LockedPool] = {}
+        self._pools = SlotPools(latencies, me.zone)
         self._channels = ChannelPool()
-        #: Backoffs of unreachable upstreams: end on the monotonic clock and length, in seconds.
-        self._unreachable: dict[str, tuple[float, float]] = {}
+        self._unreachable = UnreachableUpstreams()
         #: Incarnations of upstreams whose address was taken over by another upstream.
         self._replaced: frozenset[tuple[str, Address, int]] = frozenset()
 
@@ -126,13 +106,13 @@
                 "no upstream accepts new requests",
                 retry_after_s=OWNER_RETRY_AFTER_S,
             )
-        if call.key is not None and self._is_unreachable(upstreams[0].upstream_id):
+        if call.key is not None and self._unreachable.is_backed_off(upstreams[0].upstream_id):
             return Outcome(
                 ResultCode.NO_OWNER,
                 "the owner was unreachable at the last connection attempt",
                 retry_after_s=OWNER_RETRY_AFTER_S,
             )
-        locked = self._locked_pool(call)
+        locked = self._pools.get(call)
         entry, state_changed = self._new_entry(call)
         with locked.lock:
             locked.update_upstreams(upstreams)
@@ -149,59 +129,26 @@
 
     def load(self) -> tuple[int, int]:
         """Return the number of queued requests and of those in flight at upstreams."""
-        pools = list(self._pools.values())
-        return sum(item.pool.waiting for item in pools), sum(item.pool.running for item in pools)
-
-    def _is_unreachable(self, upstream_id: str) -> bool:
-        backoff = self._unreachable.get(upstream_id)
-        return backoff is not None and time.monotonic() < backoff[0]
-
-    def _record_connection(self, upstream_id: str, connected: bool) -> None:
-        if connected:
-            self._unreachable.pop(upstream_id, None)
-            return
-        doubled_s = self._unreachable.get(upstream_id, (0.0, FIRST_UNREACHABLE_S / 2))[1] * 2
-        backoff_s = min(MAX_UNREACHABLE_S, doubled_s)
-        self._unreachable[upstream_id] = (time.monotonic() + backoff_s, backoff_s)
+        return self._pools.load()
 
     def _mark_replaced(self, upstream: Upstream) -> None:
         log_state_change("upstream.replaced", upstream=upstream.upstream_id)
         self._replaced |= {_incarnation(upstream)}
 
     def _eligible_upstreams(self, call: Call) -> tuple[Upstream, ...]:
+        """Return the upstreams that may serve a request; the same tuple unless they change."""
         if call.key is None:
             found = self._groups.upstreams_of(call.service, call.group)
-            return self._without_replaced(call, found) if self._replaced else found
+            if not self._replaced:
+                return found
+            remaining = tuple(item for item in found if _incarnation(item) not in self._replaced)
+            return self._pools.reuse_equal(call, remaining)
         upstream = self._view.upstreams.get(call.upstream_id or "")
         if upstream is None or upstream.leaving or upstream.service != call.service:
             return ()
         if _incarnation(upstream) in self._replaced:
             return ()
-        return self._single(upstream)
-
-    def _without_replaced(self, call: Call, found: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
-        """Return the upstreams that were not replaced, as the pool's own tuple if it is equal."""
-        remaining = tuple(item for item in found if _incarnation(item) not in self._replaced)
-        locked = self._pools.get(_pool_name(call))
-        current = locked.current_upstreams if locked is not None else None
-        return current if isinstance(current, tuple) and current == remaining else remaining
-
-    def _single(self, upstream: Upstream) -> tuple[Upstream, ...]:
-        """Return a tuple of one upstream, the pool's own if it is still current."""
-        locked = self._pools.get(f"upstream {upstream.upstream_id}")
-        current = locked.current_upstreams if locked is not None else None
-        if isinstance(current, tuple) and current and current[0] is upstream:
-            return current
-        return (upstream,)
-
-    def _locked_pool(self, call: Call) -> _LockedPool:
-        name = _pool_name(call)
-        with self._pools_lock:
-            locked = self._pools.get(name)
-            if locked is None:
-                locked = _LockedPool(SlotPool(self._latencies, self._me.zone), threading.Lock())
-                self._pools[name] = locked
-            return locked
+        return self._pools.reuse_equal(call, (upstream,))
 
     def _floors(self, service: str) -> tuple[RankFloor, ...]:
         routes = self._view.routes
@@ -212,7 +159,7 @@
         state_changed = threading.Event()
         return QueueEntry(call, state_changed.set, time.monotonic()), state_changed
 
-    def _assign(self, locked: _LockedPool, call: Call) -> None:
+    def _assign(self, locked: LockedPool, call: Call) -> None:
         """Assign free slots to queued requests; the caller holds the lock of the pool.
 
         :param locked: the pool.
@@ -227,7 +174,7 @@
 
     def _wait_for_slot(
         self,
-        locked: _LockedPool,
+        locked: LockedPool,
         entry: QueueEntry,
         state_changed: threading.Event,
         caller: socket.socket | None,
@@ -274,9 +221,7 @@
             upstream_id=call.upstream_id,
         )
 
-    def _send(
-        self, locked: _LockedPool, entry: QueueEntry, caller: socket.socket | None
-    ) -> Outcome:
+    def _send(self, locked: LockedPool, entry: QueueEntry, caller: socket.socket | None) -> Outcome:
         upstream = entry.upstream
         assert upstream is not None
         started = time.monotonic()
@@ -348,13 +293,13 @@
             channel.reset()
         else:
             self._channels.release(upstream, channel)
-        self._record_connection(upstream.upstream_id, connected=True)
+        self._unreachable.record_connection(upstream.upstream_id, connected=True)
         return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
         if not exc.sent:
             if exc.code is not ResultCode.BAD_REQUEST:
-                self._record_connection(upstream.upstream_id, connected=False)
+                self._unreachable.record_connection(upstream.upstream_id, connected=False)
             code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
             return Outcome(
                 code,
@@ -398,13 +343,6 @@
         )
 
 
-def _pool_name(call: Call) -> str:
-    """Return the name of the pool of slots that serves a request."""
-    if call.key is None:
-        return f"service {call.service} {call.group}"
-    return f"upstream {call.upstream_id}"
-
-
 def _incarnation(upstream: Upstream) -> tuple[str, Address, int]:
     """Return the id, address and start time, which together identify one run of an upstream."""
     return upstream.upstream_id, upstream.address, upstream.started_ms
--- /dev/null
+++ b/foxtailshunt/relay/_slot_pools.py
@@ -0,0 +1,77 @@
+"""The pools of slots of a sending node."""
+
+import threading
+from dataclasses import dataclass
+
+from foxtailshunt.fleet import Upstream
+from foxtailshunt.relay._latency_estimator import LatencyEstimator
+from foxtailshunt.relay._outcome import Call
+from foxtailshunt.relay._slot_pool import SlotPool
+
+
+@dataclass(slots=True)
+class LockedPool:
+    """A pool with its lock."""
+
+    pool: SlotPool
+    lock: threading.Lock
+    #: The tuple of upstreams that the pool was last set to, compared by identity.
+    current_upstreams: tuple[Upstream, ...] | None = None
+
+    def update_upstreams(self, upstreams: tuple[Upstream, ...]) -> None:
+        """Set the upstreams that may get new requests; the caller holds the lock.
+
+        :param upstreams: the upstreams; the same tuple as before if they have not changed.
+        """
+        if self.current_upstreams is not upstreams:
+            self.pool.set_upstreams(upstreams)
+            self.current_upstreams = upstreams
+
+
+class SlotPools:
+    """A pool for each keyed upstream and for each group of upstreams; safe to use from any thread.
+
+    :param latencies: latency estimates by route and upstream.
+    :param zone: the preferred availability zone among otherwise equal upstreams.
+    """
+
+    def __init__(self, latencies: LatencyEstimator, zone: str) -> None:
+        self._latencies = latencies
+        self._zone = zone
+        self._lock = threading.Lock()
+        self._pools: dict[str, LockedPool] = {}
+
+    def get(self, call: Call) -> LockedPool:
+        """Return the pool that serves a request.
+
+        :param call: the request.
+        """
+        name = _pool_name(call)
+        with self._lock:
+            locked = self._pools.get(name)
+            if locked is None:
+                locked = LockedPool(SlotPool(self._latencies, self._zone), threading.Lock())
+                self._pools[name] = locked
+            return locked
+
+    def reuse_equal(self, call: Call, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
+        """Return the tuple that the pool of a request has, if it is equal to the given one.
+
+        :param call: the request.
+        :param upstreams: upstreams that may serve it.
+        """
+        locked = self._pools.get(_pool_name(call))
+        current = locked.current_upstreams if locked is not None else None
+        return current if current is not None and current == upstreams else upstreams
+
+    def load(self) -> tuple[int, int]:
+        """Return the number of queued requests and of those in flight at upstreams."""
+        pools = list(self._pools.values())
+        return sum(item.pool.waiting for item in pools), sum(item.pool.running for item in pools)
+
+
+def _pool_name(call: Call) -> str:
+    """Return the name of the pool of slots that serves a request."""
+    if call.key is None:
+        return f"service {call.service} {call.group}"
+    return f"upstream {call.upstream_id}"
