Spread a fleet's retries of store calls by its size

Change: the mean interval is at least 10 ms for each node of the fleet, at most 1.5 s, and random. Fleets of up to 20 nodes retry as before; the leader's renewals of its lease are not affected.

--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import queue
+import random
 from collections.abc import Iterator
 
 from behave import given, then, when
@@ -9,7 +10,7 @@
 
 from features.scripted_upstream import ScriptedUpstream, json_response
 from foxtailshunt.assigning import LEADER_KEY, Leadership
-from foxtailshunt.fleet import Address, Member
+from foxtailshunt.fleet import Address, FleetView, Member, RetrySpread
 from foxtailshunt.platform import StoreChange, StoreClient
 from foxtailshunt.timing import MonotonicClock
 from standins.metadata import MetadataServer, MetadataStore
@@ -63,7 +64,9 @@
 @when("a node takes part in elections")
 def _(context: Context) -> None:
     member = Member("n1", "boot", "zone", ("127.0.0.1", 1))
-    leadership = Leadership(member, context.election_client, MonotonicClock().now, 1.0)
+    now = MonotonicClock().now
+    spread = RetrySpread(FleetView(now), random.Random(5))
+    leadership = Leadership(member, context.election_client, now, 1.0, spread)
     context.leadership = leadership
     context.add_cleanup(leadership.resign)
     leadership.start()
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from foxtailshunt.fleet import Member
+from foxtailshunt.fleet import Member, RetrySpread
 from foxtailshunt.platform import (
     ConflictError,
     HistoryLostError,
@@ -39,7 +39,7 @@
 #: Extra delay of an instance with hardly any capacity, in seconds: larger instances win elections,
 #: since the leader's work grows with the fleet. Upstreams keep their keys for longer.
 MAX_CAPACITY_DELAY_S = 0.3
-#: Delay before a failed call is retried, in seconds.
+#: Delay before a failed call is retried in a small fleet, in seconds.
 RETRY_DELAY_S = 0.3
 
 
@@ -72,6 +72,7 @@
     :param store: the store.
     :param now: returns seconds of a clock that also advances during suspension.
     :param capacity_cores: processor capacity of this instance, in cores.
+    :param retry_spread: delays before retries of calls to the store.
     """
 
     def __init__(
@@ -80,8 +81,10 @@
         store: StoreClient,
         now: Callable[[], float],
         capacity_cores: float,
+        retry_spread: RetrySpread,
     ) -> None:
         self._capacity_delay_s = election_delay_s(capacity_cores)
+        self._retry_spread = retry_spread
         self._local_member = local_member
         self._store = store
         self._now = now
@@ -155,7 +158,7 @@
                 self._stopping.wait(random.uniform(0, RETRY_DELAY_S))
             except StoreError as exc:
                 self._log_store_state(exc)
-                self._stopping.wait(RETRY_DELAY_S)
+                self._stopping.wait(self._retry_spread.delay_s(RETRY_DELAY_S))
 
     def _renew_lease(self) -> None:
         assert self._lease is not None
--- a/foxtailshunt/node/__init__.py
+++ b/foxtailshunt/node/__init__.py
@@ -1,11 +1,22 @@
 """The node program, which runs on each instance of a platform with its own discovery."""
 
+from foxtailshunt.node._configuration_watch import (
+    ConfigurationApplier,
+    ConfigurationFormat,
+    ConfigurationWatch,
+)
 from foxtailshunt.node._follow_reply import apply_reply, build_reply
+from foxtailshunt.node._follower import DemandCollector, Follower
 from foxtailshunt.node._program import NodeProgram
 from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.node._settings import NodeSettings, load_node_settings
 
 __all__ = [
+    "ConfigurationApplier",
+    "ConfigurationFormat",
+    "ConfigurationWatch",
+    "DemandCollector",
+    "Follower",
     "NodeProgram",
     "NodeSettings",
     "ReplyPacer",
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView
+from foxtailshunt.fleet import FleetView, RetrySpread
 from foxtailshunt.platform import HistoryLostError, StoreClient, StoreError
 from foxtailshunt.routing import RouteTable
 from foxtailshunt.telemetry import log_state_change
@@ -14,7 +14,7 @@
 READ_TIMEOUT_S = 1.0
 #: Time that one watch call waits for a change, in seconds; each call is billed.
 WATCH_TIMEOUT_S = 12.0
-#: Delay after a failed call to the store, in seconds.
+#: Delay after a failed call to the store in a small fleet, in seconds.
 RETRY_DELAY_S = 0.4
 
 
@@ -61,10 +61,17 @@
 
     :param store: the store.
     :param configuration_applier: applies configurations.
+    :param retry_spread: delays before retries of calls to the store.
     """
 
-    def __init__(self, store: StoreClient, configuration_applier: ConfigurationApplier) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        configuration_applier: ConfigurationApplier,
+        retry_spread: RetrySpread,
+    ) -> None:
         self._store = store
+        self._retry_spread = retry_spread
         self._configuration_applier = configuration_applier
         self._format = configuration_applier.format
         self._stopping = threading.Event()
@@ -87,7 +94,7 @@
                 continue
             except StoreError as exc:
                 self._log_store_lost(exc)
-                self._stopping.wait(RETRY_DELAY_S)
+                self._stopping.wait(self._retry_spread.delay_s(RETRY_DELAY_S))
 
     def _read_current(self) -> int:
         items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -18,7 +18,7 @@
     decode_table,
 )
 from foxtailshunt.errors import FoxtailshuntError, PeerUnreachableError
-from foxtailshunt.fleet import FleetView, Member, OwnershipTable, Versions
+from foxtailshunt.fleet import FleetView, Member, OwnershipTable, RetrySpread, Versions
 from foxtailshunt.network import Address
 from foxtailshunt.node._configuration_watch import ConfigurationApplier
 from foxtailshunt.node._follow_reply import apply_reply
@@ -46,7 +46,7 @@
 STALE_UPSTREAMS_AGE_S = 1.25
 #: Timeout of the read of the stored ownership table at startup, in seconds.
 TABLE_READ_TIMEOUT_S = 0.8
-#: Delay after a failed call to the store, in seconds; each call is billed.
+#: Delay after a failed call to the store in a small fleet, in seconds; each call is billed.
 STORE_RETRY_DELAY_S = 0.9
 #: Interval between checks of the age of the list of upstreams, in seconds.
 AGE_CHECK_INTERVAL_S = 0.5
@@ -89,6 +89,7 @@
     :param demand_tracker: records this node's own demand while it is the leader.
     :param capacity_estimator: records this node's own latency reports while it is the leader.
     :param now: returns seconds of a clock that includes time spent suspended.
+    :param retry_spread: delays before retries of calls to the store.
     :param seeds: addresses of nodes to poll while neither a leader nor any member is known.
     """
 
@@ -104,9 +105,11 @@
         demand_tracker: DemandTracker,
         capacity_estimator: CapacityEstimator,
         now: Callable[[], float],
+        retry_spread: RetrySpread,
         seeds: tuple[Address, ...],
     ) -> None:
         self._seeds = seeds
+        self._retry_spread = retry_spread
         self._me = local_member
         self._view = view
         self._leadership = leadership
@@ -280,7 +283,7 @@
             try:
                 upstreams = self._reader.poll()
             except StoreError as exc:
-                wait_s = STORE_RETRY_DELAY_S
+                wait_s = self._retry_spread.delay_s(STORE_RETRY_DELAY_S)
                 if not self._store_is_lost:
                     log_state_change("store.lost", part="reader", error=str(exc))
                 self._store_is_lost = True
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -1,5 +1,6 @@
 """Wires the components of a node and controls their startup and shutdown."""
 
+import random
 import threading
 import time
 from pathlib import Path
@@ -15,7 +16,7 @@
 from foxtailshunt.callers import CallerInterface, OwnCallerInterface
 from foxtailshunt.config import CONFIG_KEY, decode_config_record
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, Member
+from foxtailshunt.fleet import FleetView, Member, RetrySpread
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
 from foxtailshunt.node._configuration_watch import (
     ConfigurationApplier,
@@ -100,8 +101,13 @@
         demand_tracker = DemandTracker()
         capacity_estimator = CapacityEstimator()
         members = MemberRegistry()
+        retry_spread = RetrySpread(self._view, random.Random())
         self._leadership = Leadership(
-            local_member, self._store, now, settings.cpu_share * settings.cpu_speed
+            local_member,
+            self._store,
+            now,
+            settings.cpu_share * settings.cpu_speed,
+            retry_spread,
         )
         self._assigner = Assigner(
             local_member,
@@ -158,9 +164,10 @@
             demand_tracker,
             capacity_estimator,
             now,
+            retry_spread,
             settings.peers,
         )
-        self._configuration = ConfigurationWatch(self._store, configuration_applier)
+        self._configuration = ConfigurationWatch(self._store, configuration_applier, retry_spread)
         self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
         self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
