Log why the previous owner of moved keys holds them no more

The few lines that were kept of each node were filled with one upstream.joined for each upstream after a restart; the first list now takes one line.

Logs only. node_takeover, node_ownership and node_logs: 40 passed, 0 failed.

--- a/foxtailshunt/assigning/_key_mover.py
+++ b/foxtailshunt/assigning/_key_mover.py
@@ -2,6 +2,8 @@
 
 import threading
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
 
 from foxtailshunt.assigning._grant_renewer import GRANT_TIMEOUT_S, GrantRenewer
 from foxtailshunt.fleet import KeyRange
@@ -20,6 +22,27 @@
 WAIT_POLL_S = 0.1
 
 
+class ReleaseBasis(Enum):
+    """Why the previous owner of keys can no longer hold them."""
+
+    #: It released them.
+    RELEASED = "released"
+    #: It has terminated; another upstream uses its address.
+    REPLACED = "upstream replaced"
+    #: Every grant of this and of previous leaders has expired.
+    EXPIRED = "grants expired"
+
+
+@dataclass(frozen=True, slots=True)
+class _Release:
+    """The end of the previous owner's hold on keys."""
+
+    #: Why it can no longer hold them.
+    basis: ReleaseBasis
+    #: State that lets the new owner start warm; None if there is none.
+    handover: str | None = None
+
+
 class KeyMover:
     """Carries out the moves of the ownership table, each on a thread of its own.
 
@@ -81,10 +104,10 @@
     def _move(self, keys: KeyRange, contested: bool) -> None:
         started = self._now()
         self._stopping.wait(PUBLISH_DELAY_S)
-        handover, released = self._release(keys, contested)
-        if not released:
+        release = self._release(keys, contested)
+        if release is None:
             return
-        self._grant(keys, handover)
+        self._grant(keys, release.handover)
         if not self._complete(keys):
             return
         log_state_change(
@@ -95,7 +118,9 @@
             giver=keys.giver,
             owner=keys.owner,
             fence=keys.fence,
-            warm=handover is not None,
+            basis=release.basis.value,
+            previous_grants_left_s=self._previous_grants_left_s(),
+            warm=release.handover is not None,
             took_s=round(self._now() - started, 3),
         )
         self._metrics.count("foxtailshunt_moves_total", "Ranges of keys moved.")
@@ -103,35 +128,40 @@
             "foxtailshunt_keys_moved_total", "Keys moved.", amount=keys.last - keys.first + 1
         )
 
-    def _release(self, keys: KeyRange, contested: bool) -> tuple[str | None, bool]:
+    def _release(self, keys: KeyRange, contested: bool) -> _Release | None:
         """Wait until the previous owner can no longer hold the keys.
 
-        :returns: its handover state if it released the keys, and whether the move may continue.
+        :returns: None if this node no longer leads.
         """
         renewer = self._renewers.get(keys.giver or "")
         if renewer is None:
             while self._may_act() and self._now() < self._previous_grants_expire_at():
                 self._stopping.wait(WAIT_POLL_S)
-            return None, self._may_act()
+            return _Release(ReleaseBasis.EXPIRED) if self._may_act() else None
         # No further renewals of these keys are sent, but one may still be in transit.
         expired_at = max(renewer.held_until, self._now() + GRANT_TIMEOUT_S)
         client = KeyGrantClient(renewer.upstream.address, renewer.upstream.upstream_id)
         try:
             while self._may_act():
                 try:
-                    return client.release(keys, RELEASE_TIMEOUT_S), True
+                    handover = client.release(keys, RELEASE_TIMEOUT_S)
+                    return _Release(ReleaseBasis.RELEASED, handover)
                 except UpstreamReplacedError:
-                    return None, True
+                    return _Release(ReleaseBasis.REPLACED)
                 except KeyGrantError as exc:
                     log_state_change("release.failed", upstream=keys.giver, error=str(exc))
                 if self._now() > expired_at and not (
                     contested and self._now() < self._previous_grants_expire_at()
                 ):
-                    return None, True
+                    return _Release(ReleaseBasis.EXPIRED)
                 self._stopping.wait(RELEASE_RETRY_S)
         finally:
             client.close()
-        return None, False
+        return None
+
+    def _previous_grants_left_s(self) -> float:
+        """Return how long grants of previous leaders may still be in force, in seconds."""
+        return max(0.0, round(self._previous_grants_expire_at() - self._now(), 3))
 
     def _grant(self, keys: KeyRange, handover: str | None) -> None:
         renewer = self._renewers.get(keys.owner)
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -89,13 +89,16 @@
     def _list(self) -> None:
         items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
         self._revision = revision
+        is_first_list = not self._entries
         found = {item.key for item in items}
         for key in [key for key in self._entries if key not in found]:
             self._remove(key)
         for item in items:
-            self._add(item.key, item.value)
+            self._add(item.key, item.value, is_first_list)
+        if is_first_list and self._entries:
+            log_state_change("upstream.first_list", upstreams=len(self._entries))
 
-    def _add(self, key: str, value: bytes) -> None:
+    def _add(self, key: str, value: bytes, is_first_list: bool = False) -> None:
         self._deleted.pop(key, None)
         try:
             upstream = decode_upstream(key, value)
@@ -107,9 +110,9 @@
             self._entries.pop(key, None)
             return
         self._unreadable.pop(key, None)
-        if key not in self._entries:
+        if key not in self._entries and not is_first_list:
             log_state_change("upstream.joined", upstream=upstream.upstream_id, zone=upstream.zone)
-        elif upstream.leaving and not self._entries[key].leaving:
+        elif upstream.leaving and not is_first_list and not self._entries[key].leaving:
             log_state_change("upstream.leaving", upstream=upstream.upstream_id)
         self._entries[key] = upstream
 
