Count an upstream as fenced only for keys whose new token it has confirmed

Callers saw two upstreams run requests for the same keys: after a zone had been cut off with the leader, another leader gave keys of upstreams in that zone to others 4 s later, while the previous leader still renewed their grants there.

Cause: an upstream counted as one that refuses the previous leader once it had accepted the new tokens of all ranges that are renewed. Ranges that are moving to it are not renewed, so for an upstream with no others nothing had to be accepted, and the condition held at once, even if it was never reached. The class of fault: a condition over a set that leaves out some of what it stands for, and holds for the empty set.

The new leader now keeps, for each upstream, the keys under which the table that it took over names it, as owner or previous owner, and removes them only when the upstream confirms a grant or a release with a new token. Keys of an upstream with any of them left wait until the grants of all previous leaders have expired. The flag for contested moves is gone: moves ask for the same bound.

--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -48,7 +48,27 @@
       | answers neither                   | 12.948 |
       | has been replaced                 | 1      |
 
-  @known_red
+  Scenario Outline: Only a confirmed new token ends the grants of previous leaders for a key
+    Given keys 0 to 9 owned by "u0", and keys 20 to 29 moving from "u0" to "u1"
+    And grants of previous leaders that expire at second 12.948
+    When <confirmed>
+    Then "<upstream>" may hold keys by grants of previous leaders until second <end>
+
+    Examples:
+      | confirmed                                         | upstream | end    |
+      | nothing is confirmed                              | u0       | 12.948 |
+      | nothing is confirmed                              | u1       | 12.948 |
+      | nothing is confirmed                              | u2       | -inf   |
+      | u0 confirms 0 to 9                                | u0       | 12.948 |
+      | u0 confirms 0 to 9, u0 confirms 20 to 29          | u0       | -inf   |
+      | u0 confirms 0 to 9, u0 confirms 20 to 29          | u1       | 12.948 |
+      | u0 confirms 0 to 4, u0 confirms 20 to 29          | u0       | 12.948 |
+      | u0 confirms 3 to 6, u0 confirms 0 to 29           | u0       | -inf   |
+      | u1 confirms 0 to 9                                | u1       | 12.948 |
+      | u1 confirms 20 to 24, u1 confirms 25 to 29        | u1       | -inf   |
+      | u1 terminates                                     | u1       | -inf   |
+      | u1 terminates                                     | u0       | 12.948 |
+
   Scenario: An upstream that never accepted a new token keeps keys that were moving to it
     Given keys were moving to an upstream when its leader and it were cut off
     When another node becomes the leader while the previous leader renews its grants
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -3,7 +3,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from foxtailshunt.assigning import GrantRenewer, LeaderProcess, MemberRegistry, PreviousLeaders
+from foxtailshunt.assigning import (
+    GrantRenewer,
+    LeaderProcess,
+    MemberRegistry,
+    PreviousGrants,
+    PreviousLeaders,
+)
 from foxtailshunt.fleet import KeyRange, Member, Upstream
 from foxtailshunt.platform import GrantOutcome, KeyGrantError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics
@@ -83,7 +89,7 @@
         upstream = Upstream("u0", "desk", _ADDRESS, "zone-a", 2, False, 0.0, 0)
         self.renewer = GrantRenewer(
             upstream,
-            lambda: previous_grants_expire_at,
+            PreviousGrants(_RANGES, lambda: previous_grants_expire_at),
             lambda _upstream_id: _RANGES,
             lambda _upstream_id: None,
             lambda: True,
@@ -147,3 +153,38 @@
     context.renewal.now = moment
     found = context.renewal.renewer.held_until
     assert abs(found - end) < 0.001, found
+
+
+@given('keys 0 to 9 owned by "u0", and keys 20 to 29 moving from "u0" to "u1"')
+def _(context: Context) -> None:
+    moving = KeyRange("desk", 20, 29, "u1", 6, giver="u0", moving=True)
+    context.table_ranges = [_RANGES[0], moving]
+
+
+@given("grants of previous leaders that expire at second {end:g}")
+def _(context: Context, end: float) -> None:
+    context.previous_grants = PreviousGrants(context.table_ranges, lambda: end)
+
+
+@when("nothing is confirmed")
+def _(context: Context) -> None:
+    assert context.previous_grants is not None
+
+
+@when("{upstream_id} terminates")
+def _(context: Context, upstream_id: str) -> None:
+    context.previous_grants.forget(upstream_id)
+
+
+@when("{upstream_id} confirms {keys}")
+def _(context: Context, upstream_id: str, keys: str) -> None:
+    for item in f"{upstream_id} confirms {keys}".split(", "):
+        name, _, interval = item.partition(" confirms ")
+        first, _, last = interval.partition(" to ")
+        context.previous_grants.fence(name, KeyRange("desk", int(first), int(last), name, 7))
+
+
+@then('"{upstream_id}" may hold keys by grants of previous leaders until second {end:g}')
+def _(context: Context, upstream_id: str, end: float) -> None:
+    found = context.previous_grants.expire_at(upstream_id)
+    assert found == end, found
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -7,6 +7,7 @@
 from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
+from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import (
     TABLE_KEY,
@@ -23,6 +24,7 @@
     "Assigner",
     "CapacityEstimator",
     "DemandTracker",
+    "PreviousGrants",
     "PreviousLeaders",
     "GrantRenewer",
     "LeaderProcess",
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 
+from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import KeyRange, Upstream
 from foxtailshunt.platform import GrantOutcome, KeyGrantClient, KeyGrantError, UpstreamReplacedError
@@ -47,8 +48,7 @@
     """Renews the grants of one upstream on a thread of its own and tracks its reachability.
 
     :param upstream: the upstream.
-    :param previous_grants_expire_at: returns the latest time at which grants of previous leaders
-        expire, in seconds of the clock.
+    :param previous_grants: grants of previous leaders that may be in force.
     :param owned: returns the ranges that the upstream with an id owns and that are to be renewed.
     :param probe_key: returns a key that the upstream with an id doesn't own, for a probe; None
         if there is none.
@@ -62,7 +62,7 @@
     def __init__(
         self,
         upstream: Upstream,
-        previous_grants_expire_at: Callable[[], float],
+        previous_grants: PreviousGrants,
         owned: Callable[[str], list[KeyRange]],
         probe_key: Callable[[str], KeyRange | None],
         may_act: Callable[[], bool],
@@ -72,9 +72,8 @@
         metrics: Metrics,
     ) -> None:
         self.upstream = upstream
-        self._previous_grants_expire_at = previous_grants_expire_at
+        self._previous_grants = previous_grants
         self._held_until = float("-inf")
-        self._is_fenced = False
         self._owned = owned
         self._probe_key = probe_key
         self._may_act = may_act
@@ -97,20 +96,16 @@
         """Return whether the upstream answers grants and has not been replaced."""
         return self._failures < UNREACHABLE_AFTER and not self._is_replaced
 
-    @property
-    def is_fenced(self) -> bool:
-        """Return whether the upstream has accepted this term's tokens for all of its keys.
-
-        From then on it refuses all grants of previous leaders.
-        """
-        return self._is_fenced
-
     @property
     def held_until(self) -> float:
         """Return the latest time at which the upstream may hold keys, in seconds of the clock."""
+        return max(self.granted_until, self._previous_grants.expire_at(self._id))
+
+    @property
+    def granted_until(self) -> float:
+        """Return when the last grant of this leader expires at the latest, in seconds."""
         with self._lock:
-            held_until = self._held_until
-        return held_until if self._is_fenced else max(held_until, self._previous_grants_expire_at())
+            return self._held_until
 
     def start(self) -> None:
         """Start to renew grants."""
@@ -160,6 +155,7 @@
             self._refused.add((keys.first, keys.last, keys.fence))
             self._on_fenced_off(keys)
             return False
+        self._previous_grants.fence(self._id, keys)
         return True
 
     @property
@@ -185,13 +181,11 @@
 
         :param client: a connection that no other thread uses.
         """
-        all_accepted = True
         for keys in self._owned(self._id):
             if self._stopping.is_set() or not self.is_reachable:
                 return
-            is_refused = (keys.first, keys.last, keys.fence) in self._refused
-            all_accepted &= not is_refused and self.grant(client, keys, None)
-        self._is_fenced |= all_accepted
+            if (keys.first, keys.last, keys.fence) not in self._refused:
+                self.grant(client, keys, None)
 
     def _probe(self, client: KeyGrantClient) -> None:
         """Probe whether an unreachable upstream responds again, without granting anything.
@@ -217,7 +211,7 @@
         """Record that the upstream has ended: it holds no keys, and another uses its address."""
         log_state_change("upstream.replaced", upstream=self._id)
         self._is_replaced = True
-        self._is_fenced = True
+        self._previous_grants.forget(self._id)
         with self._lock:
             self._held_until = self._now()
 
--- a/foxtailshunt/assigning/_key_mover.py
+++ b/foxtailshunt/assigning/_key_mover.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from foxtailshunt.assigning._grant_renewer import GRANT_TIMEOUT_S, GrantRenewer
+from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.fleet import KeyRange
 from foxtailshunt.platform import KeyGrantClient, KeyGrantError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
@@ -48,8 +49,7 @@
 
     :param renewers: grant renewers by upstream id.
     :param may_act: returns whether this node still leads.
-    :param previous_grants_expire_at: returns the latest time at which grants of previous leaders
-        expire, in seconds of the clock.
+    :param previous_grants: grants of previous leaders that may be in force.
     :param complete: marks a move as completed; returns False if the table no longer contains it.
     :param stopping: set when the process shuts down.
     :param now: returns seconds of a clock that also advances during suspension.
@@ -60,7 +60,7 @@
         self,
         renewers: Mapping[str, GrantRenewer],
         may_act: Callable[[], bool],
-        previous_grants_expire_at: Callable[[], float],
+        previous_grants: PreviousGrants,
         complete: Callable[[KeyRange], bool],
         stopping: threading.Event,
         now: Callable[[], float],
@@ -68,7 +68,7 @@
     ) -> None:
         self._renewers = renewers
         self._may_act = may_act
-        self._previous_grants_expire_at = previous_grants_expire_at
+        self._previous_grants = previous_grants
         self._complete = complete
         self._stopping = stopping
         self._now = now
@@ -81,30 +81,28 @@
         """Return the number of moves in progress."""
         return self._in_progress
 
-    def start_move(self, keys: KeyRange, contested: bool) -> None:
+    def start_move(self, keys: KeyRange) -> None:
         """Start a move.
 
         :param keys: the keys, with their previous and their new owner.
-        :param contested: True if the previous owner may still accept grants of previous leaders.
         """
         with self._lock:
             self._in_progress += 1
-        arguments = (keys, contested)
-        threading.Thread(target=self._run, args=arguments, name="move", daemon=True).start()
+        threading.Thread(target=self._run, args=(keys,), name="move", daemon=True).start()
 
-    def _run(self, keys: KeyRange, contested: bool) -> None:
+    def _run(self, keys: KeyRange) -> None:
         try:
-            self._move(keys, contested)
+            self._move(keys)
         except Exception as exc:
             log_thread_error("move", exc)
         finally:
             with self._lock:
                 self._in_progress -= 1
 
-    def _move(self, keys: KeyRange, contested: bool) -> None:
+    def _move(self, keys: KeyRange) -> None:
         started = self._now()
         self._stopping.wait(PUBLISH_DELAY_S)
-        release = self._release(keys, contested)
+        release = self._release(keys)
         if release is None:
             return
         self._grant(keys, release.handover)
@@ -128,31 +126,31 @@
             "foxtailshunt_keys_moved_total", "Keys moved.", amount=keys.last - keys.first + 1
         )
 
-    def _release(self, keys: KeyRange, contested: bool) -> _Release | None:
+    def _release(self, keys: KeyRange) -> _Release | None:
         """Wait until the previous owner can no longer hold the keys.
 
         :returns: None if this node no longer leads.
         """
-        renewer = self._renewers.get(keys.giver or "")
+        assert keys.giver is not None
+        renewer = self._renewers.get(keys.giver)
         if renewer is None:
-            while self._may_act() and self._now() < self._previous_grants_expire_at():
+            while self._may_act() and self._now() < self._previous_grants.expire_at(keys.giver):
                 self._stopping.wait(WAIT_POLL_S)
             return _Release(ReleaseBasis.EXPIRED) if self._may_act() else None
         # No further renewals of these keys are sent, but one may still be in transit.
-        expired_at = max(renewer.held_until, self._now() + GRANT_TIMEOUT_S)
+        expired_at = max(renewer.granted_until, self._now() + GRANT_TIMEOUT_S)
         client = KeyGrantClient(renewer.upstream.address, renewer.upstream.upstream_id)
         try:
             while self._may_act():
                 try:
                     handover = client.release(keys, RELEASE_TIMEOUT_S)
+                    self._previous_grants.fence(keys.giver, keys)
                     return _Release(ReleaseBasis.RELEASED, handover)
                 except UpstreamReplacedError:
                     return _Release(ReleaseBasis.REPLACED)
                 except KeyGrantError as exc:
                     log_state_change("release.failed", upstream=keys.giver, error=str(exc))
-                if self._now() > expired_at and not (
-                    contested and self._now() < self._previous_grants_expire_at()
-                ):
+                if self._now() > max(expired_at, self._previous_grants.expire_at(keys.giver)):
                     return _Release(ReleaseBasis.EXPIRED)
                 self._stopping.wait(RELEASE_RETRY_S)
         finally:
@@ -161,7 +159,7 @@
 
     def _previous_grants_left_s(self) -> float:
         """Return how long grants of previous leaders may still be in force, in seconds."""
-        return max(0.0, round(self._previous_grants_expire_at() - self._now(), 3))
+        return max(0.0, round(self._previous_grants.expire_at_latest() - self._now(), 3))
 
     def _grant(self, keys: KeyRange, handover: str | None) -> None:
         renewer = self._renewers.get(keys.owner)
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -11,6 +11,7 @@
 from foxtailshunt.assigning._key_mover import KeyMover
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
+from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import LeaderProcess
 from foxtailshunt.assigning._table_store import STORE_RETRY_S, TableStore
@@ -56,18 +57,9 @@
         self._first_upstream_at: float | None = None
         self._renewers: dict[str, GrantRenewer] = {}
         self._previous_leaders = self._track_previous_leaders(())
+        self._previous_grants = PreviousGrants((), self._previous_leaders.grants_expire_at)
+        self._mover = self._create_mover()
         self._table = TableStore(deps.store, deps.local_member, term, deps.leadership, deps.now)
-        self._mover = KeyMover(
-            self._renewers,
-            self._is_active,
-            lambda: self._previous_leaders.grants_expire_at(),
-            self._complete_move,
-            deps.stopping,
-            deps.now,
-            deps.metrics,
-        )
-        #: Ranges about to move whose previous owner may still accept grants of previous leaders.
-        self._contested: set[KeyRange] = set()
         self._next_read_at = float("-inf")
         self._is_store_unavailable = False
         self._new_fence_requests: set[tuple[str, int]] = set()
@@ -165,6 +157,10 @@
                 fence = record.fence + 1
                 ranges = [replace(item, fence=fence) for item in record.ranges]
                 if not ranges or self._write(fence, ranges):
+                    self._previous_grants = PreviousGrants(
+                        ranges, self._previous_leaders.grants_expire_at
+                    )
+                    self._mover = self._create_mover()
                     self._fence = fence
                     self._ranges = ranges
                     break
@@ -174,7 +170,18 @@
         self._update_renewers()
         for item in list(self._ranges):
             if item.giver is not None:
-                self._mover.start_move(item, contested=True)
+                self._mover.start_move(item)
+
+    def _create_mover(self) -> KeyMover:
+        return KeyMover(
+            self._renewers,
+            self._is_active,
+            self._previous_grants,
+            self._complete_move,
+            self._deps.stopping,
+            self._now,
+            self._deps.metrics,
+        )
 
     def _write(self, fence: int, ranges: Iterable[KeyRange]) -> bool:
         return self._table.write(fence, ranges, self._previous_leaders.unexpired())
@@ -234,7 +241,7 @@
     def _start_renewer(self, upstream: Upstream) -> GrantRenewer:
         renewer = GrantRenewer(
             upstream,
-            self._previous_leaders.grants_expire_at,
+            self._previous_grants,
             self._ranges_to_renew,
             self._probe_key,
             self._leads,
@@ -269,17 +276,13 @@
         routes = self._view.routes
         if routes is None:
             return
-        self._contested.clear()
         changed: list[tuple[KeyRange, list[KeyRange]]] = []
         fence = self._fence
         for name, info in routes.services.items():
             if info.keyed:
                 for move in self._plan(name, rebalance):
                     fence += 1
-                    parts = _split(move, fence)
-                    changed.append((move.keys, parts))
-                    if not self._is_fenced(move.keys.owner):
-                        self._contested.add(parts[0])
+                    changed.append((move.keys, _split(move, fence)))
         fence = self._assign_new_fences(changed, fence)
         initial = self._initial_ranges(routes.services, fence + 1)
         if not changed and not initial:
@@ -311,7 +314,7 @@
         for _, after in changed:
             for item in after:
                 if item.giver is not None:
-                    self._mover.start_move(item, contested=item in self._contested)
+                    self._mover.start_move(item)
         for renewer in self._renewers.values():
             renewer.renew_now()
 
@@ -367,15 +370,11 @@
         moves = plan_moves(ranges, demand, candidates, min(max_moves, MAX_MOVES_PER_PLAN))
         return [move for move in moves if self._is_due(move)]
 
-    def _is_fenced(self, upstream_id: str) -> bool:
-        renewer = self._renewers.get(upstream_id)
-        return renewer is not None and renewer.is_fenced
-
     def _is_due(self, move: Move) -> bool:
         """Return False while the owner is unreachable and its grants have not expired."""
         renewer = self._renewers.get(move.keys.owner)
         if renewer is None:
-            return self._now() > self._previous_leaders.grants_expire_at()
+            return self._now() > self._previous_grants.expire_at(move.keys.owner)
         return renewer.is_reachable or self._now() > renewer.held_until
 
 
