Let a rejected caller finish sending before its connection is closed

Callers that were still sending a body that is too large sometimes got a reset connection (BrokenPipeError) instead of the 413: the node closed the connection with unread bytes, and the kernel then resets it.

--- a/features/front_callers.feature
+++ b/features/front_callers.feature
@@ -24,7 +24,6 @@
       | large body          | 413    | PUT /k/a1 HTTP/1.1\r\nContent-Length: 999999\r\n\r\n                     |
       | bad request id      | 400    | GET /k/a1 HTTP/1.1\r\nX-Request-Id: a b\r\n\r\n                          |
 
-  @known_red
   Scenario: Oversized headers and bodies are rejected
     Given a front server whose upstreams respond with "ok"
     When a caller sends a header of 20000 bytes
@@ -35,6 +34,11 @@
     Then the bytes are rejected with status 413 and code 201
     And no upstream received a request
 
+  Scenario: A caller that still sends the body when it is rejected gets the rejection
+    Given a front server whose upstreams respond with "ok"
+    When a caller sends the rest of a body of 999999 bytes after the front server has rejected it
+    Then the bytes are rejected with status 413 and code 201
+
   Scenario: A request with an incomplete body is not sent to an upstream
     Given a front server whose upstreams respond with "ok"
     When a caller sends half of a body and closes its connection
--- a/features/steps/front_callers_steps.py
+++ b/features/steps/front_callers_steps.py
@@ -118,6 +118,17 @@
     context.caller.sock.sendall(head + b"a" * size)
 
 
+@when("a caller sends the rest of a body of {size:d} bytes after the front server has rejected it")
+def send_after_rejection(context: Context, size: int) -> None:
+    context.caller = RawCaller(context)
+    sent = size // 2
+    head = b"PUT /k/a1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size
+    context.caller.sock.sendall(head + b"a" * 1000)
+    assert context.caller.sock.recv(1, socket.MSG_PEEK), "no rejection has arrived"
+    for part in (sent, size - 1000 - sent):
+        context.caller.sock.sendall(b"a" * part)
+
+
 @when("a caller sends half of a body and closes its connection")
 def send_half_body(context: Context) -> None:
     context.caller = RawCaller(context)
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -14,6 +14,7 @@
 
 from foxtailshunt.callers import Reply
 from foxtailshunt.fleet import Address
+from foxtailshunt.front._lingering_close import discard_until_closed
 from foxtailshunt.front._request_handler import RequestHandler
 from foxtailshunt.http import StrictHttpRequest, make_socket_file
 from foxtailshunt.routing import FrontLimits
@@ -48,6 +49,7 @@
         self.server.count_rejected(status[:3])
         reply = self.server.handler.reject(int(status[:3]), msg or status)
         self.conn.wfile.write(_format_reply(reply, self))
+        self.conn.is_rejected = True
         self.sent_headers = True
 
 
@@ -60,6 +62,8 @@
         self.is_busy = False
         #: True after the first request was served.
         self.has_served = False
+        #: True after a request was rejected, part of which may be unread.
+        self.is_rejected = False
 
 
 class _FrontGateway(Gateway):
@@ -239,10 +243,21 @@
         except OSError as exc:
             log_state_change("front.connection_failed", error=str(exc))
         finally:
+            conn.is_busy = False
+            if conn.is_rejected:
+                self._discard_rest(conn)
             with self._lock:
                 self._connections.discard(conn)
             _close_and_log_errors(conn)
 
+    def _discard_rest(self, conn: _FrontConnection) -> None:
+        """Let a rejected caller finish sending, so that it receives the rejection."""
+        self._metrics.count(
+            "foxtailshunt_discarded_bytes_total",
+            "Bytes of rejected requests that were read after the rejection.",
+            amount=discard_until_closed(conn.socket),
+        )
+
     def _wait_for_request(self, conn: _FrontConnection) -> bool:
         """Return whether data of a request has arrived; if not, the connection is to be closed."""
         if conn.rfile.has_data():
