Reject entries of upstreams whose numbers are out of range

Callers saw: with one entry of another writer in the store, for example with slots 10^18, born 2^63 or a warm-up of 400 digits, followers of the leader got no list of upstreams any more (the reply to their poll ended in an OverflowError and closed the connection), and requests for the service of that entry failed.

Cause: the decoder put no upper bound on slots, born and warmup_left. The peer protocol carries slots as i32 and the times as i64, and the slot pool keeps a list with a time per slot. Durations of any number of digits became infinite, and digits other than 0 to 9 were accepted. A born of another type was taken as unknown.

Deep nesting was rejected before already.

The decoder now rejects what is above named limits. Whatever it accepts fits the peer protocol and the slot pool, which the scenario with 4000 random changes checks; the reader logs a rejected entry once and keeps the others. Durations are limited in their parser, so those of a configuration are finite as well.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -34,6 +34,8 @@
       | routes                | []          | routes          |
       | routes.r-a.timeout    | 1000        | routes.r-a      |
       | routes.r-a.timeout    | "1000"      | routes.r-a      |
+      | routes.r-a.timeout    | "1000000001s" | routes.r-a    |
+      | routes.r-a.timeout    | "٣s"        | routes.r-a      |
       | routes.r-a.priority   | -1          | routes.r-a      |
       | routes.r-a.service    | null        | routes.r-a      |
       | limits.idle_timeout   | "soon"      | limits          |
@@ -48,11 +50,15 @@
       | state       | "draining"       | is of a leaving upstream |
       | born        | 17.5             | is rejected              |
       | born        | 1786088844109    | is of a ready upstream   |
+      | born        | -1               | is rejected              |
+      | born        | true             | is rejected              |
       | warmup_left | "3s"             | is of a ready upstream   |
+      | warmup_left | "3601s"          | is rejected              |
       | state       | "resting"        | is rejected              |
       | slots       | "2"              | is rejected              |
       | slots       | 0                | is rejected              |
       | slots       | true             | is rejected              |
+      | slots       | 10001            | is rejected              |
       | address     | "10.0.0.1"       | is rejected              |
       | address     | "10.0.0.1:99999" | is rejected              |
       | service     | null             | is rejected              |
--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,34 @@
+Feature: An odd entry among those of the upstreams names no upstream, and the others hold
+
+  Scenario Outline: A number out of range in one entry leaves the other upstreams in use
+    Given the entries of 2 upstreams and one in which <part> is <value>
+    When the leader reads the entries 3 times and a follower polls it
+    Then the follower knows exactly the 2 upstreams
+    And a request can be queued for the upstreams of the follower
+    And the log names the odd entry once, in at most 400 characters
+
+    Examples: {9*400} stands for 400 nines
+      | part        | value                |
+      | slots       | 10001                |
+      | slots       | 1000000000000000000  |
+      | slots       | {9*400}              |
+      | slots       | {9*5000}             |
+      | born        | -1                   |
+      | born        | true                 |
+      | born        | 9223372036854775808  |
+      | born        | {9*400}              |
+      | warmup_left | "3601s"              |
+      | warmup_left | "{9*17}s"            |
+      | warmup_left | "{9*400}s"           |
+      | warmup_left | "٣s"                 |
+      | seq         | {9*5000}             |
+      | seq         | {[*100000}           |
+
+  Scenario: The largest numbers and longest names of an entry reach the followers
+    Given the entries of 2 upstreams and one at all limits
+    When the leader reads the entries 3 times and a follower polls it
+    Then the follower knows all 3 upstreams
+    And a request can be queued for the upstreams of the follower
+
+  Scenario: Random changes of an entry never stop the readers
+    Then each of 4000 random changes with seed 5 is rejected or reaches a follower
--- a/foxtailshunt/platform/_durations.py
+++ b/foxtailshunt/platform/_durations.py
@@ -5,7 +5,10 @@
 
 from pydantic import BeforeValidator
 
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+#: Longest duration, in seconds, about 31 years; the longest wait of a thread is 292 years.
+MAX_DURATION_S = 1e9
+
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 _MS_PER_S = 1000.0
 
 
@@ -13,13 +16,16 @@
     """Parse a duration and return it in seconds.
 
     :param value: text such as ``1500ms`` or ``2.5s``.
-    :raises ValueError: the value is not such a text.
+    :raises ValueError: the value is not such a text, or too long a duration.
     """
     match = _DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
         raise ValueError(f"not a duration with a unit: {value!r}")
     number = float(match[1])
-    return number / _MS_PER_S if match[2] == "ms" else number
+    seconds = number / _MS_PER_S if match[2] == "ms" else number
+    if seconds > MAX_DURATION_S:
+        raise ValueError(f"longer than {MAX_DURATION_S:.0f} s")
+    return seconds
 
 
 def format_duration(seconds: float) -> str:
--- a/foxtailshunt/platform/_upstreams.py
+++ b/foxtailshunt/platform/_upstreams.py
@@ -2,7 +2,7 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, Field, StrictBool, StrictInt, ValidationError, field_validator
+from pydantic import BaseModel, Field, StrictInt, ValidationError, field_validator
 
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.network import parse_address
@@ -15,17 +15,25 @@
 #: Prefix of the keys that upstreams write; the rest of a key is the upstream's id.
 UPSTREAM_PREFIX = "servers/"
 
+#: Maximum number of requests that an upstream processes concurrently; each sender keeps a time per
+#: slot.
+MAX_SLOTS = 10_000
+#: Maximum remaining warm-up time, in seconds; upstreams are slow for some seconds after a start.
+MAX_WARMUP_S = 3600.0
+#: Latest start of an upstream as Unix time in milliseconds; the end of the year 9999.
+MAX_BORN_MS = 253_402_300_799_999
+
 
 class _WireUpstream(BaseModel):
     service: str = Field(min_length=1)
     address: str
     zone: str
-    slots: StrictInt = Field(ge=1)
+    slots: StrictInt = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     #: Remaining warm-up time after a start, not its full length.
-    warmup_left: Seconds = 0.0
-    #: Start of the upstream as Unix time in milliseconds.
-    born: StrictInt | StrictBool | None = None
+    warmup_left: Seconds = Field(default=0.0, le=MAX_WARMUP_S)
+    #: Start of the upstream as Unix time in milliseconds; 0 if unknown.
+    born: StrictInt = Field(default=0, ge=0, le=MAX_BORN_MS)
 
     @field_validator("address")
     @classmethod
@@ -37,6 +45,8 @@
 def decode_upstream(key: str, value: bytes) -> Upstream:
     """Decode the entry of an upstream.
 
+    Entries may come from other writers, so each field is checked for what an upstream would write.
+
     :param key: key of the entry.
     :param value: stored bytes of the entry.
     :raises ValueError: the entry is malformed; the message names the field.
@@ -44,9 +54,8 @@
     try:
         wire = _WireUpstream.model_validate_json(value)
     except ValidationError as exc:
-        error = exc.errors()[0]
+        error = exc.errors(include_url=False, include_input=False)[0]
         raise ValueError(f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}")
-    born_ms = wire.born if isinstance(wire.born, int) and not isinstance(wire.born, bool) else 0
     return Upstream(
         upstream_id=key.removeprefix(UPSTREAM_PREFIX),
         service=wire.service,
@@ -55,5 +64,5 @@
         slots=wire.slots,
         leaving=wire.state == "draining",
         warmup_s=wire.warmup_left,
-        started_ms=born_ms,
+        started_ms=wire.born,
     )
