Reject entries of upstreams whose address is no IPv4 number and port

An entry of another writer with a host name, an IPv6 literal, spaces or 0.0.0.0 in its address took part as an upstream. By reading the code, not by a run: a request sent to a host name waits for a lookup that has no timeout of its own.

Cause: the decoder checked only for text, a colon and a port in range; a port could have leading zeros, and the message about a port of 5000 digits or a very long address was as long as the entry.

Upstreams write an IPv4 number and a port, so the decoder accepts nothing else; it checks the length first.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -61,6 +61,8 @@
       | slots       | 10001            | is rejected              |
       | address     | "10.0.0.1"       | is rejected              |
       | address     | "10.0.0.1:99999" | is rejected              |
+      | address     | "10.0.0.1:080"   | is rejected              |
+      | address     | "host:80"        | is rejected              |
       | service     | null             | is rejected              |
       | zone        | 4                | is rejected              |
 
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -24,6 +24,23 @@
       | seq         | {9*5000}             |
       | seq         | {[*100000}           |
 
+  Scenario Outline: An address that is no IPv4 number and port leaves the other upstreams in use
+    Given the entries of 2 upstreams and one in which <part> is <value>
+    When the leader reads the entries 3 times and a follower polls it
+    Then the follower knows exactly the 2 upstreams
+    And the log names the odd entry once, in at most 400 characters
+
+    Examples:
+      | part    | value                  |
+      | address | "upstream.example:80"  |
+      | address | "10.0.0.1 :80"         |
+      | address | "[::1]:80"             |
+      | address | "0.0.0.0:80"           |
+      | address | "10.0.0.1:0"           |
+      | address | "10.0.0.1:0000080"     |
+      | address | "10.0.0.1:{9*5000}"    |
+      | address | "{x*100000}"           |
+
   Scenario: The largest numbers and longest names of an entry reach the followers
     Given the entries of 2 upstreams and one at all limits
     When the leader reads the entries 3 times and a follower polls it
--- a/foxtailshunt/platform/_upstreams.py
+++ b/foxtailshunt/platform/_upstreams.py
@@ -1,5 +1,7 @@
 """Decodes the store entries with which upstreams register themselves."""
 
+import ipaddress
+import re
 from typing import Literal
 
 from pydantic import BaseModel, Field, StrictInt, ValidationError, field_validator
@@ -22,11 +24,15 @@
 MAX_WARMUP_S = 3600.0
 #: Latest start of an upstream as Unix time in milliseconds; the end of the year 9999.
 MAX_BORN_MS = 253_402_300_799_999
+#: Maximum length of an address, in characters; that of ``255.255.255.255:65535``.
+MAX_ADDRESS_CHARS = 21
+
+_ADDRESS = re.compile(r"[0-9.]+:[1-9][0-9]*")
 
 
 class _WireUpstream(BaseModel):
     service: str = Field(min_length=1)
-    address: str
+    address: str = Field(max_length=MAX_ADDRESS_CHARS)
     zone: str
     slots: StrictInt = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
@@ -38,7 +44,12 @@
     @field_validator("address")
     @classmethod
     def _check_address(cls, value: str) -> str:
-        parse_address(value)
+        if not _ADDRESS.fullmatch(value):
+            raise ValueError("not an IPv4 number and port")
+        host, _ = parse_address(value)
+        number = ipaddress.IPv4Address(host)
+        if number.is_unspecified or number.is_multicast:
+            raise ValueError("not the address of a host")
         return value
 
 
