Reject entries of upstreams with ids and names that cannot be used

Callers saw: an entry of another writer under servers/ with an empty id, or with an id that holds spaces, line ends or characters outside latin-1, took part as an upstream. The header that carries the id cannot be formatted with a line end or outside latin-1 (ValueError, UnicodeEncodeError in a trial). An id with a lone surrogate ended each reply to a follower in a UnicodeEncodeError, so that followers got no list of upstreams any more. Names of 100,000 characters were sent to each follower, and log lines about a duration or address were as long as the entry.

Cause: the decoder took any key as an id and any text as a name, and the message of a rejection contained the value.

Ids now consist of visible ASCII characters, names have a maximum length, and the message about a rejected entry has at most 200 characters.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -65,6 +65,7 @@
       | address     | "host:80"        | is rejected              |
       | service     | null             | is rejected              |
       | zone        | 4                | is rejected              |
+      | zone        | ""               | is rejected              |
 
   Scenario Outline: A response of an upstream is classified by its status and headers
     When upstream u1 responds to request r1 with <status> and <headers>
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -41,6 +41,34 @@
       | address | "10.0.0.1:{9*5000}"    |
       | address | "{x*100000}"           |
 
+  Scenario Outline: A name without bounds leaves the other upstreams in use
+    Given the entries of 2 upstreams and one in which <part> is <value>
+    When the leader reads the entries 3 times and a follower polls it
+    Then the follower knows exactly the 2 upstreams
+    And the log names the odd entry once, in at most 400 characters
+
+    Examples:
+      | part        | value        |
+      | service     | "{x*100000}" |
+      | zone        | ""           |
+      | zone        | "{x*100000}" |
+      | warmup_left | "{x*100000}" |
+
+  Scenario Outline: An entry whose id cannot be sent in a header leaves the other upstreams in use
+    Given the entries of 2 upstreams and one whose id is <id>
+    When the leader reads the entries 3 times and a follower polls it
+    Then the follower knows exactly the 2 upstreams
+    And the log names the odd entry once, in at most 400 characters
+
+    Examples: as JSON text
+      | id                   |
+      | ""                   |
+      | "a b"                |
+      | "a\u000d\u000aB: 1"  |
+      | "\u20ac"             |
+      | "\ud800"             |
+      | "{x*201}"            |
+
   Scenario: The largest numbers and longest names of an entry reach the followers
     Given the entries of 2 upstreams and one at all limits
     When the leader reads the entries 3 times and a follower polls it
--- a/foxtailshunt/platform/_durations.py
+++ b/foxtailshunt/platform/_durations.py
@@ -9,6 +9,8 @@
 MAX_DURATION_S = 1e9
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+#: Maximum length of a rejected value in an error message, in characters.
+_MAX_SHOWN_CHARS = 60
 _MS_PER_S = 1000.0
 
 
@@ -20,7 +22,7 @@
     """
     match = _DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
-        raise ValueError(f"not a duration with a unit: {value!r}")
+        raise ValueError(f"not a duration with a unit: {value!r:.{_MAX_SHOWN_CHARS}}")
     number = float(match[1])
     seconds = number / _MS_PER_S if match[2] == "ms" else number
     if seconds > MAX_DURATION_S:
--- a/foxtailshunt/platform/_upstreams.py
+++ b/foxtailshunt/platform/_upstreams.py
@@ -24,16 +24,23 @@
 MAX_WARMUP_S = 3600.0
 #: Latest start of an upstream as Unix time in milliseconds; the end of the year 9999.
 MAX_BORN_MS = 253_402_300_799_999
+#: Maximum length of the name of a service or zone, in characters; as long as a key of the store.
+MAX_NAME_CHARS = 200
 #: Maximum length of an address, in characters; that of ``255.255.255.255:65535``.
 MAX_ADDRESS_CHARS = 21
+#: Maximum length of the message about an unreadable entry, in characters; log lines carry it.
+MAX_MESSAGE_CHARS = 200
 
+#: Ids are sent in headers, so they consist of visible ASCII characters; a key of the store has at
+#: most 200 bytes.
+_UPSTREAM_ID = re.compile(r"[!-~]{1,192}")
 _ADDRESS = re.compile(r"[0-9.]+:[1-9][0-9]*")
 
 
 class _WireUpstream(BaseModel):
-    service: str = Field(min_length=1)
+    service: str = Field(min_length=1, max_length=MAX_NAME_CHARS)
     address: str = Field(max_length=MAX_ADDRESS_CHARS)
-    zone: str
+    zone: str = Field(min_length=1, max_length=MAX_NAME_CHARS)
     slots: StrictInt = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     #: Remaining warm-up time after a start, not its full length.
@@ -60,15 +67,19 @@
 
     :param key: key of the entry.
     :param value: stored bytes of the entry.
-    :raises ValueError: the entry is malformed; the message names the field.
+    :raises ValueError: the entry is malformed; the message names the field and is short.
     """
+    upstream_id = key.removeprefix(UPSTREAM_PREFIX)
+    if not _UPSTREAM_ID.fullmatch(upstream_id):
+        raise ValueError("the key does not end with an id")
     try:
         wire = _WireUpstream.model_validate_json(value)
     except ValidationError as exc:
         error = exc.errors(include_url=False, include_input=False)[0]
-        raise ValueError(f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}")
+        message = f"{'.'.join(str(part) for part in error['loc'])}: {error['msg']}"
+        raise ValueError(message[:MAX_MESSAGE_CHARS]) from None
     return Upstream(
-        upstream_id=key.removeprefix(UPSTREAM_PREFIX),
+        upstream_id=upstream_id,
         service=wire.service,
         address=parse_address(wire.address),
         zone=wire.zone,
