Keep a node in elections whatever the leader's key holds

Callers saw: after another writer had left a deeply nested record or a port of 1e999 under foxtailshunt/leader, the nodes that read it took no part in elections any more, also after the record was gone. A record with a port out of range or a host that is no text named a leader that cannot be called.

Cause: the record was read field by field without types or bounds. RecursionError and OverflowError were not among the errors that its reader expected, so they ended the election thread.

A model checks the types and bounds of the record, and any malformed one is logged as leader.unreadable and names no leader. Encoding and decoding are in one module.

--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -3,6 +3,7 @@
 import json
 import queue
 import random
+import re
 from collections.abc import Iterator
 
 from behave import given, then, when
@@ -18,6 +19,7 @@
 _OTHER_KEY = "foxtailshunt/config"
 _WAIT_TIMEOUT_S = 20.0
 _LEADER = {"instance_id": "n2", "boot_id": "boot", "at": ["127.0.0.1", 2]}
+_REPEATED = re.compile(r"\{(.)\*(\d+)\}")
 _CUT_SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -61,6 +63,16 @@
     context.election_client = RecordingStoreClient(server.address)
 
 
+@given("a store in which the record of the leader is {record}")
+def _(context: Context, record: str) -> None:
+    text = _REPEATED.sub(lambda match: match[1] * int(match[2]), record)
+    context.election_store = MetadataStore()
+    server = MetadataServer(context.election_store)
+    context.add_cleanup(server.stop)
+    context.election_store.put(LEADER_KEY, text.encode())
+    context.election_client = RecordingStoreClient(server.address)
+
+
 @when("a node takes part in elections")
 def _(context: Context) -> None:
     member = Member("n1", "boot", "zone", ("127.0.0.1", 1))
@@ -72,6 +84,12 @@
     leadership.start()
 
 
+@when("the record of the leader is removed after the node has read it")
+def _(context: Context) -> None:
+    context.election_client.watched_after.get(timeout=_WAIT_TIMEOUT_S)
+    context.election_store.remove(LEADER_KEY)
+
+
 @when("the store discards its history")
 def _(context: Context) -> None:
     context.election_client.watched_after.get(timeout=_WAIT_TIMEOUT_S)
@@ -88,3 +106,12 @@
 @then("it becomes leader")
 def _(context: Context) -> None:
     assert context.leadership.leading.wait(_WAIT_TIMEOUT_S)
+
+
+@then("the node has read the record and knows no leader")
+def _(context: Context) -> None:
+    context.election_client.watched_after.get(timeout=_WAIT_TIMEOUT_S)
+    leader = context.leadership.leader
+    # Ends the node's watch, which the cleanup would wait for.
+    context.election_store.remove(LEADER_KEY)
+    assert leader is None, leader
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -1,11 +1,11 @@
 """Elects the leader, the one node that assigns keys, with a lease in the store."""
 
-import json
 import random
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from foxtailshunt.assigning._leader_record import Leader, decode_leader, encode_leader
+from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import Member, RetrySpread
 from foxtailshunt.platform import (
     ConflictError,
@@ -51,20 +51,6 @@
     return MAX_CAPACITY_DELAY_S * max(0.0, 1 - capacity_cores / FULL_CAPACITY_CORES)
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
-    """The current leader, as recorded in the store."""
-
-    #: Id of the instance.
-    instance_id: str
-    #: Id of its process, drawn anew at each start.
-    boot_id: str
-    #: Address at which it serves other nodes.
-    address: tuple[str, int]
-    #: Its term: the store revision at which it became leader.
-    term: int
-
-
 class Leadership:
     """Becomes leader when there is none, and renews the leader's lease.
 
@@ -238,14 +224,7 @@
             return
         sent_at = self._now()
         lease, _ = self._store.open_lease(LEASE_TTL_S, CALL_TIMEOUT_S)
-        host, port = self._local_member.address
-        value = json.dumps(
-            {
-                "instance_id": self._local_member.instance_id,
-                "boot_id": self._local_member.boot_id,
-                "at": [host, port],
-            }
-        ).encode()
+        value = encode_leader(self._local_member)
         try:
             revision = self._store.commit(
                 {LEADER_KEY: replaces}, [(LEADER_KEY, value, lease)], CALL_TIMEOUT_S
@@ -287,10 +266,8 @@
             self.leader = None
             return
         try:
-            wire = json.loads(item.value)
-            host, port = wire["at"]
-            leader = Leader(wire["instance_id"], wire["boot_id"], (host, int(port)), item.revision)
-        except (ValueError, KeyError, TypeError) as exc:
+            leader = decode_leader(item)
+        except DocumentError as exc:
             log_state_change("leader.unreadable", error=str(exc))
             self.leader = None
             return
