Report a key of the store that is no text as a malformed response

A list or watch in which a key is no text returned an item that its readers could not use: the decoder of upstreams ended in an AttributeError instead of a StoreError. The field was the only one of an item that was passed on unchecked.

The key is now checked like the other fields, so the call fails as malformed and is repeated.

--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -123,6 +123,7 @@
       | reads the key     | HTTP/1.1 200 OK;;{"key":"k","value":"?","revision":1}          |
       | lists keys        | HTTP/1.1 200 OK;Content-Length: 0;;                            |
       | lists keys        | HTTP/1.1 200 OK;;{"as_of":1,"items":[{"key":"k"}]}             |
+      | lists keys        | HTTP/1.1 200 OK;;{"as_of":1,"items":[{"key":5,"value":"","revision":1}]} |
       | watches the key   | HTTP/1.1 200 OK;                                               |
       | watches the key   | HTTP/1.1 200 OK;;{"as_of":"x","events":[]}                     |
       | opens a lease     | HTTP/1.1 200 OK;;{"lease":1,"ttl_time":"soon"}                 |
--- a/foxtailshunt/platform/_store_messages.py
+++ b/foxtailshunt/platform/_store_messages.py
@@ -50,7 +50,7 @@
     :raises KeyError, TypeError, ValueError: a field is missing or malformed.
     """
     return StoreItem(
-        key=wire["key"],
+        key=_to_key(wire),
         value=base64.b64decode(wire["value"], validate=True),
         revision=int(wire["revision"]),
         lease=int(wire.get("lease", 0)),
@@ -104,4 +104,11 @@
 
 
 def _to_change(wire: dict[str, Any]) -> StoreChange:
-    return StoreChange(wire["key"], None if wire.get("tombstone") else to_item(wire))
+    return StoreChange(_to_key(wire), None if wire.get("tombstone") else to_item(wire))
+
+
+def _to_key(wire: dict[str, Any]) -> str:
+    key = wire["key"]
+    if not isinstance(key, str):
+        raise TypeError("the key is not text")
+    return key
