Exit only when every accepted connection of a stopping node has ended

Callers saw, around a planned stop, a connection that ended without a response although an upstream ran the request, some milliseconds after they had sent it.

Cause: the node waited until no connection was busy. A connection that was accepted during the last second before the node stopped accepting, and had not yet sent its first request, was not busy. The same held between the arrival of a request and the flag. The wait returned at once, the node went on to exit, and a request that arrived meanwhile was read, sent to an upstream and cut by the exit of the process.

The wait now lasts until no connection is left. While draining, each connection ends after one response, or 1 s without a first request, so the wait is bounded and no flag can be set too late.

--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -25,7 +25,7 @@
 MAX_CONNECTIONS = 1500
 #: Time that a connection accepted while draining may take to start its request, in seconds.
 FIRST_REQUEST_TIMEOUT_S = 1.0
-#: Interval between checks for requests in progress while draining, in seconds.
+#: Interval between checks for open connections while draining, in seconds.
 DRAIN_POLL_INTERVAL_S = 0.02
 
 _BACKLOG = 512
@@ -56,8 +56,6 @@
 
     def __init__(self, server: "FrontServer", sock: socket.socket) -> None:
         super().__init__(server, sock, make_socket_file)
-        #: True while a request is being read or served.
-        self.is_busy = False
         #: True after the first request was served.
         self.has_served = False
 
@@ -160,18 +158,19 @@
         os.close(self._drain_write_end)
 
     def wait_until_idle(self, deadline: float) -> int:
-        """Wait for requests in progress to end and return the number of those left.
+        """Wait until all connections have ended and return the number of those left.
+
+        A connection that waits for its first request counts, since that request may be sent to an
+        upstream. While draining, every connection ends after one response or a short wait.
 
         :param deadline: when to stop waiting, in seconds of the monotonic clock.
         """
-        while time.monotonic() < deadline:
+        while True:
             with self._lock:
-                busy_count = sum(conn.is_busy for conn in self._connections)
-            if not busy_count:
-                return 0
+                open_count = len(self._connections)
+            if not open_count or time.monotonic() >= deadline:
+                return open_count
             time.sleep(DRAIN_POLL_INTERVAL_S)
-        with self._lock:
-            return sum(conn.is_busy for conn in self._connections)
 
     def stop_accepting(self) -> None:
         """Accept no more connections."""
@@ -227,7 +226,6 @@
     def _serve(self, conn: _FrontConnection) -> None:
         try:
             while self._wait_for_request(conn):
-                conn.is_busy = True
                 limits = self._limits()
                 self.max_request_header_size = limits.max_header_bytes
                 self.max_request_body_size = limits.max_body_bytes
@@ -235,13 +233,12 @@
                 if not conn.communicate():
                     break
                 conn.has_served = True
-                conn.is_busy = False
         except OSError as exc:
             log_state_change("front.connection_failed", error=str(exc))
         finally:
+            _close_and_log_errors(conn)
             with self._lock:
                 self._connections.discard(conn)
-            _close_and_log_errors(conn)
 
     def _wait_for_request(self, conn: _FrontConnection) -> bool:
         """Return whether data of a request has arrived; if not, the connection is to be closed."""
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -206,14 +206,14 @@
         resign_thread.start()
         time.sleep(max(0.0, started_at + BALANCER_DELAY_S - time.monotonic()))
         self._front.stop_accepting()
-        requests_left = self._front.wait_until_idle(deadline)
+        connections_left = self._front.wait_until_idle(deadline)
         while self._sender.load() != (0, 0) and time.monotonic() < deadline:
             time.sleep(_DRAIN_POLL_INTERVAL_S)
         resign_thread.join()
         self._follower.stop()
         self._configuration.stop()
         self._timers.stop()
-        log_state_change("node.stopped", requests_left=requests_left)
+        log_state_change("node.stopped", connections_left=connections_left)
         self._log_writer.flush()
 
     def _resign(self, deadline: float) -> None:
