Send only requests during a stop that end before the node exits

Callers saw, in a planned stop, requests that arrived late in the grace period end without a response, among them requests that are not idempotent and that an upstream had begun.

Cause: a stopping node took and queued requests by their own deadline, which may lie after its exit; what was queued or at an upstream then was cut.

--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -15,7 +15,7 @@
 from foxtailshunt.fleet import FleetView, KeyRange, OwnershipTable
 from foxtailshunt.front import FrontServer, RequestHandler
 from foxtailshunt.network import Address
-from foxtailshunt.relay import Call, LatencyEstimator, Outcome, RetryBudget
+from foxtailshunt.relay import Call, LatencyEstimator, Outcome, RetryBudget, StopSchedule
 from foxtailshunt.routing import KEY_COUNT, FrontLimits
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
@@ -123,6 +123,7 @@
         clock = MonotonicClock()
         self.upstreams = ScriptedUpstreams(scripts)
         self.metrics = Metrics()
+        self.stop_schedule = StopSchedule()
         self.view = FleetView(clock.now)
         self.address = random_address()
         handler = RequestHandler(
@@ -134,6 +135,7 @@
             lambda service, key, work_s: None,
             self.metrics,
             RequestLog(),
+            self.stop_schedule,
         )
         self.server = FrontServer(self.address, handler, self._limits, self.metrics)
         self.server.start_serving()
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from foxtailshunt.fleet import FleetView, Member, Upstream
-from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, UpstreamGroups
+from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, StopSchedule, UpstreamGroups
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
 
@@ -157,8 +157,15 @@
         self._view.begin_term(1)
         self._publish()
         me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
+        self.stop_schedule = StopSchedule()
         self._sender = Sender(
-            self._view, UpstreamGroups(self._view), LatencyEstimator(), me, Metrics(), RequestLog()
+            self._view,
+            UpstreamGroups(self._view),
+            LatencyEstimator(),
+            me,
+            Metrics(),
+            RequestLog(),
+            self.stop_schedule,
         )
 
     def _publish(self) -> None:
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -3,18 +3,20 @@
 import socket
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from foxtailshunt.callers import CallerInterface, Failure, Reply, RequestInfo, status_of
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import FleetView
 from foxtailshunt.relay import (
+    STOPPING_RETRY_AFTER_S,
     AttemptHistory,
     Call,
     LatencyEstimator,
     Outcome,
     RetryBudget,
     RetryDecision,
+    StopSchedule,
     decide_retry,
 )
 from foxtailshunt.routing import RequestLine, Route, WeightedChoice
@@ -40,6 +42,8 @@
     service: str
     started_at: float
     deadline: float
+    #: True if the deadline is earlier than the caller's, since the node is stopping.
+    shortened: bool = False
     tries: int = 0
     upstream_attempts: int = 0
     excluded: frozenset[str] = frozenset()
@@ -57,6 +61,7 @@
     :param record_demand: called once for each request with a key.
     :param metrics: counters and histograms.
     :param log: the request log.
+    :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         record_demand: RecordDemand,
         metrics: Metrics,
         log: RequestLog,
+        stop_schedule: StopSchedule | None = None,
     ) -> None:
         self._callers = callers
         self._view = view
@@ -78,6 +84,7 @@
         self._record_demand = record_demand
         self._metrics = metrics
         self._log = log
+        self._stop_schedule = stop_schedule or StopSchedule()
         self._choice = WeightedChoice()
 
     def handle(
@@ -104,6 +111,10 @@
         except FoxtailshuntError as exc:
             return self._refuse(request_id, exc)
         outcome = self._send_with_retries(state, method, target, headers, body, caller)
+        if outcome.code is ResultCode.TOO_LATE and state.shortened:
+            outcome = replace(
+                outcome, code=ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S
+            )
         return self._build_reply(state, outcome)
 
     def reject(self, status: int, detail: str) -> Reply:
@@ -133,8 +144,25 @@
         timeout_s = match.route.timeout_s
         if request_info.caller_timeout_s is not None:
             timeout_s = min(timeout_s, request_info.caller_timeout_s)
+        deadline = self._limit_deadline(match.route, started_at, started_at + timeout_s)
         service = self._choice.choose(match.route)
-        return _RequestState(request_info, match.route, service, started_at, started_at + timeout_s)
+        return _RequestState(
+            request_info,
+            match.route,
+            service,
+            started_at,
+            deadline,
+            shortened=deadline < started_at + timeout_s,
+        )
+
+    def _limit_deadline(self, route: Route, now: float, deadline: float) -> float:
+        """Return the deadline within the node's remaining time; refuse what cannot end in it."""
+        mean_latency_s = self._latencies.mean_latency_s(route.name)
+        if not self._stop_schedule.may_run(deadline, mean_latency_s, now, route.idempotent):
+            raise FoxtailshuntError(
+                ResultCode.STOPPING, "the node is stopping before the request can end"
+            )
+        return self._stop_schedule.limit(deadline)
 
     def _send_with_retries(
         self,
@@ -306,5 +334,6 @@
 
 def _build_failure(code: ResultCode, detail: str, retry_after_s: float | None = None) -> Failure:
     status = status_of(code)
-    wait_s = (retry_after_s or DEFAULT_RETRY_AFTER_S) if status.retry_after else None
+    default_s = STOPPING_RETRY_AFTER_S if code is ResultCode.STOPPING else DEFAULT_RETRY_AFTER_S
+    wait_s = (retry_after_s or default_s) if status.retry_after else None
     return Failure(status.status, code, detail, wait_s)
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -37,7 +37,14 @@
 )
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import Forwarder, LatencyEstimator, RetryBudget, Sender, UpstreamGroups
+from foxtailshunt.relay import (
+    Forwarder,
+    LatencyEstimator,
+    RetryBudget,
+    Sender,
+    StopSchedule,
+    UpstreamGroups,
+)
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import (
     Metrics,
@@ -121,7 +128,10 @@
             self._metrics,
         )
         groups = UpstreamGroups(self._view)
-        self._sender = Sender(self._view, groups, latencies, local_member, self._metrics, log)
+        self._stop_schedule = StopSchedule()
+        self._sender = Sender(
+            self._view, groups, latencies, local_member, self._metrics, log, self._stop_schedule
+        )
         self._forwarder = Forwarder(local_member, self._view, groups, self._sender, self._metrics)
         budget = RetryBudget(
             settings.repeat_ratio * RETRY_BUDGET_SHARE,
@@ -136,6 +146,7 @@
             demand_collector.add,
             self._metrics,
             log,
+            self._stop_schedule,
         )
         self._peer_service = PeerService(
             self._view,
@@ -198,6 +209,7 @@
         started_at = time.monotonic()
         deadline = started_at + self._settings.grace - EXIT_RESERVE_S
         self._is_stopping = True
+        self._stop_schedule.begin(deadline)
         log_state_change("node.stopping", open_requests=self._sender.load())
         self._peer_service.stop_relaying()
         self._follower.announce_leaving()
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -10,9 +10,11 @@
 from foxtailshunt.relay._retry_policy import AttemptHistory, RetryDecision, decide_retry
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
 from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
 
 __all__ = [
+    "STOPPING_RETRY_AFTER_S",
     "AttemptHistory",
     "Call",
     "Forwarder",
@@ -24,6 +26,7 @@
     "RetryBudget",
     "Sender",
     "SlotPool",
+    "StopSchedule",
     "QueueEntry",
     "QueueEntryState",
     "UpstreamGroup",
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -20,6 +20,7 @@
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
+from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
@@ -42,6 +43,7 @@
     :param me: this node.
     :param metrics: counters and histograms.
     :param log: log of decisions about requests.
+    :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         me: Member,
         metrics: Metrics,
         log: RequestLog,
+        stop_schedule: StopSchedule | None = None,
     ) -> None:
         self._view = view
         self._groups = groups
@@ -59,6 +62,7 @@
         self._me = me
         self._metrics = metrics
         self._log = log
+        self._stop_schedule = stop_schedule or StopSchedule()
         self._pools = SlotPools(latencies, me.zone)
         self._channels = ChannelPool()
         self._unreachable = UnreachableUpstreams()
@@ -191,11 +195,16 @@
             with locked.lock:
                 if entry.state is not QueueEntryState.WAITING:
                     return
-                if caller_disconnected(caller) or self._key_has_moved(entry.call):
+                moved = self._key_has_moved(entry.call)
+                if moved or caller_disconnected(caller) or not self._may_run(entry.call):
                     locked.pool.cancel(entry)
                     return
                 self._assign(locked, entry.call)
 
+    def _may_run(self, call: Call) -> bool:
+        mean_latency_s = self._latencies.mean_latency_s(call.route)
+        return self._stop_schedule.may_run(call.deadline, mean_latency_s, time.monotonic())
+
     def _key_has_moved(self, call: Call) -> bool:
         if call.key is None:
             return False
@@ -207,6 +216,8 @@
             return Outcome(ResultCode.CANCELLED, "the caller disconnected before a slot was free")
         if entry.refusal is not None:
             return self._refusal_outcome(entry.call, entry.refusal)
+        if not self._may_run(entry.call):
+            return stopping_outcome()
         return Outcome(
             ResultCode.KEY_MOVED, "the key moved while the request was queued", retry_after_s=0.1
         )
@@ -233,6 +244,9 @@
             if self._key_has_moved(entry.call):
                 failed = False
                 return Outcome(ResultCode.KEY_MOVED, "the key moved", retry_after_s=0.1)
+            if not self._may_run(entry.call):
+                failed = False
+                return stopping_outcome()
             outcome = self._exchange(entry.call, upstream, caller)
             failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
             upstream_s = time.monotonic() - started
@@ -267,7 +281,7 @@
 
         try:
             channel = self._channels.acquire(upstream)
-            remaining_s = call.deadline - time.monotonic()
+            remaining_s = self._stop_schedule.limit(call.deadline) - time.monotonic()
             head = upstream_request_headers(
                 call.headers,
                 call.request_id,
@@ -280,7 +294,7 @@
                 call.target,
                 head,
                 call.body,
-                call.deadline - RESPONSE_RESERVE_S / 2,
+                self._stop_schedule.response_deadline(call.deadline) - RESPONSE_RESERVE_S / 2,
                 caller,
                 is_own_response,
             )
