Renew no keys of a restarted upstream before they have a new token

Callers could see keys given to another life of an upstream under the token of its earlier life. The renewer of the restarted upstream started with no record of the requested tokens and granted all ranges at once with the old ones. Besides, requests were forgotten when the write of the table failed, and for ranges that were split or moving when the tokens were assigned.

The term now keeps a request until the keys have another token or another owner, by keys instead of the first key only, and leaves out these ranges from renewals until then, for every renewer.

Evidence: node_ownership, 'An upstream restarts with the same id at another address', failed before: 0..21844 moved from fence 2 to 2 between u0 and u0. The other scenarios of node_ownership were not run.

--- a/features/node_ownership.feature
+++ b/features/node_ownership.feature
@@ -88,3 +88,9 @@
     When an upstream restarts with the same id and address
     Then all upstreams together eventually hold all keys
     And no key was ever held by two upstreams
+
+  Scenario: An upstream restarts with the same id at another address
+    Given the nodes serve
+    When an upstream restarts with the same id at another address
+    Then all upstreams together eventually hold all keys
+    And no key was ever held by two upstreams
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -142,6 +142,16 @@
     subject.fleet.add_owner("u0", _SERVICE, listen=("127.0.0.1", port))
 
 
+@when("an upstream restarts with the same id at another address")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    old = subject.fleet.owners.pop("u0")
+    old.crash()
+    subject.fleet.owners["u0 before"] = old
+    subject.upstream = old
+    subject.fleet.add_owner("u0", _SERVICE)
+
+
 @when("an upstream announces that it is leaving")
 def _(context: Context) -> None:
     subject = _subject(context)
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -16,6 +16,7 @@
     decode_table,
     encode_table,
 )
+from foxtailshunt.assigning._token_requests import TokenRequests
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 
 __all__ = [
@@ -33,6 +34,7 @@
     "Move",
     "Candidate",
     "TableRecord",
+    "TokenRequests",
     "UpstreamReader",
     "split_evenly",
     "decode_table",
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -15,6 +15,7 @@
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import LeaderProcess
 from foxtailshunt.assigning._table_store import STORE_RETRY_S, TableStore
+from foxtailshunt.assigning._token_requests import TokenRequests
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 from foxtailshunt.fleet import KeyRange, OwnershipTable, Upstream
 from foxtailshunt.platform import StoreError
@@ -62,7 +63,7 @@
         self._table = TableStore(deps.store, deps.local_member, term, deps.leadership, deps.now)
         self._next_read_at = float("-inf")
         self._is_store_unavailable = False
-        self._new_fence_requests: set[tuple[str, int]] = set()
+        self._token_requests = TokenRequests()
 
     def run(self) -> None:
         """Take over the ownership table and lead until the term ends."""
@@ -235,8 +236,10 @@
 
     def _request_new_fences(self, upstream_id: str) -> None:
         """Schedule new fencing tokens for all keys of an upstream that has restarted."""
-        for keys in self._ranges_to_renew(upstream_id):
-            self._request_new_fence(keys)
+        with self._lock:
+            for keys in self._ranges:
+                if keys.owner == upstream_id:
+                    self._token_requests.add(keys)
 
     def _start_renewer(self, upstream: Upstream) -> GrantRenewer:
         renewer = GrantRenewer(
@@ -245,7 +248,7 @@
             self._ranges_to_renew,
             self._probe_key,
             self._leads,
-            self._request_new_fence,
+            self._token_requests.add,
             self._deps.hold_s,
             self._now,
             self._deps.metrics,
@@ -256,7 +259,11 @@
     def _ranges_to_renew(self, upstream_id: str) -> list[KeyRange]:
         with self._lock:
             return [
-                item for item in self._ranges if item.owner == upstream_id and item.giver is None
+                item
+                for item in self._ranges
+                if item.owner == upstream_id
+                and item.giver is None
+                and not self._token_requests.includes(item)
             ]
 
     def _probe_key(self, upstream_id: str) -> KeyRange | None:
@@ -266,10 +273,6 @@
                     return replace(item, last=item.first, fence=PROBE_FENCE)
         return None
 
-    def _request_new_fence(self, keys: KeyRange) -> None:
-        with self._lock:
-            self._new_fence_requests.add((keys.service, keys.first))
-
     # Moves.
 
     def _assign(self, rebalance: bool) -> None:
@@ -319,12 +322,12 @@
             renewer.renew_now()
 
     def _assign_new_fences(self, changed: list[tuple[KeyRange, list[KeyRange]]], fence: int) -> int:
-        """Raise the fencing token of ranges whose owner refused the current one."""
+        """Raise the fencing token of ranges whose owner must not get the current one again."""
         with self._lock:
-            requested, self._new_fence_requests = self._new_fence_requests, set()
+            self._token_requests.retain(self._ranges)
             replaced_ids = {id(before) for before, _ in changed}
             for item in self._ranges:
-                is_requested = (item.service, item.first) in requested
+                is_requested = self._token_requests.includes(item)
                 if is_requested and item.giver is None and id(item) not in replaced_ids:
                     fence += 1
                     changed.append((item, [replace(item, fence=fence)]))
