Keep the end of an accepted grant when another one cannot be sent

Keys could count as free while their upstream held them: the leader sends grants to an upstream on two connections, for renewals and for moves. A call that could not be sent set the end of the hold back to what it was before that call, and so dropped a grant that had been accepted on the other connection in the meantime.

The provisional ends of calls in progress are now kept apart from the confirmed end, which is only lowered when the upstream has ended.

--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -69,6 +69,11 @@
       | u1 terminates                                     | u1       | -inf   |
       | u1 terminates                                     | u0       | 12.948 |
 
+  Scenario: A grant that cannot be sent does not hide another that was accepted meanwhile
+    Given an upstream with two ranges, and grants of previous leaders that expire at second -9
+    When a grant is accepted at second 1 while another waits for a connection that fails
+    Then at second 1 the upstream may hold keys until second 3.548
+
   Scenario: An upstream that never accepted a new token keeps keys that were moving to it
     Given keys were moving to an upstream when its leader and it were cut off
     When another node becomes the leader while the previous leader renews its grants
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -81,6 +81,19 @@
         return GrantOutcome.ACCEPTED
 
 
+class UnconnectedGrantClient:
+    """Cannot connect; in the meantime another client's grant is accepted."""
+
+    def __init__(self, renewer: GrantRenewer) -> None:
+        self._renewer = renewer
+
+    def grant(
+        self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
+    ) -> GrantOutcome:
+        assert self._renewer.grant(ScriptedGrantClient("accepts both"), _RANGES[1], None)
+        raise KeyGrantError("grant", sent=False)
+
+
 class RenewerSubject:
     """The grant renewer of a new leader for one upstream."""
 
@@ -148,6 +161,13 @@
     context.renewal.renewer.renew_all(ScriptedGrantClient(answers))
 
 
+@when("a grant is accepted at second {moment:g} while another waits for a connection that fails")
+def _(context: Context, moment: float) -> None:
+    renewal = context.renewal
+    renewal.now = moment
+    renewal.renewer.grant(UnconnectedGrantClient(renewal.renewer), _RANGES[0], None)
+
+
 @then("at second {moment:g} the upstream may hold keys until second {end:g}")
 def _(context: Context, moment: float, end: float) -> None:
     context.renewal.now = moment
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -74,6 +74,8 @@
         self.upstream = upstream
         self._previous_grants = previous_grants
         self._held_until = float("-inf")
+        #: Latest expiry of each grant that is being sent, in seconds of the clock.
+        self._in_flight: list[float] = []
         self._owned = owned
         self._probe_key = probe_key
         self._may_act = may_act
@@ -105,7 +107,7 @@
     def granted_until(self) -> float:
         """Return when the last grant of this leader expires at the latest, in seconds."""
         with self._lock:
-            return self._held_until
+            return max([self._held_until, *self._in_flight])
 
     def start(self) -> None:
         """Start to renew grants."""
@@ -131,23 +133,19 @@
         if not self._may_act():
             return False
         hold_s = self._hold_s()
-        previous_end, provisional_end = self._extend_provisionally(hold_s)
+        provisional_end = self._extend_provisionally(hold_s)
         try:
             outcome = client.grant(keys, hold_s, handover, GRANT_TIMEOUT_S)
         except KeyGrantError as exc:
             # The failed connection has been reset, so the grant can't arrive later than now.
-            self._replace_provisional(
-                provisional_end,
-                max(previous_end, self._expiry_if_arrived(hold_s)) if exc.sent else previous_end,
-            )
+            end = self._expiry_if_arrived(hold_s) if exc.sent else float("-inf")
+            self._replace_provisional(provisional_end, end)
             self._handle_failure(keys, exc)
             return False
         except UpstreamReplacedError:
             self._mark_replaced()
             return False
-        self._replace_provisional(
-            provisional_end, max(previous_end, self._expiry_if_arrived(hold_s))
-        )
+        self._replace_provisional(provisional_end, self._expiry_if_arrived(hold_s))
         self._failures = 0
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
@@ -214,6 +212,7 @@
         self._previous_grants.forget(self._id)
         with self._lock:
             self._held_until = self._now()
+            self._in_flight.clear()
 
     def _request_new_fences(self) -> None:
         """Request new fencing tokens for all keys, since the upstream may have restarted."""
@@ -225,23 +224,22 @@
         """Return the latest time at which a grant that arrives by now expires, in seconds."""
         return self._now() + hold_s * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
 
-    def _extend_provisionally(self, hold_s: float) -> tuple[float, float]:
+    def _extend_provisionally(self, hold_s: float) -> float:
         """Extend the hold provisionally while a grant is being sent.
 
-        :returns: the previous and the provisional end of the hold, in seconds of the clock.
+        :returns: the provisional end of the hold, in seconds of the clock.
         """
+        provisional_end = self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S
         with self._lock:
-            previous_end = self._held_until
-            self._held_until = max(
-                previous_end, self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S
-            )
-            return previous_end, self._held_until
+            self._in_flight.append(provisional_end)
+        return provisional_end
 
     def _replace_provisional(self, provisional_end: float, end: float) -> None:
-        """Replace a provisional end of the hold unless another grant has been sent since."""
+        """Replace a provisional end of the hold unless the upstream has ended since."""
         with self._lock:
-            if self._held_until == provisional_end:
-                self._held_until = end
+            if provisional_end in self._in_flight:
+                self._in_flight.remove(provisional_end)
+                self._held_until = max(self._held_until, end)
 
     def _handle_failure(self, keys: KeyRange, exc: KeyGrantError) -> None:
         self._failures += 1
