Grant moved keys under a new token after their new owner may have restarted

An upstream that closes the connection during the grant that ends a move may have applied it and restarted. The mover tried again with the same token, so another life of the upstream could get keys under the token of its earlier life. No new token was requested either: the request covered only ranges that are renewed, which leaves out those that are moving.

The request now includes the keys of the failed grant, and no grant is sent with a token for which a new one has been requested.

Evidence: node_takeover, 'An upstream that may have restarted gets moved keys only with a new token', failed before: granted again.

--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -74,6 +74,12 @@
     When a grant is accepted at second 1 while another waits for a connection that fails
     Then at second 1 the upstream may hold keys until second 3.548
 
+  Scenario: An upstream that may have restarted gets moved keys only with a new token
+    Given an upstream with two ranges, and grants of previous leaders that expire at second -9
+    When it closes the connection during a grant of keys that are moving to it
+    Then these keys are not granted to it again with the same token
+    And a new token is requested for them
+
   Scenario: An upstream that never accepted a new token keeps keys that were moving to it
     Given keys were moving to an upstream when its leader and it were cut off
     When another node becomes the leader while the previous leader renews its grants
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -19,6 +19,7 @@
 _OLD_TERM, _NEW_TERM = 3, 7
 _ADDRESS = ("127.0.0.1", 1)
 _RANGES = [KeyRange("desk", 0, 9, "u0", 5), KeyRange("desk", 20, 29, "u0", 5)]
+_MOVING = KeyRange("desk", 40, 49, "u0", 6, giver="u1", moving=True)
 
 
 def _member(instance_id: str, boot_id: str = "boot", leaving: bool = False) -> Member:
@@ -94,11 +95,21 @@
         raise KeyGrantError("grant", sent=False)
 
 
+class ClosingGrantClient:
+    """Loses the connection during each grant."""
+
+    def grant(
+        self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
+    ) -> GrantOutcome:
+        raise KeyGrantError("grant", sent=True, may_have_restarted=True)
+
+
 class RenewerSubject:
     """The grant renewer of a new leader for one upstream."""
 
     def __init__(self, previous_grants_expire_at: float) -> None:
         self.now = 0.0
+        self.requested: list[KeyRange] = []
         upstream = Upstream("u0", "desk", _ADDRESS, "zone-a", 2, False, 0.0, 0)
         self.renewer = GrantRenewer(
             upstream,
@@ -106,7 +117,7 @@
             lambda _upstream_id: _RANGES,
             lambda _upstream_id: None,
             lambda: True,
-            lambda _keys: None,
+            self.requested.append,
             lambda: HOLD_S,
             lambda: self.now,
             Metrics(),
@@ -168,6 +179,22 @@
     renewal.renewer.grant(UnconnectedGrantClient(renewal.renewer), _RANGES[0], None)
 
 
+@when("it closes the connection during a grant of keys that are moving to it")
+def _(context: Context) -> None:
+    assert not context.renewal.renewer.grant(ClosingGrantClient(), _MOVING, None)
+
+
+@then("these keys are not granted to it again with the same token")
+def _(context: Context) -> None:
+    client = ScriptedGrantClient("accepts both")
+    assert not context.renewal.renewer.grant(client, _MOVING, None), "granted again"
+
+
+@then("a new token is requested for them")
+def _(context: Context) -> None:
+    assert _MOVING in context.renewal.requested, context.renewal.requested
+
+
 @then("at second {moment:g} the upstream may hold keys until second {end:g}")
 def _(context: Context, moment: float, end: float) -> None:
     context.renewal.now = moment
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -130,7 +130,7 @@
         :param handover: state that the previous owner returned on release; None if there is none.
         :returns: whether the upstream accepted the grant.
         """
-        if not self._may_act():
+        if not self._may_act() or self._is_refused(keys):
             return False
         hold_s = self._hold_s()
         provisional_end = self._extend_provisionally(hold_s)
@@ -150,8 +150,7 @@
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
             log_state_change("grant.fenced_off", upstream=self._id, fence=keys.fence)
-            self._refused.add((keys.first, keys.last, keys.fence))
-            self._on_fenced_off(keys)
+            self._request_new_fence(keys)
             return False
         self._previous_grants.fence(self._id, keys)
         return True
@@ -182,8 +181,7 @@
         for keys in self._owned(self._id):
             if self._stopping.is_set() or not self.is_reachable:
                 return
-            if (keys.first, keys.last, keys.fence) not in self._refused:
-                self.grant(client, keys, None)
+            self.grant(client, keys, None)
 
     def _probe(self, client: KeyGrantClient) -> None:
         """Probe whether an unreachable upstream responds again, without granting anything.
@@ -217,8 +215,14 @@
     def _request_new_fences(self) -> None:
         """Request new fencing tokens for all keys, since the upstream may have restarted."""
         for keys in self._owned(self._id):
-            self._refused.add((keys.first, keys.last, keys.fence))
-            self._on_fenced_off(keys)
+            self._request_new_fence(keys)
+
+    def _request_new_fence(self, keys: KeyRange) -> None:
+        self._refused.add((keys.first, keys.last, keys.fence))
+        self._on_fenced_off(keys)
+
+    def _is_refused(self, keys: KeyRange) -> bool:
+        return (keys.first, keys.last, keys.fence) in self._refused
 
     def _expiry_if_arrived(self, hold_s: float) -> float:
         """Return the latest time at which a grant that arrives by now expires, in seconds."""
@@ -244,6 +248,7 @@
     def _handle_failure(self, keys: KeyRange, exc: KeyGrantError) -> None:
         self._failures += 1
         if exc.may_have_restarted:
+            self._request_new_fence(keys)
             self._request_new_fences()
         self._count("no answer" if exc.sent else "no connection")
         if self._failures == UNREACHABLE_AFTER:
