Send no new requests to upstreams that state that they are leaving

What callers saw: an upstream that was leaving, and that said so in its responses with Server-Leaving: 1, went on getting requests until its registration reached this node, or for as long as the store was away.

Cause: the header was not read.

The sending node now remembers the run of an upstream (id, address, start time) whose response has the header, whatever its status; a 421 of another upstream at the address does not count. Requests without keys go to others at once. The node that passes a relayed response on remembers it as well. Callers get the header unchanged. The search for eligible upstreams moved out of the sender into a class of its own.

That the forwarding node remembers the header has no test of its own.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -78,6 +78,23 @@
       | 421    | Instance-Id: u2                             | replaced  |
       | 200    | Attempt-Id: r1, Response-Seal: s, Content-Encoding: gzip | failed |
 
+  Scenario Outline: A response states that its upstream is leaving
+    When upstream u1 responds to request r1 with <status> and <headers>
+    Then the response states that the upstream is <state>
+
+    Examples:
+      | status | headers                  | state   |
+      | 200    | Server-Leaving: 1        | leaving |
+      | 200    | server-leaving: 1        | leaving |
+      | 503    | Server-Leaving: 1        | leaving |
+      | 421    | Server-Leaving: 1        | leaving |
+      | 200    | Attempt-Id: r1           | staying |
+      | 200    | Server-Leaving: 0        | staying |
+      | 200    | Server-Leaving: 11       | staying |
+      | 200    | Server-Leaving: true     | staying |
+      | 200    | Server-Leaving:          | staying |
+      | 200    | X-Server-Leaving: 1      | staying |
+
   Scenario Outline: A grant or release received by another upstream reports that the intended one has terminated
     Given an upstream <kind> at the address of u1, which has terminated
     When keys are <call> u1
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -6,8 +6,9 @@
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import replace
+from typing import Any
 
-from foxtailshunt.fleet import FleetView, Member, Upstream
+from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
 from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, UpstreamGroups
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
@@ -123,6 +124,19 @@
     )
 
 
+def scripted_answer(head: bytes, status: str, headers: str = "") -> bytes:
+    """Return a complete response to a request with a status and additional headers.
+
+    :param head: head of the request.
+    :param status: status and reason.
+    :param headers: header lines that are separated by commas; may be empty.
+    """
+    lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {(header(head, b'attempt-id') or b'').decode()}"]
+    lines += ["Response-Seal: seal", "Content-Length: 4"]
+    lines += [part.strip() for part in headers.split(",") if part.strip()]
+    return "\r\n".join([*lines, "", "body"]).encode()
+
+
 def endless(part: str) -> Iterator[bytes]:
     """Return a response that does not end."""
     begin, repeated = _ENDLESS[part]
@@ -139,13 +153,22 @@
 
 
 class SenderSubject:
-    """A sender with the upstreams of a service without keys.
+    """A sender with the upstreams of one service.
 
     :param servers: the upstreams by id.
     :param slots: slots of each upstream.
+    :param owner: the upstream that owns the key of all requests; None for a service without keys.
+    :param options: additional arguments of the sender.
     """
 
-    def __init__(self, servers: Mapping[str, ScriptedUpstream], slots: int = 2) -> None:
+    def __init__(
+        self,
+        servers: Mapping[str, ScriptedUpstream],
+        slots: int = 2,
+        owner: str | None = None,
+        **options: Any,
+    ) -> None:
+        self._owner = owner
         now = MonotonicClock().now
         self._now = now
         self._view = FleetView(now)
@@ -156,9 +179,13 @@
         self._version = 0
         self._view.begin_term(1)
         self._publish()
+        if owner is not None:
+            keys = KeyRange("counter", 0, 9, owner, 1)
+            self._view.update_ownership(1, 1, OwnershipTable([keys]))
         me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
+        groups = UpstreamGroups(self._view)
         self._sender = Sender(
-            self._view, UpstreamGroups(self._view), LatencyEstimator(), me, Metrics(), RequestLog()
+            self._view, groups, LatencyEstimator(), me, Metrics(), RequestLog(), **options
         )
 
     def _publish(self) -> None:
@@ -170,18 +197,26 @@
         self._upstreams[name] = replace(self._upstreams[name], leaving=True)
         self._publish()
 
+    def set_restarted(self, name: str) -> None:
+        """Let the next process of an upstream register at the same address."""
+        previous = self._upstreams[name]
+        self._upstreams[name] = replace(previous, started_ms=previous.started_ms + 1)
+        self._publish()
+
     def load(self) -> tuple[int, int]:
         """Return the numbers of queued requests and of those at upstreams."""
         return self._sender.load()
 
-    def send(self, request_id: str, timeout_s: float) -> Outcome:
+    def send(
+        self, request_id: str, timeout_s: float, excluded: frozenset[str] = frozenset()
+    ) -> Outcome:
         """Send a request and return its outcome."""
         deadline = self._now() + timeout_s
         call = Call(
             request_id=request_id,
             service="counter",
-            key=None,
-            upstream_id=None,
+            key=None if self._owner is None else 7,
+            upstream_id=self._owner,
             method="POST",
             target="/issue/x",
             headers=(("Attempt-Id", request_id),),
@@ -190,6 +225,7 @@
             latency_objective_at=deadline,
             rank=0,
             route="issue",
+            excluded=excluded,
         )
         return self._sender.execute(call, None)
 
--- a/features/steps/node_adapter_steps.py
+++ b/features/steps/node_adapter_steps.py
@@ -15,6 +15,7 @@
     classify_response,
     decode_configuration,
     decode_upstream,
+    states_leaving,
     upstream_request_headers,
 )
 from foxtailshunt.routing import RequestLine, Route
@@ -114,8 +115,8 @@
         (name.strip(), value.strip())
         for name, _, value in (part.partition(":") for part in headers.split(",") if part)
     )
-    response = UpstreamResponse(status, pairs, b"")
-    context.attempt_result = classify_response(response, request_id, upstream_id)
+    context.response = UpstreamResponse(status, pairs, b"")
+    context.attempt_result = classify_response(context.response, request_id, upstream_id)
 
 
 @given("an upstream {kind} at the address of u1, which has terminated")
@@ -199,3 +200,10 @@
 def _(context: Context) -> None:
     expected = [(row["name"], row["value"]) for row in context.table]
     assert list(context.sent_headers) == expected, context.sent_headers
+
+
+@then("the response states that the upstream is {state:w}")
+def _(context: Context, state: str) -> None:
+    assert context.response.states_leaving == (state == "leaving"), context.response
+    relayed = context.response.caller_headers()
+    assert states_leaving(relayed) == (state == "leaving"), relayed
--- a/foxtailshunt/fleet/_types.py
+++ b/foxtailshunt/fleet/_types.py
@@ -26,6 +26,11 @@
     #: When it started, in milliseconds of its own clock since the epoch; 0 if unknown.
     started_ms: int
 
+    @property
+    def incarnation(self) -> tuple[str, Address, int]:
+        """Return the id, address and start time, which together identify one run of it."""
+        return self.upstream_id, self.address, self.started_ms
+
 
 @dataclass(frozen=True, slots=True)
 class KeyRange:
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -13,7 +13,12 @@
     UpstreamReplacedError,
 )
 from foxtailshunt.platform._requests import PlatformCallerInterface, upstream_request_headers
-from foxtailshunt.platform._responses import AttemptResult, UpstreamResponse, classify_response
+from foxtailshunt.platform._responses import (
+    AttemptResult,
+    UpstreamResponse,
+    classify_response,
+    states_leaving,
+)
 from foxtailshunt.platform._store import StoreClient
 from foxtailshunt.platform._store_errors import (
     ConflictError,
@@ -51,5 +56,6 @@
     "classify_response",
     "decode_configuration",
     "decode_upstream",
+    "states_leaving",
     "upstream_request_headers",
 ]
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -8,6 +8,9 @@
 _SEAL = "response-seal"
 #: Present if the upstream has not run the request and will never run it.
 _NOT_EXECUTED = "not-executed"
+#: Present with the value 1 in all responses of an upstream that is leaving; not a header of the
+#: connection, so it is passed on to callers.
+_LEAVING, _IS_LEAVING = "server-leaving", "1"
 _KEEP_ALIVE = "keep-alive"
 #: Sent for a key that the upstream does not own and for a request that expects another upstream.
 _MISDIRECTED_STATUS = 421
@@ -57,10 +60,12 @@
 
         :param name: header name in lower case.
         """
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
+
+    @property
+    def states_leaving(self) -> bool:
+        """Return whether the response states that the upstream is leaving."""
+        return states_leaving(self.headers)
 
     def names_request(self, request_id: str) -> bool:
         """Return whether the response carries the id of a request.
@@ -85,6 +90,14 @@
         )
 
 
+def states_leaving(headers: tuple[tuple[str, str], ...]) -> bool:
+    """Return whether a response states that its upstream is leaving.
+
+    :param headers: headers of the response, as received or as passed to the caller.
+    """
+    return _find_header(headers, _LEAVING) == _IS_LEAVING
+
+
 def classify_response(
     response: UpstreamResponse, request_id: str, upstream_id: str
 ) -> AttemptResult:
@@ -109,3 +122,10 @@
         is_sealed = response.header(_SEAL) is not None and echoed_id == request_id
         return AttemptResult.ANSWERED if is_sealed else AttemptResult.FAILED
     return AttemptResult.ANSWERED
+
+
+def _find_header(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -3,6 +3,7 @@
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
+from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
@@ -20,6 +21,7 @@
     "RetryDecision",
     "Outcome",
     "LatencyEstimator",
+    "LeavingUpstreams",
     "Refusal",
     "RetryBudget",
     "Sender",
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -12,6 +12,7 @@
 
 from foxtailshunt.errors import Family, PeerUnreachableError, ResultCode
 from foxtailshunt.fleet import Address, FleetView, Member, rank_by_rendezvous
+from foxtailshunt.platform import states_leaving
 from foxtailshunt.protocol import CallerDisconnectedError, ClientPool, RelayReply
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay._group_selector import GroupSelector
@@ -133,7 +134,8 @@
         """Return the nodes that may send to the owner of a key, the preferred one first."""
         members = self._view.members
         upstream = self._view.upstreams.get(call.upstream_id or "")
-        if upstream is None:
+        if upstream is None or self._sender.leaving.has_lost_keys(upstream):
+            # This node refuses the request itself.
             return []
         with self._lock:
             if self._ranked_members is not members:
@@ -153,6 +155,8 @@
         """Forward a request; return None if the node provably did not execute it."""
         started = time.monotonic()
         remaining_s = max(0.01, call.deadline - started) + REPLY_GRACE_S
+        # The runs of upstreams to which this request may be sent, not those that start later.
+        upstreams = self._view.upstreams
         try:
             reply: RelayReply = self._clients.call(
                 member.address,
@@ -179,6 +183,9 @@
             return Outcome(code, exc.message, arrived=True, sender=member.instance_id)
         self._clear_backoff(member.address)
         outcome = to_outcome(reply, member.instance_id)
+        upstream = upstreams.get(outcome.upstream_id or "")
+        if upstream is not None and states_leaving(outcome.headers):
+            self._sender.leaving.record(upstream)
         self._metrics.observe(
             "foxtailshunt_relay_overhead_seconds",
             "Time between nodes: from forwarding to the reply, without queue and upstream.",
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from foxtailshunt.errors import ResultCode
-from foxtailshunt.fleet import Address, FleetView, Member, Upstream
+from foxtailshunt.fleet import FleetView, Member, Upstream
 from foxtailshunt.network import caller_disconnected
 from foxtailshunt.platform import (
     AttemptResult,
@@ -16,14 +16,16 @@
 )
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
+from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
+from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
 from foxtailshunt.relay._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
-from foxtailshunt.telemetry import Metrics, RequestLog, log_state_change
+from foxtailshunt.telemetry import Metrics, RequestLog
 
 #: Time that is reserved for returning the response to the caller, in seconds.
 RESPONSE_RESERVE_S = 0.02
@@ -42,6 +44,7 @@
     :param me: this node.
     :param metrics: counters and histograms.
     :param log: log of decisions about requests.
+    :param leaving: remembers upstreams that state that they are leaving; None for an own memory.
     """
 
     def __init__(
@@ -52,9 +55,9 @@
         me: Member,
         metrics: Metrics,
         log: RequestLog,
+        leaving: LeavingUpstreams | None = None,
     ) -> None:
         self._view = view
-        self._groups = groups
         self._latencies = latencies
         self._me = me
         self._metrics = metrics
@@ -62,8 +65,8 @@
         self._pools = SlotPools(latencies, me.zone)
         self._channels = ChannelPool()
         self._unreachable = UnreachableUpstreams()
-        #: Incarnations of upstreams whose address was taken over by another upstream.
-        self._replaced: frozenset[tuple[str, Address, int]] = frozenset()
+        self._leaving = leaving if leaving is not None else LeavingUpstreams()
+        self._eligible = EligibleUpstreams(view, groups, self._leaving)
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         """Queue a request, send it and return its outcome.
@@ -131,24 +134,14 @@
         """Return the number of queued requests and of those in flight at upstreams."""
         return self._pools.load()
 
-    def _mark_replaced(self, upstream: Upstream) -> None:
-        log_state_change("upstream.replaced", upstream=upstream.upstream_id)
-        self._replaced |= {_incarnation(upstream)}
+    @property
+    def leaving(self) -> LeavingUpstreams:
+        """Return the memory of the upstreams that have stated that they are leaving."""
+        return self._leaving
 
     def _eligible_upstreams(self, call: Call) -> tuple[Upstream, ...]:
         """Return the upstreams that may serve a request; the same tuple unless they change."""
-        if call.key is None:
-            found = self._groups.upstreams_of(call.service, call.group)
-            if not self._replaced:
-                return found
-            remaining = tuple(item for item in found if _incarnation(item) not in self._replaced)
-            return self._pools.reuse_equal(call, remaining)
-        upstream = self._view.upstreams.get(call.upstream_id or "")
-        if upstream is None or upstream.leaving or upstream.service != call.service:
-            return ()
-        if _incarnation(upstream) in self._replaced:
-            return ()
-        return self._pools.reuse_equal(call, (upstream,))
+        return self._pools.reuse_equal(call, self._eligible.for_call(call))
 
     def _floors(self, service: str) -> tuple[RankFloor, ...]:
         routes = self._view.routes
@@ -165,9 +158,10 @@
         :param locked: the pool.
         :param call: one of the requests that it serves.
         """
-        if call.key is None:
+        current = locked.current_upstreams or ()
+        if call.key is None or self._eligible.have_lost_keys(current):
             # Upstreams may have begun to leave since the last request was queued. Requests for keys
-            # wait until their keys have moved.
+            # wait until their keys have moved, unless these should have moved by now.
             locked.update_upstreams(self._eligible_upstreams(call))
         for entry in locked.pool.assign(time.monotonic()):
             entry.wake()
@@ -294,6 +288,8 @@
         else:
             self._channels.release(upstream, channel)
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
+        if response.states_leaving and result is not AttemptResult.REPLACED:
+            self._leaving.record(upstream)
         return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
@@ -324,7 +320,7 @@
             )
         detail = f"status {response.status}, {result.value}"
         if result is AttemptResult.REPLACED:
-            self._mark_replaced(upstream)
+            self._eligible.mark_replaced(upstream)
         if result.is_refusal:
             code = (
                 ResultCode.REFUSED_BY_UPSTREAM
@@ -341,8 +337,3 @@
         return Outcome(
             ResultCode.ANSWER_MISMATCH, detail, upstream_id=upstream.upstream_id, arrived=True
         )
-
-
-def _incarnation(upstream: Upstream) -> tuple[str, Address, int]:
-    """Return the id, address and start time, which together identify one run of an upstream."""
-    return upstream.upstream_id, upstream.address, upstream.started_ms
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -89,6 +89,10 @@
         #: Whether responses to grants and releases are withheld, although they are applied.
         self.withholds_grant_responses = False
         self.is_draining = False
+        #: Whether all responses to requests state that the upstream is leaving.
+        self.says_leaving = False
+        #: Number of requests that arrived, without grants and releases.
+        self.arrivals = 0
         self._store = store
         self._known = known
         self._running = threading.Event()
@@ -169,7 +173,13 @@
         if req.path in ("/api/grant", "/api/release"):
             response = self._handle_grant_request(req, arrived)
             return WithheldResponse() if self.withholds_grant_responses else response
-        return self._execute(req)
+        with self._lock:
+            self.arrivals += 1
+        response = self._execute(req)
+        if self.says_leaving and isinstance(response, CompleteResponse):
+            leaving = (*response.headers, ("Server-Leaving", "1"))
+            return CompleteResponse(response.status, response.body, leaving)
+        return response
 
     def _handle_grant_request(self, req: Request, arrived: float) -> Response:
         params = json.loads(req.body)
