Send nothing to an upstream that has asked for a pause until its end

What callers saw: an upstream that refused a request with 503 and Retry-After went on getting requests and retries, and callers were told to try again after 0.4 s, when it refused them again.

Cause: Retry-After of upstreams was not read; the backoff after failures leaves out the only upstream of a pool.

Queued requests are checked again at once: they go to other upstreams, wait if their deadline lies beyond the pause, or are refused as not run. Their Retry-After covers the rest of the pause. A retry passes through the same queue, so none is sent during the pause.

--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -95,6 +95,31 @@
       | 200    | Server-Leaving:          | staying |
       | 200    | X-Server-Leaving: 1      | staying |
 
+  Scenario Outline: A refusal states for how long its upstream wants no requests
+    When upstream u1 responds to request r1 with <status> and <headers>
+    Then the upstream wants no requests for <seconds> s
+
+    Examples: only a 503 states it, and malformed values are ignored
+      | status | headers                         | seconds |
+      | 503    | Retry-After: 2                  | 2.0     |
+      | 503    | retry-after: 0.25               | 0.25    |
+      | 503    | Retry-After: 2, Not-Executed: 1 | 2.0     |
+      | 503    | Retry-After: 86400              | 86400.0 |
+      | 503    | Retry-After: 0                  | 0.0     |
+      | 503    | Not-Executed: 1                 | no      |
+      | 200    | Retry-After: 2                  | no      |
+      | 421    | Retry-After: 2                  | no      |
+      | 429    | Retry-After: 2                  | no      |
+      | 503    | Retry-After: -1                 | no      |
+      | 503    | Retry-After: soon               | no      |
+      | 503    | Retry-After: nan                | no      |
+      | 503    | Retry-After: inf                | no      |
+      | 503    | Retry-After: 1e999              | no      |
+      | 503    | Retry-After: 1_0                | no      |
+      | 503    | Retry-After: ١                  | no      |
+      | 503    | Retry-After: .                  | no      |
+      | 503    | Retry-After:                    | no      |
+
   Scenario Outline: A grant or release received by another upstream reports that the intended one has terminated
     Given an upstream <kind> at the address of u1, which has terminated
     When keys are <call> u1
--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -12,6 +12,7 @@
     QueueEntryState,
     Refusal,
     SlotPool,
+    UpstreamPauses,
 )
 
 _TIME_STEP_S = 0.005
@@ -41,6 +42,7 @@
     refusal: Refusal | None = None
     refused_at: float = 0.0
     upstream: str = ""
+    started_at: float = 0.0
     ended_at: float | None = None
     failed: bool = False
     retried: bool = False
@@ -62,11 +64,13 @@
     def __post_init__(self) -> None:
         self.latencies = CountingEstimator()
         self.seed_latency("route", self.base_latency_s)
-        self.pool = SlotPool(self.latencies, "zone")
-        self.pool.set_upstreams(
+        self.pauses = UpstreamPauses()
+        self.pool = SlotPool(self.latencies, "zone", self.pauses)
+        self.upstreams = [
             Upstream(f"u{n}", "desk", ("h", n + 1), "zone", self.slots, False, 0.0, 0)
             for n in range(self.count)
-        )
+        ]
+        self.pool.set_upstreams(self.upstreams)
         self.requests: list[SimulatedRequest] = []
         self._requests_by_entry: dict[QueueEntry, SimulatedRequest] = {}
         self._completions: list[tuple[float, int, QueueEntry]] = []
@@ -103,6 +107,7 @@
                 request.refusal = entry.refusal
                 continue
             request.upstream = entry.upstream.upstream_id
+            request.started_at = self.now
             request.failed = self.now < self.fails_until.get(request.upstream, 0.0)
             latency_s = self._latency_s(entry)
             end = self.now + (_FAILURE_LATENCY_S if request.failed else latency_s)
--- a/features/steps/node_adapter_steps.py
+++ b/features/steps/node_adapter_steps.py
@@ -207,3 +207,9 @@
     assert context.response.states_leaving == (state == "leaving"), context.response
     relayed = context.response.caller_headers()
     assert states_leaving(relayed) == (state == "leaving"), relayed
+
+
+@then("the upstream wants no requests for {seconds} s")
+def _(context: Context, seconds: str) -> None:
+    expected = None if seconds == "no" else float(seconds)
+    assert context.response.retry_after_s == expected, context.response.retry_after_s
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -1,5 +1,7 @@
 """Classifies the HTTP responses of upstreams."""
 
+import math
+import re
 from dataclasses import dataclass
 from enum import Enum
 
@@ -11,6 +13,9 @@
 #: Present with the value 1 in all responses of an upstream that is leaving; not a header of the
 #: connection, so it is passed on to callers.
 _LEAVING, _IS_LEAVING = "server-leaving", "1"
+#: For how long an upstream that responds with 503 wants no requests, in seconds, also fractions.
+_RETRY_AFTER, _UNAVAILABLE_STATUS = "retry-after", 503
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
 _KEEP_ALIVE = "keep-alive"
 #: Sent for a key that the upstream does not own and for a request that expects another upstream.
 _MISDIRECTED_STATUS = 421
@@ -83,6 +88,18 @@
                 return float(value)
         return None
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return for how long the upstream wants no requests, in seconds; None if unstated.
+
+        Only a response with status 503 states it.
+        """
+        value = (self.header(_RETRY_AFTER) or "").strip()
+        if self.status != _UNAVAILABLE_STATUS or not _SECONDS.fullmatch(value):
+            return None
+        seconds = float(value)
+        return seconds if math.isfinite(seconds) else None
+
     def caller_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers to pass to the caller, without connection headers and body length."""
         return tuple(
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -12,6 +12,7 @@
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._slot_pool import SlotPool
 from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 
 __all__ = [
     "AttemptHistory",
@@ -30,6 +31,7 @@
     "QueueEntryState",
     "UpstreamGroup",
     "UpstreamGroups",
+    "UpstreamPauses",
     "decide_retry",
     "form_groups",
     "to_call",
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -24,6 +24,7 @@
 from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
 from foxtailshunt.relay._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 from foxtailshunt.routing import RankFloor
 from foxtailshunt.telemetry import Metrics, RequestLog
 
@@ -62,7 +63,8 @@
         self._me = me
         self._metrics = metrics
         self._log = log
-        self._pools = SlotPools(latencies, me.zone)
+        self._pauses = UpstreamPauses()
+        self._pools = SlotPools(latencies, me.zone, self._pauses)
         self._channels = ChannelPool()
         self._unreachable = UnreachableUpstreams()
         self._leaving = leaving if leaving is not None else LeavingUpstreams()
@@ -231,6 +233,10 @@
             failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
             upstream_s = time.monotonic() - started
             self._record_latency(entry.call, upstream, outcome, upstream_s)
+            if outcome.retry_after_s is not None:
+                with locked.lock:
+                    pause_s = locked.pool.pause_s(time.monotonic())
+                outcome = replace(outcome, retry_after_s=max(outcome.retry_after_s, pause_s))
             return replace(outcome, upstream_s=upstream_s)
         finally:
             with locked.lock:
@@ -290,6 +296,8 @@
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
         if response.states_leaving and result is not AttemptResult.REPLACED:
             self._leaving.record(upstream)
+        if response.retry_after_s is not None:
+            self._pauses.record(upstream, response.retry_after_s, time.monotonic())
         return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/relay/_slot_pool.py
@@ -15,6 +15,7 @@
 from foxtailshunt.relay._outcome import Call
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._slot_forecast import SlotForecast
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 from foxtailshunt.relay._upstream_slots import UpstreamSlots
 from foxtailshunt.routing import RankFloor
 
@@ -44,11 +45,17 @@
 
     :param latencies: latency estimates by route and upstream.
     :param zone: the preferred availability zone among otherwise equal upstreams.
+    :param pauses: the pauses that upstreams have asked for; None for an own memory.
     """
 
-    def __init__(self, latencies: LatencyEstimator, zone: str) -> None:
+    def __init__(
+        self, latencies: LatencyEstimator, zone: str, pauses: UpstreamPauses | None = None
+    ) -> None:
         self._latencies = latencies
         self._zone = zone
+        self._pauses = pauses if pauses is not None else UpstreamPauses()
+        #: Number of pauses when the queue was last checked.
+        self._pauses_checked = 0
         self._slots: dict[str, UpstreamSlots] = {}
         self._waiting: list[QueueEntry] = []
         self._credits = FloorCredits(())
@@ -87,7 +94,7 @@
         for upstream_id, upstream in available.items():
             slots = self._slots.get(upstream_id)
             if slots is None or slots.paused_until == float("inf"):
-                self._slots[upstream_id] = UpstreamSlots(upstream)
+                self._slots[upstream_id] = UpstreamSlots(upstream, self._pauses)
             else:
                 slots.upstream = upstream
 
@@ -100,10 +107,10 @@
         """
         estimate_s = self._estimate_response_s(entry.call, now)
         if estimate_s is None:
-            return Refusal(None, self._retry_after(FIRST_BACKOFF_S))
+            return Refusal(None, self._retry_after(FIRST_BACKOFF_S, now))
         remaining_s = entry.call.deadline - now
         if estimate_s > remaining_s:
-            return Refusal(estimate_s, self._retry_after(estimate_s - remaining_s))
+            return Refusal(estimate_s, self._retry_after(estimate_s - remaining_s, now))
         self._waiting.append(entry)
         return None
 
@@ -117,7 +124,8 @@
         :param now: the time in seconds.
         :returns: the entries whose state has changed.
         """
-        is_check_due = now >= self._next_check_at
+        is_check_due = now >= self._next_check_at or self._pauses.count != self._pauses_checked
+        self._pauses_checked = self._pauses.count
         if not self._waiting or not (is_check_due or self._has_free_slot(now)):
             return []
         self._waiting = self._in_service_order(self._waiting, now)
@@ -134,7 +142,10 @@
             upstream_id = slots.upstream.upstream_id
             wait_s = forecast.free_at(upstream_id) - now
             latency_s = self._expected_latency_s(entry.call, slots) * slots.overrun_ratio(now)
-            if now + WAIT_SHARE * wait_s + latency_s > entry.call.deadline:
+            # The wait for a slot is an estimate, the pause of an upstream is not.
+            pause_s = min(wait_s, slots.pause_s(now))
+            least_wait_s = pause_s + WAIT_SHARE * (wait_s - pause_s)
+            if now + least_wait_s + latency_s > entry.call.deadline:
                 self._expire(entry, wait_s + latency_s, now)
                 continue
             forecast.occupy(upstream_id, latency_s)
@@ -162,7 +173,7 @@
         if estimate_s is not None:
             excess_s = estimate_s - (entry.call.deadline - now)
         entry.state = QueueEntryState.EXPIRED
-        entry.refusal = Refusal(estimate_s, self._retry_after(excess_s))
+        entry.refusal = Refusal(estimate_s, self._retry_after(excess_s, now))
 
     def cancel(self, entry: QueueEntry) -> None:
         """Remove a request from the queue.
@@ -196,18 +207,27 @@
             slots.failures = 0
 
     def next_pause_end(self, now: float) -> float | None:
-        """Return when the next backoff of an upstream pause_ends, in seconds.
+        """Return when the next backoff or pause of an upstream ends, in seconds.
 
         :param now: the time in seconds.
-        :returns: None if no request is queued or no backoff ends within a minute.
+        :returns: None if no request is queued or none ends within a minute.
         """
         if not self._waiting:
             return None
         pause_ends = [
-            s.paused_until for s in self._slots.values() if now < s.paused_until < now + 60
+            s.blocked_until for s in self._slots.values() if now < s.blocked_until < now + 60
         ]
         return min(pause_ends, default=None)
 
+    def pause_s(self, now: float) -> float:
+        """Return the time until the first upstream accepts requests, in seconds.
+
+        :param now: the time in seconds.
+        :returns: 0 unless all upstreams have asked for a pause.
+        """
+        available = (s for s in self._slots.values() if s.paused_until != float("inf"))
+        return min((slots.pause_s(now) for slots in available), default=0.0)
+
     def _back_off(self, slots: UpstreamSlots, now: float) -> None:
         # The only upstream of a key gets no backoff: no other upstream can serve its requests.
         if len(self._slots) > 1:
@@ -301,7 +321,10 @@
         latency_s = self._expected_latency_s(call, slots) * slots.overrun_ratio(now)
         return wait_s + latency_s * (1 + LATENCY_MARGIN)
 
-    def _retry_after(self, wait_s: float) -> float:
-        # Jitter keeps callers that were refused together from retrying at the same time.
+    def _retry_after(self, wait_s: float, now: float) -> float:
+        # Jitter keeps callers that were refused together from retrying at the same time. No retry
+        # is served before the end of a pause, however long it is.
         jitter = random.uniform(0.8, 1.4)
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s * jitter))
+        pause_s = self.pause_s(now)
+        queue_s = max(0.0, wait_s - pause_s) * jitter
+        return pause_s + min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, queue_s))
--- a/foxtailshunt/relay/_slot_pools.py
+++ b/foxtailshunt/relay/_slot_pools.py
@@ -7,6 +7,7 @@
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
 from foxtailshunt.relay._outcome import Call
 from foxtailshunt.relay._slot_pool import SlotPool
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 
 
 @dataclass(slots=True)
@@ -33,9 +34,11 @@
 
     :param latencies: latency estimates by route and upstream.
     :param zone: the preferred availability zone among otherwise equal upstreams.
+    :param pauses: the pauses that upstreams have asked for.
     """
 
-    def __init__(self, latencies: LatencyEstimator, zone: str) -> None:
+    def __init__(self, latencies: LatencyEstimator, zone: str, pauses: UpstreamPauses) -> None:
+        self._pauses = pauses
         self._latencies = latencies
         self._zone = zone
         self._lock = threading.Lock()
@@ -50,7 +53,9 @@
         with self._lock:
             locked = self._pools.get(name)
             if locked is None:
-                locked = LockedPool(SlotPool(self._latencies, self._zone), threading.Lock())
+                locked = LockedPool(
+                    SlotPool(self._latencies, self._zone, self._pauses), threading.Lock()
+                )
                 self._pools[name] = locked
             return locked
 
--- a/foxtailshunt/relay/_upstream_slots.py
+++ b/foxtailshunt/relay/_upstream_slots.py
@@ -4,6 +4,7 @@
 
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.relay._queue_entry import QueueEntry
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 
 #: Assumed remaining time of an overdue request: the larger of this time, in seconds, and this share
 #: of the time since its start.
@@ -16,29 +17,43 @@
 
     #: The upstream.
     upstream: Upstream
+    #: The pauses that upstreams have asked for.
+    pauses: UpstreamPauses
     #: Start and expected end of each request in flight, in seconds of the monotonic clock.
     running: dict[QueueEntry, tuple[float, float]] = field(default_factory=dict)
     #: Number of consecutive failures.
     failures: int = 0
-    #: Time until which no request is assigned, in seconds of the monotonic clock; infinite for an
+    #: End of the backoff after failures, in seconds of the monotonic clock; infinite for an
     #: upstream that has left the pool.
     paused_until: float = 0.0
     #: Time of the last assignment, in seconds of the monotonic clock.
     last_assigned_at: float = 0.0
 
+    @property
+    def blocked_until(self) -> float:
+        """Return until when no request is assigned, in seconds: backoff or requested pause."""
+        return max(self.paused_until, self.pauses.end(self.upstream))
+
+    def pause_s(self, now: float) -> float:
+        """Return the rest of the pause that the upstream has asked for, in seconds.
+
+        :param now: the time in seconds.
+        """
+        return max(0.0, self.pauses.end(self.upstream) - now)
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether a request may be assigned.
 
         :param now: the time in seconds.
         """
-        return len(self.running) < self.upstream.slots and now >= self.paused_until
+        return len(self.running) < self.upstream.slots and now >= self.blocked_until
 
     def free_times(self, now: float) -> list[float]:
         """Return when each slot is expected to become free, in seconds.
 
         :param now: the time in seconds.
         """
-        earliest = max(now, self.paused_until)
+        earliest = max(now, self.blocked_until)
         times = [max(earliest, _expected_end(*span, now)) for span in self.running.values()]
         # More requests than slots can be in flight after the upstream's entry has changed.
         idle = max(0, self.upstream.slots - len(times))
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -24,6 +24,8 @@
 
 _THREADS = 40
 _HEARTBEAT_INTERVAL_S = 0.2
+#: Pause that an upstream asks for, in seconds: longer than a scenario.
+_PAUSE_S = 60
 
 
 class Manner(Enum):
@@ -42,6 +44,8 @@
     WRONG_REQUEST = "answers for another request"
     #: Rejects all requests with 503 and ``Not-Executed``.
     SHEDS_LOAD = "sheds"
+    #: Rejects all requests with 503, ``Not-Executed`` and ``Retry-After``.
+    ASKS_FOR_PAUSE = "asks for a pause"
     #: Responds with 503 without ``Not-Executed``.
     UNAVAILABLE = "fails"
     #: Responds with 200 without ``Response-Seal``.
@@ -200,6 +204,9 @@
             return CompleteResponse(421, b"", (("Not-Executed", "1"),))
         if self.manner is Manner.SHEDS_LOAD:
             return CompleteResponse(503, b"", (("Not-Executed", "1"), ("Attempt-Id", request_id)))
+        if self.manner is Manner.ASKS_FOR_PAUSE:
+            refusal = (("Not-Executed", "1"), ("Attempt-Id", request_id))
+            return CompleteResponse(503, b"", (*refusal, ("Retry-After", str(_PAUSE_S))))
         with self._lock:
             self.runs[request_id] += 1
             self._in_flight[key] += 1
