--- a/features/node_adapter.feature
+++ b/features/node_adapter.feature
@@ -87,6 +87,48 @@
       | 421    | Instance-Id: u2                             | replaced  |
       | 200    | Attempt-Id: r1, Response-Seal: s, Content-Encoding: gzip | failed |
 
+  Scenario Outline: A response states that its upstream is leaving
+    When upstream u1 responds to request r1 with <status> and <headers>
+    Then the response states that the upstream is <state>
+
+    Examples:
+      | status | headers                  | state   |
+      | 200    | Server-Leaving: 1        | leaving |
+      | 200    | server-leaving: 1        | leaving |
+      | 503    | Server-Leaving: 1        | leaving |
+      | 421    | Server-Leaving: 1        | leaving |
+      | 200    | Attempt-Id: r1           | staying |
+      | 200    | Server-Leaving: 0        | staying |
+      | 200    | Server-Leaving: 11       | staying |
+      | 200    | Server-Leaving: true     | staying |
+      | 200    | Server-Leaving:          | staying |
+      | 200    | X-Server-Leaving: 1      | staying |
+
+  Scenario Outline: A refusal states for how long its upstream wants no requests
+    When upstream u1 responds to request r1 with <status> and <headers>
+    Then the upstream wants no requests for <seconds> s
+
+    Examples: only a 503 states it, and malformed values are ignored
+      | status | headers                         | seconds |
+      | 503    | Retry-After: 2                  | 2.0     |
+      | 503    | retry-after: 0.25               | 0.25    |
+      | 503    | Retry-After: 2, Not-Executed: 1 | 2.0     |
+      | 503    | Retry-After: 86400              | 86400.0 |
+      | 503    | Retry-After: 0                  | 0.0     |
+      | 503    | Not-Executed: 1                 | no      |
+      | 200    | Retry-After: 2                  | no      |
+      | 421    | Retry-After: 2                  | no      |
+      | 429    | Retry-After: 2                  | no      |
+      | 503    | Retry-After: -1                 | no      |
+      | 503    | Retry-After: soon               | no      |
+      | 503    | Retry-After: nan                | no      |
+      | 503    | Retry-After: inf                | no      |
+      | 503    | Retry-After: 1e999              | no      |
+      | 503    | Retry-After: 1_0                | no      |
+      | 503    | Retry-After: ١                  | no      |
+      | 503    | Retry-After: .                  | no      |
+      | 503    | Retry-After:                    | no      |
+
   Scenario Outline: A grant or release received by another upstream reports that the intended one has terminated
     Given an upstream <kind> at the address of u1, which has terminated
     When keys are <call> u1
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -1,5 +1,7 @@
 """Classifies the HTTP responses of upstreams."""
 
+import math
+import re
 from dataclasses import dataclass
 from enum import Enum
 
@@ -8,6 +10,12 @@
 _SEAL = "response-seal"
 #: Present if the upstream has not run the request and will never run it.
 _NOT_EXECUTED = "not-executed"
+#: Present with the value 1 in all responses of an upstream that is leaving; not a header of the
+#: connection, so it is passed on to callers.
+_LEAVING, _IS_LEAVING = "server-leaving", "1"
+#: For how long an upstream that responds with 503 wants no requests, in seconds, also fractions.
+_RETRY_AFTER, _UNAVAILABLE_STATUS = "retry-after", 503
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
 _KEEP_ALIVE = "keep-alive"
 #: Sent for a key that the upstream does not own and for a request that expects another upstream.
 _MISDIRECTED_STATUS = 421
@@ -57,10 +65,12 @@
 
         :param name: header name in lower case.
         """
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
+
+    @property
+    def states_leaving(self) -> bool:
+        """Return whether the response states that the upstream is leaving."""
+        return states_leaving(self.headers)
 
     def names_request(self, request_id: str) -> bool:
         """Return whether the response carries the id of a request.
@@ -78,6 +88,18 @@
                 return float(value)
         return None
 
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return for how long the upstream wants no requests, in seconds; None if unstated.
+
+        Only a response with status 503 states it.
+        """
+        value = (self.header(_RETRY_AFTER) or "").strip()
+        if self.status != _UNAVAILABLE_STATUS or not _SECONDS.fullmatch(value):
+            return None
+        seconds = float(value)
+        return seconds if math.isfinite(seconds) else None
+
     def caller_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers to pass to the caller, without connection headers and body length."""
         return tuple(
@@ -85,6 +107,14 @@
         )
 
 
+def states_leaving(headers: tuple[tuple[str, str], ...]) -> bool:
+    """Return whether a response states that its upstream is leaving.
+
+    :param headers: headers of the response, as received or as passed to the caller.
+    """
+    return _find_header(headers, _LEAVING) == _IS_LEAVING
+
+
 def classify_response(
     response: UpstreamResponse, request_id: str, upstream_id: str
 ) -> AttemptResult:
@@ -109,3 +139,10 @@
         is_sealed = response.header(_SEAL) is not None and echoed_id == request_id
         return AttemptResult.ANSWERED if is_sealed else AttemptResult.FAILED
     return AttemptResult.ANSWERED
+
+
+def _find_header(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -3,6 +3,7 @@
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
+from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
@@ -12,6 +13,7 @@
 from foxtailshunt.relay._slot_pool import SlotPool
 from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
 from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
+from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 
 __all__ = [
     "STOPPING_RETRY_AFTER_S",
@@ -22,6 +24,7 @@
     "RetryDecision",
     "Outcome",
     "LatencyEstimator",
+    "LeavingUpstreams",
     "Refusal",
     "RetryBudget",
     "Sender",
@@ -31,6 +34,7 @@
     "QueueEntryState",
     "UpstreamGroup",
     "UpstreamGroups",
+    "UpstreamPauses",
     "decide_retry",
     "form_groups",
     "to_call",
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -24,6 +24,8 @@
 
 _THREADS = 40
 _HEARTBEAT_INTERVAL_S = 0.2
+#: Pause that an upstream asks for, in seconds: longer than a scenario.
+_PAUSE_S = 60
 
 
 class Manner(Enum):
@@ -42,6 +44,8 @@
     WRONG_REQUEST = "answers for another request"
     #: Rejects all requests with 503 and ``Not-Executed``.
     SHEDS_LOAD = "sheds"
+    #: Rejects all requests with 503, ``Not-Executed`` and ``Retry-After``.
+    ASKS_FOR_PAUSE = "asks for a pause"
     #: Responds with 503 without ``Not-Executed``.
     UNAVAILABLE = "fails"
     #: Responds with 200 without ``Response-Seal``.
@@ -89,6 +93,10 @@
         #: Whether responses to grants and releases are withheld, although they are applied.
         self.withholds_grant_responses = False
         self.is_draining = False
+        #: Whether all responses to requests state that the upstream is leaving.
+        self.says_leaving = False
+        #: Number of requests that arrived, without grants and releases.
+        self.arrivals = 0
         self._store = store
         self._known = known
         self._running = threading.Event()
@@ -169,7 +177,13 @@
         if req.path in ("/api/grant", "/api/release"):
             response = self._handle_grant_request(req, arrived)
             return WithheldResponse() if self.withholds_grant_responses else response
-        return self._execute(req)
+        with self._lock:
+            self.arrivals += 1
+        response = self._execute(req)
+        if self.says_leaving and isinstance(response, CompleteResponse):
+            leaving = (*response.headers, ("Server-Leaving", "1"))
+            return CompleteResponse(response.status, response.body, leaving)
+        return response
 
     def _handle_grant_request(self, req: Request, arrived: float) -> Response:
         params = json.loads(req.body)
@@ -190,6 +204,9 @@
             return CompleteResponse(421, b"", (("Not-Executed", "1"),))
         if self.manner is Manner.SHEDS_LOAD:
             return CompleteResponse(503, b"", (("Not-Executed", "1"), ("Attempt-Id", request_id)))
+        if self.manner is Manner.ASKS_FOR_PAUSE:
+            refusal = (("Not-Executed", "1"), ("Attempt-Id", request_id))
+            return CompleteResponse(503, b"", (*refusal, ("Retry-After", str(_PAUSE_S))))
         with self._lock:
             self.runs[request_id] += 1
             self._in_flight[key] += 1
