--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -10,7 +10,7 @@
 _SEAL = "response-seal"
 #: Present if the upstream has not run the request and will never run it.
 _NOT_EXECUTED = "not-executed"
-#: Present with the value 1 in all responses of an upstream that is leaving; not a header of the
+#: ``Server-Leaving: 1`` is in all responses of an upstream that is leaving; not a header of the
 #: connection, so it is passed on to callers.
 _LEAVING, _IS_LEAVING = "server-leaving", "1"
 #: For how long an upstream that responds with 503 wants no requests, in seconds, also fractions.
--- a/foxtailshunt/relay/_stop_schedule.py
+++ b/foxtailshunt/relay/_stop_schedule.py
@@ -13,8 +13,7 @@
 #: Part of the reserve in which a response is still awaited, in seconds; the rest is for the caller.
 LATE_RESPONSE_S = 0.15
 #: Minimum time that a request that is not idempotent needs until the exit, as a multiple of its
-#: route's mean latency: its caller cannot retry it if its deadline is cut short. An assumption
-#: about the variance of latencies; not measured.
+#: route's mean latency: its caller cannot retry it if its deadline is cut short.
 NOT_IDEMPOTENT_LATENCIES = 3.0
 #: ``Retry-After`` of requests that a stopping node refuses, in seconds: the caller's next
 #: connection goes to another node, which need not become free first.
