Close idle connections between nodes

Cause: a node kept up to 16 idle connections to every other node for as long as it lived, each with a thread at the other end.

Change: the node that opened a connection closes it after 2 s without a call, on the timer service. Only the opening side closes idle connections, so that no close crosses a call.

--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -48,6 +48,8 @@
 TABLE_READ_TIMEOUT_S = 0.8
 #: Delay after a failed call to the store in a small fleet, in seconds; each call is billed.
 STORE_RETRY_DELAY_S = 0.9
+#: Idle time after which a connection to a node that is no longer polled is closed, in seconds.
+MAX_IDLE_S = 2.0
 #: Interval between checks of the age of the list of upstreams, in seconds.
 AGE_CHECK_INTERVAL_S = 0.5
 
@@ -147,6 +149,10 @@
         except PeerUnreachableError as exc:
             log_state_change("leaving.not_announced", error=exc.message)
 
+    def close_idle_connections(self) -> None:
+        """Close the connections to nodes that are no longer polled."""
+        self._clients.close_idle(MAX_IDLE_S)
+
     def stop(self) -> None:
         """Request the threads to stop."""
         self._stopping.set()
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -71,6 +71,8 @@
 ASSUMED_NODE_COUNT = 12
 #: Interval between log lines that report suppressed lines, in seconds.
 SUPPRESSED_LINES_INTERVAL_S = 1.0
+#: Interval between checks for idle connections to other nodes, in seconds.
+IDLE_CHECK_INTERVAL_S = 0.5
 #: Stack size of a thread, in bytes; the deepest call chains use a tenth of it.
 THREAD_STACK_BYTES = 512 * 1024
 _DRAIN_POLL_INTERVAL_S = 0.02
@@ -186,6 +188,8 @@
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
         gauges = GaugeUpdater(self._metrics, self._view, self._sender, self._leadership, budget)
         self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
+        for part in (self._forwarder, self._follower):
+            self._timers.subscribe(IDLE_CHECK_INTERVAL_S, part.close_idle_connections)
         self._is_stopping = False
 
     def start(self) -> None:
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -181,6 +181,26 @@
         for client in clients:
             client.reset()
 
+    def close_idle(self, max_idle_s: float) -> None:
+        """Close the connections that have been idle for a time.
+
+        Only the client closes idle connections: a close by the peer could cross a request.
+
+        :param max_idle_s: idle time in seconds.
+        """
+        oldest = time.monotonic() - max_idle_s
+        expired: list[PeerClient] = []
+        with self._lock:
+            for address in list(self._idle):
+                idle = self._idle[address]
+                # Connections are added at the end, so the oldest one is the first.
+                while idle and idle[0].idle_since < oldest:
+                    expired.append(idle.pop(0))
+                if not idle:
+                    del self._idle[address]
+        for client in expired:
+            client.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         with self._lock:
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -32,8 +32,9 @@
 REPLY_GRACE_S = 0.06
 #: Maximum number of idle connections to each node.
 MAX_IDLE_CLIENTS = 16
-#: Idle time after which a connection to a node is no longer used, in seconds.
-MAX_IDLE_S = 20.0
+#: Idle time after which a connection to a node is closed, in seconds. Each connection holds a
+#: thread at the other node, and most pairs of nodes of a large fleet rarely exchange requests.
+MAX_IDLE_S = 2.0
 
 
 @dataclass(slots=True)
@@ -126,6 +127,10 @@
                 break
         return self._sender.execute(call, caller)
 
+    def close_idle_connections(self) -> None:
+        """Close the connections to other nodes that have been idle for ``MAX_IDLE_S``."""
+        self._clients.close_idle(MAX_IDLE_S)
+
     def close(self) -> None:
         """Close all idle connections."""
         self._clients.close()
