Serve idempotent requests of one connection at the same time

Cause: a connection served one request after the other, so that pipelined requests used up their time waiting for the ones before them; a disconnect behind unread requests was not noticed, and a close with unread requests could reset the connection before the caller had read the response.

A request that is not idempotent overlaps with no other. Nothing behind a response that closes the connection is passed on, and the caller may finish sending before it is closed. POLLRDHUP reports a disconnect behind unread bytes. Timeouts count from the arrival of the head, so that the transfer of an upload's body is part of them.

--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -122,6 +122,8 @@
     def __init__(self, scripts: list[str], **limits: int) -> None:
         clock = MonotonicClock()
         self.upstreams = ScriptedUpstreams(scripts)
+        #: Serves requests in place of the upstreams; a scenario may replace it.
+        self.execute = self.upstreams.execute
         self.metrics = Metrics()
         self.stop_schedule = StopSchedule()
         self.view = FleetView(clock.now)
@@ -129,7 +131,7 @@
         handler = RequestHandler(
             OwnCallerInterface(),
             self.view,
-            self.upstreams.execute,
+            lambda call, caller: self.execute(call, caller),
             LatencyEstimator(),
             RetryBudget(1.0, 100.0),
             lambda service, key, work_s: None,
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -1,6 +1,5 @@
-"""HTTP server for callers, with one thread per connection."""
+"""HTTP server for callers, with a thread for each connection and for each overlapping request."""
 
-import http.client
 import os
 import select
 import socket
@@ -9,21 +8,18 @@
 import traceback as traceback_module
 from collections.abc import Callable
 
-from cheroot.errors import MaxSizeExceeded
-from cheroot.server import Gateway, HTTPConnection
-
-from foxtailshunt.callers import Reply
 from foxtailshunt.fleet import Address
+from foxtailshunt.front._front_connection import FrontConnection, FrontGateway
 from foxtailshunt.front._lingering_close import discard_until_closed
+from foxtailshunt.front._read_ahead import ReadAheadWatcher
 from foxtailshunt.front._request_handler import RequestHandler
-from foxtailshunt.http import StrictHttpRequest, make_socket_file
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBindingServer, Metrics, log_state_change
 
-#: Timeout for writing a response, in seconds.
-WRITE_TIMEOUT_S = 5.0
 #: Maximum number of connections; each has a thread of about 60 KB.
 MAX_CONNECTIONS = 1500
+#: Number of threads from which requests of one connection no longer overlap.
+MAX_THREADS = MAX_CONNECTIONS
 #: Time that a connection accepted while draining may take to start its request, in seconds.
 FIRST_REQUEST_TIMEOUT_S = 1.0
 #: Interval between checks for open connections while draining, in seconds.
@@ -31,93 +27,6 @@
 
 _BACKLOG = 512
 _ACCEPT_TIMEOUT_S = 0.1
-_NO_BODY_STATUSES = (204, 304)
-
-
-class _FrontRequest(StrictHttpRequest):
-    """Request that responds to malformed input through the handler and closes the connection."""
-
-    def simple_response(self, status: str, msg: str = "") -> None:
-        """Respond to a malformed request.
-
-        :param status: HTTP status with its reason phrase.
-        :param msg: explanation for the caller, one sentence.
-        """
-        self.close_connection = True
-        if status.startswith("413") and not self.ready and "headers" in msg:
-            status = "431 Request Header Fields Too Large"
-        self.server.count_rejected(status[:3])
-        reply = self.server.handler.reject(int(status[:3]), msg or status)
-        self.conn.wfile.write(_format_reply(reply, self))
-        self.conn.is_rejected = True
-        self.sent_headers = True
-
-
-class _FrontConnection(HTTPConnection):
-    RequestHandlerClass = _FrontRequest
-
-    def __init__(self, server: "FrontServer", sock: socket.socket) -> None:
-        super().__init__(server, sock, make_socket_file)
-        #: True after the first request was served.
-        self.has_served = False
-        #: True after a request was rejected, part of which may be unread.
-        self.is_rejected = False
-
-
-class _FrontGateway(Gateway):
-    """Reads a request with its body, passes it to the handler and writes the reply at once."""
-
-    def respond(self) -> None:
-        """Serve the request of the connection."""
-        req = self.req
-        body = self._read_body()
-        if body is None:
-            return
-        req.conn.socket.settimeout(WRITE_TIMEOUT_S)
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in req.inheaders.items()
-        )
-        reply = req.server.handler.handle(
-            req.method.decode("latin-1"),
-            req.uri.decode("latin-1"),
-            headers,
-            body,
-            req.conn.socket,
-        )
-        if reply.status == 0:
-            req.close_connection = True
-            req.sent_headers = True
-            return
-        if req.server.is_draining:
-            req.close_connection = True
-        req.sent_headers = True
-        req.conn.wfile.write(_format_reply(reply, req))
-
-    def _read_body(self) -> bytes | None:
-        """Return the whole body, or None if the request was refused."""
-        req = self.req
-        try:
-            body = req.rfile.read()
-            if req.chunked_read:
-                for _ in req.rfile.read_trailer_lines():
-                    pass
-        except ValueError:
-            req.simple_response("400 Bad Request", "The chunked body is malformed.")
-            return None
-        except TimeoutError:
-            req.simple_response("408 Request Timeout", "The body did not arrive in time.")
-            return None
-        except (MaxSizeExceeded, OSError) as exc:
-            # cheroot raises an OSError without an errno for a chunk that is too large.
-            if isinstance(exc, OSError) and exc.errno is not None:
-                raise
-            req.simple_response("413 Content Too Large", "The body is too large.")
-            return None
-        if not req.chunked_read and len(body) != int(req.inheaders.get(b"Content-Length", 0)):
-            req.simple_response("400 Bad Request", "The body ended early.")
-            return None
-        return body
 
 
 class FrontServer(EarlyBindingServer):
@@ -137,13 +46,15 @@
         limits: Callable[[], FrontLimits],
         metrics: Metrics,
     ) -> None:
-        super().__init__(address, _FrontGateway, minthreads=1)
+        super().__init__(address, FrontGateway, minthreads=1)
         self.handler = handler
         self.is_draining = False
         self._limits = limits
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._connections: set[_FrontConnection] = set()
+        self._connections: set[FrontConnection] = set()
+        self._thread_count = 0
+        self._watcher = ReadAheadWatcher()
         self._stopping = threading.Event()
         self._drain_read_end, self._drain_write_end = os.pipe()
         self.bind_listener()
@@ -153,6 +64,7 @@
         """Start to listen and to accept connections."""
         assert self._bound_socket is not None
         self._bound_socket.listen(_BACKLOG)
+        self._watcher.start()
         self._thread.start()
 
     def drain(self) -> None:
@@ -216,45 +128,66 @@
 
     def _add_connection(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        conn = _FrontConnection(self, sock)
+        conn = FrontConnection(self, sock, self._watcher, self._start_further_thread)
         with self._lock:
             is_at_limit = len(self._connections) >= MAX_CONNECTIONS
             if not is_at_limit:
                 self._connections.add(conn)
+                self._thread_count += 1
         if is_at_limit:
             self.count_rejected("connections")
             sock.close()
             return
+        self._start_thread(conn)
+
+    def _start_further_thread(self, conn: FrontConnection) -> bool:
+        """Start another thread for a connection, unless there are too many threads."""
+        with self._lock:
+            if self._thread_count >= MAX_THREADS:
+                return False
+            self._thread_count += 1
+        self._start_thread(conn)
+        return True
+
+    def _start_thread(self, conn: FrontConnection) -> None:
         threading.Thread(target=self._serve, args=(conn,), name="caller", daemon=True).start()
 
-    def _serve(self, conn: _FrontConnection) -> None:
+    def _serve(self, conn: FrontConnection) -> None:
+        conn.begin_thread()
         try:
             while self._wait_for_request(conn):
                 limits = self._limits()
                 self.max_request_header_size = limits.max_header_bytes
                 self.max_request_body_size = limits.max_body_bytes
-                conn.socket.settimeout(limits.header_timeout_s)
-                if not conn.communicate():
+                if not conn.serve_one(limits.header_timeout_s):
                     break
-                conn.has_served = True
+            else:
+                conn.order.stop_admitting()
         except OSError as exc:
             log_state_change("front.connection_failed", error=str(exc))
+            conn.order.fail()
         finally:
-            if conn.is_rejected:
-                self._discard_rest(conn)
-            _close_and_log_errors(conn)
+            if conn.end_thread():
+                self._close(conn)
             with self._lock:
-                self._connections.discard(conn)
+                self._thread_count -= 1
+
+    def _close(self, conn: FrontConnection) -> None:
+        if conn.order.has_sent_last:
+            self._discard_rest(conn)
+        _close_and_log_errors(conn)
+        with self._lock:
+            self._connections.discard(conn)
 
-    def _discard_rest(self, conn: _FrontConnection) -> None:
-        """Let a rejected caller finish sending, so that it receives the rejection."""
+    def _discard_rest(self, conn: FrontConnection) -> None:
+        """Let a caller finish sending, so that no reset overtakes the last response."""
         self._metrics.count(
             "foxtailshunt_discarded_bytes_total",
-            "Bytes of rejected requests that were read after the rejection.",
+            "Bytes that were read and discarded after the last response of a connection.",
             amount=discard_until_closed(conn.socket),
         )
 
-    def _wait_for_request(self, conn: _FrontConnection) -> bool:
+    def _wait_for_request(self, conn: FrontConnection) -> bool:
         """Return whether data of a request has arrived; if not, the connection is to be closed."""
         if conn.rfile.has_data():
             return True
@@ -270,21 +203,7 @@
         return conn.socket.fileno() in ready
 
 
-def _format_reply(reply: Reply, req: _FrontRequest) -> bytes:
-    reason = http.client.responses.get(reply.status, "Status")
-    lines = [f"HTTP/1.1 {reply.status} {reason}"]
-    lines += [f"{name}: {value}" for name, value in reply.headers]
-    is_empty = reply.status in _NO_BODY_STATUSES
-    if not is_empty:
-        lines.append(f"Content-Length: {len(reply.body)}")
-    if req.close_connection:
-        lines.append("Connection: close")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    body = b"" if is_empty or getattr(req, "method", b"") == b"HEAD" else reply.body
-    return head.encode("latin-1") + body
-
-
-def _close_and_log_errors(conn: _FrontConnection) -> None:
+def _close_and_log_errors(conn: FrontConnection) -> None:
     try:
         conn.close()
     except OSError as exc:
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -87,6 +87,21 @@
         self._stop_schedule = stop_schedule or StopSchedule()
         self._choice = WeightedChoice()
 
+    def is_idempotent(self, method: str, target: str, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Return whether a request may overlap with others of its connection.
+
+        That also holds for a request that has no route, since it is refused at once.
+
+        :param method: HTTP method.
+        :param target: path and query.
+        :param headers: headers of the request.
+        """
+        routes = self._view.routes
+        if routes is None:
+            return True
+        match = routes.match(RequestLine(method, _host(headers), target))
+        return match is None or match.route.idempotent
+
     def handle(
         self,
         method: str,
@@ -94,6 +109,7 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         caller: socket.socket | None,
+        received_at: float | None = None,
     ) -> Reply:
         """Serve a request and return the reply.
 
@@ -102,8 +118,10 @@
         :param headers: headers of the request.
         :param body: body of the request.
         :param caller: the caller's connection, watched for a disconnect; None if there is none.
+        :param received_at: when the head of the request was received, in seconds of the monotonic
+            clock, from which timeouts are counted; None for now.
         """
-        started_at = time.monotonic()
+        started_at = time.monotonic() if received_at is None else received_at
         request_id = ""
         try:
             request_id = self._callers.request_id(headers)
@@ -136,8 +154,7 @@
         routes = self._view.routes
         if routes is None:
             raise FoxtailshuntError(ResultCode.NO_CONFIG, "no configuration yet")
-        host = next((value for name, value in headers if name.lower() == "host"), "")
-        match = routes.match(RequestLine(method, host, target))
+        match = routes.match(RequestLine(method, _host(headers), target))
         if match is None:
             raise FoxtailshuntError(ResultCode.NO_ROUTE, "no route")
         request_info = self._callers.read(request_id, match, headers)
@@ -332,6 +349,10 @@
         return self._callers.failure(request_id, _build_failure(exc.code, exc.message))
 
 
+def _host(headers: tuple[tuple[str, str], ...]) -> str:
+    return next((value for name, value in headers if name.lower() == "host"), "")
+
+
 def _build_failure(code: ResultCode, detail: str, retry_after_s: float | None = None) -> Failure:
     status = status_of(code)
     default_s = STOPPING_RETRY_AFTER_S if code is ResultCode.STOPPING else DEFAULT_RETRY_AFTER_S
--- a/foxtailshunt/http/__init__.py
+++ b/foxtailshunt/http/__init__.py
@@ -8,7 +8,7 @@
     MalformedResponseError,
     read_response,
 )
-from foxtailshunt.http._socket_files import SocketReader, SocketWriter, make_socket_file
+from foxtailshunt.http._socket_files import SocketReader, SocketWriter
 from foxtailshunt.http._strict_request import MAX_HEAD_BYTES, StrictHttpRequest
 
 __all__ = [
@@ -22,6 +22,5 @@
     "SocketWriter",
     "StrictHttpRequest",
     "format_request",
-    "make_socket_file",
     "read_response",
 ]
--- a/foxtailshunt/http/_socket_files.py
+++ b/foxtailshunt/http/_socket_files.py
@@ -1,19 +1,28 @@
-"""Reader and writer for callers' sockets, with the interface that cheroot expects."""
+"""Reader and writer for callers' sockets, with the interface that cheroot expects.
 
+The sockets are non-blocking, since one thread may read from a connection while another writes to
+it, each with a timeout of its own.
+"""
+
+import select
 import socket
+import time
 
 _CHUNK_BYTES = 16_384
+_MAX_RECEIVE_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
 
 
 class SocketReader:
     """A buffered socket reader with the methods that cheroot's requests use.
 
-    :param sock: the connection.
+    :param sock: the connection, non-blocking.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        #: Longest wait for more bytes, in seconds; None for no limit.
+        self.timeout_s: float | None = None
         self._buffer = b""
         self.closed = False
         self.bytes_read = 0
@@ -32,10 +41,18 @@
 
         :param size: number of bytes; None to read to the end of the stream.
         """
-        while size is None or len(self._buffer) < size:
-            if not self._receive(size or _CHUNK_BYTES):
+        if size is not None and len(self._buffer) >= size:
+            return self._consume(size)
+        parts = [self._consume(len(self._buffer))]
+        missing = None if size is None else size - len(parts[0])
+        while missing is None or missing > 0:
+            data = self._receive_bytes(_CHUNK_BYTES if missing is None else missing)
+            if not data:
                 break
-        return self._consume(len(self._buffer) if size is None else size)
+            self.bytes_read += len(data)
+            parts.append(data)
+            missing = None if missing is None else missing - len(data)
+        return b"".join(parts)
 
     def readline(self, size: int | None = None) -> bytes:
         """Read through the next line feed, or to the end of the stream.
@@ -78,10 +95,18 @@
         self._buffer = b""
 
     def _receive(self, size: int) -> bool:
-        data = self._sock.recv(max(size - len(self._buffer), _CHUNK_BYTES))
+        data = self._receive_bytes(max(size - len(self._buffer), _CHUNK_BYTES))
         self._buffer += data
         return bool(data)
 
+    def _receive_bytes(self, size: int) -> bytes:
+        """Receive up to a number of bytes, at most a chunk; none at the end of the stream."""
+        while True:
+            try:
+                return self._sock.recv(min(size, _MAX_RECEIVE_BYTES))
+            except BlockingIOError:
+                _wait_for(self._sock, select.POLLIN, self.timeout_s)
+
     def _consume(self, size: int) -> bytes:
         data = self._buffer[:size]
         self._buffer = self._buffer[size:]
@@ -92,11 +117,13 @@
 class SocketWriter:
     """An unbuffered socket writer with the methods that cheroot's requests use.
 
-    :param sock: the connection; its timeout limits each complete write.
+    :param sock: the connection, non-blocking.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        #: Longest duration of a complete write, in seconds; None for no limit.
+        self.timeout_s: float | None = None
         self.bytes_written = 0
 
     def write(self, data: bytes) -> None:
@@ -104,14 +131,20 @@
 
         :param data: the bytes.
         """
-        self._sock.sendall(data)
+        deadline = None if self.timeout_s is None else time.monotonic() + self.timeout_s
+        unsent = memoryview(data)
+        while unsent:
+            try:
+                unsent = unsent[self._sock.send(unsent) :]
+            except BlockingIOError:
+                remaining_s = None if deadline is None else max(0.0, deadline - time.monotonic())
+                _wait_for(self._sock, select.POLLOUT, remaining_s)
         self.bytes_written += len(data)
 
 
-def make_socket_file(sock: socket.socket, mode: str, _size: int) -> SocketReader | SocketWriter:
-    """Return a reader or a writer for a socket.
-
-    :param sock: the connection.
-    :param mode: ``rb`` for a reader, ``wb`` for a writer.
-    """
-    return SocketReader(sock) if "r" in mode else SocketWriter(sock)
+def _wait_for(sock: socket.socket, event: int, timeout_s: float | None) -> None:
+    poll = select.poll()
+    poll.register(sock, event)
+    if not poll.poll(None if timeout_s is None else timeout_s * 1000):
+        # cheroot recognizes a timeout by this text.
+        raise TimeoutError("timed out")
--- a/foxtailshunt/network/_socket_wait.py
+++ b/foxtailshunt/network/_socket_wait.py
@@ -5,6 +5,9 @@
 import time
 from enum import Enum
 
+#: Reported also while the connection has unread bytes.
+_DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 
 class WaitOutcome(Enum):
     """Reason for which a wait ended."""
@@ -31,7 +34,7 @@
     poll.register(sock, select.POLLIN)
     check_caller = caller is not None and caller.fileno() >= 0
     if check_caller:
-        poll.register(caller, select.POLLIN)
+        poll.register(caller, select.POLLIN | select.POLLRDHUP)
     while True:
         events = dict(poll.poll(max(0.0, deadline - time.monotonic()) * 1000))
         if sock.fileno() in events:
@@ -40,9 +43,9 @@
             return WaitOutcome.TIMED_OUT
         if caller_disconnected(caller):
             return WaitOutcome.CALLER_DISCONNECTED
-        # The caller has sent its next request already. Its connection stays readable from here on,
-        # so a disconnect can no longer be detected.
-        poll.unregister(caller)
+        # The caller has sent its next request already. Its connection stays readable from here on;
+        # a disconnect behind the unread bytes is reported separately.
+        poll.modify(caller, select.POLLRDHUP)
 
 
 def caller_disconnected(caller: socket.socket | None) -> bool:
@@ -55,12 +58,18 @@
     if caller.fileno() < 0:
         return True
     poll = select.poll()
-    poll.register(caller, select.POLLIN)
+    poll.register(caller, select.POLLIN | select.POLLRDHUP)
     # Polls first, since recv on a socket with a timeout blocks regardless of its flags.
-    if not poll.poll(0):
+    events = dict(poll.poll(0)).get(caller.fileno(), 0)
+    if not events:
         return False
+    if events & _DISCONNECT_EVENTS:
+        return True
     try:
         return not caller.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        # Another thread has read the data.
+        return False
     except OSError:
         return True
 
