Watch the store for longer on a large fleet, and for a short time as leader

Change: a watch waits 0.25 s longer for each node, up to 28 s; on a large fleet a node whose response was lost learns of the change from others. The leader, whose configuration the others adopt, watches for 5 s at a time, and reads the configuration when it becomes leader. RetrySpread, which spaced retries only, is now StoreCallSpacing. 64 earlier versions are kept for followers, since each of dozens of moves makes one.

--- a/features/steps/election_steps.py
+++ b/features/steps/election_steps.py
@@ -11,7 +11,7 @@
 
 from features.scripted_upstream import ScriptedUpstream, json_response
 from foxtailshunt.assigning import LEADER_KEY, Leadership
-from foxtailshunt.fleet import Address, FleetView, Member, RetrySpread
+from foxtailshunt.fleet import Address, FleetView, Member, StoreCallSpacing
 from foxtailshunt.platform import StoreChange, StoreClient
 from foxtailshunt.timing import MonotonicClock
 from standins.metadata import MetadataServer, MetadataStore
@@ -77,7 +77,7 @@
 def _(context: Context) -> None:
     member = Member("n1", "boot", "zone", ("127.0.0.1", 1))
     now = MonotonicClock().now
-    spread = RetrySpread(FleetView(now), random.Random(5))
+    spread = StoreCallSpacing(FleetView(now), random.Random(5))
     leadership = Leadership(member, context.election_client, now, 1.0, spread)
     context.leadership = leadership
     context.add_cleanup(leadership.resign)
--- a/features/steps/store_outages_steps.py
+++ b/features/steps/store_outages_steps.py
@@ -10,7 +10,7 @@
 from features.scripted_upstream import ScriptedUpstream
 from foxtailshunt.assigning import CapacityEstimator, DemandTracker, Leadership
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, Member, RetrySpread
+from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
 from foxtailshunt.node import (
     ConfigurationApplier,
     ConfigurationFormat,
@@ -45,7 +45,7 @@
 
     def __init__(self, nodes: int) -> None:
         self._nodes = nodes
-        self._spread = RetrySpread(_view(nodes), random.Random(3))
+        self._spread = StoreCallSpacing(_view(nodes), random.Random(3))
         #: Times of the retries of each node, in seconds.
         self.retries: list[list[float]] = []
 
@@ -59,7 +59,7 @@
             self.retries.append(times)
 
 
-class RecordingSpread(RetrySpread):
+class RecordingSpread(StoreCallSpacing):
     """Records the shortest delays for which delays are requested."""
 
     def __init__(self, view: FleetView) -> None:
@@ -119,7 +119,7 @@
     me = view.members[0]
     leadership = Leadership(me, store, now, 1.0, spread)
     applier = ConfigurationApplier(ConfigurationFormat("config", "config", _decode), view)
-    watch = ConfigurationWatch(store, applier, spread)
+    watch = ConfigurationWatch(store, applier, spread, lambda: False)
     follower = Follower(
         me,
         view,
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -6,7 +6,7 @@
 
 from foxtailshunt.assigning._leader_record import Leader, decode_leader, encode_leader
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import Member, RetrySpread
+from foxtailshunt.fleet import Member, StoreCallSpacing
 from foxtailshunt.platform import (
     ConflictError,
     HistoryLostError,
@@ -29,7 +29,8 @@
 MAX_UNCONFIRMED_S = 10.0
 #: Timeout of a store call, in seconds; a slow store takes 0.4 s.
 CALL_TIMEOUT_S = 0.8
-#: How long one call watches the leader's key for changes, in seconds.
+#: How long one call watches the leader's key for changes in a small fleet, in seconds; each call is
+#: billed.
 WATCH_TIMEOUT_S = 15.0
 #: Longest random delay before a node tries to become leader, in seconds; it lets most nodes see a
 #: new leader before they try.
@@ -58,7 +59,7 @@
     :param store: the store.
     :param now: returns seconds of a clock that also advances during suspension.
     :param capacity_cores: processor capacity of this instance, in cores.
-    :param retry_spread: delays before retries of calls to the store.
+    :param call_spacing: spaces the calls to the store by the size of the fleet.
     """
 
     def __init__(
@@ -67,10 +68,10 @@
         store: StoreClient,
         now: Callable[[], float],
         capacity_cores: float,
-        retry_spread: RetrySpread,
+        call_spacing: StoreCallSpacing,
     ) -> None:
         self._capacity_delay_s = election_delay_s(capacity_cores)
-        self._retry_spread = retry_spread
+        self._call_spacing = call_spacing
         self._local_member = local_member
         self._store = store
         self._now = now
@@ -144,7 +145,7 @@
                 self._stopping.wait(random.uniform(0, RETRY_DELAY_S))
             except StoreError as exc:
                 self._log_store_state(exc)
-                self._stopping.wait(self._retry_spread.delay_s(RETRY_DELAY_S))
+                self._stopping.wait(self._call_spacing.delay_s(RETRY_DELAY_S))
 
     def _renew_lease(self) -> None:
         assert self._lease is not None
@@ -186,7 +187,8 @@
             self._try_to_become_leader(replaces=item.revision)
             return
         while not self._stopping.is_set():
-            changes, revision = self._store.watch(LEADER_KEY, revision, WATCH_TIMEOUT_S)
+            timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
+            changes, revision = self._store.watch(LEADER_KEY, revision, timeout_s)
             ended = False
             for change in changes:
                 if change.key == LEADER_KEY:
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -2,7 +2,7 @@
 
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
-from foxtailshunt.fleet._retry_spread import RetrySpread
+from foxtailshunt.fleet._store_call_spacing import StoreCallSpacing
 from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
 from foxtailshunt.fleet._view import FleetView, UpstreamChanges, Versions
 
@@ -12,7 +12,7 @@
     "KeyRange",
     "Member",
     "OwnershipTable",
-    "RetrySpread",
+    "StoreCallSpacing",
     "Upstream",
     "UpstreamChanges",
     "Versions",
--- a/foxtailshunt/fleet/_retry_spread.py
+++ b/foxtailshunt/fleet/_store_call_spacing.py
@@ -1,7 +1,8 @@
-"""Spreads the fleet's retries of failed calls to the store over time.
+"""Spaces the fleet's calls to the store over time.
 
-While the store is unavailable, every node retries its calls. With a constant delay, their number
-grows with the fleet and may exceed the store's limits when it is available again.
+While the store is unavailable, every node retries its calls. With constant delays, the number of
+these calls, and of those that watch for changes, would grow with the fleet and might exceed the
+store's limits.
 """
 
 import random
@@ -16,10 +17,16 @@
 MAX_MEAN_DELAY_S = 1.5
 #: Lowest and highest random factor of the delay, since all nodes lose the store at the same time.
 MIN_JITTER, MAX_JITTER = 0.5, 1.5
+#: Time that a call waits for a change beyond its least, in seconds for each node of the fleet. A
+#: node whose call got no response learns of the change from other nodes, and on a large fleet at
+#: least one of them gets its response.
+WATCH_TIMEOUT_PER_NODE_S = 0.25
+#: Longest wait of a call for a change, in seconds; the store allows 30.
+MAX_WATCH_TIMEOUT_S = 28.0
 
 
-class RetrySpread:
-    """Delays before retries of calls to the store, by the size of the fleet.
+class StoreCallSpacing:
+    """Delays of retries and timeouts of watches, by the size of the fleet.
 
     :param view: the node's view of the fleet.
     :param rng: source of random numbers; used by several threads.
@@ -36,3 +43,11 @@
         """
         mean_s = min(MAX_MEAN_DELAY_S, len(self._view.members) * DELAY_PER_NODE_S)
         return max(least_s, mean_s * self._rng.uniform(MIN_JITTER, MAX_JITTER))
+
+    def watch_timeout_s(self, least_s: float) -> float:
+        """Return how long a call may wait for a change, in seconds.
+
+        :param least_s: the timeout in a small fleet, in seconds.
+        """
+        longer_s = least_s + len(self._view.members) * WATCH_TIMEOUT_PER_NODE_S
+        return min(MAX_WATCH_TIMEOUT_S, longer_s)
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -9,8 +9,8 @@
 from foxtailshunt.routing import RouteTable
 
 #: Number of earlier versions of a part that are kept to compute changes for followers, which are at
-#: most a second behind.
-MAX_EARLIER_VERSIONS = 24
+#: most a second behind; on a large fleet each of dozens of moves makes a version.
+MAX_EARLIER_VERSIONS = 64
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -90,7 +90,7 @@
     def is_idempotent(self, method: str, target: str, headers: tuple[tuple[str, str], ...]) -> bool:
         """Return whether a request may overlap with others of its connection.
 
-        That also holds for a request that has no route, since it is refused at once.
+        That also holds for a request without a route or key, since it is refused at once.
 
         :param method: HTTP method.
         :param target: path and query.
@@ -99,7 +99,11 @@
         routes = self._view.routes
         if routes is None:
             return True
-        match = routes.match(RequestLine(method, _host(headers), target))
+        try:
+            match = routes.match(RequestLine(method, _host(headers), target))
+        except FoxtailshuntError:
+            # Serving the request reports the error to the caller.
+            return True
         return match is None or match.route.idempotent
 
     def handle(
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -5,15 +5,17 @@
 from dataclasses import dataclass
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, RetrySpread
+from foxtailshunt.fleet import FleetView, StoreCallSpacing
 from foxtailshunt.platform import HistoryLostError, StoreClient, StoreError
 from foxtailshunt.routing import RouteTable
 from foxtailshunt.telemetry import log_state_change
 
 #: Timeout of a read from the store, in seconds; a slow store answers in 0.4.
 READ_TIMEOUT_S = 1.0
-#: Time that one watch call waits for a change, in seconds; each call is billed.
+#: Time that one watch call waits for a change in a small fleet, in seconds; each call is billed.
 WATCH_TIMEOUT_S = 12.0
+#: The same for the leader, in seconds: if the response is lost, the followers wait for it too.
+LEADER_WATCH_TIMEOUT_S = 5.0
 #: Delay after a failed call to the store in a small fleet, in seconds.
 RETRY_DELAY_S = 0.4
 
@@ -61,17 +63,21 @@
 
     :param store: the store.
     :param configuration_applier: applies configurations.
-    :param retry_spread: delays before retries of calls to the store.
+    :param call_spacing: spaces the calls to the store by the size of the fleet.
+    :param leads: returns whether this node is the leader, whose configuration the others adopt.
     """
 
     def __init__(
         self,
         store: StoreClient,
         configuration_applier: ConfigurationApplier,
-        retry_spread: RetrySpread,
+        call_spacing: StoreCallSpacing,
+        leads: Callable[[], bool],
     ) -> None:
         self._store = store
-        self._retry_spread = retry_spread
+        self._leads = leads
+        self._has_led = False
+        self._call_spacing = call_spacing
         self._configuration_applier = configuration_applier
         self._format = configuration_applier.format
         self._stopping = threading.Event()
@@ -82,6 +88,15 @@
         """Start the watch thread."""
         self._thread.start()
 
+    def check_leadership(self) -> None:
+        """Read the configuration when this node becomes leader, without blocking the caller.
+
+        The response to its watch, which may wait for long, may have been lost.
+        """
+        has_led, self._has_led = self._has_led, self._leads()
+        if self._has_led and not has_led:
+            threading.Thread(target=self._read_as_leader, name="configuration", daemon=True).start()
+
     def stop(self) -> None:
         """Request the thread to stop; it ends after the call in progress."""
         self._stopping.set()
@@ -94,7 +109,7 @@
                 continue
             except StoreError as exc:
                 self._log_store_lost(exc)
-                self._stopping.wait(self._retry_spread.delay_s(RETRY_DELAY_S))
+                self._stopping.wait(self._call_spacing.delay_s(RETRY_DELAY_S))
 
     def _read_current(self) -> int:
         items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
@@ -104,9 +119,18 @@
                 self._configuration_applier.apply(item.value, "store")
         return revision
 
+    def _read_as_leader(self) -> None:
+        try:
+            self._read_current()
+        except StoreError as exc:
+            self._log_store_lost(exc)
+
     def _watch(self, revision: int) -> None:
         while not self._stopping.is_set():
-            changes, revision = self._store.watch(self._format.prefix, revision, WATCH_TIMEOUT_S)
+            timeout_s = LEADER_WATCH_TIMEOUT_S
+            if not self._leads():
+                timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
+            changes, revision = self._store.watch(self._format.prefix, revision, timeout_s)
             for change in changes:
                 if change.key == self._format.key and change.item is not None:
                     self._configuration_applier.apply(change.item.value, "store")
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -18,7 +18,7 @@
     decode_table,
 )
 from foxtailshunt.errors import FoxtailshuntError, PeerUnreachableError
-from foxtailshunt.fleet import FleetView, Member, OwnershipTable, RetrySpread, Versions
+from foxtailshunt.fleet import FleetView, Member, OwnershipTable, StoreCallSpacing, Versions
 from foxtailshunt.network import Address
 from foxtailshunt.node._configuration_watch import ConfigurationApplier
 from foxtailshunt.node._follow_reply import apply_reply
@@ -91,7 +91,7 @@
     :param demand_tracker: records this node's own demand while it is the leader.
     :param capacity_estimator: records this node's own latency reports while it is the leader.
     :param now: returns seconds of a clock that includes time spent suspended.
-    :param retry_spread: delays before retries of calls to the store.
+    :param call_spacing: spaces the calls to the store by the size of the fleet.
     :param seeds: addresses of nodes to poll while neither a leader nor any member is known.
     """
 
@@ -107,11 +107,11 @@
         demand_tracker: DemandTracker,
         capacity_estimator: CapacityEstimator,
         now: Callable[[], float],
-        retry_spread: RetrySpread,
+        call_spacing: StoreCallSpacing,
         seeds: tuple[Address, ...],
     ) -> None:
         self._seeds = seeds
-        self._retry_spread = retry_spread
+        self._call_spacing = call_spacing
         self._me = local_member
         self._view = view
         self._leadership = leadership
@@ -289,7 +289,7 @@
             try:
                 upstreams = self._reader.poll()
             except StoreError as exc:
-                wait_s = self._retry_spread.delay_s(STORE_RETRY_DELAY_S)
+                wait_s = self._call_spacing.delay_s(STORE_RETRY_DELAY_S)
                 if not self._store_is_lost:
                     log_state_change("store.lost", part="reader", error=str(exc))
                 self._store_is_lost = True
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -16,7 +16,7 @@
 from foxtailshunt.callers import CallerInterface, OwnCallerInterface
 from foxtailshunt.config import CONFIG_KEY, decode_config_record
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, Member, RetrySpread
+from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
 from foxtailshunt.node._configuration_watch import (
     ConfigurationApplier,
@@ -71,6 +71,8 @@
 ASSUMED_NODE_COUNT = 12
 #: Interval between log lines that report suppressed lines, in seconds.
 SUPPRESSED_LINES_INTERVAL_S = 1.0
+#: Interval between checks whether this node has become leader, in seconds.
+LEADERSHIP_CHECK_INTERVAL_S = 0.5
 #: Interval between checks for idle connections to other nodes, in seconds.
 IDLE_CHECK_INTERVAL_S = 0.5
 #: Stack size of a thread, in bytes; the deepest call chains use a tenth of it.
@@ -110,13 +112,13 @@
         demand_tracker = DemandTracker()
         capacity_estimator = CapacityEstimator()
         members = MemberRegistry()
-        retry_spread = RetrySpread(self._view, random.Random())
+        call_spacing = StoreCallSpacing(self._view, random.Random())
         self._leadership = Leadership(
             local_member,
             self._store,
             now,
             settings.cpu_share * settings.cpu_speed,
-            retry_spread,
+            call_spacing,
         )
         self._assigner = Assigner(
             local_member,
@@ -177,10 +179,15 @@
             demand_tracker,
             capacity_estimator,
             now,
-            retry_spread,
+            call_spacing,
             settings.peers,
         )
-        self._configuration = ConfigurationWatch(self._store, configuration_applier, retry_spread)
+        self._configuration = ConfigurationWatch(
+            self._store,
+            configuration_applier,
+            call_spacing,
+            lambda: self._leadership.term is not None,
+        )
         self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
         self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
@@ -188,6 +195,7 @@
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
         gauges = GaugeUpdater(self._metrics, self._view, self._sender, self._leadership, budget)
         self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
+        self._timers.subscribe(LEADERSHIP_CHECK_INTERVAL_S, self._configuration.check_leadership)
         for part in (self._forwarder, self._follower):
             self._timers.subscribe(IDLE_CHECK_INTERVAL_S, part.close_idle_connections)
         self._is_stopping = False
