Bound the memory of request bodies, and send large ones without relaying them

Cause, by reading: bodies up to 64 MB may come from 1,500 connections of an instance with 200 MB. A body that fits no frame of the peer protocol (4 MB) ended as NODE_CONNECTION_LOST, unknown, although it had not run, since the other node closes the connection at the frame's head.

Change: a node holds up to 24 MiB of bodies, or a single larger one, counted from the first byte until the request has ended. Another body is refused with the new code 212 NO_MEMORY: not run, 503, Retry-After. Bodies over 3 MiB are sent by the node that received them.

Tests: features/uploads.feature; the forwarding scenario failed before with the unknown outcome. Open: a sending node does not bound the bodies that other nodes relay to it; the time that the transfer of a body takes is not part of the estimate by which requests are refused early.

--- a/foxtailshunt/callers/_statuses.py
+++ b/foxtailshunt/callers/_statuses.py
@@ -27,6 +27,7 @@
     ResultCode.STOPPING: CodeStatus(503, retry_after=True),
     ResultCode.NO_CONFIG: CodeStatus(503, retry_after=True),
     ResultCode.NODE_UNREACHABLE: CodeStatus(503, retry_after=True),
+    ResultCode.NO_MEMORY: CodeStatus(503, retry_after=True),
     ResultCode.DEADLINE_EXCEEDED: CodeStatus(504),
     ResultCode.UPSTREAM_CONNECTION_LOST: CodeStatus(502),
     ResultCode.NODE_CONNECTION_LOST: CodeStatus(502),
--- a/foxtailshunt/errors.py
+++ b/foxtailshunt/errors.py
@@ -44,6 +44,8 @@
     NO_CONFIG = 210
     #: No connection to another node could be established.
     NODE_UNREACHABLE = 211
+    #: The node has no memory for the body of the request at present.
+    NO_MEMORY = 212
 
     #: The response did not arrive before the deadline.
     DEADLINE_EXCEEDED = 300
--- a/foxtailshunt/front/_front_connection.py
+++ b/foxtailshunt/front/_front_connection.py
@@ -10,7 +10,8 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPConnection
 
-from foxtailshunt.callers import Reply
+from foxtailshunt.callers import Headers, Reply
+from foxtailshunt.front._body_budget import BodyBudgetError, BodyReservation
 from foxtailshunt.front._read_ahead import ReadAheadWatcher
 from foxtailshunt.front._response_order import Render, ResponseOrder
 from foxtailshunt.http import SocketReader, SocketWriter, StrictHttpRequest
@@ -18,6 +19,7 @@
 #: Timeout for writing a response, in seconds.
 WRITE_TIMEOUT_S = 5.0
 
+_READ_BYTES = 65_536
 _NO_BODY_STATUSES = (204, 304)
 #: Stands for a thread that has been started and has not begun to read.
 _STARTING_THREAD = -1
@@ -49,25 +51,38 @@
         self.conn.order.close_after(_renderer(reply, is_head))
         self.sent_headers = True
 
+    def refuse_body(self) -> None:
+        """Respond that there is no memory for the body, and close the connection."""
+        self.close_connection = True
+        reply = self.server.handler.refuse_body(_decode_headers(self))
+        self.conn.order.close_after(_renderer(reply, is_head=False))
+        self.sent_headers = True
+
 
 class FrontGateway(Gateway):
     """Reads the body of a request and passes the request on."""
 
     def respond(self) -> None:
         """Serve the request of the connection."""
-        body = self._read_body()
-        if body is not None:
-            self.req.sent_headers = True
-            self.req.conn.run(self.req, body)
-
-    def _read_body(self) -> bytes | None:
+        reservation = BodyReservation(self.req.server.body_budget)
+        try:
+            body = self._read_body(reservation)
+            if body is not None:
+                self.req.sent_headers = True
+                self.req.conn.run(self.req, body)
+        finally:
+            reservation.release()
+
+    def _read_body(self, reservation: BodyReservation) -> bytes | None:
         """Return the whole body, or None if the request was refused."""
         req = self.req
+        length = 0 if req.chunked_read else int(req.inheaders.get(b"Content-Length", 0))
         try:
-            body = req.rfile.read()
-            if req.chunked_read:
-                for _ in req.rfile.read_trailer_lines():
-                    pass
+            reservation.grow(length)
+            body = self._read_chunks(reservation) if req.chunked_read else req.rfile.read()
+        except BodyBudgetError:
+            req.refuse_body()
+            return None
         except ValueError:
             req.simple_response("400 Bad Request", "The chunked body is malformed.")
             return None
@@ -80,11 +95,21 @@
                 raise
             req.simple_response("413 Content Too Large", "The body is too large.")
             return None
-        if not req.chunked_read and len(body) != int(req.inheaders.get(b"Content-Length", 0)):
+        if not req.chunked_read and len(body) != length:
             req.simple_response("400 Bad Request", "The body ended early.")
             return None
         return body
 
+    def _read_chunks(self, reservation: BodyReservation) -> bytes:
+        rfile = self.req.rfile
+        parts: list[bytes] = []
+        while part := rfile.read(_READ_BYTES):
+            reservation.grow(len(part))
+            parts.append(part)
+        for _ in rfile.read_trailer_lines():
+            pass
+        return b"".join(parts)
+
 
 class _InterimWriter:
     """Writer for cheroot's interim responses, which follow the responses to earlier requests.
@@ -177,10 +202,7 @@
         :param body: its body.
         """
         method, target = req.method.decode("latin-1"), req.uri.decode("latin-1")
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in req.inheaders.items()
-        )
+        headers = _decode_headers(req)
         handler = self.server.handler
         idempotent = handler.is_idempotent(method, target, headers)
         turn = self.order.admit(idempotent, len(body))
@@ -241,6 +263,16 @@
         return SocketReader(sock) if "r" in mode else self._interim_writer
 
 
+def _decode_headers(req: FrontRequest) -> Headers:
+    """Return the headers of a request as text.
+
+    :param req: the request.
+    """
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1")) for name, value in req.inheaders.items()
+    )
+
+
 def _renderer(reply: Reply, is_head: bool) -> Render:
     """Return a function that formats a reply.
 
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from foxtailshunt.fleet import Address
+from foxtailshunt.front._body_budget import BodyBudget
 from foxtailshunt.front._front_connection import FrontConnection, FrontGateway
 from foxtailshunt.front._lingering_close import discard_until_closed
 from foxtailshunt.front._read_ahead import ReadAheadWatcher
@@ -48,6 +49,7 @@
     ) -> None:
         super().__init__(address, FrontGateway, minthreads=1)
         self.handler = handler
+        self.body_budget = BodyBudget()
         self.is_draining = False
         self._limits = limits
         self._metrics = metrics
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -147,6 +147,18 @@
         """
         return self._callers.failure("", Failure(status, ResultCode.BAD_REQUEST, detail))
 
+    def refuse_body(self, headers: tuple[tuple[str, str], ...]) -> Reply:
+        """Return the reply to a request whose body the node has no memory for.
+
+        :param headers: headers of the request.
+        """
+        try:
+            request_id = self._callers.request_id(headers)
+        except FoxtailshuntError as exc:
+            return self._refuse("", exc)
+        exc = FoxtailshuntError(ResultCode.NO_MEMORY, "the bodies in progress take too much memory")
+        return self._refuse(request_id, exc)
+
     def _route(
         self,
         request_id: str,
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from foxtailshunt.protocol._client import CallerDisconnectedError, ClientPool, PeerClient
+from foxtailshunt.protocol._limits import MAX_RELAYED_BODY_BYTES
 from foxtailshunt.protocol._server import ProtocolServer, current_connection
 from foxtailshunt.protocol.gen.ttypes import (
     Endpoint,
@@ -23,6 +24,7 @@
 
 __all__ = [
     "CallerDisconnectedError",
+    "MAX_RELAYED_BODY_BYTES",
     "ClientPool",
     "Endpoint",
     "FollowReply",
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -13,7 +13,12 @@
 from foxtailshunt.errors import Family, PeerUnreachableError, ResultCode
 from foxtailshunt.fleet import Address, FleetView, Member, rank_by_rendezvous
 from foxtailshunt.platform import states_leaving
-from foxtailshunt.protocol import CallerDisconnectedError, ClientPool, RelayReply
+from foxtailshunt.protocol import (
+    MAX_RELAYED_BODY_BYTES,
+    CallerDisconnectedError,
+    ClientPool,
+    RelayReply,
+)
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
@@ -81,6 +86,8 @@
         :param call: the request.
         :param caller: the caller's connection; the request is cancelled if it is closed.
         """
+        if len(call.body) > MAX_RELAYED_BODY_BYTES:
+            return self._sender.execute(call, caller)
         if call.key is None:
             return self._execute_at_group(call, caller)
         return self._execute_at_sender(call, self._senders_for_owner(call), caller)
