--- a/features/steps/operator_command_steps.py
+++ b/features/steps/operator_command_steps.py
@@ -58,9 +58,6 @@
         self._now += 1
         return self._now
 
-    def wall_time(self) -> float:
-        return self._now
-
 
 def _operator(context: Context) -> OperatorSubject:
     if not hasattr(context, "operator"):
--- a/foxtailshunt/timing/_clock.py
+++ b/foxtailshunt/timing/_clock.py
@@ -5,16 +5,12 @@
 
 
 class Clock(Protocol):
-    """A source of monotonic and wall time, both in seconds."""
+    """A source of monotonic time, in seconds."""
 
     def now(self) -> float:
         """Return monotonic time in seconds."""
         ...
 
-    def wall_time(self) -> float:
-        """Return wall time in seconds since the epoch."""
-        ...
-
 
 class MonotonicClock:
     """The system clock.
@@ -26,7 +22,3 @@
     def now(self) -> float:
         """Return seconds since the machine was booted, including time in suspension."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-    def wall_time(self) -> float:
-        """Return wall time in seconds since the epoch."""
-        return time.time()
