Serve the connections that wait to be accepted when a node stops

Cause: after the last accept the listening socket was closed, and the kernel reset the connections that were established and not yet accepted; on a loaded machine the accepting thread lags.

Test: front_callers.feature, 'Connections that wait to be accepted when the node stops are served'; without the change a caller's connection is reset.

--- a/features/front_callers.feature
+++ b/features/front_callers.feature
@@ -116,3 +116,8 @@
     When the front server is stopped while a caller waits for a response
     Then the caller gets the complete response with "Connection: close"
     And new connections are refused
+
+  Scenario: Connections that wait to be accepted when the node stops are served
+    Given a front server whose upstreams respond with "ok"
+    When 12 callers connect while the front server accepts slowly, and it is stopped
+    Then each of the 12 callers gets its complete response
--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -172,7 +172,8 @@
         self.upstreams.release.set()
         if not self.server.is_draining:
             self.server.drain()
-        self.server.stop_accepting()
+        if not self.server._stopping.is_set():
+            self.server.stop_accepting()
 
     def _limits(self) -> FrontLimits:
         routes = self.view.routes
--- a/features/steps/front_callers_steps.py
+++ b/features/steps/front_callers_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from behave import given, then, when
@@ -265,3 +266,32 @@
     except ConnectionRefusedError:
         return
     raise AssertionError("the front server still accepts connections")
+
+
+@when("{count:d} callers connect while the front server accepts slowly, and it is stopped")
+def stop_while_accepting(context: Context, count: int) -> None:
+    server = context.front.server
+    is_accepting, may_continue = threading.Event(), threading.Event()
+    add_connection = server._add_connection
+
+    def add_slowly(sock: socket.socket) -> None:
+        is_accepting.set()
+        may_continue.wait(WAIT_TIMEOUT_S)
+        add_connection(sock)
+
+    server._add_connection = add_slowly
+    context.callers = [RawCaller(context) for _ in range(count)]
+    for caller in context.callers:
+        caller.send(b"GET /k/a1 HTTP/1.1\r\n\r\n")
+    assert is_accepting.wait(WAIT_TIMEOUT_S)
+    server.drain()
+    stopping = threading.Thread(target=server.stop_accepting)
+    stopping.start()
+    wait_until(server._stopping.is_set, "the stop")
+    may_continue.set()
+    stopping.join()
+
+
+@then("each of the {count:d} callers gets its complete response")
+def check_all_served(context: Context, count: int) -> None:
+    assert [caller.read_response().code for caller in context.callers] == [100] * count
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -91,11 +91,18 @@
             time.sleep(DRAIN_POLL_INTERVAL_S)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections."""
+        """Accept no more connections, except those that wait to be accepted already.
+
+        The kernel has established these, and would reset them with the listening socket.
+        """
         self._stopping.set()
         self._thread.join()
-        assert self._bound_socket is not None
-        self._bound_socket.close()
+        listener = self._bound_socket
+        assert listener is not None
+        listener.setblocking(False)
+        while (sock := self._accept(listener)) is not None:
+            self._add_connection(sock)
+        listener.close()
 
     def count_rejected(self, reason: str) -> None:
         """Count a rejected request or connection.
@@ -121,12 +128,20 @@
         assert listener is not None
         listener.settimeout(_ACCEPT_TIMEOUT_S)
         while not self._stopping.is_set():
+            sock = self._accept(listener)
+            if sock is not None:
+                self._add_connection(sock)
+
+    def _accept(self, listener: socket.socket) -> socket.socket | None:
+        """Return the next connection, or None if none waits within the listener's timeout."""
+        while True:
             try:
-                sock, _ = listener.accept()
-            except OSError:
-                # Timed out, or the caller closed its connection before it was accepted.
+                return listener.accept()[0]
+            except ConnectionAbortedError:
+                # The caller has closed its connection already; others may wait behind it.
                 continue
-            self._add_connection(sock)
+            except OSError:
+                return None
 
     def _add_connection(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
