--- a/features/node_placement.feature
+++ b/features/node_placement.feature
@@ -15,20 +15,6 @@
       | 20    | 200 | 8      | 0.75  |
       | 20    | 60  | 5      | 0.65  |
 
-  Scenario Outline: Hot keys are spread within 3 s, which is 6 plans, on a service of any size
-    Given <count> upstreams with 2 slots and equal ranges
-    And 0.34 of a demand of 0.6 of all slots is for 200 neighboring keys
-    When moves are planned 6 times
-    Then the busiest upstream has a utilization of at most 1.0
-    And every key has exactly one owner
-
-    Examples:
-      | count |
-      | 20    |
-      | 60    |
-      | 115   |
-      | 260   |
-
   Scenario: A single key that exceeds the capacity of an upstream does not move back and forth
     Given 4 upstreams with 2 slots and equal ranges
     And 1 keys starting at key 100 have a total demand of 3 slots
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -6,14 +6,7 @@
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
 from foxtailshunt.assigning._member_registry import MemberRegistry
-from foxtailshunt.assigning._placement import (
-    Candidate,
-    Move,
-    max_moves_per_plan,
-    plan_moves,
-    split_evenly,
-    split_range,
-)
+from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import (
@@ -47,7 +40,5 @@
     "decode_table",
     "election_delay_s",
     "encode_table",
-    "max_moves_per_plan",
     "plan_moves",
-    "split_range",
 ]
--- a/foxtailshunt/assigning/_placement.py
+++ b/foxtailshunt/assigning/_placement.py
@@ -8,15 +8,13 @@
 
 from bisect import bisect_left, bisect_right
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from foxtailshunt.fleet import KeyRange
 from foxtailshunt.routing import KEY_COUNT
 
 #: Smallest difference in utilization of two upstreams at which keys move between them.
 MIN_UTILIZATION_GAP = 0.15
-#: How far above the average utilization a move may bring its new owner.
-MAX_UTILIZATION_ABOVE_MEAN = 0.15
 #: Utilization below which keys are not moved away from an upstream: it answers without a queue.
 MIN_UTILIZATION_TO_REBALANCE = 0.45
 #: Factor by which the load of a run of keys may exceed the target load.
@@ -24,9 +22,6 @@
 #: A run of keys moves only if its load exceeds the first share of the target load or the second
 #: share of its owner's capacity. The second matters for an upstream that owns many small ranges.
 MIN_SHARE_OF_TARGET, MIN_SHARE_OF_CAPACITY = 0.15, 0.03
-#: Balancing moves that one plan may start: at least so many, and more for each upstream of a large
-#: service, so that a hot run of keys is spread in about as many plans on services of any size.
-MIN_MOVES_PER_PLAN, MOVES_PER_UPSTREAM = 5, 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +38,7 @@
 class Move:
     """A run of keys that is to change its owner."""
 
-    #: The range that contains the keys, with its current owner; several moves may have the same.
+    #: The range that contains the keys, with its current owner.
     keys: KeyRange
     #: First key that moves.
     first: int
@@ -53,14 +48,6 @@
     new_owner: str
 
 
-def max_moves_per_plan(candidate_count: int) -> int:
-    """Return how many moves that only balance the load one plan may start.
-
-    :param candidate_count: number of upstreams that may be assigned keys.
-    """
-    return max(MIN_MOVES_PER_PLAN, round(MOVES_PER_UPSTREAM * candidate_count))
-
-
 def split_evenly(service: str, candidates: Sequence[Candidate], fence: int) -> list[KeyRange]:
     """Split the key space into equal ranges, one for each candidate.
 
@@ -76,56 +63,6 @@
     ]
 
 
-def split_range(keys: KeyRange, moves: Iterable[Move], first_fence: int) -> list[KeyRange]:
-    """Return the ranges that replace the source range of moves, the moved keys first.
-
-    :param keys: the source range.
-    :param moves: its moves, which do not overlap.
-    :param first_fence: fencing token of the first move; each further one has the next token.
-    """
-    moved: list[KeyRange] = []
-    kept: list[KeyRange] = []
-    first = keys.first
-    for move in sorted(moves, key=lambda move: move.first):
-        if move.first > first:
-            kept.append(replace(keys, first=first, last=move.first - 1))
-        moved.append(
-            KeyRange(
-                keys.service,
-                move.first,
-                move.last,
-                move.new_owner,
-                first_fence + len(moved),
-                keys.owner,
-                moving=True,
-            )
-        )
-        first = move.last + 1
-    if first <= keys.last:
-        kept.append(replace(keys, first=first))
-    return moved + kept
-
-
-@dataclass(frozen=True, slots=True)
-class _Remainder:
-    """What the moves that have been planned leave of a range."""
-
-    #: The range.
-    keys: KeyRange
-    #: First key that is left.
-    first: int
-    #: Last key that is left.
-    last: int
-
-    def without(self, move: Move) -> "_Remainder | None":
-        """Return what is left after a move of keys at one end, or None if nothing is."""
-        if move.first == self.first and move.last == self.last:
-            return None
-        if move.first == self.first:
-            return _Remainder(self.keys, move.last + 1, self.last)
-        return _Remainder(self.keys, self.first, move.first - 1)
-
-
 class _Loads:
     """Demand by key, and the load of each candidate while moves are being planned."""
 
@@ -138,14 +75,13 @@
             candidate.upstream_id: max(0.05, candidate.capacity) for candidate in candidates
         }
         self.load = dict.fromkeys(self.capacity, 0.0)
-        self.owned: dict[str, list[_Remainder]] = {
+        self.owned: dict[str, list[KeyRange]] = {
             candidate.upstream_id: [] for candidate in candidates
         }
         for item in ranges:
             if item.owner in self.load:
                 self.load[item.owner] += self.demand_between(item.first, item.last)
-                self.owned[item.owner].append(_Remainder(item, item.first, item.last))
-        self._mean_utilization = sum(self.load.values()) / sum(self.capacity.values())
+                self.owned[item.owner].append(item)
 
     def demand_between(self, first: int, last: int) -> float:
         return sum(self.demand[key] for key in self.keys_between(first, last))
@@ -156,11 +92,6 @@
     def utilization(self, upstream_id: str) -> float:
         return self.load[upstream_id] / self.capacity[upstream_id]
 
-    def spare_load(self, upstream_id: str) -> float:
-        """Return what an upstream is short of a load a little above the average."""
-        target = self._mean_utilization + MAX_UTILIZATION_ABOVE_MEAN
-        return target * self.capacity[upstream_id] - self.load[upstream_id]
-
     def transfer(self, previous_owner: str | None, new_owner: str, amount: float) -> None:
         if previous_owner in self.load:
             self.load[previous_owner] -= amount
@@ -185,11 +116,12 @@
     moves = _assign_unowned(ranges, loads)
     not_moving = [item for item in ranges if not item.moving]
     moves += _assign_to_idle(loads, {move.keys for move in moves}, not_moving)
-    excluded = {move.keys for move in moves}
+    moved = {move.keys for move in moves}
     for _ in range(max_moves):
-        move = _offload_busiest(loads, excluded)
+        move = _offload_busiest(loads, moved)
         if move is None:
             break
+        moved.add(move.keys)
         moves.append(move)
     return moves
 
@@ -249,7 +181,7 @@
     return (item.first + item.last + 1) // 2
 
 
-def _offload_busiest(loads: _Loads, excluded: set[KeyRange]) -> Move | None:
+def _offload_busiest(loads: _Loads, moved: set[KeyRange]) -> Move | None:
     by_utilization = sorted(loads.load, key=loads.utilization, reverse=True)
     least_utilized = by_utilization[-1]
     for owner in by_utilization[:3]:
@@ -259,44 +191,36 @@
         ):
             return None
         capacity_sum = loads.capacity[owner] + loads.capacity[least_utilized]
-        balanced_load = (
+        target_load = (
             loads.load[owner] * loads.capacity[least_utilized]
             - loads.load[least_utilized] * loads.capacity[owner]
         ) / capacity_sum
-        # Balancing with a very busy owner alone would overload the new owner too.
-        spare_load = loads.spare_load(least_utilized)
-        target_load = min(balanced_load, spare_load) if spare_load > 0 else balanced_load
-        best = _best_run(owner, least_utilized, target_load, loads, excluded)
-        if best is not None:
-            remainder, move = best
+        move = _best_run(owner, least_utilized, target_load, loads, moved)
+        if move is not None:
             loads.transfer(owner, least_utilized, loads.demand_between(move.first, move.last))
-            loads.owned[owner].remove(remainder)
-            left = remainder.without(move)
-            if left is not None:
-                loads.owned[owner].append(left)
             return move
     return None
 
 
 def _best_run(
-    owner: str, new_owner: str, target_load: float, loads: _Loads, excluded: set[KeyRange]
-) -> tuple[_Remainder, Move] | None:
+    owner: str, new_owner: str, target_load: float, loads: _Loads, moved: set[KeyRange]
+) -> Move | None:
     """Return the run at an end of one of the owner's ranges that is closest to the target load."""
-    best: tuple[_Remainder, Move] | None = None
+    best: Move | None = None
     best_gap = target_load - min(
         target_load * MIN_SHARE_OF_TARGET, loads.capacity[owner] * MIN_SHARE_OF_CAPACITY
     )
     for item in loads.owned[owner]:
-        if item.keys in excluded or item.keys.moving:
+        if item in moved or item.moving:
             continue
         for first, last, amount in _runs(item, target_load * MAX_TARGET_RATIO, loads):
             gap = abs(target_load - amount)
             if gap < best_gap:
-                best, best_gap = (item, Move(item.keys, first, last, new_owner)), gap
+                best, best_gap = Move(item, first, last, new_owner), gap
     return best
 
 
-def _runs(item: _Remainder, limit: float, loads: _Loads) -> Iterable[tuple[int, int, float]]:
+def _runs(item: KeyRange, limit: float, loads: _Loads) -> Iterable[tuple[int, int, float]]:
     """Yield the first key, last key and load of each run at either end of a range up to a load."""
     keys = loads.keys_between(item.first, item.last)
     amount = 0.0
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -4,21 +4,13 @@
 """
 
 import threading
-from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import replace
 
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._key_mover import KeyMover
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
-from foxtailshunt.assigning._placement import (
-    Candidate,
-    Move,
-    max_moves_per_plan,
-    plan_moves,
-    split_evenly,
-    split_range,
-)
+from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import LeaderProcess
@@ -34,8 +26,8 @@
 READ_INTERVAL_S = 0.45
 #: How often the leader plans moves that balance the load, in seconds.
 REBALANCE_INTERVAL_S = 0.5
-#: Limit on moves in progress at a time, in plans of balancing moves.
-MAX_PLANS_IN_PROGRESS = 2
+#: Limits on balancing moves started by one plan and on moves in progress at a time.
+MAX_MOVES_PER_PLAN, MAX_MOVES_IN_PROGRESS = 5, 10
 #: Fencing token of probes; no grant has a lower one.
 PROBE_FENCE = 1
 #: How long the leader waits for more upstreams to register after the first one, in seconds, before
@@ -292,12 +284,9 @@
         fence = self._fence
         for name, info in routes.services.items():
             if info.keyed:
-                moves_by_range: dict[KeyRange, list[Move]] = defaultdict(list)
                 for move in self._plan(name, rebalance):
-                    moves_by_range[move.keys].append(move)
-                for keys, moves in moves_by_range.items():
-                    changed.append((keys, split_range(keys, moves, fence + 1)))
-                    fence += len(moves)
+                    fence += 1
+                    changed.append((move.keys, _split(move, fence)))
         fence = self._assign_new_fences(changed, fence)
         initial = self._initial_ranges(routes.services, fence + 1)
         if not changed and not initial:
@@ -380,11 +369,9 @@
         candidates = self._candidates(service)
         if not ranges or not candidates:
             return []
-        max_moves = max_moves_per_plan(len(candidates))
-        may_start = MAX_PLANS_IN_PROGRESS * max_moves - self._mover.in_progress
-        max_moves = max(0, min(max_moves, may_start)) if rebalance else 0
+        max_moves = max(0, MAX_MOVES_IN_PROGRESS - self._mover.in_progress) if rebalance else 0
         demand = self._deps.demands.rates(service, self._now())
-        moves = plan_moves(ranges, demand, candidates, max_moves)
+        moves = plan_moves(ranges, demand, candidates, min(max_moves, MAX_MOVES_PER_PLAN))
         return [move for move in moves if self._is_due(move)]
 
     def _is_due(self, move: Move) -> bool:
@@ -393,3 +380,18 @@
         if renewer is None:
             return self._now() > self._previous_grants.expire_at(move.keys.owner)
         return renewer.is_reachable or self._now() > renewer.held_until
+
+
+def _split(move: Move, fence: int) -> list[KeyRange]:
+    """Return the ranges that replace the source range of a move, the moved keys first."""
+    keys = move.keys
+    parts = [
+        KeyRange(
+            keys.service, move.first, move.last, move.new_owner, fence, keys.owner, moving=True
+        )
+    ]
+    if move.first > keys.first:
+        parts.append(replace(keys, last=move.first - 1))
+    if move.last < keys.last:
+        parts.append(replace(keys, first=move.last + 1))
+    return parts
