Read the list of upstreams anew after a pause, instead of following its changes

Their readers had last polled some 7 s before; one response to a watch carries only the first part of 2,500 changes, and the node took the resulting old list for the present one. Nodes fox-glacier-11 and -29, which had sent nothing to two leaving upstreams since 16.2 s, sent to them again at 19.05 s, 0.1 s after reading.

Change: after more than 1 s without a poll the list is read anew, from which on changes are followed; and a response with 200 changes or more is followed by another one.

Test: following.feature, 'A list that is read after a pause is not an old one'; the pauses of 2 and 7 s fail without the change.

--- a/features/following.feature
+++ b/features/following.feature
@@ -51,3 +51,25 @@
       | 1     | 0        |
       | 0.86  | 42       |
       | 0.43  | 171      |
+
+  Scenario Outline: A list that is read after a pause is not an old one: a pause of <pause> s
+    Given a store that returns at most 500 changes of 301 upstreams, which write every 0.87 s
+    And a node that has read the list of upstreams
+    When an upstream begins to leave <after> s later
+    And the node reads the list again after <pause> s
+    Then the upstream is leaving in the list
+    And no list that the node has read names an upstream as ready after it began to leave
+
+    Examples:
+      | pause | after |
+      | 0.6   | 0.3   |
+      | 0.95  | 0.7   |
+      | 2     | 1.7   |
+      | 7     | 4.5   |
+      | 7     | 6.8   |
+
+  Scenario: A list that is read often is followed with few calls
+    Given a store that returns at most 500 changes of 301 upstreams, which write every 0.87 s
+    And a node that has read the list of upstreams
+    When the node reads the list every 0.45 s for 20 s
+    Then it has made at most 2 calls for each time
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -17,6 +17,13 @@
 READ_TIMEOUT_S = 1.0
 #: How long a poll waits for the first change, in seconds.
 POLL_TIMEOUT_S = 0.05
+#: Time since the last poll after which the list is read anew, in seconds. The store returns the
+#: changes of a longer time in several responses, and the first ones would make the list an old one.
+MAX_FOLLOW_GAP_S = 1.0
+#: Number of changes from which a response may have left out later ones.
+FULL_RESPONSE_CHANGES = 200
+#: Maximum number of responses that one poll reads.
+MAX_RESPONSES = 8
 #: How long after a failed call a deleted entry is kept, in seconds, since the upstream may register
 #: again.
 REMOVAL_DELAY_S = 2.3
@@ -43,6 +50,8 @@
         self._now = now
         self._apply_serving_rules = apply_serving_rules
         self._revision: int | None = None
+        #: When the last successful poll began, in seconds of the clock.
+        self._polled_at = float("-inf")
         self._entries: dict[str, Upstream] = {}
         self._failed_at = float("-inf")
         #: Error messages of entries that cannot be decoded, by store key.
@@ -55,8 +64,9 @@
 
         :raises StoreError: the store did not answer.
         """
+        started_at = self._now()
         try:
-            if self._revision is None:
+            if self._revision is None or started_at - self._polled_at > MAX_FOLLOW_GAP_S:
                 self._list()
             else:
                 self._follow()
@@ -66,19 +76,23 @@
         except StoreError:
             self._failed_at = self._now()
             raise
+        self._polled_at = started_at
         return self._current()
 
     def _follow(self) -> None:
-        assert self._revision is not None
-        changes, revision = self._store.watch(UPSTREAM_PREFIX, self._revision, POLL_TIMEOUT_S)
-        if not changes and self._entries:
-            # Upstreams write heartbeats all the time, so a lack of changes means that the watch
-            # misses some.
-            self._list()
-            return
-        self._revision = revision
-        for change in changes:
-            self._apply(change)
+        for number in range(MAX_RESPONSES):
+            assert self._revision is not None
+            changes, revision = self._store.watch(UPSTREAM_PREFIX, self._revision, POLL_TIMEOUT_S)
+            if not changes and self._entries and number == 0:
+                # Upstreams write heartbeats all the time, so a lack of changes means that the
+                # watch misses some.
+                self._list()
+                return
+            self._revision = revision
+            for change in changes:
+                self._apply(change)
+            if len(changes) < FULL_RESPONSE_CHANGES:
+                return
 
     def _apply(self, change: StoreChange) -> None:
         if change.item is None:
