--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -79,6 +79,8 @@
             "FOXTAILSHUNT_BOOT": str(self._settings),
             "PYTHONPATH": str(ROOT / "target/deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
+            # The bench sets this variable too (DEPLOY.md, "How these days are played").
+            "MALLOC_ARENA_MAX": "1",
         }
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -106,6 +108,16 @@
         except (OSError, ValueError):
             return None
 
+    def resident_mb(self):
+        """Return the resident memory of the process, in MB; 0 if it has ended."""
+        try:
+            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0.0
+
     def is_ready(self):
         """Return whether the node says that it is ready."""
         try:
@@ -134,10 +146,11 @@
         self.folder = Path(self._temporary.name)
         self.ledger = Ledger()
         self.store = Store((f"127.{NET}.0.1", 0))
+        counts = nodes_per_zone if isinstance(nodes_per_zone, tuple) else [nodes_per_zone] * len(zones)
         self.nodes = [
             Node(self, f"edge-{zone}-{n + 1}", zone, f"127.{NET}.{1 + i}.{10 + n}")
             for i, zone in enumerate(zones)
-            for n in range(nodes_per_zone)
+            for n in range(counts[i])
         ]
         self.targets = []
         self.zones = zones
@@ -157,6 +170,11 @@
         """Ask each node once a second whether it is ready, as the platform's entry does."""
         threading.Thread(target=self._ask_nodes, daemon=True).start()
 
+    def in_rotation(self, zone):
+        """Return the nodes to which the entry sends the clients of a zone."""
+        nodes = [node for node in self.nodes if zone in (None, node.zone)]
+        return [node for node in nodes if node.in_rotation] or nodes
+
     def _ask_nodes(self):
         misses = dict.fromkeys(self.nodes, 0)
         while True:
@@ -165,6 +183,37 @@
                 node.in_rotation = misses[node] < 2
             time.sleep(1.0)
 
+    def watch_memory(self, limit_mb, on_kill, restart_s=1.0):
+        """Kill each node that exceeds its memory and start it again, as the platform does."""
+        self.peak_mb = dict.fromkeys((node.name for node in self.nodes), 0.0)
+        self.is_watching = True
+
+        def watch():
+            while self.is_watching:
+                for node in self.nodes:
+                    used = node.resident_mb()
+                    self.peak_mb[node.name] = max(self.peak_mb[node.name], used)
+                    if used > limit_mb:
+                        on_kill(node, used)
+                        node.process.kill()
+                        node.process.wait()
+                        threading.Thread(target=start_again, args=(node,), daemon=True).start()
+                time.sleep(0.01)
+
+        def start_again(node):
+            time.sleep(restart_s)
+            if self.is_watching:
+                node.start()
+
+        self._watcher = threading.Thread(target=watch, daemon=True)
+        self._watcher.start()
+
+    def stop_watching_memory(self):
+        """End the watch, with no further start."""
+        self.is_watching = False
+        self._watcher.join()
+        time.sleep(1.2)
+
     def configure(self, version, routes, services, idle_timeout="10s"):
         """Write a configuration, as the operator does."""
         document = {
@@ -173,8 +222,8 @@
             "services": services,
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 1048576,
-                "header_timeout": "5s",
+                "max_body_bytes": 67108864,
+                "header_timeout": "3s",
                 "idle_timeout": idle_timeout,
             },
         }
@@ -232,8 +281,18 @@
 class Clients:
     """Clients that send requests on kept connections, as PROTOCOL.md says."""
 
-    def __init__(self, fleet, specs, count, pause_s=0.05, deadline_ms=2500, seed=1):
+    def __init__(
+        self, fleet, specs, count, pause_s=0.05, deadline_ms=2500, seed=1, body_bytes=None,
+        bytes_per_s=None, one_chunk=False, zone=None,
+    ):
         self._fleet, self._specs, self._pause_s, self._deadline_ms = fleet, specs, pause_s, deadline_ms
+        #: A body that all requests have; None for a new short one each.
+        self._body = None if body_bytes is None else random.Random(seed).randbytes(body_bytes)
+        self._one_chunk = one_chunk
+        #: Zone of the clients; None for clients of all zones.
+        self._zone = zone
+        #: How fast a client sends; None for as fast as the connection takes it.
+        self._bytes_per_s = bytes_per_s
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self.outcomes = []
@@ -256,12 +315,14 @@
 
     def _run(self, rng):
         node, conn = None, None
+        self._stopping.wait(rng.uniform(0, 2 * self._pause_s))
         while not self._stopping.is_set():
             name, method, host, path, sharded = rng.choice(self._specs)
             if node is None or conn is None:
-                ready = [item for item in self._fleet.nodes if item.in_rotation]
-                node = rng.choice(ready or self._fleet.nodes)
-            body = rng.randbytes(rng.randint(10, 3000)) if method != "GET" else b""
+                node = rng.choice(self._fleet.in_rotation(self._zone))
+            body = b""
+            if method != "GET":
+                body = self._body or rng.randbytes(rng.randint(10, 3000))
             row = {"attempt": new_attempt_id(), "kind": name, "method": method, "node": node.name,
                    "path": path + f"{rng.randint(0, 9999)}", "at": time.monotonic(), "status": None,
                    "body": hashlib.sha256(body).hexdigest()[:12], "reused": conn is not None}
@@ -272,7 +333,9 @@
             try:
                 if conn is None:
                     conn = ClientConnection((node.host, node.front), self._deadline_ms / 1000 + 1)
-                status, got, data = conn.exchange(method, row["path"], headers, body)
+                status, got, data = conn.exchange(
+                    method, row["path"], headers, body, self._bytes_per_s, self._one_chunk
+                )
                 row |= {"status": status, "seal": got.get("response-seal"), "data": data,
                         "echo": got.get("attempt-id")}
                 if got.get("connection", "").lower() == "close":
--- a/review/support/wire.py
+++ b/review/support/wire.py
@@ -5,8 +5,10 @@
 import socket
 import struct
 import threading
+import time
 from dataclasses import dataclass
 
+SEND_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _attempt_numbers = itertools.count(1)
 
@@ -190,15 +192,34 @@
         self.sock.settimeout(timeout_s)
         self.stream = self.sock.makefile("rb")
 
-    def exchange(self, method, target, headers, body=b""):
+    def exchange(self, method, target, headers, body=b"", bytes_per_s=None, one_chunk=False):
         """Send a request and return the status, headers and body of its response."""
         lines = [f"{method} {target} HTTP/1.1"] + [f"{n}: {v}" for n, v in headers.items()]
-        if body or method not in ("GET", "DELETE"):
+        if one_chunk:
+            lines.append("Transfer-Encoding: chunked")
+        elif body or method not in ("GET", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
-        self.sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body)
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        if one_chunk:
+            head += b"%x\r\n" % len(body)
+        if bytes_per_s is None:
+            self.sock.sendall(head + body)
+        else:
+            self.sock.sendall(head)
+            self._send_slowly(body, bytes_per_s)
+        if one_chunk:
+            self.sock.sendall(b"\r\n0\r\n\r\n")
         first, got, data = read_message(self.stream)
         return int(first.split()[1]), got, data
 
+    def _send_slowly(self, body, bytes_per_s):
+        began = time.monotonic()
+        for start in range(0, len(body), SEND_BYTES):
+            self.sock.sendall(body[start : start + SEND_BYTES])
+            early_s = start / bytes_per_s - (time.monotonic() - began)
+            if early_s > 0:
+                time.sleep(early_s)
+
     def close(self):
         """Close the connection."""
         try:
