--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -175,9 +175,16 @@
         threading.Thread(target=self._ask_nodes, daemon=True).start()
 
     def in_rotation(self, zone):
-        """Return the nodes to which the entry sends the clients of a zone."""
+        """Return the nodes to which the entry sends the clients of a zone.
+
+        These are the zone's nodes in rotation; all of its nodes if fewer than half are; and nodes
+        of other zones if none is.
+        """
         nodes = [node for node in self.nodes if zone in (None, node.zone)]
-        return [node for node in nodes if node.in_rotation] or nodes
+        rotated = [node for node in nodes if node.in_rotation]
+        if rotated:
+            return rotated if 2 * len(rotated) >= len(nodes) else nodes
+        return [node for node in self.nodes if node.in_rotation] or nodes
 
     def _ask_nodes(self):
         misses = dict.fromkeys(self.nodes, 0)
