Review case 1: a replaced grant renewer forgets its grants, and keys get two holders (OWNER)

Three of 21 targets are cut from the store and start again under their ids; the leader grants their keys to the new lives through the renewers of the old entries. As the cut heals, the targets are cut from all machines; the entries with the new start time replace the renewers, and the keys are granted to others while the targets hold them.

--- a/review/support/targets.py
+++ b/review/support/targets.py
@@ -10,6 +10,8 @@
 #: Only these keys are tracked and used; the checks of ownership look at them.
 TRACKED = tuple(range(128, 65_536, 256))
 KEY_COUNT = 65_536
+#: How often a target checks in at the store, in seconds.
+CHECK_IN_S = 0.87
 
 
 class Ledger:
@@ -21,6 +23,8 @@
         self.grants = []
         #: Findings of rule OWNER.
         self.findings = []
+        #: Keys that a target took while another one held them, and for how long it did so after.
+        self.overlaps = []
         self.lives = []
 
     def record_run(self, **row):
@@ -63,6 +67,14 @@
         self.is_dark = True
         self._server.become_unreachable()
 
+    def become_unreachable(self):
+        """Let new connections hang, as behind a cut; ``cut_from`` silences the open ones."""
+        self._server.become_unreachable()
+
+    def become_reachable(self):
+        """Accept new connections again."""
+        self._server.become_reachable()
+
     def return_from_dark(self):
         """Answer again, on new connections."""
         self.is_dark = False
@@ -138,6 +150,11 @@
             if other is self or other.service != self.service:
                 continue
             if other.holds(key, now):
+                self._ledger.overlaps.append(
+                    {"key": key, "taker": self.target_id, "fence": fence,
+                     "holder": other.target_id, "held_with": other.held[key][0],
+                     "for_s": other.held[key][1] - now}
+                )
                 self._ledger.findings.append(
                     f"key {key}: {self.target_id} takes it with {fence} while {other.target_id}"
                     f" holds it with {other.held[key][0]} for {other.held[key][1] - now:.3f} s more"
@@ -234,5 +251,5 @@
 
     def _check_in(self):
         while True:
-            time.sleep(0.87)
+            time.sleep(CHECK_IN_S)
             self.register()
