Count the grants of all runs of an upstream until they expire (OWNER)

Cause: an upstream that is cut from the store may restart under its id. The leader notices the closed connection and grants the keys with new tokens through the renewer of the old entry. When the entry of the new run is read, that renewer is replaced, and the new one began with no grants: an upstream that is cut off at that moment lost its keys 0.4 s after a failed release, while it still held them. Logs showed it: upstream.unreachable with held_for_s -Infinity.

The grants of one upstream id are now kept in a GrantHold that all its renewers of a term share, with the address each was sent to. The hold of a replaced renewer counts, and also a grant that it is still sending; an upstream that has been replaced at its address ends only grants sent there.

--- a/features/node_ownership.feature
+++ b/features/node_ownership.feature
@@ -94,3 +94,13 @@
     When an upstream restarts with the same id at another address
     Then all upstreams together eventually hold all keys
     And no key was ever held by two upstreams
+
+  # Guards against a key with two owners: grants that a restarted upstream accepted before its entry
+  # was read were forgotten once it was read.
+  Scenario: An upstream that restarted behind a cut from the store is lost as its entry is read
+    Given the nodes serve
+    When an upstream restarts with the same id and address, cut from the store
+    Then it eventually holds keys
+    When its path to the store heals as it is cut from the nodes
+    Then the live upstreams eventually hold all keys
+    And no key was ever held by two upstreams
--- a/features/node_takeover.feature
+++ b/features/node_takeover.feature
@@ -78,6 +78,29 @@
     When a grant is accepted at second 1 while another waits for a connection that fails
     Then at second 1 the upstream may hold keys until second 3.548
 
+  # Guards against a key with two owners: a renewer that replaced another one knew none of its grants.
+  Scenario Outline: A renewer that replaces another one knows its grants
+    Given an upstream with two ranges, and grants of previous leaders that expire at second -9
+    When its renewer is replaced <occasion> at second 1
+    Then the new renewer took the grant for one that holds until second 4.348 while it was sent
+    And at second 2 the upstream may hold keys until second 3.548
+
+    Examples:
+      | occasion                                  |
+      | after a grant                             |
+      | after a grant, by one of another address  |
+
+  Scenario Outline: Only the grants to a run that has terminated end with it
+    Given an upstream with two ranges, and grants of previous leaders that expire at second -9
+    When its renewer is replaced <occasion> at second 1
+    And the upstream that the new renewer calls has been replaced
+    Then at second 2 the upstream may hold keys until second <end>
+
+    Examples:
+      | occasion                                  | end   |
+      | after a grant                             | 1     |
+      | after a grant, by one of another address  | 3.548 |
+
   Scenario: An upstream that may have restarted gets moved keys only with a new token
     Given an upstream with two ranges, and grants of previous leaders that expire at second -9
     When it closes the connection during a grant of keys that are moving to it
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -152,6 +152,31 @@
     subject.fleet.add_owner("u0", _SERVICE)
 
 
+@when("an upstream restarts with the same id and address, cut from the store")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    old = subject.fleet.owners.pop("u0")
+    _host, port = old.address
+    old.crash()
+    subject.fleet.owners["u0 before"] = old
+    subject.upstream = subject.fleet.add_owner(
+        "u0",
+        _SERVICE,
+        listen=("127.0.0.1", port),
+        born=old.born + 1000,
+        is_cut_from_store=True,
+    )
+
+
+@when("its path to the store heals as it is cut from the nodes")
+def _(context: Context) -> None:
+    upstream = _subject(context).upstream
+    # Its grants stay in force until they expire, since the upstream itself is up.
+    upstream.stop()
+    upstream.is_cut_from_store = False
+    upstream.register()
+
+
 @when("an upstream announces that it is leaving")
 def _(context: Context) -> None:
     subject = _subject(context)
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -4,20 +4,21 @@
 from behave.runner import Context
 
 from foxtailshunt.assigning import (
+    GrantHold,
     GrantRenewer,
     LeaderProcess,
     MemberRegistry,
     PreviousGrants,
     PreviousLeaders,
 )
-from foxtailshunt.fleet import KeyRange, Member, Upstream
+from foxtailshunt.fleet import Address, KeyRange, Member, Upstream
 from foxtailshunt.platform import GrantOutcome, KeyGrantError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics
 
 #: How long keys are held after a grant, in seconds, as assumed by the expected expiry times.
 HOLD_S = 2.4
 _OLD_TERM, _NEW_TERM = 3, 7
-_ADDRESS = ("127.0.0.1", 1)
+_ADDRESS, _OTHER_ADDRESS = ("127.0.0.1", 1), ("127.0.0.1", 2)
 _RANGES = [KeyRange("desk", 0, 9, "u0", 5), KeyRange("desk", 20, 29, "u0", 5)]
 _MOVING = KeyRange("desk", 40, 49, "u0", 6, giver="u1", moving=True)
 
@@ -95,6 +96,21 @@
         raise KeyGrantError("grant", sent=False)
 
 
+class ReplacingGrantClient:
+    """Has the renewer replaced while a grant is being sent."""
+
+    def __init__(self, renewal: "RenewerSubject") -> None:
+        self._renewal = renewal
+        #: Until when the upstream may hold keys as seen by the new renewer meanwhile, in seconds.
+        self.held_until = float("-inf")
+
+    def grant(
+        self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
+    ) -> GrantOutcome:
+        self.held_until = self._renewal.create_renewer(_ADDRESS).held_until
+        return GrantOutcome.ACCEPTED
+
+
 class ClosingGrantClient:
     """Loses the connection during each grant."""
 
@@ -110,10 +126,17 @@
     def __init__(self, previous_grants_expire_at: float) -> None:
         self.now = 0.0
         self.requested: list[KeyRange] = []
-        upstream = Upstream("u0", "desk", _ADDRESS, "zone-a", 2, False, 0.0, 0)
-        self.renewer = GrantRenewer(
+        self.hold = GrantHold()
+        self._previous_grants_expire_at = previous_grants_expire_at
+        self.renewer = self.create_renewer(_ADDRESS)
+
+    def create_renewer(self, address: Address) -> GrantRenewer:
+        """Return a renewer for a run of the upstream."""
+        upstream = Upstream("u0", "desk", address, "zone-a", 2, False, 0.0, 0)
+        return GrantRenewer(
             upstream,
-            PreviousGrants(_RANGES, lambda: previous_grants_expire_at),
+            self.hold,
+            PreviousGrants(_RANGES, lambda: self._previous_grants_expire_at),
             lambda _upstream_id: _RANGES,
             lambda _upstream_id: None,
             lambda: True,
@@ -179,6 +202,27 @@
     renewal.renewer.grant(UnconnectedGrantClient(renewal.renewer), _RANGES[0], None)
 
 
+@when("its renewer is replaced {occasion} at second {moment:g}")
+def _(context: Context, occasion: str, moment: float) -> None:
+    renewal = context.renewal
+    renewal.now = moment
+    client = ReplacingGrantClient(renewal)
+    assert renewal.renewer.grant(client, _RANGES[0], None)
+    context.held_until_meanwhile = client.held_until
+    address = _OTHER_ADDRESS if occasion == "after a grant, by one of another address" else _ADDRESS
+    renewal.renewer = renewal.create_renewer(address)
+
+
+@when("the upstream that the new renewer calls has been replaced")
+def _(context: Context) -> None:
+    context.renewal.renewer.grant(ScriptedGrantClient("has been replaced"), _RANGES[0], None)
+
+
+@then("the new renewer took the grant for one that holds until second {end:g} while it was sent")
+def _(context: Context, end: float) -> None:
+    assert abs(context.held_until_meanwhile - end) < 0.001, context.held_until_meanwhile
+
+
 @when("it closes the connection during a grant of keys that are moving to it")
 def _(context: Context) -> None:
     assert not context.renewal.renewer.grant(ClosingGrantClient(), _MOVING, None)
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -3,6 +3,7 @@
 from foxtailshunt.assigning._assigner import Assigner
 from foxtailshunt.assigning._capacity_estimator import CapacityEstimator
 from foxtailshunt.assigning._demand_tracker import DemandTracker
+from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
 from foxtailshunt.assigning._member_registry import MemberRegistry
@@ -27,6 +28,7 @@
     "DemandTracker",
     "PreviousGrants",
     "PreviousLeaders",
+    "GrantHold",
     "GrantRenewer",
     "LeaderProcess",
     "Leadership",
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 
+from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import KeyRange, Upstream
@@ -48,6 +49,7 @@
     """Renews the grants of one upstream on a thread of its own and tracks its reachability.
 
     :param upstream: the upstream.
+    :param hold: grants of this leader to all runs of the upstream, also those of other renewers.
     :param previous_grants: grants of previous leaders that may be in force.
     :param owned: returns the ranges that the upstream with an id owns and that are to be renewed.
     :param probe_key: returns a key that the upstream with an id doesn't own, for a probe; None
@@ -62,6 +64,7 @@
     def __init__(
         self,
         upstream: Upstream,
+        hold: GrantHold,
         previous_grants: PreviousGrants,
         owned: Callable[[str], list[KeyRange]],
         probe_key: Callable[[str], KeyRange | None],
@@ -72,10 +75,8 @@
         metrics: Metrics,
     ) -> None:
         self.upstream = upstream
+        self.hold = hold
         self._previous_grants = previous_grants
-        self._held_until = float("-inf")
-        #: Latest expiry of each grant that is being sent, in seconds of the clock.
-        self._in_flight: list[float] = []
         self._owned = owned
         self._probe_key = probe_key
         self._may_act = may_act
@@ -83,7 +84,6 @@
         self._hold_s = hold_s
         self._now = now
         self._metrics = metrics
-        self._lock = threading.Lock()
         self._failures = 0
         self._is_replaced = False
         self._stopping = threading.Event()
@@ -106,8 +106,7 @@
     @property
     def granted_until(self) -> float:
         """Return when the last grant of this leader expires at the latest, in seconds."""
-        with self._lock:
-            return max([self._held_until, *self._in_flight])
+        return self.hold.until
 
     def start(self) -> None:
         """Start to renew grants."""
@@ -133,19 +132,23 @@
         if not self._may_act() or self._is_refused(keys):
             return False
         hold_s = self._hold_s()
-        provisional_end = self._extend_provisionally(hold_s)
+        pending = self.hold.begin(
+            self.upstream.address,
+            self._now(),
+            self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S,
+        )
         try:
             outcome = client.grant(keys, hold_s, handover, GRANT_TIMEOUT_S)
         except KeyGrantError as exc:
             # The failed connection has been reset, so the grant can't arrive later than now.
             end = self._expiry_if_arrived(hold_s) if exc.sent else float("-inf")
-            self._replace_provisional(provisional_end, end)
+            self.hold.end(pending, end)
             self._handle_failure(keys, exc)
             return False
         except UpstreamReplacedError:
             self._mark_replaced()
             return False
-        self._replace_provisional(provisional_end, self._expiry_if_arrived(hold_s))
+        self.hold.end(pending, self._expiry_if_arrived(hold_s))
         self._failures = 0
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
@@ -208,9 +211,7 @@
         log_state_change("upstream.replaced", upstream=self._id)
         self._is_replaced = True
         self._previous_grants.forget(self._id)
-        with self._lock:
-            self._held_until = self._now()
-            self._in_flight.clear()
+        self.hold.terminate(self.upstream.address, self._now())
 
     def _request_new_fences(self) -> None:
         """Request new fencing tokens for all keys, since the upstream may have restarted."""
@@ -228,23 +229,6 @@
         """Return the latest time at which a grant that arrives by now expires, in seconds."""
         return self._now() + hold_s * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
 
-    def _extend_provisionally(self, hold_s: float) -> float:
-        """Extend the hold provisionally while a grant is being sent.
-
-        :returns: the provisional end of the hold, in seconds of the clock.
-        """
-        provisional_end = self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S
-        with self._lock:
-            self._in_flight.append(provisional_end)
-        return provisional_end
-
-    def _replace_provisional(self, provisional_end: float, end: float) -> None:
-        """Replace a provisional end of the hold unless the upstream has ended since."""
-        with self._lock:
-            if provisional_end in self._in_flight:
-                self._in_flight.remove(provisional_end)
-                self._held_until = max(self._held_until, end)
-
     def _handle_failure(self, keys: KeyRange, exc: KeyGrantError) -> None:
         self._failures += 1
         if exc.may_have_restarted:
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._key_mover import KeyMover
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
@@ -223,11 +224,13 @@
             if same_address and renewer.upstream.started_ms == upstream.started_ms:
                 renewer.upstream = upstream
                 continue
+            hold = GrantHold()
             if renewer is not None:
                 renewer.stop()
+                hold = renewer.hold
                 self._previous_grants.restore(upstream_id)
                 self._request_new_fences(upstream_id)
-            self._renewers[upstream_id] = self._start_renewer(upstream)
+            self._renewers[upstream_id] = self._start_renewer(upstream, hold)
         involved = {item.owner for item in self._ranges} | {
             item.giver for item in self._ranges if item.giver is not None
         }
@@ -242,9 +245,10 @@
                 if keys.owner == upstream_id:
                     self._token_requests.add(keys)
 
-    def _start_renewer(self, upstream: Upstream) -> GrantRenewer:
+    def _start_renewer(self, upstream: Upstream, hold: GrantHold) -> GrantRenewer:
         renewer = GrantRenewer(
             upstream,
+            hold,
             self._previous_grants,
             self._ranges_to_renew,
             self._probe_key,
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -26,6 +26,8 @@
 _HEARTBEAT_INTERVAL_S = 0.2
 #: Pause that an upstream asks for, in seconds: longer than a scenario.
 _PAUSE_S = 60
+#: Start of an upstream that hasn't restarted, in milliseconds since the Unix epoch.
+FIRST_BORN = 1_700_000_000_000
 
 
 class Manner(Enum):
@@ -64,6 +66,8 @@
     :param slots: advertised number of concurrent requests.
     :param listen: address to listen on; None for a free port.
     :param known: advertised address; None for the address that it listens on.
+    :param born: advertised start of the upstream, in milliseconds since the Unix epoch.
+    :param is_cut_from_store: whether it starts without a path to the store.
     """
 
     def __init__(
@@ -77,6 +81,8 @@
         slots: int = 2,
         listen: tuple[str, int] | None = None,
         known: tuple[str, int] | None = None,
+        born: int = FIRST_BORN,
+        is_cut_from_store: bool = False,
     ) -> None:
         self.upstream_id = upstream_id
         self.service = service
@@ -93,6 +99,9 @@
         #: Whether responses to grants and releases are withheld, although they are applied.
         self.withholds_grant_responses = False
         self.is_draining = False
+        self.born = born
+        #: Whether its records don't reach the store.
+        self.is_cut_from_store = is_cut_from_store
         #: Whether all responses to requests state that the upstream is leaving.
         self.says_leaving = False
         #: Number of requests that arrived, without grants and releases.
@@ -119,6 +128,8 @@
     def register(self) -> None:
         """Write the record of the upstream to the store."""
         assert self._store is not None
+        if self.is_cut_from_store:
+            return
         self._sequence += 1
         host, port = self._known or self.address
         entry = {
@@ -130,7 +141,7 @@
             "state": "draining" if self.is_draining else "ready",
             "warmup_left": "0ms",
             "seq": self._sequence,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
         self._store.put(f"servers/{self.upstream_id}", json.dumps(entry).encode())
 
