--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -215,7 +215,11 @@
         return self._sender.load()
 
     def send(
-        self, request_id: str, timeout_s: float, excluded: frozenset[str] = frozenset()
+        self,
+        request_id: str,
+        timeout_s: float,
+        excluded: frozenset[str] = frozenset(),
+        origin: str = "",
     ) -> Outcome:
         """Send a request and return its outcome."""
         deadline = self._now() + timeout_s
@@ -233,6 +237,7 @@
             rank=0,
             route="issue",
             excluded=excluded,
+            origin=origin,
         )
         return self._sender.execute(call, None)
 
--- /dev/null
+++ b/features/steps/forwarded_requests_steps.py
@@ -0,0 +1,190 @@
+"""Steps for requests that wait at another node when their own node stops."""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.front_support import WAIT_TIMEOUT_S, wait_until
+from features.node_support import CallerAnswer, NodeFleet
+from features.scripted_upstream import ScriptedUpstream, SenderSubject, answer
+from foxtailshunt.errors import ResultCode
+from foxtailshunt.relay import OriginExits, Outcome
+
+_ORIGIN, _OTHER_ORIGIN = "boot of n2", "boot of n3"
+_LONG_DEADLINE_MS = 14_000
+_WARM_UP_REQUESTS = 6
+_NOT_RUN_STATUS = 503
+
+
+class ForwardedSubject:
+    """A sender with one slot, and requests that another node has forwarded to it."""
+
+    def __init__(self, context: Context, is_held: bool) -> None:
+        self.exits = OriginExits()
+        self._is_held = is_held
+        self.server = ScriptedUpstream(self._answer, closes=False)
+        self.sender = SenderSubject({"u1": self.server}, slots=1, origin_exits=self.exits)
+        self.executor = ThreadPoolExecutor()
+        context.add_cleanup(self.server.close)
+        context.add_cleanup(self.executor.shutdown)
+        context.add_cleanup(self.release)
+
+    def release(self) -> None:
+        """Let the upstream respond."""
+        self._is_held = False
+
+    def send(self, request_id: str, origin: str) -> Future[Outcome]:
+        return self.executor.submit(self.sender.send, request_id, 30.0, origin=origin)
+
+    def announce_exit(self, origin: str, exits_in_s: float) -> None:
+        now = time.monotonic()
+        self.exits.record(origin, now + exits_in_s, now)
+
+    def _answer(self, head: bytes, number: int, total: int) -> Iterator[bytes]:
+        wait_until(lambda: not self._is_held, "the upstream may respond")
+        yield answer(head)
+
+
+class StoppingOriginSubject:
+    """Two nodes, one of which sends all requests of a service without keys."""
+
+    def __init__(self) -> None:
+        self.fleet = NodeFleet()
+        self.executor = ThreadPoolExecutor(32)
+        self.answers: list[Future[tuple[CallerAnswer, float]]] = []
+        self.sender = self.origin = ""
+
+    def start(self) -> None:
+        route = {"service": "press", "timeout": "14000ms", "aim": "3000ms", "max_attempts": 1}
+        self.fleet.configure(
+            {"desk": {"service": "desk"}, "print": route | {"route_type": "unsafe"}},
+            {"desk": True, "press": False},
+        )
+        self.fleet.add_owner("d0", "desk")
+        self.fleet.add_owner("p0", "press", keyed=False, work_s=1.0, slots=2)
+        for name in ("n0", "n1"):
+            self.fleet.add_node(name)
+        self.fleet.wait_until_serving()
+        # Lets the sending node learn how long the requests take.
+        early = [self.send("n0") for _ in range(_WARM_UP_REQUESTS)]
+        self.fleet.wait_until(lambda: any(self._has_work(name) for name in ("n0", "n1")), "work")
+        self.sender = next(name for name in ("n0", "n1") if self._has_work(name))
+        self.origin = "n1" if self.sender == "n0" else "n0"
+        assert all(fut.result()[0].status == 200 for fut in early)
+
+    def send(self, node: str) -> Future[tuple[CallerAnswer, float]]:
+        return self.executor.submit(self._send, node)
+
+    def wait_until_queued(self, count: int) -> None:
+        self.fleet.wait_until(
+            lambda: self.fleet.nodes[self.sender].dump()["waiting"] >= count, "requests wait"
+        )
+
+    def _send(self, node: str) -> tuple[CallerAnswer, float]:
+        resp = self.fleet.request(node, "/print/x", method="POST", deadline_ms=_LONG_DEADLINE_MS)
+        return resp, time.monotonic()
+
+    def _has_work(self, node: str) -> bool:
+        return self.fleet.nodes[node].dump()["running"] > 0
+
+
+@given("a sender with a running request and a queued one of another node, both with 30 s left")
+def start_sender(context: Context) -> None:
+    context.forwarded = subject = ForwardedSubject(context, is_held=True)
+    context.running = subject.send("r1", _ORIGIN)
+    wait_until(lambda: len(subject.server.requests) == 1, "the first request runs")
+    context.queued = subject.send("r2", _ORIGIN)
+    wait_until(lambda: subject.sender.load() == (1, 1), "the second request is queued")
+
+
+@when("the other node states that it exits at once")
+def exit_at_once(context: Context) -> None:
+    context.forwarded.announce_exit(_ORIGIN, 0.0)
+
+
+@when("the other node states that it exits in 60 s")
+def exit_later(context: Context) -> None:
+    context.forwarded.announce_exit(_ORIGIN, 60.0)
+
+
+@when("a third node states that it exits at once")
+def exit_of_third(context: Context) -> None:
+    context.forwarded.announce_exit(_OTHER_ORIGIN, 0.0)
+
+
+@then("the queued request is refused as stopping, and not sent")
+def check_refused(context: Context) -> None:
+    outcome = context.queued.result(WAIT_TIMEOUT_S)
+    assert (outcome.code, outcome.arrived) == (ResultCode.STOPPING, False), outcome
+    assert len(context.forwarded.server.requests) == 1
+
+
+@then("the queued request is still queued")
+def check_queued(context: Context) -> None:
+    subject = context.forwarded
+    subject.release()
+    assert context.queued.result(WAIT_TIMEOUT_S).code is ResultCode.OK
+    assert len(subject.server.requests) == 2
+
+
+@then("the running request of the other node gets its upstream's response")
+def check_running(context: Context) -> None:
+    context.forwarded.release()
+    assert context.running.result(WAIT_TIMEOUT_S).code is ResultCode.OK
+
+
+@given("a sender and another node that exits in 10 s")
+def start_with_exit(context: Context) -> None:
+    context.forwarded = ForwardedSubject(context, is_held=False)
+    context.forwarded.announce_exit(_ORIGIN, 10.0)
+
+
+@when("a request of the other node with 30 s left is sent")
+def send_of_other(context: Context) -> None:
+    context.gated = context.forwarded
+    assert context.forwarded.send("r1", _ORIGIN).result(WAIT_TIMEOUT_S).code is ResultCode.OK
+
+
+@given("two nodes whose upstream takes 1 s for a request and has 2 slots")
+def start_nodes(context: Context) -> None:
+    context.stopping_origin = subject = StoppingOriginSubject()
+    context.fleet_subject = subject.fleet
+    subject.start()
+
+
+@when("callers send {count:d} long requests to one node, and they wait at a node {condition}")
+def send_and_wait(context: Context, count: int, condition: str) -> None:
+    subject = context.stopping_origin
+    subject.answers = [subject.send(subject.origin) for _ in range(count)]
+    subject.wait_until_queued(count // 2)
+    if condition == "that does not respond any more":
+        process = subject.fleet.nodes[subject.sender].process
+        process.freeze()
+        context.add_cleanup(lambda: process.resume() if process.frozen else None)
+
+
+@when("the node of the callers is asked to stop")
+def stop_origin(context: Context) -> None:
+    subject = context.stopping_origin
+    process = subject.fleet.nodes[subject.origin].process
+    process.terminate()
+    subject.fleet.wait_until(lambda: not process.running, "the node has ended")
+
+
+@then("each caller got a response before the node exited")
+def check_all_answered(context: Context) -> None:
+    answers = [fut.result(WAIT_TIMEOUT_S)[0] for fut in context.stopping_origin.answers]
+    cut = [resp.body for resp in answers if resp.status == 0]
+    assert not cut, f"{len(cut)} of {len(answers)} got none, e.g. {cut[0]}"
+
+
+@then("each response that says so is of a request that was not run")
+def check_not_run(context: Context) -> None:
+    subject = context.stopping_origin
+    answers = [fut.result()[0] for fut in subject.answers]
+    wrong = [resp for resp in answers if resp.status == _NOT_RUN_STATUS]
+    wrong = [resp for resp in wrong if subject.fleet.runs(resp.request_id)]
+    assert not wrong, wrong
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -122,7 +122,9 @@
         except FoxtailshuntError as exc:
             return self._refuse(request_id, exc)
         outcome = self._send_with_retries(state, method, target, headers, body, caller)
-        if outcome.code is ResultCode.TOO_LATE and state.shortened:
+        # The node may have begun to stop after the request was routed.
+        is_shortened = self._stop_schedule.limit(state.deadline) < state.deadline
+        if outcome.code is ResultCode.TOO_LATE and (state.shortened or is_shortened):
             outcome = replace(
                 outcome, code=ResultCode.STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S
             )
@@ -242,7 +244,7 @@
             upstream_attempts=state.upstream_attempts,
             max_upstreams=state.route.max_upstreams,
             idempotent=state.route.idempotent,
-            remaining_s=state.deadline - time.monotonic(),
+            remaining_s=self._stop_schedule.limit(state.deadline) - time.monotonic(),
             mean_latency_s=self._latencies.mean_latency_s(state.route.name),
         )
         decision = decide_retry(outcome, history)
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -11,13 +11,15 @@
 from foxtailshunt.node._messages import from_member_message
 from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.protocol import (
+    ExitNotice,
+    ExitNoticeReply,
     FollowReply,
     FollowRequest,
     RelayReply,
     RelayRequest,
     current_connection,
 )
-from foxtailshunt.relay import Outcome, Sender, to_call, to_relay_reply
+from foxtailshunt.relay import OriginExits, Outcome, Sender, to_call, to_relay_reply
 
 #: Maximum time that a poll waits for a change, in seconds.
 MAX_POLL_WAIT_S = 2.0
@@ -28,6 +30,7 @@
 
     :param view: the node's view of the fleet.
     :param sender: sends requests to upstreams.
+    :param origin_exits: records the announced exits of other nodes.
     :param leadership: state of the leader election.
     :param members: registry of the followers.
     :param demand_tracker: records the demand that followers report.
@@ -39,6 +42,7 @@
         self,
         view: FleetView,
         sender: Sender,
+        origin_exits: OriginExits,
         leadership: Leadership,
         members: MemberRegistry,
         demand_tracker: DemandTracker,
@@ -47,6 +51,7 @@
     ) -> None:
         self._view = view
         self._sender = sender
+        self._origin_exits = origin_exits
         self._leadership = leadership
         self._members = members
         self._demand_tracker = demand_tracker
@@ -69,6 +74,15 @@
         call = to_call(req, time.monotonic())
         return to_relay_reply(self._sender.execute_for_peer(call, current_connection()))
 
+    def announce_exit(self, req: ExitNotice) -> ExitNoticeReply:
+        """Record that another node exits soon.
+
+        :param req: the notice.
+        """
+        now = time.monotonic()
+        self._origin_exits.record(req.origin, now + req.exits_in_ms / 1000, now)
+        return ExitNoticeReply()
+
     def follow(self, req: FollowRequest) -> FollowReply:
         """Record the report of a follower and return what changed since its known versions.
 
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -40,6 +40,7 @@
 from foxtailshunt.relay import (
     Forwarder,
     LatencyEstimator,
+    OriginExits,
     RetryBudget,
     Sender,
     StopSchedule,
@@ -133,10 +134,20 @@
         )
         groups = UpstreamGroups(self._view)
         self._stop_schedule = StopSchedule()
+        origin_exits = OriginExits()
         self._sender = Sender(
-            self._view, groups, latencies, local_member, self._metrics, log, self._stop_schedule
+            self._view,
+            groups,
+            latencies,
+            local_member,
+            self._metrics,
+            log,
+            self._stop_schedule,
+            origin_exits=origin_exits,
+        )
+        self._forwarder = Forwarder(
+            local_member, self._view, groups, self._sender, self._metrics, self._stop_schedule
         )
-        self._forwarder = Forwarder(local_member, self._view, groups, self._sender, self._metrics)
         budget = RetryBudget(
             settings.repeat_ratio * RETRY_BUDGET_SHARE,
             max(1.0, settings.repeat_reserve * RETRY_BUDGET_SHARE / ASSUMED_NODE_COUNT),
@@ -155,6 +166,7 @@
         self._peer_service = PeerService(
             self._view,
             self._sender,
+            origin_exits,
             self._leadership,
             members,
             demand_tracker,
@@ -223,6 +235,11 @@
         self._is_stopping = True
         self._stop_schedule.begin(deadline)
         log_state_change("node.stopping", open_requests=self._sender.load())
+        is_idle = threading.Event()
+        end_thread = threading.Thread(
+            target=self._forwarder.end_forwarded, args=(deadline, is_idle), name="end forwarded"
+        )
+        end_thread.start()
         self._peer_service.stop_relaying()
         self._follower.announce_leaving()
         self._front.drain()
@@ -233,6 +250,8 @@
         connections_left = self._front.wait_until_idle(deadline)
         while self._sender.load() != (0, 0) and time.monotonic() < deadline:
             time.sleep(_DRAIN_POLL_INTERVAL_S)
+        is_idle.set()
+        end_thread.join()
         resign_thread.join()
         self._follower.stop()
         self._configuration.stop()
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -9,6 +9,8 @@
 from foxtailshunt.protocol._server import ProtocolServer, current_connection
 from foxtailshunt.protocol.gen.ttypes import (
     Endpoint,
+    ExitNotice,
+    ExitNoticeReply,
     FollowReply,
     FollowRequest,
     Header,
@@ -27,6 +29,8 @@
     "MAX_RELAYED_BODY_BYTES",
     "ClientPool",
     "Endpoint",
+    "ExitNotice",
+    "ExitNoticeReply",
     "FollowReply",
     "FollowRequest",
     "Header",
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -112,6 +112,17 @@
         if outcome is WaitOutcome.TIMED_OUT:
             raise TimeoutError("timed out waiting for the reply")
 
+    def interrupt(self) -> None:
+        """End the call that another thread waits for; it raises ``PeerUnreachableError``."""
+        sock = self._socket.handle
+        if sock is None:
+            return
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The call has just ended by itself.
+            pass
+
     def reset(self) -> None:
         """Reset the connection, so that the kernel discards unsent data."""
         sock = self._socket.handle
@@ -139,6 +150,7 @@
         self._max_idle = max_idle
         self._lock = threading.Lock()
         self._idle: dict[tuple[str, int], list[PeerClient]] = {}
+        self._calling: set[PeerClient] = set()
 
     def call(
         self,
@@ -167,10 +179,29 @@
             reached the peer.
         """
         client = self._acquire(address, max_idle_s)
-        reply = client.call(method, req, timeout_s, caller)
+        with self._lock:
+            self._calling.add(client)
+        try:
+            reply = client.call(method, req, timeout_s, caller)
+        finally:
+            with self._lock:
+                self._calling.discard(client)
         self._release(client)
         return reply
 
+    def called_addresses(self) -> set[tuple[str, int]]:
+        """Return the host and port of each peer that has calls in progress."""
+        with self._lock:
+            return {client.address for client in self._calling}
+
+    def interrupt_calls(self) -> int:
+        """End all calls in progress with ``PeerUnreachableError``, and return their number."""
+        with self._lock:
+            # Held until the end, so that no connection is interrupted that a new call uses.
+            for client in self._calling:
+                client.interrupt()
+            return len(self._calling)
+
     def reset_idle(self, address: tuple[str, int]) -> None:
         """Reset all idle connections to a peer.
 
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -34,6 +34,8 @@
   13: required list<string> excluded,
   /* Group of upstreams that the replying node sends to; absent if there is only one. */
   14: optional string group,
+  /* Boot id of the calling node; absent in messages of earlier builds. */
+  15: optional string origin,
 }
 
 struct RelayReply {
@@ -51,6 +53,16 @@
   10: optional i64 upstream_ms,
 }
 
+/* Tells that the calling node exits, whatever requests it has relayed. */
+struct ExitNotice {
+  /* Boot id of the calling node. */
+  1: required string origin,
+  2: required i64 exits_in_ms,
+}
+
+struct ExitNoticeReply {
+}
+
 struct KeyDemand {
   1: required string service_name,
   2: required i32 key,
@@ -139,4 +151,6 @@
 service Peer {
   RelayReply relay(1: RelayRequest req),
   FollowReply follow(1: FollowRequest req),
+  /* Unknown to nodes of earlier builds. */
+  ExitNoticeReply announce_exit(1: ExitNotice req),
 }
--- a/foxtailshunt/protocol/gen/Peer.py
+++ b/foxtailshunt/protocol/gen/Peer.py
@@ -35,6 +35,14 @@
         """
         pass
 
+    def announce_exit(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -107,6 +115,38 @@
             return result.success
         raise TApplicationException(TApplicationException.MISSING_RESULT, "follow failed: unknown result")
 
+    def announce_exit(self, req):
+        """
+        Parameters:
+         - req
+
+        """
+        self.send_announce_exit(req)
+        return self.recv_announce_exit()
+
+    def send_announce_exit(self, req):
+        self._oprot.writeMessageBegin('announce_exit', TMessageType.CALL, self._seqid)
+        args = announce_exit_args()
+        args.req = req
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_announce_exit(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = announce_exit_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "announce_exit failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -114,6 +154,7 @@
         self._processMap = {}
         self._processMap["relay"] = Processor.process_relay
         self._processMap["follow"] = Processor.process_follow
+        self._processMap["announce_exit"] = Processor.process_announce_exit
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -182,6 +223,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_announce_exit(self, seqid, iprot, oprot):
+        args = announce_exit_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = announce_exit_result()
+        try:
+            result.success = self._handler.announce_exit(args.req)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("announce_exit", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -433,5 +497,130 @@
 follow_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [FollowReply, None], None, ),  # 0
 )
+
+
+class announce_exit_args(object):
+    """
+    Attributes:
+     - req
+
+    """
+
+
+    def __init__(self, req=None,):
+        self.req = req
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.req = ExitNotice()
+                    self.req.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('announce_exit_args')
+        if self.req is not None:
+            oprot.writeFieldBegin('req', TType.STRUCT, 1)
+            self.req.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(announce_exit_args)
+announce_exit_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'req', [ExitNotice, None], None, ),  # 1
+)
+
+
+class announce_exit_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ExitNoticeReply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('announce_exit_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(announce_exit_result)
+announce_exit_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ExitNoticeReply, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -177,11 +177,12 @@
      - route
      - excluded
      - group
+     - origin
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None, group=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None, group=None, origin=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -196,6 +197,7 @@
         self.route = route
         self.excluded = excluded
         self.group = group
+        self.origin = origin
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -239,11 +241,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = Header()
-                        _elem176.read(iprot)
-                        self.headers.append(_elem176)
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Header()
+                        _elem5.read(iprot)
+                        self.headers.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -275,10 +277,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.excluded = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.excluded.append(_elem182)
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.excluded.append(_elem11)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -287,6 +289,11 @@
                     self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -324,8 +331,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter183 in self.headers:
-                iter183.write(oprot)
+            for iter12 in self.headers:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -351,14 +358,18 @@
         if self.excluded is not None:
             oprot.writeFieldBegin('excluded', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.excluded))
-            for iter184 in self.excluded:
-                oprot.writeString(iter184.encode('utf-8') if sys.version_info[0] == 2 else iter184)
+            for iter13 in self.excluded:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.group is not None:
             oprot.writeFieldBegin('group', TType.STRING, 14)
             oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 15)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -450,11 +461,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype188, _size185) = iprot.readListBegin()
-                    for _i189 in range(_size185):
-                        _elem190 = Header()
-                        _elem190.read(iprot)
-                        self.headers.append(_elem190)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Header()
+                        _elem19.read(iprot)
+                        self.headers.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -514,8 +525,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter191 in self.headers:
-                iter191.write(oprot)
+            for iter20 in self.headers:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -568,6 +579,118 @@
         return not (self == other)
 
 
+class ExitNotice(object):
+    """
+    Attributes:
+     - origin
+     - exits_in_ms
+
+    """
+
+
+    def __init__(self, origin=None, exits_in_ms=None,):
+        self.origin = origin
+        self.exits_in_ms = exits_in_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.exits_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExitNotice')
+        if self.origin is not None:
+            oprot.writeFieldBegin('origin', TType.STRING, 1)
+            oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
+            oprot.writeFieldEnd()
+        if self.exits_in_ms is not None:
+            oprot.writeFieldBegin('exits_in_ms', TType.I64, 2)
+            oprot.writeI64(self.exits_in_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.origin is None:
+            raise TProtocolException(message='Required field origin is unset!')
+        if self.exits_in_ms is None:
+            raise TProtocolException(message='Required field exits_in_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExitNoticeReply(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExitNoticeReply')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KeyDemand(object):
     """
     Attributes:
@@ -1335,22 +1458,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype195, _size192) = iprot.readListBegin()
-                    for _i196 in range(_size192):
-                        _elem197 = KeyDemand()
-                        _elem197.read(iprot)
-                        self.demands.append(_elem197)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = KeyDemand()
+                        _elem26.read(iprot)
+                        self.demands.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype201, _size198) = iprot.readListBegin()
-                    for _i202 in range(_size198):
-                        _elem203 = UpstreamPace()
-                        _elem203.read(iprot)
-                        self.paces.append(_elem203)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = UpstreamPace()
+                        _elem32.read(iprot)
+                        self.paces.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1384,15 +1507,15 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter204 in self.demands:
-                iter204.write(oprot)
+            for iter33 in self.demands:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter205 in self.paces:
-                iter205.write(oprot)
+            for iter34 in self.paces:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepts_upstream_changes is not None:
@@ -1484,33 +1607,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype209, _size206) = iprot.readListBegin()
-                    for _i210 in range(_size206):
-                        _elem211 = UpstreamRecord()
-                        _elem211.read(iprot)
-                        self.upstreams.append(_elem211)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = UpstreamRecord()
+                        _elem40.read(iprot)
+                        self.upstreams.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.ownership = []
-                    (_etype215, _size212) = iprot.readListBegin()
-                    for _i216 in range(_size212):
-                        _elem217 = OwnedRange()
-                        _elem217.read(iprot)
-                        self.ownership.append(_elem217)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = OwnedRange()
+                        _elem46.read(iprot)
+                        self.ownership.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype221, _size218) = iprot.readListBegin()
-                    for _i222 in range(_size218):
-                        _elem223 = NodeMember()
-                        _elem223.read(iprot)
-                        self.members.append(_elem223)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = NodeMember()
+                        _elem52.read(iprot)
+                        self.members.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1522,32 +1645,32 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ownership_changes = []
-                    (_etype227, _size224) = iprot.readListBegin()
-                    for _i228 in range(_size224):
-                        _elem229 = OwnedRange()
-                        _elem229.read(iprot)
-                        self.ownership_changes.append(_elem229)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = OwnedRange()
+                        _elem58.read(iprot)
+                        self.ownership_changes.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.upstream_changes = []
-                    (_etype237, _size234) = iprot.readListBegin()
-                    for _i238 in range(_size234):
-                        _elem239 = UpstreamRecord()
-                        _elem239.read(iprot)
-                        self.upstream_changes.append(_elem239)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = UpstreamRecord()
+                        _elem64.read(iprot)
+                        self.upstream_changes.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.upstreams_removed = []
-                    (_etype244, _size241) = iprot.readListBegin()
-                    for _i245 in range(_size241):
-                        _elem246 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams_removed.append(_elem246)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams_removed.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1576,22 +1699,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter230 in self.upstreams:
-                iter230.write(oprot)
+            for iter71 in self.upstreams:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ownership is not None:
             oprot.writeFieldBegin('ownership', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership))
-            for iter231 in self.ownership:
-                iter231.write(oprot)
+            for iter72 in self.ownership:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter232 in self.members:
-                iter232.write(oprot)
+            for iter73 in self.members:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_age_ms is not None:
@@ -1601,22 +1724,22 @@
         if self.ownership_changes is not None:
             oprot.writeFieldBegin('ownership_changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership_changes))
-            for iter233 in self.ownership_changes:
-                iter233.write(oprot)
+            for iter74 in self.ownership_changes:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_changes is not None:
             oprot.writeFieldBegin('upstream_changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.upstream_changes))
-            for iter240 in self.upstream_changes:
-                iter240.write(oprot)
+            for iter75 in self.upstream_changes:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_removed is not None:
             oprot.writeFieldBegin('upstreams_removed', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.upstreams_removed))
-            for iter247 in self.upstreams_removed:
-                oprot.writeString(iter247.encode('utf-8') if sys.version_info[0] == 2 else iter247)
+            for iter76 in self.upstreams_removed:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1670,6 +1793,7 @@
     (12, TType.STRING, 'route', 'UTF8', None, ),  # 12
     (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.STRING, 'group', 'UTF8', None, ),  # 14
+    (15, TType.STRING, 'origin', 'UTF8', None, ),  # 15
 )
 all_structs.append(RelayReply)
 RelayReply.thrift_spec = (
@@ -1685,6 +1809,15 @@
     (9, TType.I64, 'queued_ms', None, None, ),  # 9
     (10, TType.I64, 'upstream_ms', None, None, ),  # 10
 )
+all_structs.append(ExitNotice)
+ExitNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'origin', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'exits_in_ms', None, None, ),  # 2
+)
+all_structs.append(ExitNoticeReply)
+ExitNoticeReply.thrift_spec = (
+)
 all_structs.append(KeyDemand)
 KeyDemand.thrift_spec = (
     None,  # 0
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -5,6 +5,7 @@
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
 from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
 from foxtailshunt.relay._messages import to_call, to_relay_reply
+from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._retry_budget import RetryBudget
@@ -22,6 +23,7 @@
     "Forwarder",
     "GroupSelector",
     "RetryDecision",
+    "OriginExits",
     "Outcome",
     "LatencyEstimator",
     "LeavingUpstreams",
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -17,6 +17,7 @@
     MAX_RELAYED_BODY_BYTES,
     CallerDisconnectedError,
     ClientPool,
+    ExitNotice,
     RelayReply,
 )
 from foxtailshunt.protocol.gen import Peer
@@ -24,8 +25,9 @@
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._sender import Sender
+from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
-from foxtailshunt.telemetry import Metrics
+from foxtailshunt.telemetry import Metrics, log_state_change
 
 #: First and longest backoff after a node could not be reached, in seconds.
 FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.5, 4.0
@@ -40,6 +42,10 @@
 #: Idle time after which a connection to a node is closed, in seconds. Each connection holds a
 #: thread at the other node, and most pairs of nodes of a large fleet rarely exchange requests.
 MAX_IDLE_S = 2.0
+#: Timeout of a notice to another node that this one exits, in seconds.
+EXIT_NOTICE_TIMEOUT_S = 0.5
+#: Interval at which a stopping node looks for nodes that it has not yet notified, in seconds.
+EXIT_NOTICE_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -58,6 +64,7 @@
     :param groups: upstream groups of services without keys.
     :param sender: sends requests from this node.
     :param metrics: counters and histograms.
+    :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     """
 
     def __init__(
@@ -67,6 +74,7 @@
         groups: UpstreamGroups,
         sender: Sender,
         metrics: Metrics,
+        stop_schedule: StopSchedule | None = None,
     ) -> None:
         self._groups = groups
         self._selector = GroupSelector(me.zone, random.Random())
@@ -74,7 +82,9 @@
         self._me = me
         self._view = view
         self._sender = sender
+        self._stop_schedule = stop_schedule or StopSchedule()
         self._clients = ClientPool(Peer, MAX_IDLE_CLIENTS)
+        self._notice_clients = ClientPool(Peer, 1)
         self._lock = threading.Lock()
         self._backoffs: dict[Address, _Backoff] = {}
         self._ranked_members: object = None
@@ -124,6 +134,8 @@
         for member in senders:
             if member.instance_id == self._me.instance_id:
                 break
+            if self._stop_schedule.has_ended(time.monotonic()):
+                return stopping_outcome()
             if self._is_backed_off(member.address):
                 continue
             outcome = self._forward(member, call, caller)
@@ -141,6 +153,38 @@
     def close(self) -> None:
         """Close all idle connections."""
         self._clients.close()
+        self._notice_clients.close()
+
+    def end_forwarded(self, exits_at: float, stopped: threading.Event) -> None:
+        """Have the requests that wait at other nodes end before this node exits.
+
+        The other nodes refuse those that cannot run in the time that is left. A node may not get
+        the notice, or may be unable to answer; what is still not answered shortly before the exit
+        is ended with an unknown result, so that each caller gets an answer.
+
+        :param exits_at: when this node exits, in seconds of the monotonic clock.
+        :param stopped: ends the wait if it is set.
+        """
+        end = self._stop_schedule.last_answer_at
+        notified: set[Address] = set()
+        while (now := time.monotonic()) < end and not stopped.is_set():
+            for address in self._clients.called_addresses() - notified:
+                if self._send_exit_notice(address, exits_at):
+                    notified.add(address)
+            stopped.wait(min(EXIT_NOTICE_INTERVAL_S, max(0.0, end - now)))
+        if not stopped.is_set():
+            interrupted = self._clients.interrupt_calls()
+            log_state_change("forwarded.interrupted", calls=interrupted)
+
+    def _send_exit_notice(self, address: Address, exits_at: float) -> bool:
+        exits_in_ms = int(max(0.0, exits_at - time.monotonic()) * 1000)
+        notice = ExitNotice(origin=self._me.boot_id, exits_in_ms=exits_in_ms)
+        try:
+            self._notice_clients.call(address, "announce_exit", notice, EXIT_NOTICE_TIMEOUT_S)
+        except PeerUnreachableError as exc:
+            log_state_change("exit_notice.failed", address=list(address), error=exc.message)
+            return False
+        return True
 
     def _senders_for_owner(self, call: Call) -> list[Member]:
         """Return the nodes that may send to the owner of a key, the preferred one first."""
@@ -166,6 +210,7 @@
     def _forward(self, member: Member, call: Call, caller: socket.socket | None) -> Outcome | None:
         """Forward a request; return None if the node provably did not execute it."""
         started = time.monotonic()
+        call = replace(call, deadline=self._stop_schedule.limit(call.deadline))
         remaining_s = max(0.01, call.deadline - started) + REPLY_GRACE_S
         # The runs of upstreams to which this request may be sent, not those that start later.
         upstreams = self._view.upstreams
@@ -173,7 +218,7 @@
             reply: RelayReply = self._clients.call(
                 member.address,
                 "relay",
-                to_relay_request(call, started),
+                to_relay_request(call, self._me.boot_id, started),
                 remaining_s,
                 max_idle_s=MAX_IDLE_S,
                 caller=caller,
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -7,12 +7,13 @@
 _MS_PER_S = 1000
 
 
-def to_relay_request(call: Call, now: float) -> RelayRequest:
+def to_relay_request(call: Call, origin: str, now: float) -> RelayRequest:
     """Return the message for a request.
 
     The message holds remaining times, since the nodes' monotonic clocks differ.
 
     :param call: the request.
+    :param origin: boot id of this node.
     :param now: the time in seconds of the monotonic clock.
     """
     return RelayRequest(
@@ -30,6 +31,7 @@
         route=call.route,
         excluded=sorted(call.excluded),
         group=call.group or None,
+        origin=origin,
     )
 
 
@@ -54,6 +56,7 @@
         route=req.route,
         excluded=frozenset(req.excluded),
         group=req.group or "",
+        origin=req.origin or "",
     )
 
 
--- a/foxtailshunt/relay/_outcome.py
+++ b/foxtailshunt/relay/_outcome.py
@@ -37,6 +37,9 @@
     excluded: frozenset[str] = frozenset()
     #: Name of the upstream group that is to serve the request; empty if its service has only one.
     group: str = ""
+    #: Boot id of the node that received the request from its caller; empty for this node, or if
+    #: the other node's build doesn't state it.
+    origin: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -19,6 +19,7 @@
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
 from foxtailshunt.relay._latency_estimator import LatencyEstimator
 from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
+from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Call, Outcome
 from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
 from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
@@ -48,6 +49,7 @@
     :param log: log of decisions about requests.
     :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     :param leaving: remembers upstreams that state that they are leaving; None for an own memory.
+    :param origin_exits: exits of the nodes whose requests this one sends; None for an own memory.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         log: RequestLog,
         stop_schedule: StopSchedule | None = None,
         leaving: LeavingUpstreams | None = None,
+        origin_exits: OriginExits | None = None,
     ) -> None:
         self._view = view
         self._latencies = latencies
@@ -67,6 +70,7 @@
         self._metrics = metrics
         self._log = log
         self._stop_schedule = stop_schedule or StopSchedule()
+        self._origin_exits = origin_exits or OriginExits()
         self._pauses = UpstreamPauses()
         self._pools = SlotPools(latencies, me.zone, self._pauses)
         self._channels = ChannelPool()
@@ -199,7 +203,11 @@
 
     def _may_run(self, call: Call) -> bool:
         mean_latency_s = self._latencies.mean_latency_s(call.route)
-        return self._stop_schedule.may_run(call.deadline, mean_latency_s, time.monotonic())
+        return self._schedule(call).may_run(call.deadline, mean_latency_s, time.monotonic())
+
+    def _schedule(self, call: Call) -> StopSchedule:
+        """Return the stop schedule of this node, or of the request's origin if that exits first."""
+        return self._stop_schedule.earlier(self._origin_exits.schedule_of(call.origin))
 
     def _key_has_moved(self, call: Call) -> bool:
         if call.key is None:
@@ -279,9 +287,10 @@
             result = classify_response(response, call.request_id, upstream.upstream_id)
             return result is not AttemptResult.MISMATCHED
 
+        schedule = self._schedule(call)
         try:
             channel = self._channels.acquire(upstream)
-            remaining_s = self._stop_schedule.limit(call.deadline) - time.monotonic()
+            remaining_s = schedule.limit(call.deadline) - time.monotonic()
             head = upstream_request_headers(
                 call.headers,
                 call.request_id,
@@ -294,7 +303,7 @@
                 call.target,
                 head,
                 call.body,
-                self._stop_schedule.response_deadline(call.deadline) - RESPONSE_RESERVE_S / 2,
+                schedule.response_deadline(call.deadline) - RESPONSE_RESERVE_S / 2,
                 caller,
                 is_own_response,
             )
--- a/foxtailshunt/relay/_stop_schedule.py
+++ b/foxtailshunt/relay/_stop_schedule.py
@@ -1,4 +1,4 @@
-"""Decides which requests a stopping node still sends to upstreams, and until when they may run.
+"""Decides which requests of a stopping node are still sent to upstreams, and until when they run.
 
 The module uses neither the network nor a clock: the caller passes the time, in seconds of the
 monotonic clock.
@@ -36,6 +36,25 @@
         """
         self._run_until = exits_at - ANSWER_RESERVE_S
 
+    @property
+    def last_answer_at(self) -> float:
+        """Return until when responses are awaited, in seconds; infinity if there is no end."""
+        return self._run_until + LATE_RESPONSE_S
+
+    def earlier(self, other: "StopSchedule") -> "StopSchedule":
+        """Return the schedule that ends first, of this one and another.
+
+        :param other: the other one.
+        """
+        return other if other._run_until < self._run_until else self
+
+    def has_ended(self, now: float) -> bool:
+        """Return whether no request may run any more.
+
+        :param now: the time.
+        """
+        return now >= self._run_until
+
     def may_run(
         self, deadline: float, mean_latency_s: float, now: float, idempotent: bool = True
     ) -> bool:
@@ -68,7 +87,7 @@
 
         :param deadline: the request's own or limited deadline.
         """
-        return deadline if deadline < self._run_until else self._run_until + LATE_RESPONSE_S
+        return deadline if deadline < self._run_until else self.last_answer_at
 
 
 def stopping_outcome() -> Outcome:
