Keep a chunked response in one buffer, and refuse tiny chunks and long trailers

An operator of a similar system reported a faulty upstream that sent bytes without end; the machine that had called it ran out of memory. Heads and bodies are bounded here, but a chunked body was kept as one object for each chunk: 6 MB in chunks of 2 bytes took 39 MB for one response, and took seconds of the processor. An instance may have 200 MB, and an upstream has several slots.

The content is now read into one buffer. The framing may take 64 KB plus a quarter of the content, and trailers as much as a head.

--- a/features/faulty_responses.feature
+++ b/features/faulty_responses.feature
@@ -112,7 +112,47 @@
       | chunks                |
       | a chunk extension     |
       | a chunk of size -1    |
+      | chunks of 1 byte      |
+      | chunks of 2 bytes     |
       | trailers              |
+      | short trailers        |
+
+  # Guards against a node that runs out of memory: each small chunk was kept as an object of its own.
+  Scenario Outline: A response without end takes at most twice the memory of the largest body
+    When a response with <part> without end is read
+    Then it is rejected
+    And reading it took at most twice the memory of the largest body
+
+    Examples:
+      | part                  |
+      | a status line         |
+      | header lines          |
+      | one header line       |
+      | interim responses     |
+      | a body without length |
+      | chunks                |
+      | chunks of 1 byte      |
+      | chunks of 2 bytes     |
+      | a chunk extension     |
+      | trailers              |
+      | short trailers        |
+
+  # Guards against a node that is busy for seconds with a response of tiny chunks or trailers.
+  Scenario Outline: A response whose framing is larger than its content is cut off early
+    When a response with <part> without end is read
+    Then it is rejected
+    And at most 256 KB were received
+
+    Examples:
+      | part              |
+      | chunks of 1 byte  |
+      | chunks of 2 bytes |
+      | trailers          |
+      | short trailers    |
+
+  Scenario: A response in small chunks is accepted
+    When a response of 3,000 chunks of 1 byte is read
+    Then it is accepted
 
   Scenario Outline: A response to a grant without end is cut off
     Given an upstream whose response has <part> without end
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -30,7 +30,10 @@
     "chunks": (_CHUNKED, b"4000\r\n" + _CHUNK + b"\r\n"),
     "a chunk extension": (_CHUNKED + b"4;", _CHUNK),
     "a chunk of size -1": (_CHUNKED + b"-1\r\n", _CHUNK),
+    "chunks of 1 byte": (_CHUNKED, b"1\r\nx\r\n" * 1000),
+    "chunks of 2 bytes": (_CHUNKED, b"2\r\nxy\r\n" * 1000),
     "trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X-Trailer: 1\r\n" * 1000),
+    "short trailers": (_CHUNKED + b"4\r\nbody\r\n0\r\n", b"X\n" * 1000),
 }
 
 #: Returns the parts of the response to a request, from its head, its number on the connection and
--- a/features/steps/faulty_responses_steps.py
+++ b/features/steps/faulty_responses_steps.py
@@ -1,6 +1,10 @@
 """Steps for upstreams that send faulty responses."""
 
+import io
+import tracemalloc
 from collections.abc import Iterator
+from http.client import HTTPException
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -15,6 +19,7 @@
 )
 from foxtailshunt.errors import Family
 from foxtailshunt.fleet import KeyRange
+from foxtailshunt.http import MAX_RESPONSE_BODY_BYTES, read_response
 from foxtailshunt.platform import GrantOutcome, KeyGrantClient, KeyGrantError
 
 _TIMEOUT_S = 20.0
@@ -104,6 +109,74 @@
     _use(context, FaultySubject(upstream, _TRICKLE_TIMEOUT_S))
 
 
+class EndlessSource(io.RawIOBase):
+    """Returns the bytes of a response without end, and counts them."""
+
+    def __init__(self, parts: Iterator[bytes]) -> None:
+        super().__init__()
+        self._parts = parts
+        self._unread = b""
+        self.received = 0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        if not self._unread:
+            self._unread = next(self._parts, b"")
+        data = self._unread[: len(buffer)]
+        self._unread = self._unread[len(data) :]
+        buffer[: len(data)] = data
+        self.received += len(data)
+        return len(data)
+
+
+def _read(context: Context, parts: Iterator[bytes]) -> None:
+    source = EndlessSource(parts)
+    context.response_error = None
+    tracemalloc.start()
+    try:
+        read_response(io.BufferedReader(source), "POST")
+    except HTTPException as exc:
+        context.response_error = exc
+    finally:
+        context.peak_memory = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    context.received = source.received
+
+
+@when("a response with {part} without end is read")
+def _(context: Context, part: str) -> None:
+    _read(context, iter(endless(part)))
+
+
+@when("a response of {count} chunks of 1 byte is read")
+def _(context: Context, count: str) -> None:
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks = b"1\r\nx\r\n" * int(count.replace(",", ""))
+    _read(context, iter((head, chunks, b"0\r\n\r\n")))
+
+
+@then("it is rejected")
+def _(context: Context) -> None:
+    assert context.response_error is not None
+
+
+@then("it is accepted")
+def _(context: Context) -> None:
+    assert context.response_error is None, context.response_error
+
+
+@then("reading it took at most twice the memory of the largest body")
+def _(context: Context) -> None:
+    assert context.peak_memory <= 2 * MAX_RESPONSE_BODY_BYTES, context.peak_memory
+
+
+@then("at most {size:d} KB were received")
+def _(context: Context, size: int) -> None:
+    assert context.received <= size * 1024, context.received
+
+
 @when("request {request_id} is sent")
 def _(context: Context, request_id: str) -> None:
     context.outcome = context.faulty.sender.send(request_id, context.faulty.timeout_s)
--- a/foxtailshunt/http/_response.py
+++ b/foxtailshunt/http/_response.py
@@ -19,6 +19,9 @@
 #: Limit on the bytes after the head, as a multiple of the limit of the body; leaves room for the
 #: framing of small chunks.
 _FRAMING_FACTOR = 2
+#: Limit on the framing of a chunked body: this number of bytes, plus a share of the content. Each
+#: chunk takes processor time, however small it is.
+_MAX_FRAMING_BYTES, _MAX_FRAMING_SHARE = 65_536, 0.25
 _FIRST_FINAL_STATUS = 200
 _MAX_LENGTH_DIGITS = 18
 _CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
@@ -108,26 +111,30 @@
 
 def _read_chunks(source: "_BoundedSource", max_body_bytes: int) -> bytes:
     """Return the content of all chunks, after reading the trailers."""
-    chunks: list[bytes] = []
-    left = max_body_bytes
+    # One buffer: an object for each chunk would take many times the memory of a small one.
+    body = bytearray()
+    framing_bytes = 0
     while True:
         line = source.readline(MAX_RESPONSE_HEAD_BYTES)
         matched = _CHUNK_SIZE_LINE.fullmatch(line)
         if matched is None:
             raise MalformedResponseError(f"malformed chunk size {line[:40]!r}")
         size = int(matched[1], 16)
-        if size > left:
+        if size > max_body_bytes - len(body):
             raise MalformedResponseError("the body is too large")
         if size == 0:
             break
-        chunks.append(_read_exactly(source, size))
-        left -= size
+        body += _read_exactly(source, size)
+        framing_bytes += len(line) + len(_CHUNK_END)
+        if framing_bytes > _MAX_FRAMING_BYTES + _MAX_FRAMING_SHARE * len(body):
+            raise MalformedResponseError("the chunks are too small")
         if _read_exactly(source, len(_CHUNK_END)) != _CHUNK_END:
             raise MalformedResponseError("a chunk does not end after its size")
+    source.allow(MAX_RESPONSE_HEAD_BYTES)
     while (line := source.readline(MAX_RESPONSE_HEAD_BYTES)) not in _LINE_ENDS:
         if not line.endswith(b"\n"):
             raise MalformedResponseError("a trailer is too long")
-    return b"".join(chunks)
+    return bytes(body)
 
 
 def _read_exactly(source: "_BoundedSource", size: int) -> bytes:
