--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import tracemalloc
 
 from behave import given, then, when
 from behave.runner import Context
@@ -11,6 +12,7 @@
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
 from foxtailshunt.front import BodyBudget
+from foxtailshunt.http import SocketReader
 from foxtailshunt.protocol import ProtocolServer, RelayReply, RelayRequest
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay import Call, Forwarder, LeavingUpstreams, Outcome, UpstreamGroups
@@ -107,6 +109,33 @@
     assert caller.read_response().status in (400, 413)
 
 
+class _PiecewiseSocket:
+    """Receives small pieces only."""
+
+    def __init__(self, piece_bytes: int) -> None:
+        self._piece_bytes = piece_bytes
+
+    def recv(self, size: int) -> bytes:
+        return b"abcdefgh"[: min(size, self._piece_bytes)]
+
+
+@when("a body of {size:d} bytes is received in pieces of {piece:d} bytes")
+def receive_pieces(context: Context, size: int, piece: int) -> None:
+    reader = SocketReader(_PiecewiseSocket(piece))
+    context.body_size = size
+    tracemalloc.start()
+    try:
+        assert len(reader.read(size)) == size
+    finally:
+        context.peak_memory = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+
+
+@then("receiving it took at most three times its size")
+def check_memory(context: Context) -> None:
+    assert context.peak_memory <= 3 * context.body_size, context.peak_memory
+
+
 class _RecordingSender:
     """Replaces the sender of a node."""
 
--- a/features/uploads.feature
+++ b/features/uploads.feature
@@ -33,6 +33,11 @@
       | has a malformed chunk  |
       | exceeds the limit      |
 
+  # Guards against a node that runs out of memory: each received piece was kept as an object.
+  Scenario: A body that arrives in small pieces takes little more memory than one in large pieces
+    When a body of 500000 bytes is received in pieces of 2 bytes
+    Then receiving it took at most three times its size
+
   Scenario: A body that no message between nodes can carry is sent by the node that received it
     Given a node that forwards requests for key 1 to another node
     When it serves a request with a body of 2000000 bytes
--- a/foxtailshunt/http/_socket_files.py
+++ b/foxtailshunt/http/_socket_files.py
@@ -43,16 +43,16 @@
         """
         if size is not None and len(self._buffer) >= size:
             return self._consume(size)
-        parts = [self._consume(len(self._buffer))]
-        missing = None if size is None else size - len(parts[0])
-        while missing is None or missing > 0:
-            data = self._receive_bytes(_CHUNK_BYTES if missing is None else missing)
+        # One buffer: an object for each received piece would take many times the memory of a small
+        # one.
+        content = bytearray(self._consume(len(self._buffer)))
+        while size is None or len(content) < size:
+            data = self._receive_bytes(_CHUNK_BYTES if size is None else size - len(content))
             if not data:
                 break
             self.bytes_read += len(data)
-            parts.append(data)
-            missing = None if missing is None else missing - len(data)
-        return b"".join(parts)
+            content += data
+        return bytes(content)
 
     def readline(self, size: int | None = None) -> bytes:
         """Read through the next line feed, or to the end of the stream.
