Report an earlier attempt that may have run, if the last one was not run

Callers were told by 503, which promises that the request was not run, about an idempotent request whose first attempt had reached an upstream: its response was lost or was a 500, and the attempt after it was refused.

Cause: the handler answered with the outcome of the last attempt alone. It now keeps the outcome of an attempt that ran or may have run, and answers with it if the last one was not run: 502 or 504, or the response of the upstream.

Test: front_callers, 'a retry that was not run says nothing of the attempt before it'.

--- a/features/front_callers.feature
+++ b/features/front_callers.feature
@@ -94,6 +94,17 @@
       | GET    | no response, ok     | 504    | 300  | 1        | absent      |
       | POST   | no response, ok     | 504    | 300  | 1        | absent      |
 
+    # Guards against a caller that is told that its request was not run, although an attempt before
+    # the last one may have run it.
+    Examples: a retry that was not run says nothing of the attempt before it
+      | method | outcomes                     | status | code | attempts | retry_after |
+      | GET    | connection lost, too late    | 502    | 301  | 2        | absent      |
+      | GET    | connection lost, no owner    | 502    | 301  | 2        | absent      |
+      | GET    | answer mismatch, refused     | 502    | 303  | 2        | absent      |
+      | GET    | refused, connection lost     | 502    | 301  | 2        | absent      |
+      | GET    | refused, too late            | 503    | 203  | 2        | 3 s         |
+      | GET    | server error, too late       | 500    | 100  | 2        | absent      |
+
   Scenario: A response to HEAD has no body
     Given a front server whose upstreams respond with "ok"
     When a caller sends "HEAD" with the id order-1
--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -107,6 +107,14 @@
                 ResultCode.UPSTREAM_CONNECTION_LOST, "scripted", arrived=True
             ),
             "answer mismatch": Outcome(ResultCode.ANSWER_MISMATCH, "scripted", arrived=True),
+            "server error": Outcome(
+                ResultCode.OK,
+                "scripted",
+                500,
+                (("X-Kind", "scripted"),),
+                b"\0whole:" + call.body,
+                arrived=True,
+            ),
             "no response": Outcome(ResultCode.DEADLINE_EXCEEDED, "scripted", arrived=True),
         }
         if script in outcomes:
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from foxtailshunt.callers import CallerInterface, Failure, Reply
-from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.errors import Family, FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import FleetView
 from foxtailshunt.front._request_state import (
     DEFAULT_RETRY_AFTER_S,
@@ -121,7 +121,8 @@
             state = self._route(request_id, method, target, headers, started_at)
         except FoxtailshuntError as exc:
             return self._refuse(request_id, exc)
-        outcome = self._send_with_retries(state, method, target, headers, body, caller)
+        last = self._send_with_retries(state, method, target, headers, body, caller)
+        outcome = state.final_outcome(last)
         # The node may have begun to stop after the request was routed.
         is_shortened = self._stop_schedule.limit(state.deadline) < state.deadline
         if outcome.code is ResultCode.TOO_LATE and (state.shortened or is_shortened):
@@ -239,6 +240,8 @@
         state.tries += 1
         state.upstream_attempts += outcome.arrived
         state.last_upstream = outcome.upstream_id or state.last_upstream
+        if outcome.arrived and outcome.family is not Family.NOT_RUN:
+            state.may_have_run = outcome
         history = AttemptHistory(
             tries=state.tries,
             upstream_attempts=state.upstream_attempts,
--- a/foxtailshunt/front/_request_state.py
+++ b/foxtailshunt/front/_request_state.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from foxtailshunt.callers import Failure, Headers, RequestInfo, status_of
-from foxtailshunt.errors import ResultCode
-from foxtailshunt.relay import STOPPING_RETRY_AFTER_S
+from foxtailshunt.errors import Family, ResultCode
+from foxtailshunt.relay import STOPPING_RETRY_AFTER_S, Outcome
 from foxtailshunt.routing import Route
 
 #: ``Retry-After`` if there is no better estimate, in seconds.
@@ -35,6 +35,18 @@
     excluded: frozenset[str] = frozenset()
     #: Id of the last upstream; empty if there was none.
     last_upstream: str = ""
+    #: Outcome of the last attempt that ran or may have run; None if there was none.
+    may_have_run: Outcome | None = None
+
+    def final_outcome(self, last: Outcome) -> Outcome:
+        """Return the outcome that the caller gets.
+
+        A last attempt that was not run does not undo an earlier one.
+
+        :param last: outcome of the last attempt.
+        """
+        was_not_run = last.family is Family.NOT_RUN and last.code is not ResultCode.CANCELLED
+        return self.may_have_run if was_not_run and self.may_have_run else last
 
 
 def find_host(headers: Headers) -> str:
