Divide the fleet's retry reserve by the number of nodes that there are (BUDGET)

Cause: each node took a twelfth of the fleet's reserve, however many nodes there were.

The reserve is now divided by the largest number of members known in the last 30 to 60 s, at least 12: a new leader's list starts with the leader alone and grows as the others report. A budget shrinks at once when the fleet grows, and starts with its part of the reserve also where that is less than one retry.

--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -1,5 +1,6 @@
 """A node's view of the fleet: upstreams, owners of keys, members and configuration."""
 
+from foxtailshunt.fleet._fleet_size import FleetSize
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
 from foxtailshunt.fleet._store_call_spacing import StoreCallSpacing
@@ -8,6 +9,7 @@
 
 __all__ = [
     "Address",
+    "FleetSize",
     "FleetView",
     "KeyRange",
     "Member",
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -16,7 +16,7 @@
 from foxtailshunt.callers import CallerInterface, OwnCallerInterface
 from foxtailshunt.config import CONFIG_KEY, decode_config_record
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
+from foxtailshunt.fleet import FleetSize, FleetView, Member, StoreCallSpacing
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
 from foxtailshunt.node._configuration_watch import (
     ConfigurationApplier,
@@ -66,10 +66,8 @@
 MAX_RESIGN_S = 1.3
 #: Part of the grace period reserved for the exit of the process, in seconds.
 EXIT_RESERVE_S = 0.5
-#: Share of the fleet's retries that are used; the rest is a margin for nodes joining and leaving.
-RETRY_BUDGET_SHARE = 0.7
-#: Number of nodes assumed when the fleet's retry reserve is divided among the nodes.
-ASSUMED_NODE_COUNT = 12
+#: Interval between observations of the number of nodes, in seconds.
+FLEET_SIZE_INTERVAL_S = 0.5
 #: Interval between log lines that report suppressed lines, in seconds.
 SUPPRESSED_LINES_INTERVAL_S = 1.0
 #: Interval between checks whether this node has become leader, in seconds.
@@ -148,10 +146,8 @@
         self._forwarder = Forwarder(
             local_member, self._view, groups, self._sender, self._metrics, self._stop_schedule
         )
-        budget = RetryBudget(
-            settings.repeat_ratio * RETRY_BUDGET_SHARE,
-            max(1.0, settings.repeat_reserve * RETRY_BUDGET_SHARE / ASSUMED_NODE_COUNT),
-        )
+        fleet_size = FleetSize(self._view, now)
+        budget = RetryBudget(settings.repeat_ratio, settings.repeat_reserve, fleet_size.nodes)
         handler = RequestHandler(
             callers,
             self._view,
@@ -207,6 +203,7 @@
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
         gauges = GaugeUpdater(self._metrics, self._view, self._sender, self._leadership, budget)
         self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
+        self._timers.subscribe(FLEET_SIZE_INTERVAL_S, fleet_size.observe)
         self._timers.subscribe(LEADERSHIP_CHECK_INTERVAL_S, self._configuration.check_leadership)
         for part in (self._forwarder, self._follower):
             self._timers.subscribe(IDLE_CHECK_INTERVAL_S, part.close_idle_connections)
