Announce an exit to each node on a thread of its own

Found by reading the change: the notices were sent one after the other, so that nodes that do not respond (0.5 s each) delayed the notices to others and the end of the calls, possibly beyond the exit of the node, and callers would have been cut off again.

Test: forwarded_requests_of_stopping_nodes 'Nodes that do not respond delay neither ...', red before the change with 8 such nodes.

--- a/features/forwarded_requests_of_stopping_nodes.feature
+++ b/features/forwarded_requests_of_stopping_nodes.feature
@@ -23,6 +23,12 @@
     When a request of the other node with 30 s left is sent
     Then the upstream was told a deadline of less than 9.8 s
 
+  Scenario: Nodes that do not respond delay neither the notice to others nor the answers to callers
+    Given a node with requests at 8 nodes that do not respond and at one that does
+    When it exits 2 s later
+    Then the node that responds got the notice at least 1.5 s before the exit
+    And all requests have ended with an unknown result before the exit
+
   Scenario Outline: Requests that wait at a node <condition> when theirs is stopped
     Given two nodes whose upstream takes 1 s for a request and has 2 slots
     When callers send 20 long requests to one node, and they wait at a node <condition>
--- a/features/steps/forwarded_requests_steps.py
+++ b/features/steps/forwarded_requests_steps.py
@@ -1,5 +1,7 @@
 """Steps for requests that wait at another node when their own node stops."""
 
+import socket
+import threading
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -10,8 +12,25 @@
 from features.front_support import WAIT_TIMEOUT_S, wait_until
 from features.node_support import CallerAnswer, NodeFleet
 from features.scripted_upstream import ScriptedUpstream, SenderSubject, answer
-from foxtailshunt.errors import ResultCode
-from foxtailshunt.relay import OriginExits, Outcome
+from foxtailshunt.errors import Family, ResultCode
+from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
+from foxtailshunt.protocol import (
+    ExitNotice,
+    ExitNoticeReply,
+    ProtocolServer,
+    RelayReply,
+    RelayRequest,
+)
+from foxtailshunt.protocol.gen import Peer
+from foxtailshunt.relay import (
+    Call,
+    Forwarder,
+    OriginExits,
+    Outcome,
+    StopSchedule,
+    UpstreamGroups,
+)
+from foxtailshunt.telemetry import Metrics
 
 _ORIGIN, _OTHER_ORIGIN = "boot of n2", "boot of n3"
 _LONG_DEADLINE_MS = 14_000
@@ -48,6 +67,83 @@
         yield answer(head)
 
 
+class ManyPeersSubject:
+    """A forwarder with a request in progress at each of several nodes, one of which responds."""
+
+    def __init__(self, context: Context, silent: int) -> None:
+        self.exits_at = 0.0
+        #: Time left until the exit when the notice arrived, in seconds.
+        self.notice_left_s: float | None = None
+        self._release = threading.Event()
+        self._server = ProtocolServer(Peer, self, ("127.0.0.1", 0), lambda: None)
+        self._server.start()
+        # The kernel accepts connections to these, and nothing reads from them.
+        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(silent)]
+        addresses = [sock.getsockname() for sock in sockets]
+        addresses.append(self._server._listener.getsockname())
+        view = FleetView(time.monotonic)
+        view.begin_term(1)
+        members, upstreams, ranges = [], {}, []
+        for number, address in enumerate(addresses):
+            name, zone = f"u{number}", f"zone-{number}"
+            members.append(Member(f"n{number}", "boot", zone, address))
+            upstreams[name] = Upstream(name, "desk", ("127.0.0.1", 2), zone, 2, False, 0.0, 0)
+            ranges.append(KeyRange("desk", number, number, name, 1))
+        view.update_members(1, 1, tuple(members))
+        view.update_upstreams(1, 1, upstreams, 0.0)
+        view.update_ownership(1, 1, OwnershipTable(ranges))
+        self.stop_schedule = StopSchedule()
+        me = Member("me", _ORIGIN, "zone-me", ("127.0.0.1", 1))
+        groups = UpstreamGroups(view)
+        sender = SenderSubject({})._sender
+        self.forwarder = Forwarder(me, view, groups, sender, Metrics(), self.stop_schedule)
+        self._executor = ThreadPoolExecutor(len(addresses))
+        for close in (
+            *(sock.close for sock in sockets),
+            lambda: self._server.stop(WAIT_TIMEOUT_S),
+            self._release.set,
+        ):
+            context.add_cleanup(close)
+        self.outcomes = [
+            self._executor.submit(self._execute, number) for number in range(len(addresses))
+        ]
+        wait_until(
+            lambda: len(self.forwarder._clients.called_addresses()) == len(addresses),
+            "all requests are at other nodes",
+        )
+
+    def relay(self, req: RelayRequest) -> RelayReply:
+        self._release.wait(WAIT_TIMEOUT_S)
+        return RelayReply(outcome=int(ResultCode.OK), arrived=True)
+
+    def announce_exit(self, req: ExitNotice) -> ExitNoticeReply:
+        self.notice_left_s = self.exits_at - time.monotonic()
+        return ExitNoticeReply()
+
+    def exit_in(self, seconds: float) -> None:
+        self.exits_at = time.monotonic() + seconds
+        self.stop_schedule.begin(self.exits_at)
+        self.forwarder.end_forwarded(self.exits_at, threading.Event())
+
+    def _execute(self, key: int) -> tuple[Outcome, float]:
+        deadline = time.monotonic() + 30.0
+        call = Call(
+            request_id=f"r{key}",
+            service="desk",
+            key=key,
+            upstream_id=f"u{key}",
+            method="POST",
+            target="/x",
+            headers=(),
+            body=b"",
+            deadline=deadline,
+            latency_objective_at=deadline,
+            rank=0,
+            route="x",
+        )
+        return self.forwarder.execute(call, None), time.monotonic()
+
+
 class StoppingOriginSubject:
     """Two nodes, one of which sends all requests of a service without keys."""
 
@@ -148,6 +244,30 @@
     assert context.forwarded.send("r1", _ORIGIN).result(WAIT_TIMEOUT_S).code is ResultCode.OK
 
 
+@given("a node with requests at {count:d} nodes that do not respond and at one that does")
+def start_many(context: Context, count: int) -> None:
+    context.many = ManyPeersSubject(context, count)
+
+
+@when("it exits {seconds:d} s later")
+def exit_many(context: Context, seconds: int) -> None:
+    context.many.exit_in(float(seconds))
+
+
+@then("the node that responds got the notice at least {seconds:f} s before the exit")
+def check_notice(context: Context, seconds: float) -> None:
+    left_s = context.many.notice_left_s
+    assert left_s is not None and left_s >= seconds, left_s
+
+
+@then("all requests have ended with an unknown result before the exit")
+def check_ended_before(context: Context) -> None:
+    for fut in context.many.outcomes:
+        outcome, ended_at = fut.result(WAIT_TIMEOUT_S)
+        assert outcome.family is Family.UNKNOWN, outcome
+        assert ended_at < context.many.exits_at, ended_at - context.many.exits_at
+
+
 @given("two nodes whose upstream takes 1 s for a request and has 2 slots")
 def start_nodes(context: Context) -> None:
     context.stopping_origin = subject = StoppingOriginSubject()
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -131,40 +131,34 @@
     subject.fleet.add_owner("u8", _SERVICE, listen=("127.0.0.1", port))
 
 
-@when("an upstream restarts with the same id and address")
-def _(context: Context) -> None:
-    subject = _subject(context)
+def _crash_u0(subject: OwnershipSubject) -> KeyOwner:
+    """End the process of an upstream, and keep its past grants for the checks."""
     old = subject.fleet.owners.pop("u0")
-    _host, port = old.address
     old.crash()
     subject.fleet.owners["u0 before"] = old
-    subject.upstream = old
-    subject.fleet.add_owner("u0", _SERVICE, listen=("127.0.0.1", port))
+    return old
+
+
+@when("an upstream restarts with the same id and address")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.upstream = old = _crash_u0(subject)
+    subject.fleet.add_owner("u0", _SERVICE, listen=old.address)
 
 
 @when("an upstream restarts with the same id at another address")
 def _(context: Context) -> None:
     subject = _subject(context)
-    old = subject.fleet.owners.pop("u0")
-    old.crash()
-    subject.fleet.owners["u0 before"] = old
-    subject.upstream = old
+    subject.upstream = _crash_u0(subject)
     subject.fleet.add_owner("u0", _SERVICE)
 
 
 @when("an upstream restarts with the same id and address, cut from the store")
 def _(context: Context) -> None:
     subject = _subject(context)
-    old = subject.fleet.owners.pop("u0")
-    _host, port = old.address
-    old.crash()
-    subject.fleet.owners["u0 before"] = old
+    old = _crash_u0(subject)
     subject.upstream = subject.fleet.add_owner(
-        "u0",
-        _SERVICE,
-        listen=("127.0.0.1", port),
-        born=old.born + 1000,
-        is_cut_from_store=True,
+        "u0", _SERVICE, listen=old.address, born=old.born + 1000, is_cut_from_store=True
     )
 
 
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -44,7 +44,8 @@
 MAX_IDLE_S = 2.0
 #: Timeout of a notice to another node that this one exits, in seconds.
 EXIT_NOTICE_TIMEOUT_S = 0.5
-#: Interval at which a stopping node looks for nodes that it has not yet notified, in seconds.
+#: Interval at which a stopping node looks for nodes that it has not yet notified, and repeats a
+#: notice that has failed, in seconds.
 EXIT_NOTICE_INTERVAL_S = 0.1
 
 
@@ -169,22 +170,33 @@
         notified: set[Address] = set()
         while (now := time.monotonic()) < end and not stopped.is_set():
             for address in self._clients.called_addresses() - notified:
-                if self._send_exit_notice(address, exits_at):
-                    notified.add(address)
-            stopped.wait(min(EXIT_NOTICE_INTERVAL_S, max(0.0, end - now)))
+                notified.add(address)
+                # A thread for each, since a node that does not respond would delay the others.
+                thread = threading.Thread(
+                    target=self._announce_exit,
+                    args=(address, exits_at, stopped),
+                    name="exit notice",
+                    daemon=True,
+                )
+                thread.start()
+            stopped.wait(min(EXIT_NOTICE_INTERVAL_S, end - now))
         if not stopped.is_set():
             interrupted = self._clients.interrupt_calls()
             log_state_change("forwarded.interrupted", calls=interrupted)
 
-    def _send_exit_notice(self, address: Address, exits_at: float) -> bool:
-        exits_in_ms = int(max(0.0, exits_at - time.monotonic()) * 1000)
-        notice = ExitNotice(origin=self._me.boot_id, exits_in_ms=exits_in_ms)
-        try:
-            self._notice_clients.call(address, "announce_exit", notice, EXIT_NOTICE_TIMEOUT_S)
-        except PeerUnreachableError as exc:
-            log_state_change("exit_notice.failed", address=list(address), error=exc.message)
-            return False
-        return True
+    def _announce_exit(self, address: Address, exits_at: float, stopped: threading.Event) -> None:
+        """Send a node the exit notice until it takes it or the requests have ended."""
+        is_first = True
+        while (left_s := exits_at - time.monotonic()) > 0 and not stopped.is_set():
+            notice = ExitNotice(origin=self._me.boot_id, exits_in_ms=int(left_s * 1000))
+            try:
+                self._notice_clients.call(address, "announce_exit", notice, EXIT_NOTICE_TIMEOUT_S)
+                return
+            except PeerUnreachableError as exc:
+                if is_first:
+                    log_state_change("exit_notice.failed", address=list(address), error=exc.message)
+                is_first = False
+            stopped.wait(EXIT_NOTICE_INTERVAL_S)
 
     def _senders_for_owner(self, call: Call) -> list[Member]:
         """Return the nodes that may send to the owner of a key, the preferred one first."""
