Move the queue's decisions to admission and the knowledge of upstreams to upstreams

It keeps the path of a request; what decides over the queue (slots, forecast, order, floors, retry budget) and what is known of an upstream (speed, pauses, leaving, reachability) get packages of their own. Files are moved and imports changed, nothing else: the type Call is in admission, since the queue holds calls, and Outcome stays in relay. Imports point downwards: relay, admission, upstreams, fleet.

--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -9,16 +9,18 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from foxtailshunt.admission import Call, RetryBudget
 from foxtailshunt.callers import OwnCallerInterface
 from foxtailshunt.config import read_configuration, to_route_table
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, KeyRange, OwnershipTable
 from foxtailshunt.front import FrontServer, RequestHandler
 from foxtailshunt.network import Address
-from foxtailshunt.relay import Call, LatencyEstimator, Outcome, RetryBudget, StopSchedule
+from foxtailshunt.relay import Outcome, StopSchedule
 from foxtailshunt.routing import KEY_COUNT, FrontLimits
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
+from foxtailshunt.upstreams import LatencyEstimator
 
 WAIT_TIMEOUT_S = 20.0
 _STATUS = 201
--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -4,16 +4,9 @@
 import itertools
 from dataclasses import dataclass, field
 
+from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, Refusal, SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay import (
-    Call,
-    LatencyEstimator,
-    QueueEntry,
-    QueueEntryState,
-    Refusal,
-    SlotPool,
-    UpstreamPauses,
-)
+from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
 
 _TIME_STEP_S = 0.005
 _FAILURE_LATENCY_S = 0.002
--- a/features/relay_support/__init__.py
+++ b/features/relay_support/__init__.py
@@ -6,17 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, SlotPool
 from foxtailshunt.fleet import Member, Upstream
-from foxtailshunt.relay import (
-    Call,
-    GroupSelector,
-    LatencyEstimator,
-    QueueEntry,
-    QueueEntryState,
-    SlotPool,
-    UpstreamGroup,
-    form_groups,
-)
+from foxtailshunt.relay import GroupSelector, UpstreamGroup, form_groups
+from foxtailshunt.upstreams import LatencyEstimator
 
 _SERVICE = "counter"
 _ROUTE = "issue"
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -8,10 +8,12 @@
 from dataclasses import replace
 from typing import Any
 
+from foxtailshunt.admission import Call
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
-from foxtailshunt.relay import Call, LatencyEstimator, Outcome, Sender, StopSchedule, UpstreamGroups
+from foxtailshunt.relay import Outcome, Sender, StopSchedule, UpstreamGroups
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
+from foxtailshunt.upstreams import LatencyEstimator
 
 _END_OF_HEAD = b"\r\n\r\n"
 _RECEIVE_BYTES = 65_536
--- a/features/steps/forwarded_requests_steps.py
+++ b/features/steps/forwarded_requests_steps.py
@@ -12,6 +12,7 @@
 from features.front_support import WAIT_TIMEOUT_S, wait_until
 from features.node_support import CallerAnswer, NodeFleet
 from features.scripted_upstream import ScriptedUpstream, SenderSubject, answer
+from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import Address, FleetView, KeyRange, Member, OwnershipTable, Upstream
 from foxtailshunt.protocol import (
@@ -22,14 +23,7 @@
     RelayRequest,
 )
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import (
-    Call,
-    Forwarder,
-    OriginExits,
-    Outcome,
-    StopSchedule,
-    UpstreamGroups,
-)
+from foxtailshunt.relay import Forwarder, OriginExits, Outcome, StopSchedule, UpstreamGroups
 from foxtailshunt.telemetry import Metrics
 
 _ORIGIN, _OTHER_ORIGIN = "boot of n2", "boot of n3"
--- a/features/steps/leaving_upstreams_steps.py
+++ b/features/steps/leaving_upstreams_steps.py
@@ -11,7 +11,8 @@
 from features.scripted_upstream import ScriptedUpstream, SenderSubject, scripted_answer
 from foxtailshunt.errors import Family
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay import LeavingUpstreams, Outcome
+from foxtailshunt.relay import Outcome
+from foxtailshunt.upstreams import LeavingUpstreams
 
 _TIMEOUT_S = 30.0
 _POLL_INTERVAL_S = 0.01
--- a/features/steps/node_slots_steps.py
+++ b/features/steps/node_slots_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 
 from features.pool_support import PoolSimulation
-from foxtailshunt.relay import LatencyEstimator
+from foxtailshunt.upstreams import LatencyEstimator
 
 
 def _simulation(context: Context) -> PoolSimulation:
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -12,6 +12,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from foxtailshunt.admission import Call, QueueEntry, SlotPool
 from foxtailshunt.assigning import UpstreamReader
 from foxtailshunt.fleet import FleetView, Upstream
 from foxtailshunt.http import format_request
@@ -23,7 +24,7 @@
     upstream_request_headers,
 )
 from foxtailshunt.protocol import FollowReply
-from foxtailshunt.relay import Call, LatencyEstimator, QueueEntry, SlotPool
+from foxtailshunt.upstreams import LatencyEstimator
 
 _ENTRY: dict[str, Any] = {
     "service": "one",
--- a/features/steps/overlapping_requests_steps.py
+++ b/features/steps/overlapping_requests_steps.py
@@ -12,9 +12,10 @@
 
 from features.front_support import WAIT_TIMEOUT_S, FrontSubject, wait_until
 from features.raw_caller import PipeliningCaller
+from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.network import caller_disconnected
-from foxtailshunt.relay import Call, Outcome
+from foxtailshunt.relay import Outcome
 
 _GET = "GET /k/{0} HTTP/1.1\r\nX-Request-Id: {0}\r\n\r\n"
 _PAY = "POST /k/{0}/pay HTTP/1.1\r\nX-Request-Id: {0}\r\nContent-Length: 0\r\n\r\n"
--- a/features/steps/retry_budgets_steps.py
+++ b/features/steps/retry_budgets_steps.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from foxtailshunt.admission import RetryBudget
 from foxtailshunt.fleet import FleetSize, FleetView, Member
-from foxtailshunt.relay import RetryBudget
 
 _SERVICE = "desk"
 
--- a/features/steps/store_outages_steps.py
+++ b/features/steps/store_outages_steps.py
@@ -19,9 +19,9 @@
     Follower,
 )
 from foxtailshunt.platform import StoreClient
-from foxtailshunt.relay import LatencyEstimator
 from foxtailshunt.routing import RouteTable
 from foxtailshunt.timing import MonotonicClock
+from foxtailshunt.upstreams import LatencyEstimator
 
 _WAIT_TIMEOUT_S = 20.0
 _REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}"
--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -9,15 +9,17 @@
 
 from features.front_support import WAIT_TIMEOUT_S, CallerResponse, FrontSubject, wait_until
 from features.raw_caller import RawCaller, encode_chunks
+from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
 from foxtailshunt.front import BodyBudget
 from foxtailshunt.http import SocketReader
 from foxtailshunt.protocol import ProtocolServer, RelayReply, RelayRequest
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import Call, Forwarder, LeavingUpstreams, Outcome, UpstreamGroups
+from foxtailshunt.relay import Forwarder, Outcome, UpstreamGroups
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.timing import MonotonicClock
+from foxtailshunt.upstreams import LeavingUpstreams
 
 _MAX_BODY_BYTES = 500_000
 _REMAINING_S = 5.0
--- a/foxtailshunt/relay/_floor_scheduler.py
+++ b/foxtailshunt/admission/_floor_scheduler.py
@@ -3,8 +3,8 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-from foxtailshunt.relay._floor_credits import FloorCredits
-from foxtailshunt.relay._queue_entry import QueueEntry
+from foxtailshunt.admission._floor_credits import FloorCredits
+from foxtailshunt.admission._queue_entry import QueueEntry
 
 
 class FloorScheduler:
--- a/foxtailshunt/relay/_queue_entry.py
+++ b/foxtailshunt/admission/_queue_entry.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from foxtailshunt.admission._call import Call
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay._outcome import Call
 
 
 class QueueEntryState(Enum):
--- a/foxtailshunt/relay/_slot_pool.py
+++ b/foxtailshunt/admission/_slot_pool.py
@@ -8,16 +8,15 @@
 import random
 from collections.abc import Iterable
 
+from foxtailshunt.admission._call import Call
+from foxtailshunt.admission._floor_credits import FloorCredits
+from foxtailshunt.admission._floor_scheduler import FloorScheduler
+from foxtailshunt.admission._queue_entry import QueueEntry, QueueEntryState, Refusal
+from foxtailshunt.admission._slot_forecast import SlotForecast
+from foxtailshunt.admission._upstream_slots import UpstreamSlots
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay._floor_credits import FloorCredits
-from foxtailshunt.relay._floor_scheduler import FloorScheduler
-from foxtailshunt.relay._latency_estimator import LatencyEstimator
-from foxtailshunt.relay._outcome import Call
-from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
-from foxtailshunt.relay._slot_forecast import SlotForecast
-from foxtailshunt.relay._upstream_pauses import UpstreamPauses
-from foxtailshunt.relay._upstream_slots import UpstreamSlots
 from foxtailshunt.routing import RankFloor
+from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
 
 #: Margin for the variance of latencies when a new request is admitted, as a share of the expected
 #: latency.
--- a/foxtailshunt/relay/_slot_pools.py
+++ b/foxtailshunt/admission/_slot_pools.py
@@ -3,11 +3,10 @@
 import threading
 from dataclasses import dataclass
 
+from foxtailshunt.admission._call import Call
+from foxtailshunt.admission._slot_pool import SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay._latency_estimator import LatencyEstimator
-from foxtailshunt.relay._outcome import Call
-from foxtailshunt.relay._slot_pool import SlotPool
-from foxtailshunt.relay._upstream_pauses import UpstreamPauses
+from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
 
 
 @dataclass(slots=True)
--- a/foxtailshunt/relay/_upstream_slots.py
+++ b/foxtailshunt/admission/_upstream_slots.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from foxtailshunt.admission._queue_entry import QueueEntry
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.relay._queue_entry import QueueEntry
-from foxtailshunt.relay._upstream_pauses import UpstreamPauses
+from foxtailshunt.upstreams import UpstreamPauses
 
 #: Assumed remaining time of an overdue request: the larger of this time, in seconds, and this share
 #: of the time since its start.
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from foxtailshunt.admission import Call, RetryBudget
 from foxtailshunt.callers import CallerInterface, Failure, Reply
 from foxtailshunt.errors import Family, FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import FleetView
@@ -17,16 +18,14 @@
 from foxtailshunt.relay import (
     STOPPING_RETRY_AFTER_S,
     AttemptHistory,
-    Call,
-    LatencyEstimator,
     Outcome,
-    RetryBudget,
     RetryDecision,
     StopSchedule,
     decide_retry,
 )
 from foxtailshunt.routing import RequestLine, Route, WeightedChoice
 from foxtailshunt.telemetry import Metrics, RequestLog
+from foxtailshunt.upstreams import LatencyEstimator
 
 #: Maximum time that a request waits for a new owner of its key, in seconds; a move takes about 0.3.
 OWNER_WAIT_TIMEOUT_S = 0.6
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -32,8 +32,8 @@
     UpstreamPace,
 )
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import LatencyEstimator
 from foxtailshunt.telemetry import log_state_change, log_thread_error
+from foxtailshunt.upstreams import LatencyEstimator
 
 #: Time that the leader may wait for a change in one poll, in seconds; also the interval between
 #: reports.
--- a/foxtailshunt/node/_gauges.py
+++ b/foxtailshunt/node/_gauges.py
@@ -1,8 +1,9 @@
 """Gauges of a node: queue lengths, retry budgets, versions and the age of its data."""
 
+from foxtailshunt.admission import RetryBudget
 from foxtailshunt.assigning import Leadership
 from foxtailshunt.fleet import FleetView
-from foxtailshunt.relay import RetryBudget, Sender
+from foxtailshunt.relay import Sender
 from foxtailshunt.routing import KEY_COUNT
 from foxtailshunt.telemetry import Metrics
 
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from foxtailshunt.admission import RetryBudget
 from foxtailshunt.assigning import (
     Assigner,
     CapacityEstimator,
@@ -37,15 +38,7 @@
 )
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import (
-    Forwarder,
-    LatencyEstimator,
-    OriginExits,
-    RetryBudget,
-    Sender,
-    StopSchedule,
-    UpstreamGroups,
-)
+from foxtailshunt.relay import Forwarder, OriginExits, Sender, StopSchedule, UpstreamGroups
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import (
     Metrics,
@@ -56,6 +49,7 @@
     start_node_logging,
 )
 from foxtailshunt.timing import MonotonicClock, TimerService
+from foxtailshunt.upstreams import LatencyEstimator
 
 #: Time after SIGTERM in which the load balancer still sends new connections, in seconds: it checks
 #: readiness every second and removes a node after two failed checks.
--- a/foxtailshunt/relay/_eligible_upstreams.py
+++ b/foxtailshunt/relay/_eligible_upstreams.py
@@ -2,11 +2,11 @@
 
 import threading
 
+from foxtailshunt.admission import Call
 from foxtailshunt.fleet import Address, FleetView, Upstream
-from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
-from foxtailshunt.relay._outcome import Call
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.telemetry import log_state_change
+from foxtailshunt.upstreams import LeavingUpstreams
 
 
 class EligibleUpstreams:
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
+from foxtailshunt.admission import Call
 from foxtailshunt.errors import Family, PeerUnreachableError, ResultCode
 from foxtailshunt.fleet import Address, FleetView, Member, rank_by_rendezvous
 from foxtailshunt.platform import states_leaving
@@ -23,7 +24,7 @@
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
-from foxtailshunt.relay._outcome import Call, Outcome
+from foxtailshunt.relay._outcome import Outcome
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -1,8 +1,9 @@
 """Conversion of requests and outcomes to and from messages between nodes."""
 
+from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.protocol import Header, RelayReply, RelayRequest
-from foxtailshunt.relay._outcome import Call, Outcome
+from foxtailshunt.relay._outcome import Outcome
 
 _MS_PER_S = 1000
 
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import replace
 
+from foxtailshunt.admission import Call, LockedPool, QueueEntry, QueueEntryState, Refusal, SlotPools
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Member, Upstream
 from foxtailshunt.network import caller_disconnected
@@ -17,18 +18,18 @@
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
-from foxtailshunt.relay._latency_estimator import LatencyEstimator
-from foxtailshunt.relay._leaving_upstreams import LeavingUpstreams
 from foxtailshunt.relay._origin_exits import OriginExits
-from foxtailshunt.relay._outcome import Call, Outcome
-from foxtailshunt.relay._queue_entry import QueueEntry, QueueEntryState, Refusal
-from foxtailshunt.relay._slot_pools import LockedPool, SlotPools
+from foxtailshunt.relay._outcome import Outcome
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
-from foxtailshunt.relay._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
-from foxtailshunt.relay._upstream_pauses import UpstreamPauses
 from foxtailshunt.routing import RankFloor
 from foxtailshunt.telemetry import Metrics, RequestLog
+from foxtailshunt.upstreams import (
+    LatencyEstimator,
+    LeavingUpstreams,
+    UnreachableUpstreams,
+    UpstreamPauses,
+)
 
 #: Time that is reserved for returning the response to the caller, in seconds.
 RESPONSE_RESERVE_S = 0.02
