--- a/foxtailshunt/http/_response.py
+++ b/foxtailshunt/http/_response.py
@@ -24,6 +24,9 @@
 _MAX_FRAMING_BYTES, _MAX_FRAMING_SHARE = 65_536, 0.25
 _FIRST_FINAL_STATUS = 200
 _MAX_LENGTH_DIGITS = 18
+#: Statuses are 100 to 599. ``http.client`` accepts up to 999, and whatever ``int()`` reads as a
+#: number, such as ``+200`` and ``2_00``.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
 _CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r?\n")
 _CHUNK_END = b"\r\n"
 _LINE_ENDS = (b"\r\n", b"\n")
@@ -64,8 +67,10 @@
     bounded: Any = _BoundedSource(source)
     response = http.client.HTTPResponse(bounded, method=method)
     bounded.allow(MAX_RESPONSE_HEAD_BYTES)
+    bounded.expect_status_line()
     response.begin()
     _check_head(response)
+    bounded.end_head()
     bounded.allow(_FRAMING_FACTOR * max_body_bytes)
     body = _read_body(bounded, response, max_body_bytes)
     return HttpResponse(
@@ -151,6 +156,8 @@
         self._source = source
         self._left = 0
         self._has_read = False
+        self._is_in_head = False
+        self._expects_status_line = False
 
     def allow(self, size: int) -> None:
         """Allow a number of further bytes.
@@ -159,6 +166,14 @@
         """
         self._left = size
 
+    def expect_status_line(self) -> None:
+        """Take the next line, and each one after an interim response, as a status line."""
+        self._is_in_head = self._expects_status_line = True
+
+    def end_head(self) -> None:
+        """Take the following lines as part of the body."""
+        self._is_in_head = False
+
     def makefile(self, mode: str) -> "_BoundedSource":
         """Return this file; called by http.client, which takes it for a socket."""
         return self
@@ -167,17 +182,25 @@
         """Read a line.
 
         :param limit: maximum number of bytes to return.
-        :raises MalformedResponseError: the connection ended within the response, or a carriage
-            return is not part of a line end.
+        :raises MalformedResponseError: the connection ended within the response, a carriage return
+            is not part of a line end, or a status line is not valid.
         """
         line = self._take(self._source.readline(min(limit, self._left + 1)))
         if not line.endswith(b"\n") and len(line) < limit and (line or self._has_read):
             raise MalformedResponseError("the connection ended within a line or between lines")
         if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
             raise MalformedResponseError("a line has a carriage return that does not end it")
+        if self._is_in_head and line:
+            self._check_head_line(line)
         self._has_read = True
         return line
 
+    def _check_head_line(self, line: bytes) -> None:
+        if self._expects_status_line and not _STATUS_LINE.fullmatch(line):
+            raise MalformedResponseError(f"malformed status line {line[:40]!r}")
+        # An empty line ends an interim response, after which there is another status line.
+        self._expects_status_line = line in _LINE_ENDS
+
     def read(self, size: int) -> bytes:
         """Read a number of bytes, or fewer at the end of the connection.
 
