Let a node save up some retries of its own requests

Since the fleet's reserve is divided by the number of nodes, a node of 91 held one or two retries, and short faults went back to callers although the fleet had hardly used its retries. A node may now hold 0.4 of the retries that its own requests of the last 10 s allow. 0.7 of the ratio is used, and 0.7 * (1 + 0.4) < 1, so that the fleet stays within its limit in every window, whatever the load.

--- a/features/front_support/__init__.py
+++ b/features/front_support/__init__.py
@@ -143,7 +143,7 @@
             self.view,
             lambda call, caller: self.execute(call, caller),
             LatencyEstimator(),
-            RetryBudget(1.0, 100.0, lambda: 1),
+            RetryBudget(1.0, 100.0, lambda: 1, clock.now),
             lambda service, key, work_s: None,
             self.metrics,
             RequestLog(),
--- a/features/retry_budgets.feature
+++ b/features/retry_budgets.feature
@@ -27,6 +27,25 @@
     Then the fleet has sent at most 0.2 of 100000 retries and 62 more
     And it has sent at least half of them
 
+  Scenario Outline: The limit of the fleet holds in every window, however the load of <nodes> nodes comes
+    Given <nodes> nodes that know of each other, which may retry 0.2 of the requests and <reserve> more
+    When callers send requests in bursts for 60 s, and all that may be are sent again
+    Then in every window of 10 s the fleet has sent at most 0.2 of the requests and <reserve>
+
+    Examples: a node that saves up retries spends them in a later window
+      | nodes | reserve |
+      | 1     | 50      |
+      | 12    | 62      |
+      | 91    | 222     |
+      | 300   | 430     |
+
+  # A node of a large fleet held one or two retries and returned the failures of a short fault to
+  # its callers, although the fleet had hardly used its retries.
+  Scenario: A node of a large fleet saves up retries of its own requests
+    Given 91 nodes that know of each other, which may retry 0.2 of the requests and 222 more
+    When each node serves 7 requests a second for 10 s without failures
+    Then each node may retry 4 requests that fail at once
+
   Scenario Outline: The number of nodes that is assumed <case>
     Given a node that knows of <before> members
     When <event>
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -141,7 +141,9 @@
             local_member, self._view, groups, self._sender, self._metrics, self._stop_schedule
         )
         fleet_size = FleetSize(self._view, now)
-        budget = RetryBudget(settings.repeat_ratio, settings.repeat_reserve, fleet_size.nodes)
+        budget = RetryBudget(
+            settings.repeat_ratio, settings.repeat_reserve, fleet_size.nodes, time.monotonic
+        )
         handler = RequestHandler(
             callers,
             self._view,
