Move publishing of upstreams and planning of moves out of the term

The list of upstreams (UpstreamPublisher) and the plan of moves (MovePlanner) get modules of their own; code is moved, nothing else changes.

--- /dev/null
+++ b/foxtailshunt/assigning/_move_planner.py
@@ -0,0 +1,79 @@
+"""Plans the moves of the leader from what it knows of upstreams, demand and grants."""
+
+from collections.abc import Mapping
+
+from foxtailshunt.assigning._grant_renewer import GrantRenewer
+from foxtailshunt.assigning._key_mover import KeyMover
+from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
+from foxtailshunt.assigning._placement import Candidate, Move, plan_moves
+from foxtailshunt.assigning._previous_grants import PreviousGrants
+from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
+from foxtailshunt.fleet import KeyRange
+
+#: Limits on balancing moves started by one plan and on moves in progress at a time.
+MAX_MOVES_PER_PLAN, MAX_MOVES_IN_PROGRESS = 5, 10
+
+
+class MovePlanner:
+    """Plans moves during one term; used by one thread.
+
+    :param deps: components of the node that the leader uses.
+    :param upstreams: the upstreams.
+    :param renewers: grant renewers by upstream id.
+    :param mover: carries out the moves.
+    :param previous_grants: grants of previous leaders that may be in force.
+    """
+
+    def __init__(
+        self,
+        deps: LeaderDependencies,
+        upstreams: UpstreamPublisher,
+        renewers: Mapping[str, GrantRenewer],
+        mover: KeyMover,
+        previous_grants: PreviousGrants,
+    ) -> None:
+        self._deps = deps
+        self._now = deps.now
+        self._upstreams = upstreams
+        self._renewers = renewers
+        self._mover = mover
+        self._previous_grants = previous_grants
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service that may be assigned keys.
+
+        :param service: name of the service.
+        """
+        candidates = []
+        for name in sorted(self._upstreams.current):
+            upstream = self._upstreams.current[name]
+            renewer = self._renewers.get(name)
+            if upstream.service != service or upstream.leaving or renewer is None:
+                continue
+            if renewer.is_reachable:
+                candidates.append(
+                    Candidate(name, self._deps.capacities.capacity(name, upstream.slots))
+                )
+        return candidates
+
+    def plan(self, service: str, ranges: list[KeyRange], rebalance: bool) -> list[Move]:
+        """Return the moves that are to start now.
+
+        :param service: name of the service.
+        :param ranges: the ranges of the service.
+        :param rebalance: whether moves that only balance the load are planned.
+        """
+        candidates = self.candidates(service)
+        if not ranges or not candidates:
+            return []
+        max_moves = max(0, MAX_MOVES_IN_PROGRESS - self._mover.in_progress) if rebalance else 0
+        demand = self._deps.demands.rates(service, self._now())
+        moves = plan_moves(ranges, demand, candidates, min(max_moves, MAX_MOVES_PER_PLAN))
+        return [move for move in moves if self._is_due(move)]
+
+    def _is_due(self, move: Move) -> bool:
+        """Return False while the owner is unreachable and its grants have not expired."""
+        renewer = self._renewers.get(move.keys.owner)
+        if renewer is None:
+            return self._now() > self._previous_grants.expire_at(move.keys.owner)
+        return renewer.is_reachable or self._now() > renewer.held_until
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -11,15 +11,15 @@
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._key_mover import KeyMover
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
-from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
+from foxtailshunt.assigning._move_planner import MovePlanner
+from foxtailshunt.assigning._placement import Move, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
 from foxtailshunt.assigning._table_record import LeaderProcess
 from foxtailshunt.assigning._table_store import STORE_RETRY_S, TableStore
 from foxtailshunt.assigning._token_requests import TokenRequests
-from foxtailshunt.assigning._upstream_reader import UpstreamReader
+from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
 from foxtailshunt.fleet import KeyRange, OwnershipTable, Upstream
-from foxtailshunt.platform import StoreError
 from foxtailshunt.telemetry import log_state_change
 
 #: How often the leader reads the list of upstreams, in seconds; keys of a leaving upstream have to
@@ -27,8 +27,6 @@
 READ_INTERVAL_S = 0.45
 #: How often the leader plans moves that balance the load, in seconds.
 REBALANCE_INTERVAL_S = 0.5
-#: Limits on balancing moves started by one plan and on moves in progress at a time.
-MAX_MOVES_PER_PLAN, MAX_MOVES_IN_PROGRESS = 5, 10
 #: Fencing token of probes; no grant has a lower one.
 PROBE_FENCE = 1
 #: How long the leader waits for more upstreams to register after the first one, in seconds, before
@@ -48,22 +46,18 @@
         self._term = term
         self._view = deps.view
         self._now = deps.now
-        self._reader = UpstreamReader(deps.store, deps.now, deps.view.apply_serving_rules)
         self._lock = threading.RLock()
         self._ranges: list[KeyRange] = []
         self._fence = 0
         self._ownership_version = 0
-        self._upstreams_version = 0
         self._members_version = 0
-        self._upstreams: dict[str, Upstream] = {}
-        self._first_upstream_at: float | None = None
+        self._upstreams = UpstreamPublisher(deps.store, deps.view, deps.now, term)
         self._renewers: dict[str, GrantRenewer] = {}
         self._previous_leaders = self._track_previous_leaders(())
         self._previous_grants = PreviousGrants((), self._previous_leaders.grants_expire_at)
         self._mover = self._create_mover()
+        self._planner = self._create_planner()
         self._table = TableStore(deps.store, deps.local_member, term, deps.leadership, deps.now)
-        self._next_read_at = float("-inf")
-        self._is_store_unavailable = False
         self._token_requests = TokenRequests()
 
     def run(self) -> None:
@@ -72,13 +66,13 @@
             log_state_change("term.outdated", term=self._term)
             self._deps.leadership.step_down("a newer term is known")
             return
-        self._read_upstreams()
+        self._upstreams.update()
         self._take_over()
         rebalance_at = 0.0
         try:
             while self._is_active():
                 started = self._now()
-                self._read_upstreams()
+                self._upstreams.update()
                 self._publish_members()
                 self._update_renewers()
                 is_rebalancing = started >= rebalance_at
@@ -103,42 +97,7 @@
             self._publish_members()
             self._deps.stopping.wait(min(0.1, max(0.005, end - self._now())))
 
-    # Upstreams and members.
-
-    def _read_upstreams(self) -> None:
-        started = self._now()
-        if started < self._next_read_at:
-            return
-        try:
-            upstreams = self._reader.poll()
-        except StoreError as exc:
-            self._next_read_at = self._now() + STORE_RETRY_S
-            if not self._is_store_unavailable:
-                log_state_change("store.lost", part="upstreams", error=str(exc))
-            self._is_store_unavailable = True
-            return
-        if self._is_store_unavailable:
-            log_state_change("store.regained", part="upstreams")
-            self._is_store_unavailable = False
-        if upstreams and self._first_upstream_at is None:
-            self._first_upstream_at = started
-        if self._have_changed(upstreams):
-            self._upstreams_version += 1
-            self._upstreams = upstreams
-            published: dict[str, Upstream] | None = upstreams
-        else:
-            published = None if self._upstreams_version else upstreams
-            self._upstreams_version = max(1, self._upstreams_version)
-        age_s = self._now() - started
-        self._view.update_upstreams(self._term, self._upstreams_version, published, age_s)
-
-    def _have_changed(self, upstreams: dict[str, Upstream]) -> bool:
-        if upstreams.keys() != self._upstreams.keys():
-            return True
-        return any(
-            replace(item, warmup_s=0.0) != replace(self._upstreams[name], warmup_s=0.0)
-            for name, item in upstreams.items()
-        )
+    # Members.
 
     def _publish_members(self) -> None:
         now = self._now()
@@ -163,6 +122,7 @@
                         ranges, self._previous_leaders.grants_expire_at
                     )
                     self._mover = self._create_mover()
+                    self._planner = self._create_planner()
                     self._fence = fence
                     self._ranges = ranges
                     break
@@ -185,6 +145,11 @@
             self._deps.metrics,
         )
 
+    def _create_planner(self) -> MovePlanner:
+        return MovePlanner(
+            self._deps, self._upstreams, self._renewers, self._mover, self._previous_grants
+        )
+
     def _write(self, fence: int, ranges: Iterable[KeyRange]) -> bool:
         return self._table.write(fence, ranges, self._previous_leaders.unexpired())
 
@@ -216,7 +181,7 @@
         routes = self._view.routes
         keyed = {name for name, info in (routes.services if routes else {}).items() if info.keyed}
         keyed_upstreams = {
-            name: item for name, item in self._upstreams.items() if item.service in keyed
+            name: item for name, item in self._upstreams.current.items() if item.service in keyed
         }
         for upstream_id, upstream in keyed_upstreams.items():
             renewer = self._renewers.get(upstream_id)
@@ -278,6 +243,10 @@
                     return replace(item, last=item.first, fence=PROBE_FENCE)
         return None
 
+    def _ranges_of(self, service: str) -> list[KeyRange]:
+        with self._lock:
+            return [item for item in self._ranges if item.service == service]
+
     # Moves.
 
     def _assign(self, rebalance: bool) -> None:
@@ -288,7 +257,7 @@
         fence = self._fence
         for name, info in routes.services.items():
             if info.keyed:
-                for move in self._plan(name, rebalance):
+                for move in self._planner.plan(name, self._ranges_of(name), rebalance):
                     fence += 1
                     changed.append((move.keys, _split(move, fence)))
         fence = self._assign_new_fences(changed, fence)
@@ -345,46 +314,15 @@
         for name, info in services.items():
             if not info.keyed or name in assigned:
                 continue
-            candidates = self._candidates(name)
+            candidates = self._planner.candidates(name)
             are_registered = (
-                self._first_upstream_at is not None
-                and self._now() - self._first_upstream_at > REGISTRATION_WAIT_S
+                self._upstreams.first_at is not None
+                and self._now() - self._upstreams.first_at > REGISTRATION_WAIT_S
             )
             if candidates and are_registered:
                 initial.extend(split_evenly(name, candidates, fence))
         return initial
 
-    def _candidates(self, service: str) -> list[Candidate]:
-        candidates = []
-        for name in sorted(self._upstreams):
-            upstream = self._upstreams[name]
-            renewer = self._renewers.get(name)
-            if upstream.service != service or upstream.leaving or renewer is None:
-                continue
-            if renewer.is_reachable:
-                candidates.append(
-                    Candidate(name, self._deps.capacities.capacity(name, upstream.slots))
-                )
-        return candidates
-
-    def _plan(self, service: str, rebalance: bool) -> list[Move]:
-        with self._lock:
-            ranges = [item for item in self._ranges if item.service == service]
-        candidates = self._candidates(service)
-        if not ranges or not candidates:
-            return []
-        max_moves = max(0, MAX_MOVES_IN_PROGRESS - self._mover.in_progress) if rebalance else 0
-        demand = self._deps.demands.rates(service, self._now())
-        moves = plan_moves(ranges, demand, candidates, min(max_moves, MAX_MOVES_PER_PLAN))
-        return [move for move in moves if self._is_due(move)]
-
-    def _is_due(self, move: Move) -> bool:
-        """Return False while the owner is unreachable and its grants have not expired."""
-        renewer = self._renewers.get(move.keys.owner)
-        if renewer is None:
-            return self._now() > self._previous_grants.expire_at(move.keys.owner)
-        return renewer.is_reachable or self._now() > renewer.held_until
-
 
 def _split(move: Move, fence: int) -> list[KeyRange]:
     """Return the ranges that replace the source range of a move, the moved keys first."""
--- /dev/null
+++ b/foxtailshunt/assigning/_upstream_publisher.py
@@ -0,0 +1,71 @@
+"""Reads the list of upstreams and publishes it to the leader's view."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from foxtailshunt.assigning._table_store import STORE_RETRY_S
+from foxtailshunt.assigning._upstream_reader import UpstreamReader
+from foxtailshunt.fleet import FleetView, Upstream
+from foxtailshunt.platform import StoreClient, StoreError
+from foxtailshunt.telemetry import log_state_change
+
+
+class UpstreamPublisher:
+    """The upstreams during one term; used by one thread.
+
+    :param store: the store.
+    :param view: the view to which the list is published.
+    :param now: returns seconds of a clock that also advances during suspension.
+    :param term: number of the term.
+    """
+
+    def __init__(
+        self, store: StoreClient, view: FleetView, now: Callable[[], float], term: int
+    ) -> None:
+        self._reader = UpstreamReader(store, now, view.apply_serving_rules)
+        self._view = view
+        self._now = now
+        self._term = term
+        self._version = 0
+        self._next_read_at = float("-inf")
+        self._is_store_unavailable = False
+        #: The upstreams as last published, by id.
+        self.current: dict[str, Upstream] = {}
+        #: When the first upstream was read, in seconds of the clock; None before that.
+        self.first_at: float | None = None
+
+    def update(self) -> None:
+        """Read the list and publish it if it has changed, else only the time of the read."""
+        started = self._now()
+        if started < self._next_read_at:
+            return
+        try:
+            upstreams = self._reader.poll()
+        except StoreError as exc:
+            self._next_read_at = self._now() + STORE_RETRY_S
+            if not self._is_store_unavailable:
+                log_state_change("store.lost", part="upstreams", error=str(exc))
+            self._is_store_unavailable = True
+            return
+        if self._is_store_unavailable:
+            log_state_change("store.regained", part="upstreams")
+            self._is_store_unavailable = False
+        if upstreams and self.first_at is None:
+            self.first_at = started
+        if self._have_changed(upstreams):
+            self._version += 1
+            self.current = upstreams
+            published: dict[str, Upstream] | None = upstreams
+        else:
+            published = None if self._version else upstreams
+            self._version = max(1, self._version)
+        age_s = self._now() - started
+        self._view.update_upstreams(self._term, self._version, published, age_s)
+
+    def _have_changed(self, upstreams: dict[str, Upstream]) -> bool:
+        if upstreams.keys() != self.current.keys():
+            return True
+        return any(
+            replace(item, warmup_s=0.0) != replace(self.current[name], warmup_s=0.0)
+            for name, item in upstreams.items()
+        )
