--- a/foxtailshunt/admission/_slot_pool.py
+++ b/foxtailshunt/admission/_slot_pool.py
@@ -16,7 +16,7 @@
 from foxtailshunt.admission._upstream_slots import UpstreamSlots
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.routing import RankFloor
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.upstreams import LatencyEstimator, StartLimiter, UpstreamPauses
 
 #: Margin for the variance of latencies when a new request is admitted, as a share of the expected
 #: latency.
@@ -45,13 +45,19 @@
     :param latencies: latency estimates by route and upstream.
     :param zone: the preferred availability zone among otherwise equal upstreams.
     :param pauses: the pauses that upstreams have asked for; None for an own memory.
+    :param limiter: limits the starts at cold upstreams; None for no limit.
     """
 
     def __init__(
-        self, latencies: LatencyEstimator, zone: str, pauses: UpstreamPauses | None = None
+        self,
+        latencies: LatencyEstimator,
+        zone: str,
+        pauses: UpstreamPauses | None = None,
+        limiter: StartLimiter | None = None,
     ) -> None:
         self._latencies = latencies
         self._zone = zone
+        self._limiter = limiter
         self._pauses = pauses if pauses is not None else UpstreamPauses()
         #: Number of pauses when the queue was last checked.
         self._pauses_checked = 0
@@ -93,7 +99,7 @@
         for upstream_id, upstream in available.items():
             slots = self._slots.get(upstream_id)
             if slots is None or slots.paused_until == float("inf"):
-                self._slots[upstream_id] = UpstreamSlots(upstream, self._pauses)
+                self._slots[upstream_id] = UpstreamSlots(upstream, self._pauses, self._limiter)
             else:
                 slots.upstream = upstream
 
@@ -148,11 +154,10 @@
                 self._expire(entry, wait_s + latency_s, now)
                 continue
             forecast.occupy(upstream_id, latency_s)
-            if slots.has_free_slot(now) and wait_s <= 0:
+            is_free = slots.has_free_slot(now) and wait_s <= 0
+            if is_free and slots.try_assign(entry, latency_s, now):
                 entry.state = QueueEntryState.ASSIGNED
                 entry.upstream = slots.upstream
-                slots.running[entry] = (now, now + latency_s)
-                slots.last_assigned_at = now
                 entry.charged_s = latency_s
                 self._charge(entry, latency_s)
             else:
@@ -213,10 +218,8 @@
         """
         if not self._waiting:
             return None
-        pause_ends = [
-            s.blocked_until for s in self._slots.values() if now < s.blocked_until < now + 60
-        ]
-        return min(pause_ends, default=None)
+        pause_ends = [slots.next_start(now) for slots in self._slots.values()]
+        return min((end for end in pause_ends if now < end < now + 60), default=None)
 
     def pause_s(self, now: float) -> float:
         """Return the time until the first upstream accepts requests, in seconds.
@@ -262,7 +265,11 @@
         return (1 + call.rank, call.deadline, entry.queued_at)
 
     def _forecast(self, now: float) -> SlotForecast:
-        return SlotForecast({name: slots.free_times(now) for name, slots in self._slots.items()})
+        free_times = {name: slots.free_times(now) for name, slots in self._slots.items()}
+        limits = {name: slots.start_limit(now) for name, slots in self._slots.items()}
+        return SlotForecast(
+            free_times, {name: limit for name, limit in limits.items() if limit is not None}
+        )
 
     def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> UpstreamSlots | None:
         """Return the slots of the upstream that is expected to complete a request first."""
@@ -311,15 +318,29 @@
         ahead = ordered[: ordered.index(new_entry)]
         ahead_s = sum(self._latencies.mean_latency_s(other.call.route) for other in ahead)
         effective_slots = sum(
-            item.upstream.slots / self._latencies.latency_ratio(name)
-            for name, item in self._slots.items()
-            if forecast.free_at(name) != float("inf")
+            self._effective_slots(name, forecast, ahead_s / max(1, len(ahead)))
+            for name in self._slots
         )
         wait_s = forecast.free_at(slots.upstream.upstream_id) - now
         wait_s += ahead_s / effective_slots if effective_slots else 0.0
         latency_s = self._expected_latency_s(call, slots) * slots.overrun_ratio(now)
         return wait_s + latency_s * (1 + LATENCY_MARGIN)
 
+    def _effective_slots(self, upstream_id: str, forecast: SlotForecast, work_s: float) -> float:
+        """Return how many slots of average speed an upstream is worth to queued requests.
+
+        :param upstream_id: the upstream.
+        :param forecast: the forecast of its slots.
+        :param work_s: mean latency of the requests, in seconds.
+        """
+        if forecast.free_at(upstream_id) == float("inf"):
+            return 0.0
+        slots = self._slots[upstream_id].upstream.slots / self._latencies.latency_ratio(upstream_id)
+        limit = forecast.start_limit(upstream_id)
+        if limit is None:
+            return slots
+        return min(slots, work_s / limit.interval_s) if limit.is_sender else 0.0
+
     def _retry_after(self, wait_s: float, now: float) -> float:
         # Jitter keeps callers that were refused together from retrying at the same time. No retry
         # is served before the end of a pause, however long it is.
--- a/foxtailshunt/admission/_slot_pools.py
+++ b/foxtailshunt/admission/_slot_pools.py
@@ -6,7 +6,7 @@
 from foxtailshunt.admission._call import Call
 from foxtailshunt.admission._slot_pool import SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.upstreams import LatencyEstimator, StartLimiter, UpstreamPauses
 
 
 @dataclass(slots=True)
@@ -34,10 +34,18 @@
     :param latencies: latency estimates by route and upstream.
     :param zone: the preferred availability zone among otherwise equal upstreams.
     :param pauses: the pauses that upstreams have asked for.
+    :param limiter: limits the starts at cold upstreams; None for no limit.
     """
 
-    def __init__(self, latencies: LatencyEstimator, zone: str, pauses: UpstreamPauses) -> None:
+    def __init__(
+        self,
+        latencies: LatencyEstimator,
+        zone: str,
+        pauses: UpstreamPauses,
+        limiter: StartLimiter | None = None,
+    ) -> None:
         self._pauses = pauses
+        self._limiter = limiter
         self._latencies = latencies
         self._zone = zone
         self._lock = threading.Lock()
@@ -53,7 +61,8 @@
             locked = self._pools.get(name)
             if locked is None:
                 locked = LockedPool(
-                    SlotPool(self._latencies, self._zone, self._pauses), threading.Lock()
+                    SlotPool(self._latencies, self._zone, self._pauses, self._limiter),
+                    threading.Lock(),
                 )
                 self._pools[name] = locked
             return locked
--- a/foxtailshunt/admission/_upstream_slots.py
+++ b/foxtailshunt/admission/_upstream_slots.py
@@ -4,7 +4,7 @@
 
 from foxtailshunt.admission._queue_entry import QueueEntry
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import UpstreamPauses
+from foxtailshunt.upstreams import StartLimit, StartLimiter, UpstreamPauses
 
 #: Assumed remaining time of an overdue request: the larger of this time, in seconds, and this share
 #: of the time since its start.
@@ -19,6 +19,8 @@
     upstream: Upstream
     #: The pauses that upstreams have asked for.
     pauses: UpstreamPauses
+    #: Limits the starts while the upstream is cold; None for no limit.
+    limiter: StartLimiter | None = None
     #: Start and expected end of each request in flight, in seconds of the monotonic clock.
     running: dict[QueueEntry, tuple[float, float]] = field(default_factory=dict)
     #: Number of consecutive failures.
@@ -41,12 +43,41 @@
         """
         return max(0.0, self.pauses.end(self.upstream) - now)
 
+    def start_limit(self, now: float) -> StartLimit | None:
+        """Return when requests may start at the upstream; None if it is not cold.
+
+        :param now: the time in seconds.
+        """
+        return None if self.limiter is None else self.limiter.limit(self.upstream, now)
+
+    def next_start(self, now: float) -> float:
+        """Return until when no request is assigned, in seconds: backoff, pause or cold start.
+
+        :param now: the time in seconds.
+        """
+        limit = self.start_limit(now)
+        return self.blocked_until if limit is None else max(self.blocked_until, limit.first_at)
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether a request may be assigned.
 
         :param now: the time in seconds.
         """
-        return len(self.running) < self.upstream.slots and now >= self.blocked_until
+        return len(self.running) < self.upstream.slots and now >= self.next_start(now)
+
+    def try_assign(self, entry: QueueEntry, latency_s: float, now: float) -> bool:
+        """Assign a free slot to a request.
+
+        :param entry: the request.
+        :param latency_s: its expected duration at the upstream, in seconds.
+        :param now: the time in seconds.
+        :returns: False if another pool has just started a request at the same cold upstream.
+        """
+        if self.limiter is not None and not self.limiter.try_start(self.upstream, now):
+            return False
+        self.running[entry] = (now, now + latency_s)
+        self.last_assigned_at = now
+        return True
 
     def free_times(self, now: float) -> list[float]:
         """Return when each slot is expected to become free, in seconds.
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -6,6 +6,7 @@
 from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
+from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
@@ -32,6 +33,7 @@
     "GrantRenewer",
     "LeaderProcess",
     "Leadership",
+    "MeanWork",
     "MemberRegistry",
     "Move",
     "Candidate",
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -8,6 +8,7 @@
 from foxtailshunt.assigning._grant_renewer import HOLD_S, LEAVING_HOLD_S
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
 from foxtailshunt.assigning._leadership import Leadership
+from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._term import Term
 from foxtailshunt.errors import FoxtailshuntError
@@ -25,6 +26,7 @@
     :param view: the view to which the leader publishes upstreams, owners and members.
     :param demands: demand by key.
     :param capacities: estimated capacity of each upstream.
+    :param mean_work: mean work of the requests of each service.
     :param members: the last heartbeat of each node.
     :param now: returns seconds of a clock that also advances during suspension.
     :param metrics: counters.
@@ -38,6 +40,7 @@
         view: FleetView,
         demands: DemandTracker,
         capacities: CapacityEstimator,
+        mean_work: MeanWork,
         members: MemberRegistry,
         now: Callable[[], float],
         metrics: Metrics,
@@ -52,6 +55,7 @@
             view=view,
             demands=demands,
             capacities=capacities,
+            mean_work=mean_work,
             members=members,
             now=now,
             metrics=metrics,
--- a/foxtailshunt/assigning/_leader_dependencies.py
+++ b/foxtailshunt/assigning/_leader_dependencies.py
@@ -7,6 +7,7 @@
 from foxtailshunt.assigning._capacity_estimator import CapacityEstimator
 from foxtailshunt.assigning._demand_tracker import DemandTracker
 from foxtailshunt.assigning._leadership import Leadership
+from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.fleet import FleetView, Member
 from foxtailshunt.platform import StoreClient
@@ -29,6 +30,8 @@
     demands: DemandTracker
     #: Estimated capacity of each upstream.
     capacities: CapacityEstimator
+    #: Mean work of the requests of each service.
+    mean_work: MeanWork
     #: The last heartbeat of each node.
     members: MemberRegistry
     #: Returns seconds of a clock that also advances during suspension.
--- a/foxtailshunt/assigning/_move_planner.py
+++ b/foxtailshunt/assigning/_move_planner.py
@@ -8,7 +8,7 @@
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
-from foxtailshunt.fleet import KeyRange
+from foxtailshunt.fleet import KeyRange, Upstream
 
 #: Limits on balancing moves started by one plan and on moves in progress at a time.
 MAX_MOVES_PER_PLAN, MAX_MOVES_IN_PROGRESS = 5, 10
@@ -51,11 +51,19 @@
             if upstream.service != service or upstream.leaving or renewer is None:
                 continue
             if renewer.is_reachable:
-                candidates.append(
-                    Candidate(name, self._deps.capacities.capacity(name, upstream.slots))
-                )
+                capacity = self._deps.capacities.capacity(name, upstream.slots)
+                candidates.append(Candidate(name, capacity, self._cold_limit(upstream)))
         return candidates
 
+    def _cold_limit(self, upstream: Upstream) -> float | None:
+        """Return the most demand that an upstream may be given, in slots; None if it is warm."""
+        service = self._deps.view.find_service(upstream.service)
+        if service is None or service.warmup_rate <= 0:
+            return None
+        if self._deps.view.warmup_left_s(upstream) <= 0:
+            return None
+        return service.warmup_rate * self._deps.mean_work.mean_s(upstream.service)
+
     def plan(self, service: str, ranges: list[KeyRange], rebalance: bool) -> list[Move]:
         """Return the moves that are to start now.
 
--- a/foxtailshunt/assigning/_placement.py
+++ b/foxtailshunt/assigning/_placement.py
@@ -24,6 +24,11 @@
 MIN_SHARE_OF_TARGET, MIN_SHARE_OF_CAPACITY = 0.15, 0.03
 
 
+#: Share of its limit that a cold upstream without keys is given at once, and share of the source
+#: range, by number of keys, that it is given if no demand is known.
+COLD_SHARE_OF_LIMIT, COLD_SHARE_OF_KEYS = 0.5, 1 / 16
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """An upstream that may be assigned keys."""
@@ -32,6 +37,8 @@
     upstream_id: str
     #: Work done per second, in seconds at the average speed of all upstreams.
     capacity: float
+    #: Most demand that it may be given while it is cold, in slots; None if it is warm.
+    limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +78,17 @@
     ) -> None:
         self.keys = sorted(demand)
         self.demand = demand
+        #: The most demand that each cold candidate may be given.
+        self.limit = {
+            candidate.upstream_id: candidate.limit
+            for candidate in candidates
+            if candidate.limit is not None
+        }
         self.capacity = {
-            candidate.upstream_id: max(0.05, candidate.capacity) for candidate in candidates
+            candidate.upstream_id: max(
+                0.05, min(candidate.capacity, self.limit.get(candidate.upstream_id, float("inf")))
+            )
+            for candidate in candidates
         }
         self.load = dict.fromkeys(self.capacity, 0.0)
         self.owned: dict[str, list[KeyRange]] = {
@@ -92,6 +108,10 @@
     def utilization(self, upstream_id: str) -> float:
         return self.load[upstream_id] / self.capacity[upstream_id]
 
+    def room(self, upstream_id: str) -> float:
+        """Return how much more demand an upstream may be given; infinite if it is warm."""
+        return self.limit.get(upstream_id, float("inf")) - self.load[upstream_id]
+
     def transfer(self, previous_owner: str | None, new_owner: str, amount: float) -> None:
         if previous_owner in self.load:
             self.load[previous_owner] -= amount
@@ -133,7 +153,11 @@
             continue
         amount = loads.demand_between(item.first, item.last)
         new_owner = min(
-            loads.load, key=lambda name: (loads.load[name] + amount) / loads.capacity[name]
+            loads.load,
+            key=lambda name: (
+                loads.room(name) < amount,
+                (loads.load[name] + amount) / loads.capacity[name],
+            ),
         )
         loads.transfer(None, new_owner, amount)
         moves.append(Move(item, item.first, item.last, new_owner))
@@ -143,7 +167,10 @@
 def _assign_to_idle(
     loads: _Loads, planned: set[KeyRange], ranges: Sequence[KeyRange]
 ) -> list[Move]:
-    """Assign upstreams without keys half of a range of the busiest owner of a divisible range."""
+    """Assign upstreams without keys a part of a range of the busiest owner of a divisible range.
+
+    A warm one gets half of the range, a cold one a run that leaves room below its limit.
+    """
     moves: list[Move] = []
     new_owners = {move.new_owner for move in moves}
     current_owners = {item.owner for item in ranges}
@@ -157,17 +184,49 @@
         ]
         if not divisible:
             return moves
-        source = max(
-            divisible, key=lambda item: (loads.utilization(item.owner), item.last - item.first)
+        divisible.sort(
+            key=lambda item: (loads.utilization(item.owner), item.last - item.first), reverse=True
         )
-        middle = _middle(source, loads)
-        amount = loads.demand_between(middle, source.last)
+        if idle in loads.limit:
+            source, first = _cold_start(divisible, loads, loads.limit[idle] * COLD_SHARE_OF_LIMIT)
+        else:
+            source, first = divisible[0], _middle(divisible[0], loads)
+        amount = loads.demand_between(first, source.last)
         loads.transfer(source.owner, idle, amount)
         planned = planned | {source}
-        moves.append(Move(source, middle, source.last, idle))
+        moves.append(Move(source, first, source.last, idle))
     return moves
 
 
+def _cold_start(sources: Sequence[KeyRange], loads: _Loads, limit: float) -> tuple[KeyRange, int]:
+    """Return a range and the first key of its end that a cold upstream without keys is given.
+
+    :param sources: ranges with at least two keys, that of the busiest owner first.
+    :param loads: demand by key.
+    :param limit: the most demand of the keys, in slots.
+    """
+    for item in sources:
+        half = loads.demand_between(item.first, item.last) / 2
+        found: int | None = None
+        amount = 0.0
+        for key in reversed(loads.keys_between(item.first + 1, item.last)):
+            amount += loads.demand[key]
+            if amount > min(limit, half):
+                break
+            found = key
+        if found is not None:
+            return item, found
+    # No key with demand fits: the run at the end of a range that has the least of it.
+    item = min(sources, key=lambda item: loads.demand_between(_last_keys(item), item.last))
+    return item, _last_keys(item)
+
+
+def _last_keys(item: KeyRange) -> int:
+    """Return the first key of a run at the end of a range."""
+    count = max(1, int((item.last - item.first + 1) * COLD_SHARE_OF_KEYS))
+    return item.last - count + 1
+
+
 def _middle(item: KeyRange, loads: _Loads) -> int:
     """Return the first key of the upper half of a range, by demand or else by key count."""
     keys = loads.keys_between(item.first, item.last)
@@ -183,21 +242,38 @@
 
 def _offload_busiest(loads: _Loads, moved: set[KeyRange]) -> Move | None:
     by_utilization = sorted(loads.load, key=loads.utilization, reverse=True)
-    least_utilized = by_utilization[-1]
-    for owner in by_utilization[:3]:
+    # A cold upstream may have no room for any run.
+    targets = [by_utilization[-1], *(n for n in reversed(by_utilization) if n not in loads.limit)]
+    for target in targets[: 2 if targets[0] in loads.limit else 1]:
+        move = _offload(by_utilization[:3], target, loads, moved)
+        if move is not None:
+            return move
+    return None
+
+
+def _offload(
+    owners: Sequence[str], target: str, loads: _Loads, moved: set[KeyRange]
+) -> Move | None:
+    for owner in owners:
         if (
             loads.utilization(owner) < MIN_UTILIZATION_TO_REBALANCE
-            or loads.utilization(owner) - loads.utilization(least_utilized) < MIN_UTILIZATION_GAP
+            or loads.utilization(owner) - loads.utilization(target) < MIN_UTILIZATION_GAP
         ):
             return None
-        capacity_sum = loads.capacity[owner] + loads.capacity[least_utilized]
+        is_cold = owner in loads.limit
+        if is_cold and loads.room(owner) >= 0:
+            # It has less demand than it may take, and its warm-up ends soon.
+            continue
+        capacity_sum = loads.capacity[owner] + loads.capacity[target]
         target_load = (
-            loads.load[owner] * loads.capacity[least_utilized]
-            - loads.load[least_utilized] * loads.capacity[owner]
+            loads.load[owner] * loads.capacity[target] - loads.load[target] * loads.capacity[owner]
         ) / capacity_sum
-        move = _best_run(owner, least_utilized, target_load, loads, moved)
+        target_load = min(target_load, loads.room(target) / MAX_TARGET_RATIO)
+        if is_cold:
+            target_load = min(target_load, -loads.room(owner))
+        move = _best_run(owner, target, target_load, loads, moved)
         if move is not None:
-            loads.transfer(owner, least_utilized, loads.demand_between(move.first, move.last))
+            loads.transfer(owner, target, loads.demand_between(move.first, move.last))
             return move
     return None
 
--- a/foxtailshunt/assigning/_upstream_publisher.py
+++ b/foxtailshunt/assigning/_upstream_publisher.py
@@ -9,6 +9,10 @@
 from foxtailshunt.platform import StoreClient, StoreError
 from foxtailshunt.telemetry import log_state_change
 
+#: How much later the stated end of a warm-up has to be to count as a change, in seconds. Each
+#: heartbeat of an upstream states it anew and is read up to one read interval late.
+WARMUP_TOLERANCE_S = 0.5
+
 
 class UpstreamPublisher:
     """The upstreams during one term; used by one thread.
@@ -31,6 +35,8 @@
         self._is_store_unavailable = False
         #: The upstreams as last published, by id.
         self.current: dict[str, Upstream] = {}
+        #: When they were read, in seconds of the clock.
+        self._current_read_at = float("-inf")
         #: When the first upstream was read, in seconds of the clock; None before that.
         self.first_at: float | None = None
 
@@ -52,9 +58,10 @@
             self._is_store_unavailable = False
         if upstreams and self.first_at is None:
             self.first_at = started
-        if self._have_changed(upstreams):
+        read_at = self._now()
+        if self._have_changed(upstreams, read_at):
             self._version += 1
-            self.current = upstreams
+            self.current, self._current_read_at = upstreams, read_at
             published: dict[str, Upstream] | None = upstreams
         else:
             published = None if self._version else upstreams
@@ -62,10 +69,21 @@
         age_s = self._now() - started
         self._view.update_upstreams(self._term, self._version, published, age_s)
 
-    def _have_changed(self, upstreams: dict[str, Upstream]) -> bool:
+    def _have_changed(self, upstreams: dict[str, Upstream], read_at: float) -> bool:
         if upstreams.keys() != self.current.keys():
             return True
+        elapsed_s = read_at - self._current_read_at
         return any(
             replace(item, warmup_s=0.0) != replace(self.current[name], warmup_s=0.0)
+            or _has_turned_cold(item.warmup_s, self.current[name].warmup_s - elapsed_s)
             for name, item in upstreams.items()
         )
+
+
+def _has_turned_cold(warmup_s: float, published_left_s: float) -> bool:
+    """Return whether followers have to learn of a warm-up that they don't know.
+
+    :param warmup_s: the rest of the warm-up, in seconds.
+    :param published_left_s: the rest as followers know it, in seconds; negative after its end.
+    """
+    return warmup_s > 0 and warmup_s > published_left_s + WARMUP_TOLERANCE_S
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -1,6 +1,7 @@
 """Reads the list of upstreams from the store and keeps it up to date."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.platform import (
@@ -9,6 +10,7 @@
     StoreChange,
     StoreClient,
     StoreError,
+    StoreItem,
     decode_upstream,
 )
 from foxtailshunt.telemetry import log_state_change
@@ -53,6 +55,9 @@
         #: When the last successful poll began, in seconds of the clock.
         self._polled_at = float("-inf")
         self._entries: dict[str, Upstream] = {}
+        #: When each entry that states a warm-up was first read with its revision, in seconds of the
+        #: clock, and that revision, by store key.
+        self._warmups_read: dict[str, tuple[float, int]] = {}
         self._failed_at = float("-inf")
         #: Error messages of entries that cannot be decoded, by store key.
         self._unreadable: dict[str, str] = {}
@@ -98,7 +103,7 @@
         if change.item is None:
             self._remove(change.key)
         else:
-            self._add(change.key, change.item.value)
+            self._add(change.item)
 
     def _list(self) -> None:
         items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
@@ -108,21 +113,27 @@
         for key in [key for key in self._entries if key not in found]:
             self._remove(key)
         for item in items:
-            self._add(item.key, item.value, is_first_list)
+            self._add(item, is_first_list)
         if is_first_list and self._entries:
             log_state_change("upstream.first_list", upstreams=len(self._entries))
 
-    def _add(self, key: str, value: bytes, is_first_list: bool = False) -> None:
+    def _add(self, item: StoreItem, is_first_list: bool = False) -> None:
+        key = item.key
         self._deleted.pop(key, None)
         try:
-            upstream = decode_upstream(key, value)
+            upstream = decode_upstream(key, item.value)
         except ValueError as exc:
             if self._unreadable.get(key) != str(exc):
                 self._unreadable[key] = str(exc)
                 log_state_change("upstream.unreadable", key=key, reason=str(exc))
             # Without a valid entry the upstream can't be used.
             self._entries.pop(key, None)
+            self._warmups_read.pop(key, None)
             return
+        if upstream.warmup_s <= 0:
+            self._warmups_read.pop(key, None)
+        elif self._warmups_read.get(key, (0.0, None))[1] != item.revision:
+            self._warmups_read[key] = (self._now(), item.revision)
         self._unreadable.pop(key, None)
         if key not in self._entries and not is_first_list:
             log_state_change("upstream.joined", upstream=upstream.upstream_id, zone=upstream.zone)
@@ -138,14 +149,26 @@
             self._deleted.setdefault(key, self._now())
             return
         log_state_change("upstream.gone", key=key)
-        del self._entries[key]
+        self._delete(key)
 
     def _current(self) -> dict[str, Upstream]:
         if self._deleted and self._now() - self._failed_at >= REMOVAL_DELAY_S:
             for key in self._deleted:
                 log_state_change("upstream.gone", key=key, after="outage of the store")
-                self._entries.pop(key, None)
+                self._delete(key)
             self._deleted.clear()
         return {
-            item.upstream_id: self._apply_serving_rules(item) for item in self._entries.values()
+            item.upstream_id: self._apply_serving_rules(self._with_warmup_left(key, item))
+            for key, item in self._entries.items()
         }
+
+    def _delete(self, key: str) -> None:
+        self._entries.pop(key, None)
+        self._warmups_read.pop(key, None)
+
+    def _with_warmup_left(self, key: str, upstream: Upstream) -> Upstream:
+        """Return an upstream with the rest of its warm-up now, not when its entry was read."""
+        read = self._warmups_read.get(key)
+        if read is None:
+            return upstream
+        return replace(upstream, warmup_s=max(0.0, upstream.warmup_s - (self._now() - read[0])))
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -5,7 +5,7 @@
 from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
 from foxtailshunt.fleet._store_call_spacing import StoreCallSpacing
 from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
-from foxtailshunt.fleet._view import FleetView, UpstreamChanges, Versions
+from foxtailshunt.fleet._view import FleetView, UpstreamChanges, UpstreamObserver, Versions
 
 __all__ = [
     "Address",
@@ -17,6 +17,7 @@
     "StoreCallSpacing",
     "Upstream",
     "UpstreamChanges",
+    "UpstreamObserver",
     "Versions",
     "rank_by_rendezvous",
 ]
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -1,12 +1,13 @@
 """A node's versioned view of the fleet."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
-from foxtailshunt.routing import RouteTable
+from foxtailshunt.routing import RouteTable, ServiceInfo
 
 #: Number of earlier versions of a part that are kept to compute changes for followers, which are at
 #: most a second behind; on a large fleet each of dozens of moves makes a version.
@@ -39,6 +40,25 @@
     removed: tuple[str, ...]
 
 
+class UpstreamObserver(Protocol):
+    """Follows the warm-up of upstreams."""
+
+    def observe(self, upstreams: Mapping[str, Upstream], age_s: float) -> None:
+        """Record a complete list of upstreams, or a later read that found no change.
+
+        :param upstreams: the upstreams by id.
+        :param age_s: time since the list was read, in seconds.
+        """
+        ...
+
+    def warmup_left_s(self, upstream: Upstream) -> float:
+        """Return how long an upstream stays cold, in seconds; 0 if it is warm.
+
+        :param upstream: the upstream.
+        """
+        ...
+
+
 class FleetView:
     """Holds the current view and notifies threads that wait for a change.
 
@@ -49,6 +69,10 @@
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
+        #: Follows the lists of upstreams; set before the first one.
+        self.upstream_observer: UpstreamObserver | None = None
+        #: When the last poll that the leader answered was sent, in seconds of the clock.
+        self._leader_polled_at = float("-inf")
         self._changed = threading.Condition()
         self.versions = Versions()
         self.routes: RouteTable | None = None
@@ -92,6 +116,14 @@
             return upstream
         return replace(upstream, leaving=True)
 
+    def find_service(self, name: str) -> ServiceInfo | None:
+        """Return a service of the configuration in force, or None.
+
+        :param name: name of the service.
+        """
+        routes = self.routes
+        return routes.services.get(name) if routes is not None else None
+
     def begin_term(self, term: int) -> bool:
         """Start a term; return False if a newer one is known.
 
@@ -127,11 +159,13 @@
             is_newer = self.upstreams_read_at is None or read_at > self.upstreams_read_at
             if is_newer:
                 self.upstreams_read_at = read_at
+            if upstreams is None and is_newer:
+                self._observe(self.upstreams, age_s)
             if upstreams is not None and is_newer:
                 if self.versions.upstreams:
                     self._earlier_upstreams[self.versions.upstreams] = self.upstreams
                     self._earlier_upstreams.pop(version - MAX_EARLIER_VERSIONS, None)
-                self._replace_upstreams(upstreams)
+                self._replace_upstreams(upstreams, age_s)
                 self.versions = replace(self.versions, upstreams=version)
                 self._changed.notify_all()
 
@@ -182,9 +216,12 @@
             # The leader has to send its next list in full, since this one did not come from it.
             self.versions = replace(self.versions, upstreams=0)
             self._earlier_upstreams.clear()
+            age_s = self._now() - read_at
             if upstreams != self.upstreams:
-                self._replace_upstreams(upstreams)
+                self._replace_upstreams(upstreams, age_s)
                 self._changed.notify_all()
+            else:
+                self._observe(self.upstreams, age_s)
 
     def update_ownership_from_store(self, ownership: OwnershipTable) -> None:
         """Use the stored ownership table until a leader has published one.
@@ -266,7 +303,33 @@
         read_at = self.upstreams_read_at
         return None if read_at is None else self._now() - read_at
 
-    def _replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+    def record_leader_poll(self, sent_at: float) -> None:
+        """Record that the leader has answered a poll of this node.
+
+        :param sent_at: when the poll was sent, in seconds of the clock.
+        """
+        self._leader_polled_at = max(self._leader_polled_at, sent_at)
+
+    def leader_poll_age_s(self) -> float:
+        """Return the time since the last poll that the leader answered; infinite without one."""
+        return self._now() - self._leader_polled_at
+
+    def warmup_left_s(self, upstream: Upstream) -> float:
+        """Return how long an upstream stays cold, in seconds.
+
+        :param upstream: the upstream.
+        """
+        if self.upstream_observer is None:
+            return upstream.warmup_s
+        return self.upstream_observer.warmup_left_s(upstream)
+
+    def _observe(self, upstreams: dict[str, Upstream], age_s: float) -> None:
+        if self.upstream_observer is not None:
+            self.upstream_observer.observe(upstreams, age_s)
+
+    def _replace_upstreams(self, upstreams: dict[str, Upstream], age_s: float) -> None:
+        # Requests that find a new upstream in the view have to find its warm-up, too.
+        self._observe(upstreams, age_s)
         self.upstreams = upstreams
         upstreams_by_service: dict[str, list[Upstream]] = {}
         for upstream in upstreams.values():
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -56,6 +56,10 @@
             return
         if self._view.update_routes(routes, document):
             log_state_change("configuration.in_force", version=routes.version, source=source)
+            for message in routes.ignored_values:
+                log_state_change(
+                    "configuration.value_ignored", version=routes.version, reason=message
+                )
 
 
 class ConfigurationWatch:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -14,6 +14,7 @@
     CapacityEstimator,
     DemandTracker,
     Leadership,
+    MeanWork,
     UpstreamReader,
     decode_table,
 )
@@ -93,6 +94,7 @@
     :param now: returns seconds of a clock that includes time spent suspended.
     :param call_spacing: spaces the calls to the store by the size of the fleet.
     :param seeds: addresses of nodes to poll while neither a leader nor any member is known.
+    :param mean_work: records the work of this node's own requests while it is the leader.
     """
 
     def __init__(
@@ -109,7 +111,9 @@
         now: Callable[[], float],
         call_spacing: StoreCallSpacing,
         seeds: tuple[Address, ...],
+        mean_work: MeanWork | None = None,
     ) -> None:
+        self._mean_work = mean_work or MeanWork()
         self._seeds = seeds
         self._call_spacing = call_spacing
         self._me = local_member
@@ -226,6 +230,11 @@
         for (service, key), demand_s in self._demand_collector.pop_all().items():
             self._demand_tracker.observe(service, key, demand_s, now)
         for report in self._latencies.drain_reports():
+            upstream = self._view.upstreams.get(report.upstream_id)
+            if upstream is not None:
+                self._mean_work.observe(
+                    upstream.service, report.expected_latency_s, report.answered
+                )
             self._capacity_estimator.observe(
                 report.upstream_id,
                 report.elapsed_s,
@@ -257,7 +266,10 @@
             ],
             accepts_upstream_changes=True,
         )
+        sent_at = self._now()
         reply: FollowReply = clients.call(address, "follow", req, wait_s + POLL_TIMEOUT_MARGIN_S)
+        if reply.leads:
+            self._view.record_leader_poll(sent_at)
         self._apply_reply(reply, known)
 
     def _apply_reply(self, reply: FollowReply, known: Versions) -> None:
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -1,6 +1,7 @@
 """Conversion between fleet types and the messages of the peer protocol."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from math import ceil
 
 from foxtailshunt.fleet import KeyRange, Member, Upstream, Versions
 from foxtailshunt.protocol import (
@@ -68,10 +69,13 @@
     return [to_member_message(member) for member in members]
 
 
-def to_upstreams_message(upstreams: Iterable[Upstream]) -> list[UpstreamRecord]:
+def to_upstreams_message(
+    upstreams: Iterable[Upstream], warmup_left_s: Callable[[Upstream], float]
+) -> list[UpstreamRecord]:
     """Convert upstreams to messages.
 
     :param upstreams: the upstreams.
+    :param warmup_left_s: returns how long an upstream stays cold, in seconds.
     """
     return [
         UpstreamRecord(
@@ -81,7 +85,7 @@
             zone=item.zone,
             slots=item.slots,
             leaving=item.leaving,
-            warmup_ms=int(item.warmup_s * _MS_PER_S),
+            warmup_ms=ceil(warmup_left_s(item) * _MS_PER_S),
             started_ms=item.started_ms,
         )
         for item in upstreams
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -4,7 +4,13 @@
 import time
 from collections.abc import Callable
 
-from foxtailshunt.assigning import CapacityEstimator, DemandTracker, Leadership, MemberRegistry
+from foxtailshunt.assigning import (
+    CapacityEstimator,
+    DemandTracker,
+    Leadership,
+    MeanWork,
+    MemberRegistry,
+)
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Versions
 from foxtailshunt.node._follow_reply import build_reply
@@ -36,6 +42,7 @@
     :param demand_tracker: records the demand that followers report.
     :param capacity_estimator: records the upstream latencies that followers report.
     :param now: returns seconds of a clock that includes time spent suspended.
+    :param mean_work: records the work of requests that followers report.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         demand_tracker: DemandTracker,
         capacity_estimator: CapacityEstimator,
         now: Callable[[], float],
+        mean_work: MeanWork,
     ) -> None:
         self._view = view
         self._sender = sender
@@ -57,6 +65,7 @@
         self._demand_tracker = demand_tracker
         self._capacity_estimator = capacity_estimator
         self._now = now
+        self._mean_work = mean_work
         self._stopping = threading.Event()
         self._pacer = ReplyPacer(now)
 
@@ -113,6 +122,11 @@
                 demand.service_name, demand.key, demand.work_ms / 1000, now
             )
         for report in req.paces:
+            upstream = self._view.upstreams.get(report.upstream_id)
+            if upstream is not None:
+                self._mean_work.observe(
+                    upstream.service, report.expected_ms / 1000, report.answered
+                )
             self._capacity_estimator.observe(
                 report.upstream_id,
                 report.taken_ms / 1000,
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -12,6 +12,7 @@
     CapacityEstimator,
     DemandTracker,
     Leadership,
+    MeanWork,
     MemberRegistry,
 )
 from foxtailshunt.callers import CallerInterface, OwnCallerInterface
@@ -38,7 +39,15 @@
 )
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import Forwarder, OriginExits, Sender, StopSchedule, UpstreamGroups
+from foxtailshunt.relay import (
+    ColdUpstreams,
+    Forwarder,
+    OriginExits,
+    Sender,
+    StopSchedule,
+    UpstreamGroups,
+    UpstreamSenders,
+)
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import (
     Metrics,
@@ -49,7 +58,13 @@
     start_node_logging,
 )
 from foxtailshunt.timing import MonotonicClock, TimerService
-from foxtailshunt.upstreams import LatencyEstimator
+from foxtailshunt.upstreams import (
+    ColdBound,
+    LatencyEstimator,
+    StartLimiter,
+    WarmupStates,
+    WarmupTracker,
+)
 
 #: Time after SIGTERM in which the load balancer still sends new connections, in seconds: it checks
 #: readiness every second and removes a node after two failed checks.
@@ -104,6 +119,7 @@
         demand_collector = DemandCollector()
         demand_tracker = DemandTracker()
         capacity_estimator = CapacityEstimator()
+        mean_work = MeanWork()
         members = MemberRegistry()
         call_spacing = StoreCallSpacing(self._view, random.Random())
         self._leadership = Leadership(
@@ -120,11 +136,19 @@
             self._view,
             demand_tracker,
             capacity_estimator,
+            mean_work,
             members,
             now,
             self._metrics,
         )
         groups = UpstreamGroups(self._view)
+        senders = UpstreamSenders(
+            self._view, groups, local_member, lambda: self._leadership.term is not None
+        )
+        warmups = WarmupStates()
+        self._view.upstream_observer = WarmupTracker(warmups, self._view.find_service)
+        bound = ColdBound(settings.cold_rate_ratio, settings.cold_reserve)
+        limiter = StartLimiter(warmups, self._view.find_service, senders.is_sender, bound)
         self._stop_schedule = StopSchedule()
         origin_exits = OriginExits()
         self._sender = Sender(
@@ -136,9 +160,16 @@
             log,
             self._stop_schedule,
             origin_exits=origin_exits,
+            warmups=ColdUpstreams(warmups, limiter),
         )
         self._forwarder = Forwarder(
-            local_member, self._view, groups, self._sender, self._metrics, self._stop_schedule
+            local_member,
+            self._view,
+            groups,
+            self._sender,
+            self._metrics,
+            self._stop_schedule,
+            senders,
         )
         fleet_size = FleetSize(self._view, now)
         budget = RetryBudget(settings.repeat_ratio, settings.repeat_reserve, fleet_size.nodes)
@@ -162,6 +193,7 @@
             demand_tracker,
             capacity_estimator,
             now,
+            mean_work,
         )
         self._peer_server = ProtocolServer(
             Peer,
@@ -183,6 +215,7 @@
             now,
             call_spacing,
             settings.peers,
+            mean_work,
         )
         self._configuration = ConfigurationWatch(
             self._store,
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -64,6 +64,10 @@
     repeat_ratio: float = Field(ge=0, le=1)
     #: Retries that the fleet may send in addition in the platform's window.
     repeat_reserve: float = Field(ge=0)
+    #: Requests that a cold upstream may get in any second, from all nodes together: this multiple
+    #: of its rate and this additional number. None if the deployment states no such bound.
+    cold_rate_ratio: float | None = Field(default=None, ge=1)
+    cold_reserve: float | None = Field(default=None, ge=0)
 
 
 def load_node_settings(path: Path) -> NodeSettings:
--- a/foxtailshunt/platform/_configuration.py
+++ b/foxtailshunt/platform/_configuration.py
@@ -1,12 +1,13 @@
 """Decodes the platform's configuration document."""
 
+import math
 import re
 from typing import Annotated, Any
 
 from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.platform._durations import Seconds
+from foxtailshunt.platform._durations import Seconds, parse_warmup_s
 from foxtailshunt.routing import (
     FrontLimits,
     HostRoute,
@@ -18,6 +19,15 @@
 )
 
 _VERSION = re.compile(r"r(\d+)")
+#: Maximum of ``warmup_per_s``; an upstream sustains a few requests per second while it is cold.
+MAX_WARMUP_RATE = 1_000_000.0
+#: Warm-up that is assumed if ``warmup`` is malformed, in seconds. Upstreams are cold for 3 s after
+#: a start; without a value their limit would not be applied.
+ASSUMED_WARMUP_S = 3.0
+#: Maximum length of a message about a malformed value, in characters.
+MAX_MESSAGE_CHARS = 200
+#: Maximum length of a rejected value in a message, in characters; log lines carry it.
+_MAX_SHOWN_CHARS = 60
 
 
 def _parse_version(value: Any) -> int:
@@ -52,6 +62,10 @@
     max_conns: int = Field(default=64, ge=1)
     #: True if the service is sharded by key.
     sharded: bool = False
+    #: How long an upstream is cold after a start, and the requests per second that it sustains
+    #: until then. Checked later, so that a malformed value does not invalidate the document.
+    warmup: Any = None
+    warmup_per_s: Any = None
 
 
 class _WireLimits(BaseModel):
@@ -84,17 +98,52 @@
         HostRoute(route.host, route.prefix, _to_route(name, route))
         for name, route in wire.routes.items()
     )
-    services = {
-        name: ServiceInfo(name=name, keyed=item.sharded, max_connections=item.max_conns)
-        for name, item in wire.services.items()
-    }
+    ignored: list[str] = []
+    services = {name: _to_service(name, item, ignored) for name, item in wire.services.items()}
     limits = FrontLimits(
         max_header_bytes=wire.limits.max_header_bytes,
         max_body_bytes=wire.limits.max_body_bytes,
         header_timeout_s=wire.limits.header_timeout,
         idle_timeout_s=wire.limits.idle_timeout,
     )
-    return RouteTable(wire.version, routes, services, limits)
+    return RouteTable(wire.version, routes, services, limits, tuple(ignored))
+
+
+def _to_service(name: str, wire: _WireService, ignored: list[str]) -> ServiceInfo:
+    """Return a service; adds a message for each malformed optional value."""
+    warmup_s = rate = 0.0
+    try:
+        rate = _parse_warmup_rate(wire.warmup_per_s)
+    except ValueError as exc:
+        ignored.append(f"services.{name}.warmup_per_s: {exc}"[:MAX_MESSAGE_CHARS])
+    try:
+        warmup_s = _parse_warmup_s(wire.warmup)
+    except ValueError as exc:
+        ignored.append(f"services.{name}.warmup: {exc}"[:MAX_MESSAGE_CHARS])
+        warmup_s = ASSUMED_WARMUP_S
+    return ServiceInfo(
+        name=name,
+        keyed=wire.sharded,
+        max_connections=wire.max_conns,
+        warmup_s=warmup_s,
+        warmup_rate=rate,
+    )
+
+
+def _parse_warmup_rate(value: Any) -> float:
+    if value is None:
+        return 0.0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"not a number: {str(value)[:_MAX_SHOWN_CHARS]!r}")
+    if not (0 <= value <= MAX_WARMUP_RATE and math.isfinite(value)):
+        raise ValueError(f"not between 0 and {MAX_WARMUP_RATE:.0f}")
+    return float(value)
+
+
+def _parse_warmup_s(value: Any) -> float:
+    if value is None or (value == 0 and not isinstance(value, bool)):
+        return 0.0
+    return parse_warmup_s(value)
 
 
 def _to_route(name: str, wire: _WireRoute) -> Route:
--- a/foxtailshunt/platform/_durations.py
+++ b/foxtailshunt/platform/_durations.py
@@ -7,6 +7,9 @@
 
 #: Longest duration, in seconds, about 31 years; the longest wait of a thread is 292 years.
 MAX_DURATION_S = 1e9
+#: Longest warm-up that an upstream or a configuration may state, in seconds; upstreams are slow for
+#: some seconds after a start.
+MAX_WARMUP_S = 3600.0
 
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 #: Maximum length of a rejected value in an error message, in characters.
@@ -30,6 +33,18 @@
     return seconds
 
 
+def parse_warmup_s(value: Any) -> float:
+    """Parse the duration of a warm-up and return it in seconds.
+
+    :param value: text such as ``1500ms``.
+    :raises ValueError: the value is not such a text, or too long a warm-up.
+    """
+    seconds = parse_duration_s(value)
+    if seconds > MAX_WARMUP_S:
+        raise ValueError(f"longer than {MAX_WARMUP_S:.0f} s")
+    return seconds
+
+
 def format_duration(seconds: float) -> str:
     """Return a duration in the platform's format.
 
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from foxtailshunt.platform._durations import parse_warmup_s
+
 _REQUEST_ID = "attempt-id"
 #: A signature of status and body that only the upstream can create; callers verify it.
 _SEAL = "response-seal"
@@ -16,6 +18,8 @@
 #: For how long an upstream that responds with 503 wants no requests, in seconds, also fractions.
 _RETRY_AFTER, _UNAVAILABLE_STATUS = "retry-after", 503
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
+#: Remaining warm-up of the upstream that responds, in milliseconds.
+_WARMUP_REMAINING = "warmup-remaining-ms"
 _KEEP_ALIVE = "keep-alive"
 #: Sent for a key that the upstream does not own and for a request that expects another upstream.
 _MISDIRECTED_STATUS = 421
@@ -100,6 +104,14 @@
         seconds = float(value)
         return seconds if math.isfinite(seconds) else None
 
+    def warmup_left_s(self) -> float | None:
+        """Return the stated rest of the upstream's warm-up, in seconds; None if unstated.
+
+        :raises ValueError: the header is malformed or out of bounds.
+        """
+        value = self.header(_WARMUP_REMAINING)
+        return None if value is None else parse_warmup_s(f"{value.strip()}ms")
+
     def caller_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers to pass to the caller, without connection headers and body length."""
         return tuple(
--- a/foxtailshunt/platform/_upstreams.py
+++ b/foxtailshunt/platform/_upstreams.py
@@ -8,7 +8,7 @@
 
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.network import parse_address
-from foxtailshunt.platform._durations import Seconds
+from foxtailshunt.platform._durations import MAX_WARMUP_S, Seconds
 
 #: Prefix of the keys that the operator writes.
 OPERATOR_PREFIX = "op/"
@@ -20,8 +20,6 @@
 #: Maximum number of requests that an upstream processes concurrently; each sender keeps a time per
 #: slot.
 MAX_SLOTS = 10_000
-#: Maximum remaining warm-up time, in seconds; upstreams are slow for some seconds after a start.
-MAX_WARMUP_S = 3600.0
 #: Latest start of an upstream as Unix time in milliseconds; the end of the year 9999.
 MAX_BORN_MS = 253_402_300_799_999
 #: Maximum length of the name of a service or zone, in characters; as long as a key of the store.
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of requests to upstreams: queueing, admission, retries and connections."""
 
+from foxtailshunt.relay._cold_upstreams import ColdUpstreams
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
 from foxtailshunt.relay._messages import to_call, to_relay_reply
@@ -9,10 +10,12 @@
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
 from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
+from foxtailshunt.relay._upstream_senders import UpstreamSenders
 
 __all__ = [
     "STOPPING_RETRY_AFTER_S",
     "AttemptHistory",
+    "ColdUpstreams",
     "Forwarder",
     "GroupSelector",
     "RetryDecision",
@@ -22,6 +25,7 @@
     "StopSchedule",
     "UpstreamGroup",
     "UpstreamGroups",
+    "UpstreamSenders",
     "decide_retry",
     "form_groups",
     "to_call",
--- a/foxtailshunt/relay/_channel.py
+++ b/foxtailshunt/relay/_channel.py
@@ -31,11 +31,13 @@
     :param code: the result code of the request.
     :param message: the reason.
     :param sent: False if no byte of the request can have reached the upstream.
+    :param refused: True if no process listens at the address of the upstream.
     """
 
-    def __init__(self, code: ResultCode, message: str, sent: bool) -> None:
+    def __init__(self, code: ResultCode, message: str, sent: bool, refused: bool = False) -> None:
         super().__init__(code, message)
         self.sent = sent
+        self.refused = refused
 
 
 class UpstreamChannel:
@@ -50,7 +52,10 @@
             self._http = HttpChannel(address, CONNECT_TIMEOUT_S, UPSTREAM_SOCKET_OPTIONS)
         except OSError as exc:
             raise ChannelError(
-                ResultCode.UPSTREAM_CONNECTION_LOST, f"cannot connect: {exc}", sent=False
+                ResultCode.UPSTREAM_CONNECTION_LOST,
+                f"cannot connect: {exc}",
+                sent=False,
+                refused=isinstance(exc, ConnectionRefusedError),
             ) from exc
         self._reusable = True
         self._idle_until = 0.0
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -12,7 +12,7 @@
 
 from foxtailshunt.admission import Call
 from foxtailshunt.errors import Family, PeerUnreachableError, ResultCode
-from foxtailshunt.fleet import Address, FleetView, Member, rank_by_rendezvous
+from foxtailshunt.fleet import Address, FleetView, Member
 from foxtailshunt.platform import states_leaving
 from foxtailshunt.protocol import (
     MAX_RELAYED_BODY_BYTES,
@@ -28,6 +28,7 @@
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
+from foxtailshunt.relay._upstream_senders import UpstreamSenders
 from foxtailshunt.telemetry import Metrics, log_state_change
 
 #: First and longest backoff after a node could not be reached, in seconds.
@@ -67,6 +68,7 @@
     :param sender: sends requests from this node.
     :param metrics: counters and histograms.
     :param stop_schedule: limits requests while the node is stopping; None if it never stops.
+    :param senders: the nodes that may send to each upstream; None to determine them here.
     """
 
     def __init__(
@@ -77,8 +79,10 @@
         sender: Sender,
         metrics: Metrics,
         stop_schedule: StopSchedule | None = None,
+        senders: UpstreamSenders | None = None,
     ) -> None:
         self._groups = groups
+        self._senders = senders or UpstreamSenders(view, groups, me, lambda: False)
         self._selector = GroupSelector(me.zone, random.Random())
         self._metrics = metrics
         self._me = me
@@ -89,8 +93,6 @@
         self._notice_clients = ClientPool(Peer, 1)
         self._lock = threading.Lock()
         self._backoffs: dict[Address, _Backoff] = {}
-        self._ranked_members: object = None
-        self._ranked: dict[str, list[Member]] = {}
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         """Forward or send a request and return its outcome.
@@ -201,24 +203,11 @@
 
     def _senders_for_owner(self, call: Call) -> list[Member]:
         """Return the nodes that may send to the owner of a key, the preferred one first."""
-        members = self._view.members
         upstream = self._view.upstreams.get(call.upstream_id or "")
         if upstream is None or self._sender.leaving.has_lost_keys(upstream):
             # This node refuses the request itself.
             return []
-        with self._lock:
-            if self._ranked_members is not members:
-                self._ranked_members = members
-                self._ranked.clear()
-            ranked = self._ranked.get(upstream.upstream_id)
-        if ranked is None:
-            serving = [member for member in members if not member.leaving]
-            same_zone = [member for member in serving if member.zone == upstream.zone]
-            ranked = rank_by_rendezvous(upstream.upstream_id, same_zone or serving)
-            with self._lock:
-                if self._ranked_members is members:
-                    self._ranked[upstream.upstream_id] = ranked
-        return ranked
+        return self._senders.of_owner(upstream)
 
     def _forward(self, member: Member, call: Call, caller: socket.socket | None) -> Outcome | None:
         """Forward a request; return None if the node provably did not execute it."""
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -17,6 +17,7 @@
 )
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
+from foxtailshunt.relay._cold_upstreams import ColdUpstreams
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
@@ -51,6 +52,7 @@
     :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     :param leaving: remembers upstreams that state that they are leaving; None for an own memory.
     :param origin_exits: exits of the nodes whose requests this one sends; None for an own memory.
+    :param warmups: the warm-up of upstreams, and the limit while they are cold; None for no limit.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         stop_schedule: StopSchedule | None = None,
         leaving: LeavingUpstreams | None = None,
         origin_exits: OriginExits | None = None,
+        warmups: ColdUpstreams | None = None,
     ) -> None:
         self._view = view
         self._latencies = latencies
@@ -73,7 +76,8 @@
         self._stop_schedule = stop_schedule or StopSchedule()
         self._origin_exits = origin_exits or OriginExits()
         self._pauses = UpstreamPauses()
-        self._pools = SlotPools(latencies, me.zone, self._pauses)
+        self._warmups = warmups or ColdUpstreams()
+        self._pools = SlotPools(latencies, me.zone, self._pauses, self._warmups.limiter)
         self._channels = ChannelPool()
         self._unreachable = UnreachableUpstreams()
         self._leaving = leaving if leaving is not None else LeavingUpstreams()
@@ -126,6 +130,15 @@
                 "the owner was unreachable at the last connection attempt",
                 retry_after_s=OWNER_RETRY_AFTER_S,
             )
+        if call.key is not None:
+            retry_after_s = self._warmups.refused_for_s(upstreams[0], time.monotonic())
+            if retry_after_s is not None:
+                return Outcome(
+                    ResultCode.NO_OWNER,
+                    "the owner is cold and gets requests from its sender only",
+                    retry_after_s=retry_after_s,
+                    upstream_id=upstreams[0].upstream_id,
+                )
         locked = self._pools.get(call)
         entry, state_changed = self._new_entry(call)
         with locked.lock:
@@ -320,12 +333,16 @@
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
         if response.states_leaving and result is not AttemptResult.REPLACED:
             self._leaving.record(upstream)
+        if result is not AttemptResult.REPLACED:
+            self._warmups.record_response(upstream, response, time.monotonic())
         if response.retry_after_s is not None:
             self._pauses.record(upstream, response.retry_after_s, time.monotonic())
         return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
         if not exc.sent:
+            if exc.refused:
+                self._warmups.record_refusal(upstream, time.monotonic())
             if exc.code is not ResultCode.BAD_REQUEST:
                 self._unreachable.record_connection(upstream.upstream_id, connected=False)
             code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
--- a/foxtailshunt/routing/_route_table.py
+++ b/foxtailshunt/routing/_route_table.py
@@ -25,6 +25,7 @@
     :param finder: matches requests to the routes of this version.
     :param services: services by name.
     :param limits: limits on callers' requests.
+    :param ignored_values: messages about malformed optional values that are not used.
     """
 
     def __init__(
@@ -33,10 +34,12 @@
         finder: RouteFinder,
         services: dict[str, ServiceInfo],
         limits: FrontLimits,
+        ignored_values: tuple[str, ...] = (),
     ) -> None:
         self.version = version
         self.services = services
         self.limits = limits
+        self.ignored_values = ignored_values
         self._finder = finder
 
     def match(self, line: RequestLine) -> RouteMatch | None:
--- a/foxtailshunt/routing/_types.py
+++ b/foxtailshunt/routing/_types.py
@@ -59,6 +59,10 @@
     floors: tuple[RankFloor, ...] = ()
     #: Addresses of the allowed upstreams; None if all registered upstreams are allowed.
     upstream_addresses: frozenset[Address] | None = None
+    #: How long an upstream is cold after a start, in seconds.
+    warmup_s: float = 0.0
+    #: Requests per second that a cold upstream can sustain; 0 for no limit.
+    warmup_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
