Test the limit of cold upstreams; count the rest of a warm-up from its message

The rest of a warm-up in a follow reply was aged by the age of the list although it is computed when the reply is sent, and was counted again when another upstream joined.

--- a/features/node_support/_fleet.py
+++ b/features/node_support/_fleet.py
@@ -76,7 +76,12 @@
             "repeat_reserve": 60,
         }
 
-    def configure(self, routes: dict[str, Any], services: dict[str, bool]) -> None:
+    def configure(
+        self,
+        routes: dict[str, Any],
+        services: dict[str, bool],
+        service_fields: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
         """Write the next version of the configuration; services by name, true if sharded."""
         self.version += 1
         document = {
@@ -96,6 +101,7 @@
             },
             "services": {
                 name: {"health_path": "/health", "max_conns": 100, "sharded": keyed}
+                | (service_fields or {}).get(name, {})
                 for name, keyed in services.items()
             },
             "limits": {
--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -2,11 +2,18 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, Refusal, SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.routing import ServiceInfo
+from foxtailshunt.upstreams import (
+    ColdBound,
+    LatencyEstimator,
+    StartLimiter,
+    UpstreamPauses,
+    WarmupStates,
+)
 
 _TIME_STEP_S = 0.005
 _FAILURE_LATENCY_S = 0.002
@@ -58,17 +65,33 @@
         self.latencies = CountingEstimator()
         self.seed_latency("route", self.base_latency_s)
         self.pauses = UpstreamPauses()
-        self.pool = SlotPool(self.latencies, "zone", self.pauses)
+        self.service = ServiceInfo("desk", False, 64)
+        self.is_sender = True
+        self.states = WarmupStates()
+        self.limiter = StartLimiter(
+            self.states, lambda _name: self.service, lambda _upstream: self.is_sender, ColdBound()
+        )
+        self.pool = self.new_pool()
         self.upstreams = [
             Upstream(f"u{n}", "desk", ("h", n + 1), "zone", self.slots, False, 0.0, 0)
             for n in range(self.count)
         ]
         self.pool.set_upstreams(self.upstreams)
+        self.states.observe({item.upstream_id: item for item in self.upstreams}, self.now, 0.0, 0.0)
         self.requests: list[SimulatedRequest] = []
         self._requests_by_entry: dict[QueueEntry, SimulatedRequest] = {}
         self._completions: list[tuple[float, int, QueueEntry]] = []
         self._sequence = itertools.count()
 
+    def new_pool(self) -> SlotPool:
+        return SlotPool(self.latencies, "zone", self.pauses, self.limiter)
+
+    def set_cold(self, number: int, seconds: float, rate: float, is_sender: bool) -> None:
+        """Let an upstream be cold from now on."""
+        self.service = replace(self.service, warmup_rate=rate)
+        self.is_sender = is_sender
+        self.states.record_response(self.upstreams[number], seconds, self.now)
+
     def submit(
         self,
         name: str,
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -69,10 +69,23 @@
     def close(self) -> None:
         self._listener.close()
 
+    def stop_listening(self) -> None:
+        """Refuse connections from now on, as if the process had terminated."""
+        self._address = self.address
+        # Ends the call of the thread that accepts connections.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def listen_again(self) -> None:
+        """Accept connections at the same address, like the next process."""
+        self._listener = socket.create_server(self._address)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def _accept(self) -> None:
+        listener = self._listener
         while True:
             try:
-                conn, _ = self._listener.accept()
+                conn, _ = listener.accept()
             except OSError:
                 return
             self.connections += 1
@@ -200,6 +213,10 @@
             **options,
         )
 
+    @property
+    def upstreams(self) -> dict[str, Upstream]:
+        return dict(self._upstreams)
+
     def _publish(self) -> None:
         self._version += 1
         self._view.update_upstreams(1, self._version, dict(self._upstreams), 0.0)
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -19,6 +19,7 @@
     encode_table,
 )
 from foxtailshunt.assigning._token_requests import TokenRequests
+from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 
 __all__ = [
@@ -39,6 +40,7 @@
     "Candidate",
     "TableRecord",
     "TokenRequests",
+    "UpstreamPublisher",
     "UpstreamReader",
     "split_evenly",
     "decode_table",
--- a/foxtailshunt/fleet/_types.py
+++ b/foxtailshunt/fleet/_types.py
@@ -21,7 +21,7 @@
     slots: int
     #: True once it must not get new requests.
     leaving: bool
-    #: Remaining warm-up time, in seconds, when this was read or received; it is slow until then.
+    #: Remaining warm-up time, in seconds, when this node got this value.
     warmup_s: float
     #: When it started, in milliseconds of its own clock since the epoch; 0 if unknown.
     started_ms: int
--- a/foxtailshunt/upstreams/_warmup_states.py
+++ b/foxtailshunt/upstreams/_warmup_states.py
@@ -61,7 +61,8 @@
         started a short time ago by their own clock. That clock may differ, so it does not show that
         they are warm.
 
-        :param upstreams: the upstreams by id; the same object if only its age has changed.
+        :param upstreams: the upstreams by id. The same object if only its age has changed. The rest
+            of a warm-up counts from now, unless the upstream is the same object as in the last list.
         :param now: the time in seconds.
         :param age_s: time since the list was read, in seconds.
         :param unix_s: Unix time in seconds.
@@ -70,16 +71,16 @@
             self._listed_at = max(self._listed_at, now - age_s)
             if upstreams is self._list:
                 return
-            is_first, self._list = self._list is None, upstreams
+            is_first, previous, self._list = self._list is None, self._list or {}, upstreams
             unlisted = self._runs
             runs: dict[object, _Run] = {}
             for item in upstreams.values():
                 run = unlisted.pop(item.incarnation, None)
-                if run is None:
+                if run is None or _is_forgotten(run, now):
                     run = _Run(_start_by_own_clock(item, now, unix_s) if is_first else now)
                 run.unlisted_at = None
-                if item.warmup_s > 0:
-                    run.stated_until = max(run.stated_until, now - age_s + item.warmup_s)
+                if item.warmup_s > 0 and previous.get(item.upstream_id) is not item:
+                    run.stated_until = max(run.stated_until, now + item.warmup_s)
                 runs[item.incarnation] = run
             for name, run in self._remembered(unlisted, now):
                 runs[name] = run
@@ -155,12 +156,16 @@
                 run.unlisted_at = now
             # Without a start time, the next process at the address would be taken for this one.
             has_start_time = isinstance(name, tuple) and bool(name[-1])
-            if has_start_time and now - run.unlisted_at < REMEMBERED_S:
+            if has_start_time and not _is_forgotten(run, now):
                 remembered.append((name, run))
         remembered.sort(key=lambda item: item[1].unlisted_at or 0.0)
         return remembered[-MAX_UNLISTED:]
 
 
+def _is_forgotten(run: _Run, now: float) -> bool:
+    return run.unlisted_at is not None and now - run.unlisted_at >= REMEMBERED_S
+
+
 def _start_by_own_clock(upstream: Upstream, now: float, unix_s: float) -> float:
     """Return when an upstream started by its own clock, at the latest now."""
     if not upstream.started_ms:
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -106,6 +106,8 @@
         self.says_leaving = False
         #: Number of requests that arrived, without grants and releases.
         self.arrivals = 0
+        #: When each of them arrived, in seconds of the monotonic clock.
+        self.arrival_times: list[float] = []
         self._store = store
         self._known = known
         self._running = threading.Event()
@@ -190,6 +192,7 @@
             return WithheldResponse() if self.withholds_grant_responses else response
         with self._lock:
             self.arrivals += 1
+            self.arrival_times.append(arrived)
         response = self._execute(req)
         if self.says_leaving and isinstance(response, CompleteResponse):
             leaving = (*response.headers, ("Server-Leaving", "1"))
