--- a/features/cold_starts.feature
+++ b/features/cold_starts.feature
@@ -63,8 +63,13 @@
     When requests arrive at both pools for 2 s
     Then upstream 0 has got at most 5 requests in any second
 
-  Scenario: The nodes of a fleet limit an upstream that joins during traffic: guards against parts that are not connected
-    Given 2 nodes in front of a service whose upstreams take 4 requests per second while cold for 4 s
+  Scenario Outline: The nodes of a fleet limit an upstream that joins during traffic: guards against parts that are not connected
+    Given 2 nodes in front of a service <kind> keys whose upstreams take 4 requests per second while cold for 4 s
     When callers send requests to both nodes all the time and another upstream joins
     Then the new upstream gets requests, at most 14 in any second of its first 3 s
     And no caller has got an unknown result
+
+    Examples:
+      | kind    |
+      | with    |
+      | without |
--- a/features/steps/cold_starts_steps.py
+++ b/features/steps/cold_starts_steps.py
@@ -1,5 +1,6 @@
 """Steps for the limit on requests to cold upstreams."""
 
+import itertools
 import re
 import threading
 import time
@@ -11,11 +12,16 @@
 from features.node_support import CallerAnswer, NodeFleet
 from features.pool_support import PoolSimulation, SimulatedRequest
 from foxtailshunt.admission import Call, QueueEntry, QueueEntryState
+from foxtailshunt.routing import KEY_COUNT
 from foxtailshunt.upstreams import ColdBound
 
 _SEED = 3
 _RUN_S = 5.0
 _STEP_S = 0.005
+#: How long callers go on after the first request at an upstream that has joined, in seconds.
+_COLD_RUN_S = 3.0
+#: Step between the keys of two requests; odd, so that all keys get requests.
+_KEY_STEP = 4093
 
 
 @given("{count:d} nodes in front of a cold upstream that sustains {rate:g} requests per second")
@@ -217,18 +223,19 @@
 class JoiningScenario:
     """Nodes whose callers send all the time while an upstream joins."""
 
-    def __init__(self, fleet: NodeFleet, nodes: int, rate: int, warmup_s: int) -> None:
+    def __init__(self, fleet: NodeFleet, nodes: int, keyed: bool, rate: int, warmup_s: int) -> None:
         self.fleet = fleet
+        self._keyed = keyed
+        self._keys = itertools.count()
         routes = {"look": {"service": "counter", "route_type": "safe", "max_attempts": 1}}
         limits = {"warmup": f"{warmup_s}s", "warmup_per_s": rate}
-        fleet.configure(routes, {"counter": False}, {"counter": limits})
-        # A group of more upstreams than one, so that the first one has a share of the requests.
-        fleet.add_owner("c0", "counter", keyed=False, slots=4)
+        fleet.configure(routes, {"counter": keyed}, {"counter": limits})
+        fleet.add_owner("c0", "counter", keyed=keyed, slots=4)
         for number in range(nodes):
             fleet.add_node(f"n{number}")
         for node in fleet.nodes.values():
             fleet.wait_until(
-                lambda name=node.name: fleet.request(name, "/look/x").status == 200,
+                lambda name=node.name: self._request(name).status == 200,
                 f"{node.name} serves requests",
             )
         fleet.wait_until(self._is_warm, "the first upstream is warm")
@@ -243,30 +250,36 @@
     def _is_warm(self) -> bool:
         # A cold upstream with this limit cannot serve so many requests in a row in so short a time.
         started = time.monotonic()
-        answers = [self.fleet.request("n0", "/look/x").status for _number in range(8)]
+        answers = [self._request("n0").status for _number in range(8)]
         return answers == [200] * 8 and time.monotonic() - started < 1.0
 
     def run(self) -> None:
         for thread in self._threads:
             thread.start()
-        self.joined = self.fleet.add_owner("c1", "counter", keyed=False, slots=4)
-        self.fleet.wait_until(lambda: len(self.joined.arrival_times) >= 9, "c1 gets requests")
+        self.joined = self.fleet.add_owner("c1", "counter", keyed=self._keyed, slots=4)
+        self.fleet.wait_until(lambda: len(self.joined.arrival_times) >= 5, "c1 gets requests")
+        end = self.joined.arrival_times[0] + _COLD_RUN_S
+        self.fleet.wait_until(lambda: time.monotonic() > end, "callers have sent for some seconds")
         self._stopping.set()
         for thread in self._threads:
             thread.join(30)
 
     def _send(self, name: str) -> None:
         while not self._stopping.is_set():
-            self.answers.append(self.fleet.request(name, "/look/x"))
+            self.answers.append(self._request(name))
+
+    def _request(self, name: str) -> CallerAnswer:
+        key = next(self._keys) * _KEY_STEP % KEY_COUNT
+        return self.fleet.request(name, "/look/x", key=key)
 
 
 @given(
-    "{nodes:d} nodes in front of a service whose upstreams take {rate:d} requests per second "
-    "while cold for {seconds:d} s"
+    "{nodes:d} nodes in front of a service {kind:w} keys whose upstreams take {rate:d} requests "
+    "per second while cold for {seconds:d} s"
 )
-def _(context: Context, nodes: int, rate: int, seconds: int) -> None:
+def _(context: Context, nodes: int, kind: str, rate: int, seconds: int) -> None:
     context.fleet_subject = NodeFleet()
-    context.joining = JoiningScenario(context.fleet_subject, nodes, rate, seconds)
+    context.joining = JoiningScenario(context.fleet_subject, nodes, kind == "with", rate, seconds)
 
 
 @when("callers send requests to both nodes all the time and another upstream joins")
--- a/foxtailshunt/node/_dump.py
+++ b/foxtailshunt/node/_dump.py
@@ -28,7 +28,10 @@
         "versions": asdict(view.versions),
         "services": [{"name": item.name, "keyed": item.keyed} for item in services],
         "upstreams_age_s": view.upstreams_age_s(),
-        "upstreams": [asdict(item) for item in view.upstreams.values()],
+        "upstreams": [
+            asdict(item) | {"warmup_s": view.warmup_left_s(item)}
+            for item in view.upstreams.values()
+        ],
         "members": [asdict(item) for item in view.members],
         "ranges": [asdict(item) for item in view.ownership.ranges],
         "waiting": waiting,
--- a/foxtailshunt/node/_gauges.py
+++ b/foxtailshunt/node/_gauges.py
@@ -54,6 +54,10 @@
         services = view.routes.services if view.routes is not None else {}
         for name, info in services.items():
             self._set_service(name, info.keyed)
+            if info.warmup_rate > 0:
+                found = view.upstreams_by_service.get(name, ())
+                cold = sum(view.warmup_left_s(item) > 0 for item in found)
+                self._set("cold_upstreams", "Upstreams of a service that are cold.", cold, name)
 
     def _set_service(self, name: str, keyed: bool) -> None:
         upstreams = len(self._view.upstreams_by_service.get(name, ()))
--- a/foxtailshunt/upstreams/_warmup_states.py
+++ b/foxtailshunt/upstreams/_warmup_states.py
@@ -61,8 +61,9 @@
         started a short time ago by their own clock. That clock may differ, so it does not show that
         they are warm.
 
-        :param upstreams: the upstreams by id. The same object if only its age has changed. The rest
-            of a warm-up counts from now, unless the upstream is the same object as in the last list.
+        :param upstreams: the upstreams by id; the same object if only its age has changed. The rest
+            of a warm-up counts from now, unless the upstream is the same object as in the list
+            before.
         :param now: the time in seconds.
         :param age_s: time since the list was read, in seconds.
         :param unix_s: Unix time in seconds.
