--- a/features/cold_starts.feature
+++ b/features/cold_starts.feature
@@ -34,6 +34,23 @@
     Then the upstream has got at most 6 requests in any second
     And it has got at least 5 requests in some second
 
+  Scenario Outline: Only the preferred sender in contact with the leader sends: guards against several senders by outdated views
+    Given 4 nodes in zone-a with the same view, and a cold upstream there <kind> keys
+    When <event>
+    Then <count> of the nodes count as its sender
+
+    Examples:
+      | kind    | event                                             | count |
+      | with    | all have polled the leader 0.3 s ago              | 1     |
+      | without | all have polled the leader 0.3 s ago              | 1     |
+      | with    | all have polled the leader 1.6 s ago              | 0     |
+      | without | all have polled the leader 1.6 s ago              | 0     |
+      | with    | no node has polled the leader                     | 0     |
+      | with    | only the others have polled the leader 0.3 s ago  | 0     |
+      | without | only the others have polled the leader 0.3 s ago  | 0     |
+      | with    | the preferred one leads and no node has polled    | 1     |
+      | with    | the preferred one is leaving and all have polled 0.3 s ago | 1 |
+
   Scenario Outline: A pool promises only what a cold upstream has: guards against requests that expire in the queue
     Given a pool of one upstream with 4 slots and requests of 100 ms
     And upstream 0 is cold for 3 s, takes 5 requests per second, and this node <role> its sender
--- a/features/cold_upstreams.feature
+++ b/features/cold_upstreams.feature
@@ -107,6 +107,8 @@
       | warmup       | "-1s"         | 5.6  | 3      | 1     |
       | warmup       | false         | 5.6  | 3      | 1     |
 
-  Scenario: A deployment without the bounds gets valid settings, as does one with them
+  Scenario: A deployment without the bounds and regions gets valid settings, as does one with them
     Then the settings template gives valid settings without the bounds of cold upstreams
     And with them gives a ratio of 1.5 and a reserve of 8
+    And with a region eu and zones {"zone-a": "eu"} gives the region eu of zone-a
+    And with a region eu and zones ["zone-a"] gives the region none of zone-a
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -307,6 +307,13 @@
     assert (settings.cold_rate_ratio, settings.cold_reserve) == (None, None), settings
 
 
+@then("with a region {region} and zones {zones} gives the region {expected:w} of zone-a")
+def _(context: Context, region: str, zones: str, expected: str) -> None:
+    settings = _load(context, _PLATFORM_VALUES | {"region": region, "zones": json.loads(zones)})
+    assert settings.region == region, settings
+    assert settings.zone_regions.get("zone-a", "none") == expected, settings
+
+
 @then("with them gives a ratio of {ratio:g} and a reserve of {reserve:g}")
 def _(context: Context, ratio: float, reserve: float) -> None:
     bounds = {"bounds.warmup_over": ratio, "bounds.warmup_slack": reserve}
--- a/foxtailshunt/relay/_upstream_groups.py
+++ b/foxtailshunt/relay/_upstream_groups.py
@@ -102,6 +102,10 @@
         self._lock = threading.Lock()
         #: Groups by service, with the parts of the view from which they were formed.
         self._formed: dict[str, tuple[object, object, tuple[UpstreamGroup, ...]]] = {}
+        #: Groups of a service and, by upstream, the one that contains it.
+        self._by_upstream: dict[str, tuple[tuple[UpstreamGroup, ...], dict[str, UpstreamGroup]]] = (
+            {}
+        )
 
     def of_service(self, service: str) -> tuple[UpstreamGroup, ...]:
         """Return the groups of a service.
@@ -117,6 +121,19 @@
                 formed = self._formed[service] = (upstreams, members, groups)
             return formed[2]
 
+    def group_of(self, service: str, upstream_id: str) -> UpstreamGroup | None:
+        """Return the group that contains an upstream, or None.
+
+        :param service: name of the service.
+        :param upstream_id: the upstream.
+        """
+        groups = self.of_service(service)
+        found = self._by_upstream.get(service)
+        if found is None or found[0] is not groups:
+            by_upstream = {item.upstream_id: group for group in groups for item in group.upstreams}
+            found = self._by_upstream[service] = (groups, by_upstream)
+        return found[1].get(upstream_id)
+
     def upstreams_of(self, service: str, name: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a group.
 
--- a/foxtailshunt/relay/_upstream_senders.py
+++ b/foxtailshunt/relay/_upstream_senders.py
@@ -70,7 +70,5 @@
         service = self._view.find_service(upstream.service)
         if service is not None and service.keyed:
             return self.of_owner(upstream)
-        for group in self._groups.of_service(upstream.service):
-            if any(item.upstream_id == upstream.upstream_id for item in group.upstreams):
-                return group.senders
-        return ()
+        group = self._groups.group_of(upstream.service, upstream.upstream_id)
+        return () if group is None else group.senders
