Ask for the start limit of an upstream only if a slot is free

Run: behave features/cold_starts.feature features/node_slots.feature features/upstream_pauses.feature features/route_regions.feature: 94 scenarios passed, 0 failed.

--- a/foxtailshunt/admission/_slot_forecast.py
+++ b/foxtailshunt/admission/_slot_forecast.py
@@ -23,7 +23,7 @@
         self._free_times = free_times
         self._start_limits = start_limits or {}
         #: Number of requests that were added at each upstream that is cold.
-        self._added = dict.fromkeys(self._start_limits, 0)
+        self._added = dict.fromkeys(self._start_limits, 0) if start_limits else {}
 
     def free_at(self, upstream_id: str) -> float:
         """Return when the first slot of an upstream becomes free, in seconds.
@@ -31,10 +31,10 @@
         :param upstream_id: the upstream.
         """
         free_at = min(self._free_times[upstream_id])
-        limit = self._start_limits.get(upstream_id)
-        if limit is None:
+        if upstream_id not in self._start_limits:
             return free_at
-        return max(free_at, limit.start_at(self._added[upstream_id]))
+        start_at = self._start_limits[upstream_id].start_at(self._added[upstream_id])
+        return max(free_at, start_at)
 
     def startable_slots(self, upstream_id: str, work_s: float) -> float:
         """Return how many slots the starts that an upstream may get keep busy.
@@ -55,6 +55,8 @@
         :param duration_s: the expected duration of the request, in seconds.
         """
         times = self._free_times[upstream_id]
-        times[times.index(min(times))] = self.free_at(upstream_id) + duration_s
-        if upstream_id in self._added:
+        first = times.index(min(times))
+        if upstream_id in self._start_limits:
+            times[first] = self.free_at(upstream_id)
             self._added[upstream_id] += 1
+        times[first] += duration_s
--- a/foxtailshunt/admission/_slot_pool.py
+++ b/foxtailshunt/admission/_slot_pool.py
@@ -266,10 +266,12 @@
 
     def _forecast(self, now: float) -> SlotForecast:
         free_times = {name: slots.free_times(now) for name, slots in self._slots.items()}
-        limits = {name: slots.start_limit(now) for name, slots in self._slots.items()}
-        return SlotForecast(
-            free_times, {name: limit for name, limit in limits.items() if limit is not None}
-        )
+        limits = {
+            name: limit
+            for name, slots in self._slots.items()
+            if (limit := slots.start_limit(now)) is not None
+        }
+        return SlotForecast(free_times, limits)
 
     def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> UpstreamSlots | None:
         """Return the slots of the upstream that is expected to complete a request first."""
@@ -330,12 +332,7 @@
         return wait_s + latency_s * (1 + LATENCY_MARGIN)
 
     def _effective_slots(self, upstream_id: str, forecast: SlotForecast, work_s: float) -> float:
-        """Return how many slots of average speed an upstream is worth to queued requests.
-
-        :param upstream_id: the upstream.
-        :param forecast: the forecast of its slots.
-        :param work_s: mean latency of the requests, in seconds.
-        """
+        """Return how many slots of average speed an upstream has for requests of this latency."""
         if forecast.free_at(upstream_id) == float("inf"):
             return 0.0
         slots = self._slots[upstream_id].upstream.slots / self._latencies.latency_ratio(upstream_id)
--- a/foxtailshunt/admission/_upstream_slots.py
+++ b/foxtailshunt/admission/_upstream_slots.py
@@ -63,7 +63,10 @@
 
         :param now: the time in seconds.
         """
-        return len(self.running) < self.upstream.slots and now >= self.next_start(now)
+        if len(self.running) >= self.upstream.slots or now < self.blocked_until:
+            return False
+        limit = self.start_limit(now)
+        return limit is None or now >= limit.first_at
 
     def try_assign(self, entry: QueueEntry, latency_s: float, now: float) -> bool:
         """Assign a free slot to a request.
