--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -1,13 +1,18 @@
 """Steps for the evacuation of a zone with real nodes."""
 
 import itertools
+import json
 import threading
 import time
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features.node_support import CallerAnswer, NodeFleet
+from foxtailshunt.cli._operator_text import to_text
+from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
+from foxtailshunt.node._dump import describe_node
 from foxtailshunt.operator import DumpClient, EvacuationStatus, collect_status
 from foxtailshunt.routing import KEY_COUNT
 
@@ -21,6 +26,60 @@
 _DUMP_TIMEOUT_S = 5.0
 
 
+class DumpedNodes:
+    """Returns the dumps of two nodes by their operator address, in place of a client."""
+
+    def __init__(self) -> None:
+        views = [FleetView(lambda: 0.0) for _number in range(2)]
+        upstreams = {
+            name: Upstream(name, _SERVICE, ("127.0.0.1", 1), zone, 2, False, 0.0, 0)
+            for name, zone in (("a1", "zone-a"), ("b1", "zone-b"))
+        }
+        members = tuple(
+            Member(f"n{number}", "boot", "zone-a", ("127.0.0.1", 1), False, ("127.0.0.1", number))
+            for number in (1, 2)
+        )
+        ranges = (
+            KeyRange(_SERVICE, 0, 299, "b1", 1),
+            KeyRange(_SERVICE, 300, 499, "a1", 2, giver="b1", moving=True),
+            KeyRange(_SERVICE, 500, KEY_COUNT - 1, "a1", 1),
+        )
+        for view in views:
+            view.begin_term(1)
+            view.update_upstreams(1, 1, upstreams, 0.0)
+            view.update_members(1, 1, members)
+            view.update_ownership(1, 1, OwnershipTable(ranges))
+        views[0].update_evacuations(1, frozenset({"zone-b"}))
+        self._dumps = {
+            member.operator_address: describe_node(member.instance_id, False, False, view, (0, 0))
+            for member, view in zip(members, views, strict=True)
+        }
+        self.addresses = list(self._dumps)
+
+    def read(self, address: tuple[str, int]) -> dict[str, Any]:
+        return json.loads(json.dumps(self._dumps[address]))
+
+
+@given(
+    "dumps of 2 nodes, of which one knows of the evacuation of zone-b, "
+    "with 300 keys left there and 200 on the way"
+)
+def _(context: Context) -> None:
+    context.dumped_nodes = DumpedNodes()
+
+
+@when("the operator asks for the status")
+def _(context: Context) -> None:
+    nodes = context.dumped_nodes
+    context.status_text = to_text(collect_status(nodes.addresses, nodes))
+
+
+@then('it shows "{line}"')
+def _(context: Context, line: str) -> None:
+    found = [item.strip() for item in context.status_text.splitlines()]
+    assert line in found, context.status_text
+
+
 class FleetEvacuation:
     """Nodes and upstreams in two zones, with callers that send all the time."""
 
--- a/features/zone_evacuation.feature
+++ b/features/zone_evacuation.feature
@@ -129,6 +129,11 @@
     When moves are planned with at most 0 evacuations
     Then upstream 1 owns no keys
 
+  Scenario: Operators see what is left and which nodes do not know: guards against an evacuation that seems complete
+    Given dumps of 2 nodes, of which one knows of the evacuation of zone-b, with 300 keys left there and 200 on the way
+    When the operator asks for the status
+    Then it shows "zone-b  500 keys left  unknown to n2"
+
   Scenario: A fleet evacuates a zone and uses it again: guards against parts that are not connected
     Given 2 nodes and a service with keys with upstreams in zone-a and zone-b, which take 4 requests per second while cold for 4 s
     When callers send requests to both nodes all the time
