--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -69,10 +69,23 @@
     def close(self) -> None:
         self._listener.close()
 
+    def stop_listening(self) -> None:
+        """Refuse connections from now on, as if the process had terminated."""
+        self._address = self.address
+        # Ends the call of the thread that accepts connections.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def listen_again(self) -> None:
+        """Accept connections at the same address, like the next process."""
+        self._listener = socket.create_server(self._address)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def _accept(self) -> None:
+        listener = self._listener
         while True:
             try:
-                conn, _ = self._listener.accept()
+                conn, _ = listener.accept()
             except OSError:
                 return
             self.connections += 1
@@ -200,6 +213,10 @@
             **options,
         )
 
+    @property
+    def upstreams(self) -> dict[str, Upstream]:
+        return dict(self._upstreams)
+
     def _publish(self) -> None:
         self._version += 1
         self._view.update_upstreams(1, self._version, dict(self._upstreams), 0.0)
@@ -215,6 +232,16 @@
         self._upstreams[name] = replace(previous, started_ms=previous.started_ms + 1)
         self._publish()
 
+    def set_zone(self, name: str, zone: str) -> None:
+        """Put an upstream into another zone."""
+        self._upstreams[name] = replace(self._upstreams[name], zone=zone)
+        self._publish()
+
+    def evacuate(self, *zones: str) -> None:
+        """Let exactly these zones be evacuated."""
+        revision = self._view.versions.evacuations + 1
+        self._view.update_evacuations(revision, frozenset(zones))
+
     def load(self) -> tuple[int, int]:
         """Return the numbers of queued requests and of those at upstreams."""
         return self._sender.load()
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -2,43 +2,19 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
-from foxtailshunt.routing import RouteTable
+from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
+from foxtailshunt.routing import RouteTable, ServiceInfo
+from foxtailshunt.telemetry import log_state_change
 
 #: Number of earlier versions of a part that are kept to compute changes for followers, which are at
 #: most a second behind; on a large fleet each of dozens of moves makes a version.
 MAX_EARLIER_VERSIONS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class Versions:
-    """Versions of the parts of a view; 0 for a part that is not known yet."""
-
-    #: Version of the configuration.
-    configuration: int = 0
-    #: Term of the leader that published the other parts.
-    term: int = 0
-    #: Version of the list of upstreams, within the term.
-    upstreams: int = 0
-    #: Version of the ownership table, within the term.
-    ownership: int = 0
-    #: Version of the list of members, within the term.
-    members: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamChanges:
-    """The difference between two lists of upstreams."""
-
-    #: Upstreams that are new or differ.
-    changed: tuple[Upstream, ...]
-    #: Ids of upstreams that are gone.
-    removed: tuple[str, ...]
-
-
 class FleetView:
     """Holds the current view and notifies threads that wait for a change.
 
@@ -49,6 +25,10 @@
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
+        #: Follows the lists of upstreams; set before the first one.
+        self.upstream_observer: UpstreamObserver | None = None
+        #: When the last poll that the leader answered was sent, in seconds of the clock.
+        self._leader_polled_at = float("-inf")
         self._changed = threading.Condition()
         self.versions = Versions()
         self.routes: RouteTable | None = None
@@ -57,6 +37,8 @@
         self.upstreams: dict[str, Upstream] = {}
         self.ownership = OwnershipTable(())
         self.members: tuple[Member, ...] = ()
+        #: Zones whose upstreams get no new requests.
+        self.evacuated_zones: frozenset[str] = frozenset()
         #: When the list of upstreams was read, in seconds of the clock; None before the first read.
         self.upstreams_read_at: float | None = None
         #: Earlier ownership tables of the term by version, to compute changes for followers.
@@ -92,6 +74,14 @@
             return upstream
         return replace(upstream, leaving=True)
 
+    def find_service(self, name: str) -> ServiceInfo | None:
+        """Return a service of the configuration in force, or None.
+
+        :param name: name of the service.
+        """
+        routes = self.routes
+        return routes.services.get(name) if routes is not None else None
+
     def begin_term(self, term: int) -> bool:
         """Start a term; return False if a newer one is known.
 
@@ -101,8 +91,11 @@
             if term < self.versions.term:
                 return False
             if term > self.versions.term:
-                configuration = self.versions.configuration
-                self.versions = Versions(configuration=configuration, term=term)
+                self.versions = Versions(
+                    configuration=self.versions.configuration,
+                    term=term,
+                    evacuations=self.versions.evacuations,
+                )
                 self._earlier.clear()
                 self._earlier_upstreams.clear()
                 self._changed.notify_all()
@@ -127,11 +120,13 @@
             is_newer = self.upstreams_read_at is None or read_at > self.upstreams_read_at
             if is_newer:
                 self.upstreams_read_at = read_at
+            if upstreams is None and is_newer:
+                self._observe(self.upstreams, age_s)
             if upstreams is not None and is_newer:
                 if self.versions.upstreams:
                     self._earlier_upstreams[self.versions.upstreams] = self.upstreams
                     self._earlier_upstreams.pop(version - MAX_EARLIER_VERSIONS, None)
-                self._replace_upstreams(upstreams)
+                self._replace_upstreams(upstreams, age_s)
                 self.versions = replace(self.versions, upstreams=version)
                 self._changed.notify_all()
 
@@ -182,9 +177,12 @@
             # The leader has to send its next list in full, since this one did not come from it.
             self.versions = replace(self.versions, upstreams=0)
             self._earlier_upstreams.clear()
+            age_s = self._now() - read_at
             if upstreams != self.upstreams:
-                self._replace_upstreams(upstreams)
+                self._replace_upstreams(upstreams, age_s)
                 self._changed.notify_all()
+            else:
+                self._observe(self.upstreams, age_s)
 
     def update_ownership_from_store(self, ownership: OwnershipTable) -> None:
         """Use the stored ownership table until a leader has published one.
@@ -247,6 +245,46 @@
                 self.versions = replace(self.versions, members=version)
                 self._changed.notify_all()
 
+    def update_evacuations_from_store(self, revision: int, zones: frozenset[str]) -> None:
+        """Update the evacuated zones with those that this node read from the store.
+
+        The revision is kept while the zones stay the same, so that the nodes do not exchange
+        revisions that differ only because they read the store at different times.
+
+        :param revision: revision of the store at which they were read.
+        :param zones: the zones.
+        """
+        if self.versions.evacuations == 0 or zones != self.evacuated_zones:
+            self.update_evacuations(revision, zones)
+
+    def update_evacuations(self, revision: int, zones: frozenset[str]) -> None:
+        """Update the evacuated zones unless the current ones were read as late or later.
+
+        :param revision: revision of the store at which they were read.
+        :param zones: the zones.
+        """
+        with self._changed:
+            if revision <= self.versions.evacuations:
+                return
+            ended = self.evacuated_zones - zones
+            if self.upstream_observer is not None:
+                for zone in ended:
+                    self.upstream_observer.record_evacuation_end(zone)
+            begun = zones - self.evacuated_zones
+            self.evacuated_zones = zones
+            self.versions = replace(self.versions, evacuations=revision)
+            self._changed.notify_all()
+        for event, found in (("zone.evacuated", begun), ("zone.evacuation_ended", ended)):
+            for zone in sorted(found):
+                log_state_change(event, zone=zone, revision=revision)
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Return whether an upstream gets no new requests because its zone is evacuated.
+
+        :param upstream: the upstream.
+        """
+        return bool(self.evacuated_zones) and upstream.zone in self.evacuated_zones
+
     def wait_for_change(self, known: Versions, timeout_s: float) -> None:
         """Wait until the versions differ from known ones.
 
@@ -266,7 +304,33 @@
         read_at = self.upstreams_read_at
         return None if read_at is None else self._now() - read_at
 
-    def _replace_upstreams(self, upstreams: dict[str, Upstream]) -> None:
+    def record_leader_poll(self, sent_at: float) -> None:
+        """Record that the leader has answered a poll of this node.
+
+        :param sent_at: when the poll was sent, in seconds of the clock.
+        """
+        self._leader_polled_at = max(self._leader_polled_at, sent_at)
+
+    def leader_poll_age_s(self) -> float:
+        """Return the time since the last poll that the leader answered; infinite without one."""
+        return self._now() - self._leader_polled_at
+
+    def warmup_left_s(self, upstream: Upstream) -> float:
+        """Return how long an upstream stays cold, in seconds.
+
+        :param upstream: the upstream.
+        """
+        if self.upstream_observer is None:
+            return upstream.warmup_s
+        return self.upstream_observer.warmup_left_s(upstream)
+
+    def _observe(self, upstreams: dict[str, Upstream], age_s: float) -> None:
+        if self.upstream_observer is not None:
+            self.upstream_observer.observe(upstreams, age_s)
+
+    def _replace_upstreams(self, upstreams: dict[str, Upstream], age_s: float) -> None:
+        # Requests that find a new upstream in the view have to find its warm-up, too.
+        self._observe(upstreams, age_s)
         self.upstreams = upstreams
         upstreams_by_service: dict[str, list[Upstream]] = {}
         for upstream in upstreams.values():
--- a/foxtailshunt/node/_follow_reply.py
+++ b/foxtailshunt/node/_follow_reply.py
@@ -33,6 +33,8 @@
     )
     if versions.configuration > known.configuration:
         reply.configuration = view.document
+    if versions.evacuations > known.evacuations:
+        reply.evacuated_zones = sorted(view.evacuated_zones)
     same_term = versions.term == known.term
     if versions.upstreams and not (same_term and versions.upstreams <= known.upstreams):
         _add_upstreams(view, reply, known, same_term and accepts_upstream_changes)
@@ -48,10 +50,10 @@
 ) -> None:
     changes = view.upstream_changes_since(known.upstreams) if may_send_changes else None
     if changes is not None and view.versions.upstreams == reply.versions.upstreams:
-        reply.upstream_changes = to_upstreams_message(changes.changed)
+        reply.upstream_changes = to_upstreams_message(changes.changed, view.warmup_left_s)
         reply.upstreams_removed = list(changes.removed)
     else:
-        reply.upstreams = to_upstreams_message(view.upstreams.values())
+        reply.upstreams = to_upstreams_message(view.upstreams.values(), view.warmup_left_s)
 
 
 def _add_ownership(view: FleetView, reply: FollowReply, known: Versions, same_term: bool) -> None:
@@ -70,6 +72,8 @@
     :param known: the versions that the follower stated in its request.
     """
     versions = reply.versions
+    if reply.evacuated_zones is not None and versions.evacuations:
+        view.update_evacuations(versions.evacuations, frozenset(reply.evacuated_zones))
     if not versions.term or not view.begin_term(versions.term):
         return
     _apply_upstreams(view, reply, known)
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -12,6 +12,7 @@
     CapacityEstimator,
     DemandTracker,
     Leadership,
+    MeanWork,
     MemberRegistry,
 )
 from foxtailshunt.callers import CallerInterface, OwnCallerInterface
@@ -29,17 +30,26 @@
 from foxtailshunt.node._gauges import GAUGE_INTERVAL_S, GaugeUpdater
 from foxtailshunt.node._peer_service import PeerService
 from foxtailshunt.node._settings import InterfaceKind, NodeSettings, load_node_settings
+from foxtailshunt.node._warmups import follow_warmups
 from foxtailshunt.platform import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
     PlatformCallerInterface,
     StoreClient,
     decode_configuration,
+    decode_evacuation,
 )
 from foxtailshunt.protocol import ProtocolServer
 from foxtailshunt.protocol.gen import Peer
-from foxtailshunt.relay import Forwarder, OriginExits, Sender, StopSchedule, UpstreamGroups
-from foxtailshunt.routing import FrontLimits
+from foxtailshunt.relay import (
+    Forwarder,
+    OriginExits,
+    Sender,
+    StopSchedule,
+    UpstreamGroups,
+    UpstreamSenders,
+)
+from foxtailshunt.routing import FrontLimits, Regions
 from foxtailshunt.telemetry import (
     Metrics,
     OperatorServer,
@@ -104,6 +114,7 @@
         demand_collector = DemandCollector()
         demand_tracker = DemandTracker()
         capacity_estimator = CapacityEstimator()
+        mean_work = MeanWork()
         members = MemberRegistry()
         call_spacing = StoreCallSpacing(self._view, random.Random())
         self._leadership = Leadership(
@@ -120,11 +131,16 @@
             self._view,
             demand_tracker,
             capacity_estimator,
+            mean_work,
             members,
             now,
             self._metrics,
         )
         groups = UpstreamGroups(self._view)
+        senders = UpstreamSenders(
+            self._view, groups, local_member, lambda: self._leadership.term is not None
+        )
+        regions = Regions(settings.zone, settings.region, settings.zone_regions)
         self._stop_schedule = StopSchedule()
         origin_exits = OriginExits()
         self._sender = Sender(
@@ -136,9 +152,17 @@
             log,
             self._stop_schedule,
             origin_exits=origin_exits,
+            warmups=follow_warmups(self._view, senders, settings),
         )
         self._forwarder = Forwarder(
-            local_member, self._view, groups, self._sender, self._metrics, self._stop_schedule
+            local_member,
+            self._view,
+            groups,
+            self._sender,
+            self._metrics,
+            self._stop_schedule,
+            senders,
+            regions,
         )
         fleet_size = FleetSize(self._view, now)
         budget = RetryBudget(
@@ -154,6 +178,7 @@
             self._metrics,
             log,
             self._stop_schedule,
+            regions,
         )
         self._peer_service = PeerService(
             self._view,
@@ -164,6 +189,7 @@
             demand_tracker,
             capacity_estimator,
             now,
+            mean_work,
         )
         self._peer_server = ProtocolServer(
             Peer,
@@ -185,6 +211,7 @@
             now,
             call_spacing,
             settings.peers,
+            mean_work,
         )
         self._configuration = ConfigurationWatch(
             self._store,
@@ -313,5 +340,7 @@
             ConfigurationFormat(CONFIG_KEY, CONFIG_KEY, decode_config_record),
             OwnCallerInterface(),
         )
-    fmt = ConfigurationFormat(OPERATOR_PREFIX, CONFIGURATION_KEY, decode_configuration)
+    fmt = ConfigurationFormat(
+        OPERATOR_PREFIX, CONFIGURATION_KEY, decode_configuration, decode_evacuation
+    )
     return fmt, PlatformCallerInterface()
--- a/foxtailshunt/platform/_configuration.py
+++ b/foxtailshunt/platform/_configuration.py
@@ -1,12 +1,13 @@
 """Decodes the platform's configuration document."""
 
+import math
 import re
 from typing import Annotated, Any
 
 from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.platform._durations import Seconds
+from foxtailshunt.platform._durations import Seconds, parse_warmup_s
 from foxtailshunt.routing import (
     FrontLimits,
     HostRoute,
@@ -18,6 +19,15 @@
 )
 
 _VERSION = re.compile(r"r(\d+)")
+#: Maximum of ``warmup_per_s``; an upstream sustains a few requests per second while it is cold.
+MAX_WARMUP_RATE = 1_000_000.0
+#: Warm-up that is assumed if ``warmup`` is malformed, in seconds. Upstreams are cold for 3 s after
+#: a start; without a value their limit would not be applied.
+ASSUMED_WARMUP_S = 3.0
+#: Maximum length of a message about a malformed value, in characters.
+MAX_MESSAGE_CHARS = 200
+#: Maximum length of a rejected value in a message, in characters; log lines carry it.
+_MAX_SHOWN_CHARS = 60
 
 
 def _parse_version(value: Any) -> int:
@@ -46,12 +56,19 @@
     traffic_split: list[_WireTrafficShare] | None = None
     #: Number of upstreams that one request may be sent to; not the number of retries.
     max_attempts: int = Field(ge=1)
+    #: Names of the regions whose upstreams may get the requests; absent or empty for all. Checked
+    #: later, as the values of a warm-up are.
+    allowed_regions: Any = None
 
 
 class _WireService(BaseModel):
     max_conns: int = Field(default=64, ge=1)
     #: True if the service is sharded by key.
     sharded: bool = False
+    #: How long an upstream is cold after a start, and the requests per second that it sustains
+    #: until then. Checked later, so that a malformed value does not invalidate the document.
+    warmup: Any = None
+    warmup_per_s: Any = None
 
 
 class _WireLimits(BaseModel):
@@ -80,24 +97,59 @@
         error = exc.errors()[0]
         field = ".".join(str(part) for part in error["loc"])
         raise DocumentError(f"{field}: {error['msg']}") from exc
+    ignored: list[str] = []
     routes = HostRoutes(
-        HostRoute(route.host, route.prefix, _to_route(name, route))
+        HostRoute(route.host, route.prefix, _to_route(name, route, ignored))
         for name, route in wire.routes.items()
     )
-    services = {
-        name: ServiceInfo(name=name, keyed=item.sharded, max_connections=item.max_conns)
-        for name, item in wire.services.items()
-    }
+    services = {name: _to_service(name, item, ignored) for name, item in wire.services.items()}
     limits = FrontLimits(
         max_header_bytes=wire.limits.max_header_bytes,
         max_body_bytes=wire.limits.max_body_bytes,
         header_timeout_s=wire.limits.header_timeout,
         idle_timeout_s=wire.limits.idle_timeout,
     )
-    return RouteTable(wire.version, routes, services, limits)
+    return RouteTable(wire.version, routes, services, limits, tuple(ignored))
 
 
-def _to_route(name: str, wire: _WireRoute) -> Route:
+def _to_service(name: str, wire: _WireService, ignored: list[str]) -> ServiceInfo:
+    """Return a service; adds a message for each malformed optional value."""
+    warmup_s = rate = 0.0
+    try:
+        rate = _parse_warmup_rate(wire.warmup_per_s)
+    except ValueError as exc:
+        ignored.append(f"services.{name}.warmup_per_s: {exc}"[:MAX_MESSAGE_CHARS])
+    try:
+        warmup_s = _parse_warmup_s(wire.warmup)
+    except ValueError as exc:
+        ignored.append(f"services.{name}.warmup: {exc}"[:MAX_MESSAGE_CHARS])
+        warmup_s = ASSUMED_WARMUP_S
+    return ServiceInfo(
+        name=name,
+        keyed=wire.sharded,
+        max_connections=wire.max_conns,
+        warmup_s=warmup_s,
+        warmup_rate=rate,
+    )
+
+
+def _parse_warmup_rate(value: Any) -> float:
+    if value is None:
+        return 0.0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"not a number: {str(value)[:_MAX_SHOWN_CHARS]!r}")
+    if not (0 <= value <= MAX_WARMUP_RATE and math.isfinite(value)):
+        raise ValueError(f"not between 0 and {MAX_WARMUP_RATE:.0f}")
+    return float(value)
+
+
+def _parse_warmup_s(value: Any) -> float:
+    if value is None or (value == 0 and not isinstance(value, bool)):
+        return 0.0
+    return parse_warmup_s(value)
+
+
+def _to_route(name: str, wire: _WireRoute, ignored: list[str]) -> Route:
     if wire.traffic_split:
         services = tuple(WeightedService(part.service, part.weight) for part in wire.traffic_split)
     elif wire.service is not None:
@@ -112,4 +164,18 @@
         rank=wire.priority,
         max_upstreams=wire.max_attempts,
         services=services,
+        allowed_regions=_to_allowed_regions(name, wire.allowed_regions, ignored),
     )
+
+
+def _to_allowed_regions(name: str, value: Any, ignored: list[str]) -> frozenset[str] | None:
+    """Return the regions that a route allows; a malformed value allows fewer, not more."""
+    if value is None or value == []:
+        return None
+    items = value if isinstance(value, list) else []
+    regions = frozenset(item for item in items if isinstance(item, str) and item)
+    if not isinstance(value, list) or len(regions) < len(set(map(str, items))):
+        shown = str(value)[:_MAX_SHOWN_CHARS]
+        message = f"routes.{name}.allowed_regions: not a list of names: {shown!r}"
+        ignored.append(message[:MAX_MESSAGE_CHARS])
+    return regions
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -17,6 +17,7 @@
 )
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
+from foxtailshunt.relay._cold_upstreams import ColdUpstreams
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
@@ -37,6 +38,8 @@
 CALLER_CHECK_INTERVAL_S = 0.2
 #: Retry-After while the owner of a key is unknown or changing, in seconds; a handover takes 0.3 s.
 OWNER_RETRY_AFTER_S = 0.4
+#: Retry-After while all upstreams of a service are evacuated, in seconds; the operator ends that.
+EVACUATED_RETRY_AFTER_S = 1.5
 
 
 class Sender:
@@ -51,6 +54,7 @@
     :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     :param leaving: remembers upstreams that state that they are leaving; None for an own memory.
     :param origin_exits: exits of the nodes whose requests this one sends; None for an own memory.
+    :param warmups: the warm-up of upstreams, and the limit while they are cold; None for no limit.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         stop_schedule: StopSchedule | None = None,
         leaving: LeavingUpstreams | None = None,
         origin_exits: OriginExits | None = None,
+        warmups: ColdUpstreams | None = None,
     ) -> None:
         self._view = view
         self._latencies = latencies
@@ -73,7 +78,8 @@
         self._stop_schedule = stop_schedule or StopSchedule()
         self._origin_exits = origin_exits or OriginExits()
         self._pauses = UpstreamPauses()
-        self._pools = SlotPools(latencies, me.zone, self._pauses)
+        self._warmups = warmups or ColdUpstreams()
+        self._pools = SlotPools(latencies, me.zone, self._pauses, self._warmups.limiter)
         self._channels = ChannelPool()
         self._unreachable = UnreachableUpstreams()
         self._leaving = leaving if leaving is not None else LeavingUpstreams()
@@ -115,10 +121,11 @@
     def _execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         upstreams = self._eligible_upstreams(call)
         if not upstreams:
+            is_evacuated = self._eligible.is_service_evacuated(call.service)
             return Outcome(
                 ResultCode.NO_OWNER,
                 "no upstream accepts new requests",
-                retry_after_s=OWNER_RETRY_AFTER_S,
+                retry_after_s=EVACUATED_RETRY_AFTER_S if is_evacuated else OWNER_RETRY_AFTER_S,
             )
         if call.key is not None and self._unreachable.is_backed_off(upstreams[0].upstream_id):
             return Outcome(
@@ -126,6 +133,15 @@
                 "the owner was unreachable at the last connection attempt",
                 retry_after_s=OWNER_RETRY_AFTER_S,
             )
+        if call.key is not None:
+            retry_after_s = self._warmups.refused_for_s(upstreams[0], time.monotonic())
+            if retry_after_s is not None:
+                return Outcome(
+                    ResultCode.NO_OWNER,
+                    "the owner is cold and gets requests from its sender only",
+                    retry_after_s=retry_after_s,
+                    upstream_id=upstreams[0].upstream_id,
+                )
         locked = self._pools.get(call)
         entry, state_changed = self._new_entry(call)
         with locked.lock:
@@ -170,7 +186,7 @@
         :param call: one of the requests that it serves.
         """
         current = locked.current_upstreams or ()
-        if call.key is None or self._eligible.have_lost_keys(current):
+        if call.key is None or any(self._eligible.has_lost_keys(item) for item in current):
             # Upstreams may have begun to leave since the last request was queued. Requests for keys
             # wait until their keys have moved, unless these should have moved by now.
             locked.update_upstreams(self._eligible_upstreams(call))
@@ -320,12 +336,16 @@
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
         if response.states_leaving and result is not AttemptResult.REPLACED:
             self._leaving.record(upstream)
+        if result is not AttemptResult.REPLACED:
+            self._warmups.record_response(upstream, response, time.monotonic())
         if response.retry_after_s is not None:
             self._pauses.record(upstream, response.retry_after_s, time.monotonic())
         return self._to_outcome(upstream, response, result)
 
     def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
         if not exc.sent:
+            if exc.refused:
+                self._warmups.record_refusal(upstream, time.monotonic())
             if exc.code is not ResultCode.BAD_REQUEST:
                 self._unreachable.record_connection(upstream.upstream_id, connected=False)
             code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
