Judge upstreams by the share of requests that they fail, and keep failures out of latencies

Cause: the sender recorded every response, also one with status 500, as a latency sample and as a success of its slot. An upstream that failed quickly was preferred and the leader gave it up to 2.5 times the capacity of its slots. features/fast_failures.feature before this change: 98 of 100 requests went to the upstream that fails; its capacity was estimated at 5.0 for 2 slots, that of the upstream that serves at 1.28; the mean latency of the route at 6.4 ms instead of 20 ms.

Change: RequestResult names what a result states about an upstream. OutlierDetector ejects upstreams by a likelihood ratio test of their last 32 results against the share of their peers, in place of a backoff after each failure, which took an upstream out of service for a single error. SpeedEstimate separates the base speed (10 s) from the current one (0.6 s); LoadHint uses Load-Report.

--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -2,11 +2,12 @@
 
 import heapq
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, Refusal, SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.upstreams import LatencyEstimator, RequestResult, UpstreamPauses
 
 _TIME_STEP_S = 0.005
 _FAILURE_LATENCY_S = 0.002
@@ -15,8 +16,8 @@
 class CountingEstimator(LatencyEstimator):
     """Counts how often the latency of a request at an upstream is looked up."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, now: Callable[[], float]) -> None:
+        super().__init__(now)
         self.lookups = 0
 
     def expected_latency_s(self, route: str, upstream_id: str) -> float:
@@ -55,7 +56,7 @@
     now: float = 1000.0
 
     def __post_init__(self) -> None:
-        self.latencies = CountingEstimator()
+        self.latencies = CountingEstimator(lambda: self.now)
         self.seed_latency("route", self.base_latency_s)
         self.pauses = UpstreamPauses()
         self.pool = SlotPool(self.latencies, "zone", self.pauses)
@@ -121,7 +122,8 @@
             self.latencies.record_response(
                 entry.call.route, request.upstream, self._latency_s(entry)
             )
-        self.pool.finish(entry, request.failed, self.now)
+        result = RequestResult.ERROR if request.failed else RequestResult.SERVED
+        self.pool.finish(entry, result, self.now)
 
     def _latency_s(self, entry: QueueEntry) -> float:
         latency_s = self.route_latencies_s.get(entry.call.route, self.base_latency_s)
--- a/features/relay_support/__init__.py
+++ b/features/relay_support/__init__.py
@@ -9,7 +9,7 @@
 from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, SlotPool
 from foxtailshunt.fleet import Member, Upstream
 from foxtailshunt.relay import GroupSelector, UpstreamGroup, form_groups
-from foxtailshunt.upstreams import LatencyEstimator
+from foxtailshunt.upstreams import LatencyEstimator, RequestResult
 
 _SERVICE = "counter"
 _ROUTE = "issue"
@@ -153,7 +153,7 @@
 
     def _finish(self, entry: QueueEntry, duration_s: float) -> None:
         call, group, node = self._calls_by_entry[entry]
-        self._pools[group.name].finish(entry, False, self.now)
+        self._pools[group.name].finish(entry, RequestResult.SERVED, self.now)
         self._assign(group)
         self._schedule(
             self._link(group).carry(self.now), lambda: self._answer(call, group, node, duration_s)
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -189,10 +189,11 @@
             self._view.update_ownership(1, 1, OwnershipTable([keys]))
         me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
         self.stop_schedule = StopSchedule()
+        self.latencies = LatencyEstimator()
         self._sender = Sender(
             self._view,
             UpstreamGroups(self._view),
-            LatencyEstimator(),
+            self.latencies,
             me,
             Metrics(),
             RequestLog(),
--- /dev/null
+++ b/features/steps/fast_failures_steps.py
@@ -0,0 +1,109 @@
+"""Steps for upstreams that respond with server errors more quickly than others serve requests."""
+
+import threading
+import time
+from collections.abc import Iterator
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.scripted_upstream import ScriptedUpstream, SenderSubject, scripted_answer
+from foxtailshunt.assigning import CapacityEstimator
+from foxtailshunt.relay import Outcome
+
+_SLOTS = 2
+_SERVING_S = 0.02
+_TIMEOUT_S = 5.0
+
+
+class FastFailureSubject:
+    """A sender of one upstream that fails at once and one that serves requests.
+
+    :param response: status and reason of the responses of the upstream that fails.
+    """
+
+    def __init__(self, response: str) -> None:
+        def fail(head: bytes, number: int, total: int) -> Iterator[bytes]:
+            yield scripted_answer(head, response)
+
+        def serve(head: bytes, number: int, total: int) -> Iterator[bytes]:
+            time.sleep(_SERVING_S)
+            yield scripted_answer(head, "200 OK")
+
+        self.servers = {"u1": ScriptedUpstream(fail, False), "u2": ScriptedUpstream(serve, False)}
+        self.sender = SenderSubject(self.servers, _SLOTS)
+        self.outcomes: list[Outcome] = []
+
+    def send(self, callers: int, requests: int) -> None:
+        def call(caller: int) -> None:
+            for number in range(requests):
+                self.outcomes.append(self.sender.send(f"r{caller}-{number}", _TIMEOUT_S))
+
+        threads = [threading.Thread(target=call, args=(caller,)) for caller in range(callers)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def received(self, upstream_id: str) -> int:
+        return len(self.servers[upstream_id].requests)
+
+    def capacities(self) -> dict[str, float]:
+        """Return the leader's estimates from the reports of the sender."""
+        estimator = CapacityEstimator()
+        for report in self.sender.latencies.drain_reports():
+            estimator.observe(
+                report.upstream_id,
+                report.elapsed_s,
+                report.expected_latency_s,
+                report.answered,
+                report.failed,
+            )
+        return {name: estimator.capacity(name, _SLOTS) for name in self.servers}
+
+    def close(self) -> None:
+        for server in self.servers.values():
+            server.close()
+
+
+def _subject(context: Context) -> FastFailureSubject:
+    return context.fast_failures
+
+
+@given(
+    "a sender of the upstreams u1, which responds with {response} at once, "
+    "and u2, which serves requests in 20 ms"
+)
+def _(context: Context, response: str) -> None:
+    context.fast_failures = FastFailureSubject(response)
+    context.add_cleanup(context.fast_failures.close)
+
+
+@when("{callers:d} callers send {requests:d} requests each")
+def _(context: Context, callers: int, requests: int) -> None:
+    _subject(context).send(callers, requests)
+
+
+@then("u1 has received at most {most:d} of them")
+def _(context: Context, most: int) -> None:
+    assert _subject(context).received("u1") <= most, _subject(context).received("u1")
+
+
+@then("u2 has served the others")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    served = [item for item in subject.outcomes if item.status == 200]
+    assert len(served) == len(subject.outcomes) - subject.received("u1"), len(served)
+    assert subject.received("u2") == len(served)
+
+
+@then("the leader's estimate of the capacity of u1 is at most that of u2")
+def _(context: Context) -> None:
+    capacities = _subject(context).capacities()
+    assert capacities["u1"] <= capacities["u2"], capacities
+
+
+@then("the sender expects at least {least:d} ms for a request")
+def _(context: Context, least: int) -> None:
+    mean_ms = _subject(context).sender.latencies.mean_latency_s("issue") * 1000
+    assert mean_ms >= least, mean_ms
--- a/foxtailshunt/admission/_slot_pool.py
+++ b/foxtailshunt/admission/_slot_pool.py
@@ -16,7 +16,12 @@
 from foxtailshunt.admission._upstream_slots import UpstreamSlots
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.routing import RankFloor
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.upstreams import (
+    LatencyEstimator,
+    OutlierDetector,
+    RequestResult,
+    UpstreamPauses,
+)
 
 #: Margin for the variance of latencies when a new request is admitted, as a share of the expected
 #: latency.
@@ -26,8 +31,8 @@
 WAIT_SHARE = 0.75
 #: Bounds of Retry-After, in seconds. Callers wait for up to a third of their remaining time.
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.1, 1.5
-#: First and longest backoff after failures of an upstream, in seconds.
-FIRST_BACKOFF_S, MAX_BACKOFF_S = 0.25, 4.0
+#: Assumed wait of a request for which no upstream is available, in seconds.
+NO_UPSTREAM_WAIT_S = 0.25
 #: Minimum time between two complete checks of the queue, in seconds for each queued request, and
 #: its upper bound, in seconds. The checks take at most about 1,000 evaluations a second, however
 #: long the queue is, which are 2% of a core.
@@ -55,6 +60,8 @@
         self._pauses = pauses if pauses is not None else UpstreamPauses()
         #: Number of pauses when the queue was last checked.
         self._pauses_checked = 0
+        #: Ejections of upstreams that fail far more requests than the others.
+        self.outliers = OutlierDetector()
         self._slots: dict[str, UpstreamSlots] = {}
         self._waiting: list[QueueEntry] = []
         self._credits = FloorCredits(())
@@ -84,16 +91,17 @@
         :param upstreams: the upstreams; those that are leaving are ignored.
         """
         available = {item.upstream_id: item for item in upstreams if not item.leaving}
+        self.outliers.set_upstreams(available.values())
         for upstream_id, slots in list(self._slots.items()):
             if upstream_id not in available and not slots.running:
                 del self._slots[upstream_id]
             elif upstream_id not in available:
                 # Keeps the slots until the in-flight requests end, but assigns no new ones.
-                slots.paused_until = float("inf")
+                slots.has_left = True
         for upstream_id, upstream in available.items():
             slots = self._slots.get(upstream_id)
-            if slots is None or slots.paused_until == float("inf"):
-                self._slots[upstream_id] = UpstreamSlots(upstream, self._pauses)
+            if slots is None or slots.has_left:
+                self._slots[upstream_id] = UpstreamSlots(upstream, self._pauses, self.outliers)
             else:
                 slots.upstream = upstream
 
@@ -106,7 +114,7 @@
         """
         estimate_s = self._estimate_response_s(entry.call, now)
         if estimate_s is None:
-            return Refusal(None, self._retry_after(FIRST_BACKOFF_S, now))
+            return Refusal(None, self._retry_after(NO_UPSTREAM_WAIT_S, now))
         remaining_s = entry.call.deadline - now
         if estimate_s > remaining_s:
             return Refusal(estimate_s, self._retry_after(estimate_s - remaining_s, now))
@@ -168,7 +176,7 @@
         return any(slots.has_free_slot(now) for slots in self._slots.values())
 
     def _expire(self, entry: QueueEntry, estimate_s: float | None, now: float) -> None:
-        excess_s = FIRST_BACKOFF_S
+        excess_s = NO_UPSTREAM_WAIT_S
         if estimate_s is not None:
             excess_s = estimate_s - (entry.call.deadline - now)
         entry.state = QueueEntryState.EXPIRED
@@ -183,11 +191,11 @@
             self._waiting.remove(entry)
         entry.state = QueueEntryState.DONE
 
-    def finish(self, entry: QueueEntry, failed: bool, now: float) -> None:
-        """Release the slot of a request.
+    def finish(self, entry: QueueEntry, result: RequestResult, now: float) -> None:
+        """Release the slot of a request and record what its result states about its upstream.
 
         :param entry: the request.
-        :param failed: True if the upstream failed or refused it.
+        :param result: its result.
         :param now: the time in seconds.
         """
         entry.state = QueueEntryState.DONE
@@ -199,14 +207,10 @@
         times = slots.running.pop(entry, None)
         if times is not None:
             self._charge(entry, now - times[0] - entry.charged_s)
-        if failed:
-            slots.failures += 1
-            self._back_off(slots, now)
-        else:
-            slots.failures = 0
+            self.outliers.record(entry.upstream.upstream_id, result, times[0], now)
 
     def next_pause_end(self, now: float) -> float | None:
-        """Return when the next backoff or pause of an upstream ends, in seconds.
+        """Return when the next ejection or pause of an upstream ends, in seconds.
 
         :param now: the time in seconds.
         :returns: None if no request is queued or none ends within a minute.
@@ -224,15 +228,9 @@
         :param now: the time in seconds.
         :returns: 0 unless all upstreams have asked for a pause.
         """
-        available = (s for s in self._slots.values() if s.paused_until != float("inf"))
+        available = (slots for slots in self._slots.values() if not slots.has_left)
         return min((slots.pause_s(now) for slots in available), default=0.0)
 
-    def _back_off(self, slots: UpstreamSlots, now: float) -> None:
-        # The only upstream of a key gets no backoff: no other upstream can serve its requests.
-        if len(self._slots) > 1:
-            backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (slots.failures - 1))
-            slots.paused_until = max(slots.paused_until, now + backoff_s)
-
     def _charge(self, entry: QueueEntry, cost_s: float) -> None:
         if not self._credits:
             return
@@ -265,7 +263,7 @@
         return SlotForecast({name: slots.free_times(now) for name, slots in self._slots.items()})
 
     def _best_slots(self, call: Call, forecast: SlotForecast, now: float) -> UpstreamSlots | None:
-        """Return the slots of the upstream that is expected to complete a request first."""
+        """Return the slots of the upstream that is expected to serve a request first."""
         best: UpstreamSlots | None = None
         earliest_end = float("inf")
         for upstream_id, slots in self._slots.items():
@@ -274,7 +272,9 @@
             free_at = forecast.free_at(upstream_id)
             if free_at == float("inf"):
                 continue
-            end = free_at + self._selection_latency_s(call, slots, now)
+            # An upstream that fails some requests is expected to need more than one attempt.
+            success_rate = self.outliers.success_rate(upstream_id)
+            end = free_at + self._selection_latency_s(call, slots, now) / success_rate
             # Prefers the own zone unless an upstream of another zone is expected to be 2 ms faster.
             if slots.upstream.zone != self._zone:
                 end += 0.002
@@ -311,7 +311,7 @@
         ahead = ordered[: ordered.index(new_entry)]
         ahead_s = sum(self._latencies.mean_latency_s(other.call.route) for other in ahead)
         effective_slots = sum(
-            item.upstream.slots / self._latencies.latency_ratio(name)
+            item.usable_slots / self._latencies.latency_ratio(name)
             for name, item in self._slots.items()
             if forecast.free_at(name) != float("inf")
         )
--- a/foxtailshunt/admission/_upstream_slots.py
+++ b/foxtailshunt/admission/_upstream_slots.py
@@ -4,7 +4,7 @@
 
 from foxtailshunt.admission._queue_entry import QueueEntry
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import UpstreamPauses
+from foxtailshunt.upstreams import OutlierDetector, UpstreamPauses
 
 #: Assumed remaining time of an overdue request: the larger of this time, in seconds, and this share
 #: of the time since its start.
@@ -19,20 +19,30 @@
     upstream: Upstream
     #: The pauses that upstreams have asked for.
     pauses: UpstreamPauses
+    #: The ejections of upstreams that fail far more requests than their peers.
+    outliers: OutlierDetector
     #: Start and expected end of each request in flight, in seconds of the monotonic clock.
     running: dict[QueueEntry, tuple[float, float]] = field(default_factory=dict)
-    #: Number of consecutive failures.
-    failures: int = 0
-    #: End of the backoff after failures, in seconds of the monotonic clock; infinite for an
-    #: upstream that has left the pool.
-    paused_until: float = 0.0
+    #: True once the upstream has left the pool; its requests in flight end.
+    has_left: bool = False
     #: Time of the last assignment, in seconds of the monotonic clock.
     last_assigned_at: float = 0.0
 
     @property
     def blocked_until(self) -> float:
-        """Return until when no request is assigned, in seconds: backoff or requested pause."""
-        return max(self.paused_until, self.pauses.end(self.upstream))
+        """Return until when no request is assigned, in seconds: ejection or requested pause.
+
+        Infinite for an upstream that has left the pool.
+        """
+        if self.has_left:
+            return float("inf")
+        ejected_until = self.outliers.blocked_until(self.upstream.upstream_id)
+        return max(ejected_until, self.pauses.end(self.upstream))
+
+    @property
+    def usable_slots(self) -> int:
+        """Return how many requests may be in flight: fewer than the slots after an ejection."""
+        return self.outliers.max_running(self.upstream)
 
     def pause_s(self, now: float) -> float:
         """Return the rest of the pause that the upstream has asked for, in seconds.
@@ -46,7 +56,7 @@
 
         :param now: the time in seconds.
         """
-        return len(self.running) < self.upstream.slots and now >= self.blocked_until
+        return len(self.running) < self.usable_slots and now >= self.blocked_until
 
     def free_times(self, now: float) -> list[float]:
         """Return when each slot is expected to become free, in seconds.
@@ -55,9 +65,10 @@
         """
         earliest = max(now, self.blocked_until)
         times = [max(earliest, _expected_end(*span, now)) for span in self.running.values()]
+        usable = self.usable_slots
         # More requests than slots can be in flight after the upstream's entry has changed.
-        idle = max(0, self.upstream.slots - len(times))
-        return sorted(times)[-self.upstream.slots :] + [earliest] * idle
+        idle = max(0, usable - len(times))
+        return sorted(times)[-usable:] + [earliest] * idle
 
     def overrun_ratio(self, now: float) -> float:
         """Return the smallest ratio of elapsed to expected time of the requests in flight.
@@ -65,7 +76,7 @@
         :param now: the time in seconds.
         :returns: at least 1; 1 while a slot is free.
         """
-        if len(self.running) < self.upstream.slots:
+        if len(self.running) < self.usable_slots:
             return 1.0
         ratios = [(now - start) / max(0.001, end - start) for start, end in self.running.values()]
         return max(1.0, min(ratios, default=1.0))
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from foxtailshunt.errors import DocumentError
+from foxtailshunt.upstreams import LoadReport
+
 _REQUEST_ID = "attempt-id"
 #: A signature of status and body that only the upstream can create; callers verify it.
 _SEAL = "response-seal"
@@ -17,6 +20,13 @@
 _RETRY_AFTER, _UNAVAILABLE_STATUS = "retry-after", 503
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]+)?")
 _KEEP_ALIVE = "keep-alive"
+#: Load of the upstream at this moment: ``running,waiting,slots``, and possibly the time that work
+#: takes in percent of the usual time.
+_LOAD_REPORT = "load-report"
+#: A number of a load report; at most six digits, so that a hostile value cannot become expensive.
+_LOAD_NUMBER = re.compile(r"[0-9]{1,6}")
+#: Characters of a malformed load report that are quoted.
+_MAX_QUOTED = 40
 #: Sent for a key that the upstream does not own and for a request that expects another upstream.
 _MISDIRECTED_STATUS = 421
 _INSTANCE_ID = "instance-id"
@@ -100,6 +110,15 @@
         seconds = float(value)
         return seconds if math.isfinite(seconds) else None
 
+    @property
+    def load_report(self) -> LoadReport | None:
+        """Return the load that the upstream reports, or None if it reports none.
+
+        :raises DocumentError: the report is malformed.
+        """
+        value = self.header(_LOAD_REPORT)
+        return None if value is None else _decode_load_report(value)
+
     def caller_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers to pass to the caller, without connection headers and body length."""
         return tuple(
@@ -141,6 +160,16 @@
     return AttemptResult.ANSWERED
 
 
+def _decode_load_report(value: str) -> LoadReport:
+    parts = [part.strip(" \t") for part in value.split(",", 4)]
+    if len(parts) not in (3, 4) or not all(_LOAD_NUMBER.fullmatch(part) for part in parts):
+        raise DocumentError(f"load report {value[:_MAX_QUOTED]!r} is not running,waiting,slots")
+    running, waiting, slots, *durations = (int(part) for part in parts)
+    if slots == 0 or 0 in durations:
+        raise DocumentError(f"load report {value[:_MAX_QUOTED]!r} has no slots or no duration")
+    return LoadReport(running, waiting, slots, durations[0] if durations else None)
+
+
 def _find_header(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
     for key, value in headers:
         if key.lower() == name:
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -18,8 +18,10 @@
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
+from foxtailshunt.relay._load_reports import LoadReports
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
+from foxtailshunt.relay._result_recorder import ResultRecorder
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
@@ -27,6 +29,7 @@
 from foxtailshunt.upstreams import (
     LatencyEstimator,
     LeavingUpstreams,
+    RequestResult,
     UnreachableUpstreams,
     UpstreamPauses,
 )
@@ -68,16 +71,17 @@
         self._view = view
         self._latencies = latencies
         self._me = me
-        self._metrics = metrics
         self._log = log
         self._stop_schedule = stop_schedule or StopSchedule()
         self._origin_exits = origin_exits or OriginExits()
         self._pauses = UpstreamPauses()
         self._pools = SlotPools(latencies, me.zone, self._pauses)
         self._channels = ChannelPool()
+        self._load_reports = LoadReports(latencies)
         self._unreachable = UnreachableUpstreams()
         self._leaving = leaving if leaving is not None else LeavingUpstreams()
         self._eligible = EligibleUpstreams(view, groups, self._leaving)
+        self._results = ResultRecorder(latencies, self._leaving, metrics)
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         """Queue a request, send it and return its outcome.
@@ -241,21 +245,17 @@
         upstream = entry.upstream
         assert upstream is not None
         started = time.monotonic()
-        failed = True
+        result = RequestResult.NOT_RATED
         try:
             if caller_disconnected(caller):
-                failed = False
                 return Outcome(ResultCode.CANCELLED, "the caller disconnected")
             if self._key_has_moved(entry.call):
-                failed = False
                 return Outcome(ResultCode.KEY_MOVED, "the key moved", retry_after_s=0.1)
             if not self._may_run(entry.call):
-                failed = False
                 return stopping_outcome()
             outcome = self._exchange(entry.call, upstream, caller)
-            failed = outcome.code not in (ResultCode.OK, ResultCode.CANCELLED)
             upstream_s = time.monotonic() - started
-            self._record_latency(entry.call, upstream, outcome, upstream_s)
+            result = self._results.record(entry.call, upstream, outcome, upstream_s)
             if outcome.retry_after_s is not None:
                 with locked.lock:
                     pause_s = locked.pool.pause_s(time.monotonic())
@@ -263,26 +263,9 @@
             return replace(outcome, upstream_s=upstream_s)
         finally:
             with locked.lock:
-                locked.pool.finish(entry, failed, time.monotonic())
+                locked.pool.finish(entry, result, time.monotonic())
                 self._assign(locked, entry.call)
 
-    def _record_latency(
-        self, call: Call, upstream: Upstream, outcome: Outcome, elapsed_s: float
-    ) -> None:
-        upstream_id = upstream.upstream_id
-        if outcome.code is ResultCode.OK:
-            self._latencies.record_response(call.route, upstream_id, elapsed_s)
-            self._metrics.observe(
-                "foxtailshunt_upstream_seconds",
-                "Time of requests at upstreams.",
-                elapsed_s,
-                {"service": call.service},
-            )
-        elif outcome.code is ResultCode.DEADLINE_EXCEEDED:
-            self._latencies.record_timeout(call.route, upstream_id, elapsed_s)
-        elif outcome.code is not ResultCode.CANCELLED:
-            self._latencies.record_failure(upstream_id)
-
     def _exchange(self, call: Call, upstream: Upstream, caller: socket.socket | None) -> Outcome:
         def is_own_response(response: UpstreamResponse) -> bool:
             result = classify_response(response, call.request_id, upstream.upstream_id)
@@ -318,6 +301,7 @@
         else:
             self._channels.release(upstream, channel)
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
+        self._load_reports.record(upstream, response)
         if response.states_leaving and result is not AttemptResult.REPLACED:
             self._leaving.record(upstream)
         if response.retry_after_s is not None:
--- a/foxtailshunt/upstreams/__init__.py
+++ b/foxtailshunt/upstreams/__init__.py
@@ -1,13 +1,22 @@
-"""What a node knows of each upstream: speed, pauses, leaving, reachability."""
+"""What a node knows of each upstream: speed, success, pauses, leaving, reachability."""
 
 from foxtailshunt.upstreams._latency_estimator import LatencyEstimator
+from foxtailshunt.upstreams._latency_reports import LatencyReport, RouteLatency
 from foxtailshunt.upstreams._leaving_upstreams import LeavingUpstreams
+from foxtailshunt.upstreams._load_hint import LoadReport
+from foxtailshunt.upstreams._outlier_detector import OutlierDetector
+from foxtailshunt.upstreams._request_result import RequestResult
 from foxtailshunt.upstreams._unreachable_upstreams import UnreachableUpstreams
 from foxtailshunt.upstreams._upstream_pauses import UpstreamPauses
 
 __all__ = [
     "LatencyEstimator",
+    "LatencyReport",
     "LeavingUpstreams",
+    "LoadReport",
+    "OutlierDetector",
+    "RequestResult",
+    "RouteLatency",
     "UnreachableUpstreams",
     "UpstreamPauses",
 ]
--- a/foxtailshunt/upstreams/_latency_estimator.py
+++ b/foxtailshunt/upstreams/_latency_estimator.py
@@ -1,56 +1,44 @@
 """Latency estimates by route and by upstream."""
 
+import math
 import threading
-from dataclasses import dataclass
+import time
+from collections.abc import Callable
+
+from foxtailshunt.upstreams._latency_reports import LatencyReport, ReportTotals
+from foxtailshunt.upstreams._load_hint import LoadHint, LoadReport
+from foxtailshunt.upstreams._request_result import RequestResult
+from foxtailshunt.upstreams._speed_estimate import MAX_RATIO, SpeedEstimate
 
 #: Assumed latency of a route without samples, in seconds; data sheets state 84 to 210 ms.
 INITIAL_LATENCY_S = 0.15
 #: Weight of the newest sample in a route's moving average, which covers about the last 50 samples.
 #: The first samples have a larger weight, and the assumed latency weighs as much as one sample.
 ROUTE_WEIGHT = 0.02
-#: Weight of the newest sample in an upstream's latency ratio, which covers about 8 samples.
-UPSTREAM_WEIGHT = 0.12
-#: Bounds of an upstream's latency ratio. Upstreams differ by a factor of 3, and faults slow them
-#: down by a factor of up to 12.
-MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.25, 20.0
-#: Bound of one sample, as a multiple of the mean, so that a single outlier has little effect.
-MAX_SAMPLE_RATIO = 6.0
-
-
-@dataclass(slots=True)
-class _Totals:
-    elapsed_s: float = 0.0
-    expected_latency_s: float = 0.0
-    answered: int = 0
-    failed: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class LatencyReport:
-    """The requests of one upstream since the last report."""
-
-    #: The upstream.
-    upstream_id: str
-    #: Sum of the observed latencies, in seconds.
-    elapsed_s: float
-    #: Sum of the mean latencies of the same routes over all upstreams, in seconds.
-    expected_latency_s: float
-    #: Number of requests that the upstream answered.
-    answered: int
-    #: Number of requests that the upstream failed or refused.
-    failed: int
+#: Exponent of the base ratio by which a sample is divided before it enters the mean of its route.
+#: The ratios of all upstreams could grow while the means shrink, or the reverse, without any
+#: change in the expected latencies; an exponent below 1 keeps the mean ratio of the requests at 1.
+RATIO_EXPONENT = 0.98
+#: Weights, in the logarithm of the current ratio, of latencies measured just now, of a report that
+#: is trusted entirely, and of the assumption that nothing has changed.
+MEASURED_WEIGHT, REPORTED_WEIGHT, UNCHANGED_WEIGHT = 3.0, 1.0, 0.5
 
 
 class LatencyEstimator:
-    """Estimates latencies from completed requests; safe to use from any thread."""
+    """Estimates latencies from completed requests; safe to use from any thread.
+
+    :param now: returns the time in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+        self._now = now
         self._lock = threading.Lock()
         self._mean_latencies_s: dict[str, float] = {}
         #: Number of samples by route.
         self._sample_counts: dict[str, int] = {}
-        self._latency_ratios: dict[str, float] = {}
-        self._totals: dict[str, _Totals] = {}
+        self._speeds: dict[str, SpeedEstimate] = {}
+        self._hints: dict[str, LoadHint] = {}
+        self._totals: dict[str, ReportTotals] = {}
 
     def mean_latency_s(self, route: str) -> float:
         """Return the mean latency of a route's requests, in seconds.
@@ -60,11 +48,37 @@
         return self._mean_latencies_s.get(route, INITIAL_LATENCY_S)
 
     def latency_ratio(self, upstream_id: str) -> float:
-        """Return the latency of an upstream relative to the mean; 1 without samples.
+        """Return the latency of an upstream relative to the mean at this moment.
 
         :param upstream_id: the upstream.
+        :returns: 1 without samples and reports.
         """
-        return self._latency_ratios.get(upstream_id, 1.0)
+        speed, hint = self._speeds.get(upstream_id), self._hints.get(upstream_id)
+        if speed is None and hint is None:
+            return 1.0
+        now = self._now()
+        total = weighted = 0.0
+        if speed is not None:
+            total = MEASURED_WEIGHT * speed.freshness(now)
+            weighted = total * math.log(speed.current_ratio(now))
+        if hint is not None:
+            stated, weight = hint.weighted(now)
+            total += REPORTED_WEIGHT * weight
+            weighted += REPORTED_WEIGHT * weight * stated
+        current = math.exp(weighted / (total + UNCHANGED_WEIGHT))
+        return min(MAX_RATIO, current * (1.0 if speed is None else speed.slow_ratio))
+
+    def slow_ratio(self, upstream_id: str) -> float:
+        """Return the latency of an upstream relative to the mean over some 10 s.
+
+        :param upstream_id: the upstream.
+        """
+        speed = self._speeds.get(upstream_id)
+        return 1.0 if speed is None else speed.slow_ratio
+
+    def slow_ratios(self) -> dict[str, float]:
+        """Return the base latency ratio of each upstream that has served requests."""
+        return {name: speed.slow_ratio for name, speed in list(self._speeds.items())}
 
     def expected_latency_s(self, route: str, upstream_id: str) -> float:
         """Return the expected latency of a route's requests at an upstream, in seconds.
@@ -75,38 +89,50 @@
         return self.mean_latency_s(route) * self.latency_ratio(upstream_id)
 
     def record_response(self, route: str, upstream_id: str, elapsed_s: float) -> None:
-        """Record the latency of a request that was answered.
+        """Record the latency of a request that was served.
 
         :param route: name of the route.
-        :param upstream_id: the upstream that answered.
+        :param upstream_id: the upstream that served it.
         :param elapsed_s: the latency in seconds.
         """
+        now = self._now()
         with self._lock:
             mean = self._mean_latencies_s.get(route)
             if mean is None:
                 mean = self._mean_latencies_s[route] = INITIAL_LATENCY_S
             sample_count = self._sample_counts[route] = self._sample_counts.get(route, 0) + 1
-            bounded = min(elapsed_s, MAX_SAMPLE_RATIO * mean)
-            latency_ratio = self._latency_ratios.get(upstream_id, 1.0)
-            # Dividing by the latency ratio keeps a slow upstream from raising its routes' means.
+            speed = self._speed(upstream_id)
+            bounded = min(elapsed_s, speed.max_sample * mean)
+            hint = self._hints.get(upstream_id)
+            if hint is not None:
+                hint.compare(bounded / mean / speed.slow_ratio, now - elapsed_s)
+            # Dividing by the base ratio keeps a slow upstream from raising its routes' means.
             weight = max(ROUTE_WEIGHT, 1 / (sample_count + 1))
-            self._mean_latencies_s[route] = mean + weight * (bounded / latency_ratio - mean)
-            self._update_ratio(upstream_id, bounded / mean)
-            totals = self._totals.setdefault(upstream_id, _Totals())
-            totals.elapsed_s += bounded
-            totals.expected_latency_s += mean
-            totals.answered += 1
+            usual = bounded / speed.slow_ratio**RATIO_EXPONENT
+            self._mean_latencies_s[route] = mean + weight * (usual - mean)
+            speed.add(bounded / mean, now)
+            self._totals_of(upstream_id).add_served(route, bounded, mean)
 
-    def record_failure(self, upstream_id: str) -> None:
-        """Record a request that an upstream failed or refused.
+    def record_load(self, upstream_id: str, report: LoadReport) -> None:
+        """Record the load that an upstream has reported.
 
         :param upstream_id: the upstream.
+        :param report: the report.
         """
         with self._lock:
-            self._totals.setdefault(upstream_id, _Totals()).failed += 1
+            self._hints.setdefault(upstream_id, LoadHint()).add(report, self._now())
+
+    def record_failure(self, upstream_id: str, result: RequestResult) -> None:
+        """Record a request that an upstream failed or refused; it states nothing about its speed.
+
+        :param upstream_id: the upstream.
+        :param result: the kind of failure.
+        """
+        with self._lock:
+            self._totals_of(upstream_id).results[result] += 1
 
     def record_timeout(self, route: str, upstream_id: str, waited_s: float) -> None:
-        """Record a request that timed out.
+        """Record a request that timed out before it would usually have been served.
 
         The elapsed time is a lower bound of the latency, so it can only raise the latency ratio.
 
@@ -114,28 +140,21 @@
         :param upstream_id: the upstream.
         :param waited_s: the time until the timeout, in seconds.
         """
+        now = self._now()
         with self._lock:
-            ratio = min(MAX_SAMPLE_RATIO, waited_s / self.mean_latency_s(route))
-            if ratio > self._latency_ratios.get(upstream_id, 1.0):
-                self._update_ratio(upstream_id, ratio)
-            self._totals.setdefault(upstream_id, _Totals()).failed += 1
+            speed = self._speed(upstream_id)
+            ratio = min(speed.max_sample, waited_s / self.mean_latency_s(route))
+            if ratio > speed.slow_ratio * speed.current_ratio(now):
+                speed.add(ratio, now)
 
     def drain_reports(self) -> list[LatencyReport]:
         """Return the totals by upstream since the last call, and reset them."""
         with self._lock:
-            totals_by_upstream, self._totals = self._totals, {}
-        return [
-            LatencyReport(
-                upstream_id,
-                totals.elapsed_s,
-                totals.expected_latency_s,
-                totals.answered,
-                totals.failed,
-            )
-            for upstream_id, totals in totals_by_upstream.items()
-        ]
-
-    def _update_ratio(self, upstream_id: str, ratio: float) -> None:
-        previous = self._latency_ratios.get(upstream_id, 1.0)
-        updated = previous + UPSTREAM_WEIGHT * (ratio - previous)
-        self._latency_ratios[upstream_id] = min(MAX_LATENCY_RATIO, max(MIN_LATENCY_RATIO, updated))
+            totals, self._totals = self._totals, {}
+        return [item.to_report(upstream_id) for upstream_id, item in totals.items()]
+
+    def _speed(self, upstream_id: str) -> SpeedEstimate:
+        return self._speeds.setdefault(upstream_id, SpeedEstimate())
+
+    def _totals_of(self, upstream_id: str) -> ReportTotals:
+        return self._totals.setdefault(upstream_id, ReportTotals())
--- /dev/null
+++ b/foxtailshunt/upstreams/_success_estimate.py
@@ -0,0 +1,99 @@
+"""Estimates how many of its requests an upstream fails."""
+
+import math
+from collections import deque
+from collections.abc import Iterable
+
+from foxtailshunt.upstreams._request_result import RequestResult
+
+#: Number of results that an estimate covers. An upstream of the planned deployments gets 2 to 14
+#: requests a second, so that this is some seconds.
+RESULT_COUNT = 32
+#: Share of failures that is normal: 0.1 to 0.4% of all responses are 500, and a share below this
+#: one cannot be told from it with as few results.
+NORMAL_FAILURE_SHARE = 0.02
+#: Weight of the normal share in the estimated share of other upstreams, in results.
+NORMAL_SHARE_WEIGHT = 5.0
+#: Weight of a refusal as evidence. It costs a caller less than another failure, and a refused
+#: request may be sent to another upstream.
+REFUSAL_WEIGHT = 0.5
+
+
+class SuccessEstimate:
+    """The last results of the requests to one upstream."""
+
+    def __init__(self) -> None:
+        self._results: deque[RequestResult] = deque(maxlen=RESULT_COUNT)
+        #: Number of requests without any response since the last response.
+        self.silences_in_a_row = 0
+
+    def add(self, result: RequestResult) -> None:
+        """Add the result of a request.
+
+        :param result: the result.
+        """
+        if result is RequestResult.NOT_RATED:
+            return
+        self._results.append(result)
+        self.silences_in_a_row = self.silences_in_a_row + 1 if result.is_silence else 0
+
+    def clear(self) -> None:
+        """Discard all results."""
+        self._results.clear()
+        self.silences_in_a_row = 0
+
+    @property
+    def rated(self) -> int:
+        """Return the number of results."""
+        return len(self._results)
+
+    @property
+    def failed(self) -> int:
+        """Return the number of results that are failures."""
+        return sum(result.is_failure for result in self._results)
+
+    @property
+    def success_rate(self) -> float:
+        """Return the share of requests that are served; close to 1 with few results."""
+        return 1.0 - self.failed / (self.rated + NORMAL_SHARE_WEIGHT)
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of failures by kind."""
+        kinds = [result.value for result in self._results if result.is_failure]
+        return {kind: kinds.count(kind) for kind in sorted(set(kinds))}
+
+    def evidence(self, normal_share: float) -> float:
+        """Return the evidence that the upstream fails more requests than others.
+
+        This is the logarithm of the ratio of two likelihoods of the last results, that of a share
+        of failures halfway between the normal one and 1, and that of the normal share, for the
+        number of last results for which it is highest (a CUSUM test).
+
+        :param normal_share: share of failures of other upstreams.
+        """
+        high_share = (1.0 + normal_share) / 2
+        per_failure = math.log(high_share / normal_share)
+        per_success = math.log((1.0 - high_share) / (1.0 - normal_share))
+        total = highest = 0.0
+        for result in reversed(self._results):
+            if not result.is_failure:
+                total += per_success
+            elif result is RequestResult.REFUSED:
+                total += REFUSAL_WEIGHT * per_failure
+            else:
+                total += per_failure
+            highest = max(highest, total)
+        return highest
+
+
+def failure_share(estimates: Iterable[SuccessEstimate]) -> float:
+    """Return the share of failures of some upstreams together, at least the normal one.
+
+    :param estimates: their estimates.
+    """
+    rated, failed = NORMAL_SHARE_WEIGHT, NORMAL_SHARE_WEIGHT * NORMAL_FAILURE_SHARE
+    for estimate in estimates:
+        rated += estimate.rated
+        failed += estimate.failed
+    # A share of 1 would make every further success infinitely unlikely.
+    return min(0.95, max(NORMAL_FAILURE_SHARE, failed / rated))
