Test the ejection of outliers; compare an upstream with peers in full use only

Trials without a pool showed that two upstreams that fail equally often ejected each other in turn, since an upstream on probation left its peer without a measure. An upstream is now an outlier only beside peers in full use, and only far above their share. The choice among free slots prefers upstreams that fail less.

--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -52,8 +53,12 @@
     #: Factor on the latency by upstream.
     latency_factors: dict[str, float] = field(default_factory=dict)
     fails_until: dict[str, float] = field(default_factory=dict)
+    #: Share of the requests that each upstream fails at once, and how.
+    failure_shares: dict[str, float] = field(default_factory=dict)
+    failure_results: dict[str, RequestResult] = field(default_factory=dict)
     route_latencies_s: dict[str, float] = field(default_factory=dict)
     now: float = 1000.0
+    seed: int = 1
 
     def __post_init__(self) -> None:
         self.latencies = CountingEstimator(lambda: self.now)
@@ -69,6 +74,7 @@
         self._requests_by_entry: dict[QueueEntry, SimulatedRequest] = {}
         self._completions: list[tuple[float, int, QueueEntry]] = []
         self._sequence = itertools.count()
+        self._rng = random.Random(self.seed)
 
     def submit(
         self,
@@ -102,7 +108,9 @@
                 continue
             request.upstream = entry.upstream.upstream_id
             request.started_at = self.now
-            request.failed = self.now < self.fails_until.get(request.upstream, 0.0)
+            share = self.failure_shares.get(request.upstream, 0.0)
+            is_failing = self.now < self.fails_until.get(request.upstream, 0.0)
+            request.failed = is_failing or self._rng.random() < share
             latency_s = self._latency_s(entry)
             end = self.now + (_FAILURE_LATENCY_S if request.failed else latency_s)
             heapq.heappush(self._completions, (end, next(self._sequence), entry))
@@ -122,7 +130,9 @@
             self.latencies.record_response(
                 entry.call.route, request.upstream, self._latency_s(entry)
             )
-        result = RequestResult.ERROR if request.failed else RequestResult.SERVED
+        result = RequestResult.SERVED
+        if request.failed:
+            result = self.failure_results.get(request.upstream, RequestResult.ERROR)
         self.pool.finish(entry, result, self.now)
 
     def _latency_s(self, entry: QueueEntry) -> float:
--- a/foxtailshunt/admission/_slot_pool.py
+++ b/foxtailshunt/admission/_slot_pool.py
@@ -273,8 +273,8 @@
             if free_at == float("inf"):
                 continue
             # An upstream that fails some requests is expected to need more than one attempt.
-            success_rate = self.outliers.success_rate(upstream_id)
-            end = free_at + self._selection_latency_s(call, slots, now) / success_rate
+            success = self.outliers.relative_success(upstream_id)
+            end = free_at + self._selection_latency_s(call, slots, now) / success
             # Prefers the own zone unless an upstream of another zone is expected to be 2 ms faster.
             if slots.upstream.zone != self._zone:
                 end += 0.002
--- a/foxtailshunt/upstreams/_outlier_detector.py
+++ b/foxtailshunt/upstreams/_outlier_detector.py
@@ -19,13 +19,20 @@
 RELAPSE_S = 10.0
 #: Evidence (logarithm of a likelihood ratio) from which an upstream is ejected: three errors in a
 #: row while its peers have no more than the normal share, more of them if the peers fail too.
-MIN_EVIDENCE = 9.5
+MIN_EVIDENCE = 8.7
+#: Share of failures, as a multiple of that of the peers, below which no upstream is an outlier.
+MIN_SHARE_RATIO = 2.0
 #: Number of requests in a row without any response after which an upstream is ejected at once.
 MAX_SILENCES = 3
 #: Share of failures of the peers up to which one failure ejects an upstream on probation again.
 MAX_PEER_SHARE_ON_PROBATION = 0.25
-#: Share of the upstreams that may be ejected at a time; one of two or three may always be.
-MAX_EJECTED_SHARE = 1 / 3
+#: At most one of this many upstreams may be ejected at a time; of two, one may be.
+UPSTREAMS_PER_EJECTION = 3
+#: Difference in the shares of failures of two upstreams that has no effect on the choice between
+#: them. Estimates from 32 results of upstreams that fail equally often differ by up to 0.25.
+TOLERATED_EXCESS = 0.3
+#: Number of other upstreams whose share of failures is logged at an ejection.
+MAX_LOGGED = 12
 
 
 @dataclass(slots=True)
@@ -53,6 +60,8 @@
 
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
+        #: Share of failures of the best upstream.
+        self._least_share = 0.0
         #: Number of ejections so far.
         self.ejections = 0
 
@@ -69,6 +78,7 @@
             state.upstream = upstream
             states[upstream.upstream_id] = state
         self._states = states
+        self._least_share = min((item.estimate.share for item in states.values()), default=0.0)
         ejected = sorted(
             (state for state in states.values() if state.ejected_until),
             key=lambda state: state.ejected_until,
@@ -97,6 +107,7 @@
             # A request from before the ejection, which accounts for it.
             return
         state.estimate.add(result)
+        self._least_share = min(item.estimate.share for item in self._states.values())
         if result is RequestResult.SERVED:
             self._raise_limit(state, now)
         elif result.is_failure and self._is_outlier(state):
@@ -128,13 +139,17 @@
             return upstream.slots
         return min(state.limit, upstream.slots)
 
-    def success_rate(self, upstream_id: str) -> float:
-        """Return the share of its requests that an upstream serves.
+    def relative_success(self, upstream_id: str) -> float:
+        """Return the share of its requests that an upstream serves, compared with the best one.
 
         :param upstream_id: the upstream.
+        :returns: 1 unless it fails far more requests than the best one; never 0.
         """
         state = self._states.get(upstream_id)
-        return 1.0 if state is None else state.estimate.success_rate
+        if state is None:
+            return 1.0
+        excess = state.estimate.share - self._least_share - TOLERATED_EXCESS
+        return 1.0 - max(0.0, excess)
 
     def ejected(self, now: float) -> int:
         """Return the number of ejected upstreams.
@@ -145,7 +160,7 @@
 
     def _max_ejected(self) -> int:
         count = len(self._states)
-        return max(1, int(count * MAX_EJECTED_SHARE)) if count > 1 else 0
+        return max(1, count // UPSTREAMS_PER_EJECTION) if count > 1 else 0
 
     def _is_outlier(self, state: _State) -> bool:
         if len(self._states) < 2:
@@ -153,22 +168,25 @@
             return False
         if state.estimate.silences_in_a_row >= MAX_SILENCES:
             return True
-        share = self._peer_share(state)
-        if state.limit is not None and share <= MAX_PEER_SHARE_ON_PROBATION:
-            return True
-        return state.estimate.evidence(share) >= MIN_EVIDENCE
-
-    def _peer_share(self, state: _State) -> float:
         # Other upstreams that are ejected or on probation are no measure of what is normal.
-        return failure_share(
+        peers = [
             other.estimate
             for other in self._states.values()
             if other is not state and other.limit is None
-        )
+        ]
+        if not peers:
+            return False
+        peer_share = failure_share(peers)
+        if state.limit is not None and peer_share <= MAX_PEER_SHARE_ON_PROBATION:
+            return True
+        # Halfway to 1 is far above a high share, of which no multiple may exist.
+        far_above = min(MIN_SHARE_RATIO * peer_share, (1.0 + peer_share) / 2)
+        is_far_above = state.estimate.share >= far_above
+        return is_far_above and state.estimate.evidence(peer_share) >= MIN_EVIDENCE
 
     def _eject(self, state: _State, now: float) -> None:
         """Eject an upstream, unless others that are at least as bad take up the limit."""
-        share = state.estimate.failed / state.estimate.rated
+        share = state.estimate.share
         lasting = [item for item in self._states.values() if now < item.ejected_until]
         if len(lasting) >= self._max_ejected():
             least_bad = min(lasting, key=lambda item: item.share_when_ejected)
@@ -187,8 +205,11 @@
             for_s=length_s,
             rated=state.estimate.rated,
             failures=state.estimate.counts(),
-            peer_share=round(self._peer_share(state), 3),
-            upstreams=len(self._states),
+            other_shares={
+                name: round(other.estimate.share, 3)
+                for name, other in list(self._states.items())[:MAX_LOGGED]
+                if other is not state
+            },
         )
         state.share_when_ejected = share
         state.ejections += 1
--- a/foxtailshunt/upstreams/_success_estimate.py
+++ b/foxtailshunt/upstreams/_success_estimate.py
@@ -12,8 +12,9 @@
 #: Share of failures that is normal: 0.1 to 0.4% of all responses are 500, and a share below this
 #: one cannot be told from it with as few results.
 NORMAL_FAILURE_SHARE = 0.02
-#: Weight of the normal share in the estimated share of other upstreams, in results.
-NORMAL_SHARE_WEIGHT = 5.0
+#: Results, and failures among them, that are added to those of other upstreams, so that a few
+#: results do not pass for a low share.
+PRIOR_RESULTS, PRIOR_FAILURES = 5.0, 1.0
 #: Weight of a refusal as evidence. It costs a caller less than another failure, and a refused
 #: request may be sent to another upstream.
 REFUSAL_WEIGHT = 0.5
@@ -24,6 +25,8 @@
 
     def __init__(self) -> None:
         self._results: deque[RequestResult] = deque(maxlen=RESULT_COUNT)
+        #: Number of the results that are failures.
+        self.failed = 0
         #: Number of requests without any response since the last response.
         self.silences_in_a_row = 0
 
@@ -34,12 +37,16 @@
         """
         if result is RequestResult.NOT_RATED:
             return
+        if self.rated == RESULT_COUNT:
+            self.failed -= self._results[0].is_failure
         self._results.append(result)
+        self.failed += result.is_failure
         self.silences_in_a_row = self.silences_in_a_row + 1 if result.is_silence else 0
 
     def clear(self) -> None:
         """Discard all results."""
         self._results.clear()
+        self.failed = 0
         self.silences_in_a_row = 0
 
     @property
@@ -48,14 +55,9 @@
         return len(self._results)
 
     @property
-    def failed(self) -> int:
-        """Return the number of results that are failures."""
-        return sum(result.is_failure for result in self._results)
-
-    @property
-    def success_rate(self) -> float:
-        """Return the share of requests that are served; close to 1 with few results."""
-        return 1.0 - self.failed / (self.rated + NORMAL_SHARE_WEIGHT)
+    def share(self) -> float:
+        """Return the share of the results that are failures; 0 without results."""
+        return self.failed / self.rated if self._results else 0.0
 
     def counts(self) -> dict[str, int]:
         """Return the number of failures by kind."""
@@ -87,11 +89,11 @@
 
 
 def failure_share(estimates: Iterable[SuccessEstimate]) -> float:
-    """Return the share of failures of some upstreams together, at least the normal one.
+    """Return the share of failures of some upstreams together, estimated on the high side.
 
     :param estimates: their estimates.
     """
-    rated, failed = NORMAL_SHARE_WEIGHT, NORMAL_SHARE_WEIGHT * NORMAL_FAILURE_SHARE
+    rated, failed = PRIOR_RESULTS, PRIOR_FAILURES
     for estimate in estimates:
         rated += estimate.rated
         failed += estimate.failed
