--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
+from foxtailshunt.relay._load_reports import LoadReports
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
@@ -15,6 +16,7 @@
     "AttemptHistory",
     "Forwarder",
     "GroupSelector",
+    "LoadReports",
     "RetryDecision",
     "OriginExits",
     "Outcome",
--- a/foxtailshunt/upstreams/_latency_estimator.py
+++ b/foxtailshunt/upstreams/_latency_estimator.py
@@ -80,6 +80,14 @@
         """Return the base latency ratio of each upstream that has served requests."""
         return {name: speed.slow_ratio for name, speed in list(self._speeds.items())}
 
+    def report_trust(self, upstream_id: str) -> float:
+        """Return how far the load reports of an upstream are used, from 0 to 1.
+
+        :param upstream_id: the upstream.
+        """
+        hint = self._hints.get(upstream_id)
+        return 0.0 if hint is None else hint.trust
+
     def expected_latency_s(self, route: str, upstream_id: str) -> float:
         """Return the expected latency of a route's requests at an upstream, in seconds.
 
