Estimate capacity at the leader from speed and success separately

Cause: the leader divided the latencies that each sender reported by that sender's own means. Most senders of a service with keys send to one or two upstreams, so that base speeds could not be told from routes with long requests; and estimates over some 2 s followed noise, so that keys moved.

Change: UpstreamPace reports refused and silent requests and the mean logarithm of latencies by route (optional fields 6 to 8). UpstreamSpeeds separates routes and upstreams; FailingUpstreams finds those that fail most requests, which lose their keys and return by a trial with few keys. The capacity in use changes only if the estimate differs by 1.3 or more. No keys move to balance the load before a new leader has 2 s of reports. UpstreamRecord field 9 is reserved for avoided zones.

--- a/features/steps/fast_failures_steps.py
+++ b/features/steps/fast_failures_steps.py
@@ -9,11 +9,13 @@
 
 from features.scripted_upstream import ScriptedUpstream, SenderSubject, scripted_answer
 from foxtailshunt.assigning import CapacityEstimator
+from foxtailshunt.fleet import Upstream
 from foxtailshunt.relay import Outcome
 
 _SLOTS = 2
 _SERVING_S = 0.02
 _TIMEOUT_S = 5.0
+_REPORTED_AT, _SETTLING_S = 100.0, 10.0
 
 
 class FastFailureSubject:
@@ -52,14 +54,13 @@
         """Return the leader's estimates from the reports of the sender."""
         estimator = CapacityEstimator()
         for report in self.sender.latencies.drain_reports():
-            estimator.observe(
-                report.upstream_id,
-                report.elapsed_s,
-                report.expected_latency_s,
-                report.answered,
-                report.failed,
-            )
-        return {name: estimator.capacity(name, _SLOTS) for name in self.servers}
+            estimator.observe(report, _REPORTED_AT)
+        upstreams = [
+            Upstream(name, "counter", server.address, "zone", _SLOTS, False, 0.0, 0)
+            for name, server in self.servers.items()
+        ]
+        found = estimator.capacities("counter", upstreams, _REPORTED_AT + _SETTLING_S)
+        return {name: item.work for name, item in found.items()}
 
     def close(self) -> None:
         for server in self.servers.values():
--- a/foxtailshunt/assigning/_capacity_estimator.py
+++ b/foxtailshunt/assigning/_capacity_estimator.py
@@ -1,59 +1,163 @@
 """Estimates the capacity of each upstream from the reports of all senders."""
 
+import math
 import threading
+from collections.abc import Collection
+from dataclasses import dataclass
 
-#: Factor by which each new report reduces the weight of the earlier ones.
-OLD_REPORT_WEIGHT = 0.7
-#: Weight of the prior, average latency and no failures, in responses.
-PRIOR_RESPONSES = 4.0
-#: Bounds of the latency ratio that an estimate uses.
+from foxtailshunt.assigning._failing_upstreams import FailingUpstreams, UpstreamState
+from foxtailshunt.assigning._upstream_speeds import UpstreamSpeeds
+from foxtailshunt.fleet import Upstream
+from foxtailshunt.telemetry import log_state_change
+from foxtailshunt.upstreams import LatencyReport
+
+#: Reports that a new leader needs before it moves keys to balance the load, in seconds.
+SETTLING_S = 2.0
+#: Smallest change of an estimate, as a factor, that changes the capacity that is used. Estimates
+#: of upstreams of the same speed differ by up to a fifth because of noise, and a move of all keys
+#: costs as much as 0.4 to 1% of a day's service.
+MIN_CHANGE = 1.3
+#: Factor by which the change has to be larger at first, and time constant in which that decays, in
+#: seconds: early estimates are from few slowdowns.
+NEW_ESTIMATE_CAUTION, CAUTION_TIME_S = 2.0, 6.0
+#: Bounds of the latency ratio that a capacity uses.
 MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.4, 12.0
+_MIN_LOG_RATIO, _MAX_LOG_RATIO = math.log(MIN_LATENCY_RATIO), math.log(MAX_LATENCY_RATIO)
+#: Share of the capacity that is assumed for an upstream that is failing, or on trial after that.
+STATE_SHARES = {
+    UpstreamState.SERVING: 1.0,
+    UpstreamState.FAILING: 0.02,
+    UpstreamState.ON_TRIAL: 0.1,
+}
+#: Interval at which upstreams that no longer exist are forgotten, in seconds.
+PRUNE_INTERVAL_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """What an upstream can do."""
+
+    #: Work done per second, in seconds at average speed.
+    work: float
+    #: False if the upstream fails most of its requests and is to get no keys.
+    accepts_keys: bool = True
 
 
 class CapacityEstimator:
-    """Latency ratio and failure rate by upstream; safe to use from any thread."""
+    """Capacity by upstream: slots / latency ratio x success; safe to use from any thread."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        # Elapsed and expected seconds, answered and failed requests.
-        self._sums: dict[str, tuple[float, float, float, float]] = {}
+        self._speeds = UpstreamSpeeds()
+        self._failing = FailingUpstreams()
+        #: Logarithm of the work per slot and second that is used for each upstream.
+        self._used: dict[str, float] = {}
+        #: When the first report of the current term was received, in seconds; None before.
+        self._first_report_at: float | None = None
+        #: When each upstream was last asked for, in seconds.
+        self._asked_at: dict[str, float] = {}
+        self._pruned_at = float("-inf")
+
+    def begin_term(self) -> None:
+        """Begin to lead: wait for reports before keys move to balance the load."""
+        with self._lock:
+            self._first_report_at = None
+
+    def record_poll(self, now: float) -> None:
+        """Record that a node has reported, possibly that it has sent no requests.
+
+        :param now: the time in seconds.
+        """
+        with self._lock:
+            if self._first_report_at is None:
+                self._first_report_at = now
 
-    def observe(
-        self, upstream_id: str, taken_s: float, expected_s: float, answered: int, failed: int
-    ) -> None:
+    def is_settled(self, now: float) -> bool:
+        """Return whether the reports of this term suffice to move keys.
+
+        :param now: the time in seconds.
+        """
+        first = self._first_report_at
+        return first is not None and now - first >= SETTLING_S
+
+    def observe(self, report: LatencyReport, now: float) -> None:
         """Add a report of a sender.
 
-        :param upstream_id: id of the upstream.
-        :param taken_s: total latency of its requests, in seconds.
-        :param expected_s: total latency of such requests at an average upstream, in seconds.
-        :param answered: number of requests that it answered.
-        :param failed: number of requests that it failed or refused.
+        :param report: the requests of one upstream since the sender's last report.
+        :param now: the time in seconds.
         """
+        if report.answered + report.failed <= 0:
+            return
         with self._lock:
-            old = self._sums.get(upstream_id, (0.0, 0.0, 0.0, 0.0))
-            new = (taken_s, expected_s, float(answered), float(failed))
-            weight = OLD_REPORT_WEIGHT if answered + failed else 1.0
-            self._sums[upstream_id] = tuple(  # type: ignore[assignment]
-                weight * previous + now for previous, now in zip(old, new, strict=True)
-            )
-
-    def capacity(self, upstream_id: str, slots: int) -> float:
-        """Return the work that an upstream does per second, in seconds at average speed.
-
-        :param upstream_id: id of the upstream.
-        :param slots: requests that it processes concurrently.
+            self._speeds.observe(report, now)
+            self._failing.observe(report, now)
+
+    def capacities(
+        self, service: str, upstreams: Collection[Upstream], now: float
+    ) -> dict[str, Capacity]:
+        """Return the capacity of each upstream of a service.
+
+        :param service: name of the service.
+        :param upstreams: its upstreams.
+        :param now: the time in seconds.
         """
         with self._lock:
-            sums = self._sums.get(upstream_id)
-        if sums is None:
-            return float(slots)
-        taken_s, expected_s, answered, failed = sums
-        if answered + failed < 1:
-            return float(slots)
-        mean_expected_s = expected_s / answered if answered else 0.15
-        # The prior is weighted like several responses, so that a single request changes little.
-        prior_s = PRIOR_RESPONSES * mean_expected_s
-        latency_ratio = (taken_s + prior_s) / (expected_s + prior_s)
-        bounded = min(MAX_LATENCY_RATIO, max(MIN_LATENCY_RATIO, latency_ratio))
-        success_rate = (answered + PRIOR_RESPONSES) / (answered + failed + PRIOR_RESPONSES)
-        return slots / bounded * success_rate
+            names = [item.upstream_id for item in upstreams]
+            self._failing.update(service, names, now)
+            self._update_used(service, names, now)
+            self._prune(names, now)
+            return {item.upstream_id: self._capacity(item) for item in upstreams}
+
+    def _capacity(self, upstream: Upstream) -> Capacity:
+        name = upstream.upstream_id
+        work = upstream.slots * math.exp(self._used.get(name, 0.0))
+        state = self._failing.state(name)
+        return Capacity(work * STATE_SHARES[state], state is not UpstreamState.FAILING)
+
+    def _update_used(self, service: str, names: Collection[str], now: float) -> None:
+        """Use the estimates that differ enough from the ones in use."""
+        slowness = {
+            name: ratio
+            for name in names
+            if (ratio := self._speeds.log_ratio(name, now)) is not None
+        }
+        if not slowness:
+            return
+        success = {name: self._failing.log_success(name) for name in slowness}
+        # The demand is measured in time at average speed, and failures that all upstreams have in
+        # common are no reason to move keys.
+        mean_slowness = sum(slowness.values()) / len(slowness)
+        mean_success = sum(success.values()) / len(success)
+        for name in slowness:
+            log_ratio = slowness[name] - mean_slowness
+            bounded = min(_MAX_LOG_RATIO, max(_MIN_LOG_RATIO, log_ratio))
+            estimate = success[name] - mean_success - bounded
+            min_change = math.log(MIN_CHANGE) * self._caution(name, now)
+            if abs(estimate - self._used.get(name, 0.0)) >= min_change:
+                self._used[name] = estimate
+                log_state_change(
+                    "upstream.capacity",
+                    upstream=name,
+                    service=service,
+                    latency_ratio=round(math.exp(bounded), 2),
+                    success_rate=round(math.exp(success[name]), 3),
+                )
+
+    def _caution(self, name: str, now: float) -> float:
+        """Return a factor by which a change has to be larger while an estimate is new."""
+        return 1.0 + NEW_ESTIMATE_CAUTION * math.exp(
+            -self._speeds.age_s(name, now) / CAUTION_TIME_S
+        )
+
+    def _prune(self, names: Collection[str], now: float) -> None:
+        self._asked_at.update(dict.fromkeys(names, now))
+        if now - self._pruned_at < PRUNE_INTERVAL_S:
+            return
+        self._pruned_at = now
+        self._asked_at = {
+            name: at for name, at in self._asked_at.items() if now - at < PRUNE_INTERVAL_S
+        }
+        kept = self._asked_at.keys()
+        self._speeds.retain(set(kept))
+        self._failing.retain(set(kept))
+        self._used = {name: value for name, value in self._used.items() if name in kept}
--- a/foxtailshunt/assigning/_placement.py
+++ b/foxtailshunt/assigning/_placement.py
@@ -32,6 +32,8 @@
     upstream_id: str
     #: Work done per second, in seconds at the average speed of all upstreams.
     capacity: float
+    #: False if it may keep keys but is to get no further ones.
+    accepts_keys: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,10 @@
         self.capacity = {
             candidate.upstream_id: max(0.05, candidate.capacity) for candidate in candidates
         }
+        #: The candidates that may get keys; all of them if none accepts keys.
+        self.receivers = [item.upstream_id for item in candidates if item.accepts_keys] or list(
+            self.capacity
+        )
         self.load = dict.fromkeys(self.capacity, 0.0)
         self.owned: dict[str, list[KeyRange]] = {
             candidate.upstream_id: [] for candidate in candidates
@@ -133,7 +139,7 @@
             continue
         amount = loads.demand_between(item.first, item.last)
         new_owner = min(
-            loads.load, key=lambda name: (loads.load[name] + amount) / loads.capacity[name]
+            loads.receivers, key=lambda name: (loads.load[name] + amount) / loads.capacity[name]
         )
         loads.transfer(None, new_owner, amount)
         moves.append(Move(item, item.first, item.last, new_owner))
@@ -147,8 +153,8 @@
     moves: list[Move] = []
     new_owners = {move.new_owner for move in moves}
     current_owners = {item.owner for item in ranges}
-    for idle, owned in loads.owned.items():
-        if owned or idle in new_owners or idle in current_owners:
+    for idle in loads.receivers:
+        if loads.owned[idle] or idle in new_owners or idle in current_owners:
             continue
         divisible = [
             item
@@ -183,7 +189,7 @@
 
 def _offload_busiest(loads: _Loads, moved: set[KeyRange]) -> Move | None:
     by_utilization = sorted(loads.load, key=loads.utilization, reverse=True)
-    least_utilized = by_utilization[-1]
+    least_utilized = min(loads.receivers, key=loads.utilization)
     for owner in by_utilization[:3]:
         if (
             loads.utilization(owner) < MIN_UTILIZATION_TO_REBALANCE
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -72,6 +72,7 @@
             log_state_change("term.outdated", term=self._term)
             self._deps.leadership.step_down("a newer term is known")
             return
+        self._deps.capacities.begin_term()
         self._read_upstreams()
         self._take_over()
         rebalance_at = 0.0
@@ -81,7 +82,8 @@
                 self._read_upstreams()
                 self._publish_members()
                 self._update_renewers()
-                is_rebalancing = started >= rebalance_at
+                is_settled = self._deps.capacities.is_settled(started)
+                is_rebalancing = started >= rebalance_at and is_settled
                 if is_rebalancing:
                     rebalance_at = started + REBALANCE_INTERVAL_S
                 self._assign(is_rebalancing)
@@ -355,17 +357,20 @@
         return initial
 
     def _candidates(self, service: str) -> list[Candidate]:
-        candidates = []
-        for name in sorted(self._upstreams):
-            upstream = self._upstreams[name]
-            renewer = self._renewers.get(name)
-            if upstream.service != service or upstream.leaving or renewer is None:
-                continue
-            if renewer.is_reachable:
-                candidates.append(
-                    Candidate(name, self._deps.capacities.capacity(name, upstream.slots))
-                )
-        return candidates
+        available = [
+            upstream
+            for name, upstream in sorted(self._upstreams.items())
+            if upstream.service == service and not upstream.leaving and self._is_reachable(name)
+        ]
+        capacities = self._deps.capacities.capacities(service, available, self._now())
+        return [
+            Candidate(name, capacity.work, capacity.accepts_keys)
+            for name, capacity in capacities.items()
+        ]
+
+    def _is_reachable(self, upstream_id: str) -> bool:
+        renewer = self._renewers.get(upstream_id)
+        return renewer is not None and renewer.is_reachable
 
     def _plan(self, service: str, rebalance: bool) -> list[Move]:
         with self._lock:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -22,14 +22,17 @@
 from foxtailshunt.network import Address
 from foxtailshunt.node._configuration_watch import ConfigurationApplier
 from foxtailshunt.node._follow_reply import apply_reply
-from foxtailshunt.node._messages import to_member_message, to_versions_message
+from foxtailshunt.node._messages import (
+    to_member_message,
+    to_pace_message,
+    to_versions_message,
+)
 from foxtailshunt.platform import StoreClient, StoreError
 from foxtailshunt.protocol import (
     ClientPool,
     FollowReply,
     FollowRequest,
     KeyDemand,
-    UpstreamPace,
 )
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.telemetry import log_state_change, log_thread_error
@@ -225,14 +228,9 @@
         now = self._now()
         for (service, key), demand_s in self._demand_collector.pop_all().items():
             self._demand_tracker.observe(service, key, demand_s, now)
+        self._capacity_estimator.record_poll(now)
         for report in self._latencies.drain_reports():
-            self._capacity_estimator.observe(
-                report.upstream_id,
-                report.elapsed_s,
-                report.expected_latency_s,
-                report.answered,
-                report.failed,
-            )
+            self._capacity_estimator.observe(report, now)
 
     def _poll(self, clients: ClientPool, address: tuple[str, int], wait_s: float) -> None:
         demands = self._demand_collector.pop_all()
@@ -245,16 +243,7 @@
                 KeyDemand(service_name=service, key=key, work_ms=demand_s * 1000)
                 for (service, key), demand_s in demands.items()
             ],
-            paces=[
-                UpstreamPace(
-                    upstream_id=report.upstream_id,
-                    taken_ms=report.elapsed_s * 1000,
-                    expected_ms=report.expected_latency_s * 1000,
-                    answered=report.answered,
-                    failed=report.failed,
-                )
-                for report in self._latencies.drain_reports()
-            ],
+            paces=[to_pace_message(report) for report in self._latencies.drain_reports()],
             accepts_upstream_changes=True,
         )
         reply: FollowReply = clients.call(address, "follow", req, wait_s + POLL_TIMEOUT_MARGIN_S)
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -1,17 +1,22 @@
 """Conversion between fleet types and the messages of the peer protocol."""
 
+import math
 from collections.abc import Iterable
 
+from foxtailshunt import protocol
 from foxtailshunt.fleet import KeyRange, Member, Upstream, Versions
 from foxtailshunt.protocol import (
     Endpoint,
     KnownVersions,
     NodeMember,
     OwnedRange,
+    UpstreamPace,
     UpstreamRecord,
 )
+from foxtailshunt.upstreams import LatencyReport, RouteLatency
 
 _MS_PER_S = 1000
+_LOG_MS_PER_S = math.log(_MS_PER_S)
 
 
 def to_versions_message(versions: Versions) -> KnownVersions:
@@ -108,6 +113,48 @@
     }
 
 
+def to_pace_message(report: LatencyReport) -> UpstreamPace:
+    """Convert a report of an upstream's requests to a message.
+
+    :param report: the report.
+    """
+    return UpstreamPace(
+        upstream_id=report.upstream_id,
+        taken_ms=report.elapsed_s * _MS_PER_S,
+        expected_ms=report.expected_latency_s * _MS_PER_S,
+        answered=report.answered,
+        failed=report.failed,
+        refused=report.refused,
+        silent=report.silent,
+        latencies=[
+            protocol.RouteLatency(
+                route=item.route, count=item.count, mean_log_ms=item.mean_log_s + _LOG_MS_PER_S
+            )
+            for item in report.latencies
+        ],
+    )
+
+
+def from_pace_message(message: UpstreamPace) -> LatencyReport:
+    """Convert a message to a report of an upstream's requests.
+
+    :param message: the message; nodes of earlier builds send no latencies by route.
+    """
+    return LatencyReport(
+        upstream_id=message.upstream_id,
+        elapsed_s=message.taken_ms / _MS_PER_S,
+        expected_latency_s=message.expected_ms / _MS_PER_S,
+        answered=message.answered,
+        failed=message.failed,
+        refused=message.refused or 0,
+        silent=message.silent or 0,
+        latencies=tuple(
+            RouteLatency(item.route, item.count, item.mean_log_ms - _LOG_MS_PER_S)
+            for item in message.latencies or ()
+        ),
+    )
+
+
 def to_ownership_message(ranges: Iterable[KeyRange]) -> list[OwnedRange]:
     """Convert key ranges to messages.
 
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -8,7 +8,7 @@
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Versions
 from foxtailshunt.node._follow_reply import build_reply
-from foxtailshunt.node._messages import from_member_message
+from foxtailshunt.node._messages import from_member_message, from_pace_message
 from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.protocol import (
     ExitNotice,
@@ -112,11 +112,6 @@
             self._demand_tracker.observe(
                 demand.service_name, demand.key, demand.work_ms / 1000, now
             )
-        for report in req.paces:
-            self._capacity_estimator.observe(
-                report.upstream_id,
-                report.taken_ms / 1000,
-                report.expected_ms / 1000,
-                report.answered,
-                report.failed,
-            )
+        self._capacity_estimator.record_poll(now)
+        for pace in req.paces:
+            self._capacity_estimator.observe(from_pace_message(pace), now)
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -20,6 +20,7 @@
     OwnedRange,
     RelayReply,
     RelayRequest,
+    RouteLatency,
     UpstreamPace,
     UpstreamRecord,
 )
@@ -42,6 +43,7 @@
     "ProtocolServer",
     "RelayReply",
     "RelayRequest",
+    "RouteLatency",
     "UpstreamPace",
     "UpstreamRecord",
     "current_connection",
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -70,13 +70,28 @@
   3: required double work_ms,
 }
 
+/* Latencies of the requests of one route that one upstream served. */
+struct RouteLatency {
+  1: required string route,
+  2: required i32 count,
+  /* Mean of the natural logarithms of the latencies in milliseconds. */
+  3: required double mean_log_ms,
+}
+
 struct UpstreamPace {
   1: required string upstream_id,
-  /* Time that requests took here, and the time they take on average over all upstreams. */
+  /* Time that served requests took here, and the time they take on average over all upstreams that
+   * the calling node sends to. */
   2: required double taken_ms,
   3: required double expected_ms,
+  /* Requests that the upstream served, and those that it failed in any way. */
   4: required i32 answered,
   5: required i32 failed,
+  /* Failed requests that it refused, and those to which it did not respond; absent in messages of
+   * earlier builds, like the latencies. */
+  6: optional i32 refused,
+  7: optional i32 silent,
+  8: optional list<RouteLatency> latencies,
 }
 
 struct NodeMember {
@@ -98,6 +113,9 @@
   6: required bool leaving,
   7: required i64 warmup_ms,
   8: required i64 started_ms,
+  /* Zones whose nodes should not send to it, since it fails their requests; absent if there are
+   * none, and in messages of earlier builds. */
+  9: optional list<string> avoided_zones,
 }
 
 struct OwnedRange {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -776,6 +776,91 @@
         return not (self == other)
 
 
+class RouteLatency(object):
+    """
+    Attributes:
+     - route
+     - count
+     - mean_log_ms
+
+    """
+
+
+    def __init__(self, route=None, count=None, mean_log_ms=None,):
+        self.route = route
+        self.count = count
+        self.mean_log_ms = mean_log_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.mean_log_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteLatency')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 2)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.mean_log_ms is not None:
+            oprot.writeFieldBegin('mean_log_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.mean_log_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        if self.mean_log_ms is None:
+            raise TProtocolException(message='Required field mean_log_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamPace(object):
     """
     Attributes:
@@ -784,16 +869,22 @@
      - expected_ms
      - answered
      - failed
+     - refused
+     - silent
+     - latencies
 
     """
 
 
-    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None,):
+    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None, refused=None, silent=None, latencies=None,):
         self.upstream_id = upstream_id
         self.taken_ms = taken_ms
         self.expected_ms = expected_ms
         self.answered = answered
         self.failed = failed
+        self.refused = refused
+        self.silent = silent
+        self.latencies = latencies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -829,6 +920,27 @@
                     self.failed = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.refused = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.silent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.latencies = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = RouteLatency()
+                        _elem26.read(iprot)
+                        self.latencies.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -859,6 +971,21 @@
             oprot.writeFieldBegin('failed', TType.I32, 5)
             oprot.writeI32(self.failed)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I32, 6)
+            oprot.writeI32(self.refused)
+            oprot.writeFieldEnd()
+        if self.silent is not None:
+            oprot.writeFieldBegin('silent', TType.I32, 7)
+            oprot.writeI32(self.silent)
+            oprot.writeFieldEnd()
+        if self.latencies is not None:
+            oprot.writeFieldBegin('latencies', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.latencies))
+            for iter27 in self.latencies:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1022,11 +1149,12 @@
      - leaving
      - warmup_ms
      - started_ms
+     - avoided_zones
 
     """
 
 
-    def __init__(self, upstream_id=None, service_name=None, endpoint=None, zone=None, slots=None, leaving=None, warmup_ms=None, started_ms=None,):
+    def __init__(self, upstream_id=None, service_name=None, endpoint=None, zone=None, slots=None, leaving=None, warmup_ms=None, started_ms=None, avoided_zones=None,):
         self.upstream_id = upstream_id
         self.service_name = service_name
         self.endpoint = endpoint
@@ -1035,6 +1163,7 @@
         self.leaving = leaving
         self.warmup_ms = warmup_ms
         self.started_ms = started_ms
+        self.avoided_zones = avoided_zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1086,6 +1215,16 @@
                     self.started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.avoided_zones = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoided_zones.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1128,6 +1267,13 @@
             oprot.writeFieldBegin('started_ms', TType.I64, 8)
             oprot.writeI64(self.started_ms)
             oprot.writeFieldEnd()
+        if self.avoided_zones is not None:
+            oprot.writeFieldBegin('avoided_zones', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.avoided_zones))
+            for iter34 in self.avoided_zones:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1458,22 +1604,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = KeyDemand()
-                        _elem26.read(iprot)
-                        self.demands.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = KeyDemand()
+                        _elem40.read(iprot)
+                        self.demands.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = UpstreamPace()
-                        _elem32.read(iprot)
-                        self.paces.append(_elem32)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = UpstreamPace()
+                        _elem46.read(iprot)
+                        self.paces.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1507,15 +1653,15 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter33 in self.demands:
-                iter33.write(oprot)
+            for iter47 in self.demands:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter34 in self.paces:
-                iter34.write(oprot)
+            for iter48 in self.paces:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepts_upstream_changes is not None:
@@ -1607,33 +1753,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = UpstreamRecord()
-                        _elem40.read(iprot)
-                        self.upstreams.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = UpstreamRecord()
+                        _elem54.read(iprot)
+                        self.upstreams.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.ownership = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = OwnedRange()
-                        _elem46.read(iprot)
-                        self.ownership.append(_elem46)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = OwnedRange()
+                        _elem60.read(iprot)
+                        self.ownership.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = NodeMember()
-                        _elem52.read(iprot)
-                        self.members.append(_elem52)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = NodeMember()
+                        _elem66.read(iprot)
+                        self.members.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1645,32 +1791,32 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ownership_changes = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = OwnedRange()
-                        _elem58.read(iprot)
-                        self.ownership_changes.append(_elem58)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = OwnedRange()
+                        _elem72.read(iprot)
+                        self.ownership_changes.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.upstream_changes = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = UpstreamRecord()
-                        _elem64.read(iprot)
-                        self.upstream_changes.append(_elem64)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = UpstreamRecord()
+                        _elem78.read(iprot)
+                        self.upstream_changes.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.upstreams_removed = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams_removed.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams_removed.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1699,22 +1845,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter71 in self.upstreams:
-                iter71.write(oprot)
+            for iter85 in self.upstreams:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ownership is not None:
             oprot.writeFieldBegin('ownership', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership))
-            for iter72 in self.ownership:
-                iter72.write(oprot)
+            for iter86 in self.ownership:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter73 in self.members:
-                iter73.write(oprot)
+            for iter87 in self.members:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_age_ms is not None:
@@ -1724,22 +1870,22 @@
         if self.ownership_changes is not None:
             oprot.writeFieldBegin('ownership_changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership_changes))
-            for iter74 in self.ownership_changes:
-                iter74.write(oprot)
+            for iter88 in self.ownership_changes:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_changes is not None:
             oprot.writeFieldBegin('upstream_changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.upstream_changes))
-            for iter75 in self.upstream_changes:
-                iter75.write(oprot)
+            for iter89 in self.upstream_changes:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_removed is not None:
             oprot.writeFieldBegin('upstreams_removed', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.upstreams_removed))
-            for iter76 in self.upstreams_removed:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter90 in self.upstreams_removed:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1825,6 +1971,13 @@
     (2, TType.I32, 'key', None, None, ),  # 2
     (3, TType.DOUBLE, 'work_ms', None, None, ),  # 3
 )
+all_structs.append(RouteLatency)
+RouteLatency.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'count', None, None, ),  # 2
+    (3, TType.DOUBLE, 'mean_log_ms', None, None, ),  # 3
+)
 all_structs.append(UpstreamPace)
 UpstreamPace.thrift_spec = (
     None,  # 0
@@ -1833,6 +1986,9 @@
     (3, TType.DOUBLE, 'expected_ms', None, None, ),  # 3
     (4, TType.I32, 'answered', None, None, ),  # 4
     (5, TType.I32, 'failed', None, None, ),  # 5
+    (6, TType.I32, 'refused', None, None, ),  # 6
+    (7, TType.I32, 'silent', None, None, ),  # 7
+    (8, TType.LIST, 'latencies', (TType.STRUCT, [RouteLatency, None], False), None, ),  # 8
 )
 all_structs.append(NodeMember)
 NodeMember.thrift_spec = (
@@ -1855,6 +2011,7 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'warmup_ms', None, None, ),  # 7
     (8, TType.I64, 'started_ms', None, None, ),  # 8
+    (9, TType.LIST, 'avoided_zones', (TType.STRING, 'UTF8', False), None, ),  # 9
 )
 all_structs.append(OwnedRange)
 OwnedRange.thrift_spec = (
