Report failures, ejections and slow ratios of upstreams in metrics

A single failure among few results no longer makes an upstream second choice (seen in the new scenario of fast_failures: u1 got 1 of 100 requests and was never judged).

--- a/features/fast_failures.feature
+++ b/features/fast_failures.feature
@@ -23,3 +23,11 @@
     Given a sender of the upstreams u1, which responds with 500 Internal Server Error at once, and u2, which serves requests in 20 ms
     When 4 callers send 25 requests each
     Then the sender expects at least 18 ms for a request
+
+  Scenario: Operators see the failures and the ejection
+    # Without a line or a metric nobody knows why an upstream gets no requests.
+    Given a sender of the upstreams u1, which responds with 500 Internal Server Error at once, and u2, which serves requests in 20 ms
+    When 4 callers send 25 requests each
+    Then the metrics count the requests that u1 has received as failures of the kind error
+    And the log has an ejection of u1 with its failures and the shares of the others
+    And the health of the service shows the ejection
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -13,7 +13,7 @@
 from foxtailshunt.relay import Outcome, Sender, StopSchedule, UpstreamGroups
 from foxtailshunt.telemetry import Metrics, RequestLog
 from foxtailshunt.timing import MonotonicClock
-from foxtailshunt.upstreams import LatencyEstimator
+from foxtailshunt.upstreams import LatencyEstimator, UpstreamHealth
 
 _END_OF_HEAD = b"\r\n\r\n"
 _RECEIVE_BYTES = 65_536
@@ -190,12 +190,13 @@
         me = Member("n1", "boot", "zone", ("127.0.0.1", 1))
         self.stop_schedule = StopSchedule()
         self.latencies = LatencyEstimator()
+        self.metrics = Metrics()
         self._sender = Sender(
             self._view,
             UpstreamGroups(self._view),
             self.latencies,
             me,
-            Metrics(),
+            self.metrics,
             RequestLog(),
             self.stop_schedule,
             **options,
@@ -220,6 +221,10 @@
         """Return the numbers of queued requests and of those at upstreams."""
         return self._sender.load()
 
+    def upstream_health(self) -> dict[str, UpstreamHealth]:
+        """Return the health of the upstreams by service."""
+        return self._sender.upstream_health()
+
     def send(
         self,
         request_id: str,
--- a/features/steps/fast_failures_steps.py
+++ b/features/steps/fast_failures_steps.py
@@ -3,7 +3,9 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import Any
 
+import eliot
 from behave import given, then, when
 from behave.runner import Context
 
@@ -35,6 +37,7 @@
         self.servers = {"u1": ScriptedUpstream(fail, False), "u2": ScriptedUpstream(serve, False)}
         self.sender = SenderSubject(self.servers, _SLOTS)
         self.outcomes: list[Outcome] = []
+        self.logged: list[dict[str, Any]] = []
 
     def send(self, callers: int, requests: int) -> None:
         def call(caller: int) -> None:
@@ -42,10 +45,14 @@
                 self.outcomes.append(self.sender.send(f"r{caller}-{number}", _TIMEOUT_S))
 
         threads = [threading.Thread(target=call, args=(caller,)) for caller in range(callers)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
+        eliot.add_destinations(self.logged.append)
+        try:
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+        finally:
+            eliot.remove_destination(self.logged.append)
 
     def received(self, upstream_id: str) -> int:
         return len(self.servers[upstream_id].requests)
@@ -108,3 +115,28 @@
 def _(context: Context, least: int) -> None:
     mean_ms = _subject(context).sender.latencies.mean_latency_s("issue") * 1000
     assert mean_ms >= least, mean_ms
+
+
+@then("the metrics count the requests that u1 has received as failures of the kind error")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    counted = subject.sender.metrics.counter_value(
+        "foxtailshunt_upstream_failures_total", {"service": "counter", "kind": "error"}
+    )
+    assert counted == subject.received("u1") > 0, counted
+
+
+@then("the log has an ejection of u1 with its failures and the shares of the others")
+def _(context: Context) -> None:
+    logged = _subject(context).logged
+    lines = [line for line in logged if line["message_type"] == "upstream.ejected"]
+    assert lines and {line["upstream"] for line in lines} == {"u1"}, logged
+    assert lines[0]["failures"]["error"] >= 3, lines[0]
+    assert lines[0]["other_shares"] == {"u2": 0.0}, lines[0]
+
+
+@then("the health of the service shows the ejection")
+def _(context: Context) -> None:
+    health = _subject(context).sender.upstream_health()["counter"]
+    assert health.ejections >= 1, health
+    assert 0.5 < health.highest_slow_ratio < 2.0, health
--- a/features/steps/upstream_ejections_steps.py
+++ b/features/steps/upstream_ejections_steps.py
@@ -106,7 +106,8 @@
 
 @then("no upstream has been ejected")
 def _(context: Context) -> None:
-    assert context.pool_simulation.pool.outliers.ejections == 0
+    ejections = context.pool_simulation.pool.outliers.ejections_by_service
+    assert not ejections, ejections
 
 
 @then("upstream {number:d} has failed at most {most:d} requests")
--- a/foxtailshunt/admission/_slot_pools.py
+++ b/foxtailshunt/admission/_slot_pools.py
@@ -6,7 +6,7 @@
 from foxtailshunt.admission._call import Call
 from foxtailshunt.admission._slot_pool import SlotPool
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import LatencyEstimator, UpstreamPauses
+from foxtailshunt.upstreams import LatencyEstimator, OutlierDetector, UpstreamPauses
 
 
 @dataclass(slots=True)
@@ -73,6 +73,10 @@
         pools = list(self._pools.values())
         return sum(item.pool.waiting for item in pools), sum(item.pool.running for item in pools)
 
+    def outliers(self) -> list[OutlierDetector]:
+        """Return the detectors of outliers of all pools."""
+        return [item.pool.outliers for item in list(self._pools.values())]
+
 
 def _pool_name(call: Call) -> str:
     """Return the name of the pool of slots that serves a request."""
--- a/foxtailshunt/node/_gauges.py
+++ b/foxtailshunt/node/_gauges.py
@@ -6,6 +6,7 @@
 from foxtailshunt.relay import Sender
 from foxtailshunt.routing import KEY_COUNT
 from foxtailshunt.telemetry import Metrics
+from foxtailshunt.upstreams import UpstreamHealth
 
 #: Interval between updates of the gauges, in seconds; metrics are usually scraped every few
 #: seconds.
@@ -35,6 +36,8 @@
         self._sender = sender
         self._leadership = leadership
         self._budget = budget
+        #: Ejections that were counted so far, by service.
+        self._ejections_counted: dict[str, int] = {}
 
     def update(self) -> None:
         """Set all gauges to their current values."""
@@ -55,6 +58,25 @@
         for name, info in services.items():
             self._set_service(name, info.keyed)
 
+        for name, health in self._sender.upstream_health().items():
+            self._set_health(name, health)
+
+    def _set_health(self, service: str, health: UpstreamHealth) -> None:
+        doc = "Upstreams that get no requests from this node for a time."
+        self._set("upstreams_ejected", doc, health.ejected, service)
+        doc = "Highest share of its last requests that an upstream has failed."
+        self._set("upstream_failure_ratio", doc, health.highest_failure_share, service)
+        doc = "Highest base latency of an upstream relative to the mean of its routes."
+        self._set("upstream_slow_ratio", doc, health.highest_slow_ratio, service)
+        added = health.ejections - self._ejections_counted.get(service, 0)
+        self._ejections_counted[service] = health.ejections
+        self._metrics.count(
+            "foxtailshunt_upstream_ejections_total",
+            "Ejections of upstreams that fail far more requests than their peers.",
+            {"service": service},
+            max(0, added),
+        )
+
     def _set_service(self, name: str, keyed: bool) -> None:
         upstreams = len(self._view.upstreams_by_service.get(name, ()))
         self._set("upstreams_known", "Upstreams of a service.", upstreams, name)
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -31,7 +31,9 @@
     LeavingUpstreams,
     RequestResult,
     UnreachableUpstreams,
+    UpstreamHealth,
     UpstreamPauses,
+    summarize_health,
 )
 
 #: Time that is reserved for returning the response to the caller, in seconds.
@@ -149,6 +151,11 @@
         """Return the number of queued requests and of those in flight at upstreams."""
         return self._pools.load()
 
+    def upstream_health(self) -> dict[str, UpstreamHealth]:
+        """Return the health of the upstreams that this node sends to, by service."""
+        known = self._view.upstreams
+        return summarize_health(self._pools.outliers(), known, self._latencies, time.monotonic())
+
     @property
     def leaving(self) -> LeavingUpstreams:
         """Return the memory of the upstreams that have stated that they are leaving."""
--- a/foxtailshunt/upstreams/__init__.py
+++ b/foxtailshunt/upstreams/__init__.py
@@ -7,6 +7,7 @@
 from foxtailshunt.upstreams._outlier_detector import OutlierDetector
 from foxtailshunt.upstreams._request_result import RequestResult
 from foxtailshunt.upstreams._unreachable_upstreams import UnreachableUpstreams
+from foxtailshunt.upstreams._upstream_health import UpstreamHealth, summarize_health
 from foxtailshunt.upstreams._upstream_pauses import UpstreamPauses
 
 __all__ = [
@@ -18,5 +19,7 @@
     "RequestResult",
     "RouteLatency",
     "UnreachableUpstreams",
+    "UpstreamHealth",
     "UpstreamPauses",
+    "summarize_health",
 ]
--- a/foxtailshunt/upstreams/_outlier_detector.py
+++ b/foxtailshunt/upstreams/_outlier_detector.py
@@ -5,6 +5,7 @@
 clock; its owner holds a lock around all calls.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -60,10 +61,10 @@
 
     def __init__(self) -> None:
         self._states: dict[str, _State] = {}
-        #: Share of failures of the best upstream.
+        #: Share of failures of the best upstream, estimated on the low side.
         self._least_share = 0.0
-        #: Number of ejections so far.
-        self.ejections = 0
+        #: Number of ejections so far, by service.
+        self.ejections_by_service: Counter[str] = Counter()
 
     def set_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Set the upstreams that are compared; what is known of the others is discarded.
@@ -78,7 +79,9 @@
             state.upstream = upstream
             states[upstream.upstream_id] = state
         self._states = states
-        self._least_share = min((item.estimate.share for item in states.values()), default=0.0)
+        self._least_share = min(
+            (item.estimate.cautious_share for item in states.values()), default=0.0
+        )
         ejected = sorted(
             (state for state in states.values() if state.ejected_until),
             key=lambda state: state.ejected_until,
@@ -107,7 +110,7 @@
             # A request from before the ejection, which accounts for it.
             return
         state.estimate.add(result)
-        self._least_share = min(item.estimate.share for item in self._states.values())
+        self._least_share = min(item.estimate.cautious_share for item in self._states.values())
         if result is RequestResult.SERVED:
             self._raise_limit(state, now)
         elif result.is_failure and self._is_outlier(state):
@@ -148,7 +151,7 @@
         state = self._states.get(upstream_id)
         if state is None:
             return 1.0
-        excess = state.estimate.share - self._least_share - TOLERATED_EXCESS
+        excess = state.estimate.cautious_share - self._least_share - TOLERATED_EXCESS
         return 1.0 - max(0.0, excess)
 
     def ejected(self, now: float) -> int:
@@ -158,6 +161,10 @@
         """
         return sum(now < state.ejected_until for state in self._states.values())
 
+    def failure_shares(self) -> list[tuple[Upstream, float]]:
+        """Return each upstream with the share of the last requests that it has failed."""
+        return [(state.upstream, state.estimate.share) for state in list(self._states.values())]
+
     def _max_ejected(self) -> int:
         count = len(self._states)
         return max(1, count // UPSTREAMS_PER_EJECTION) if count > 1 else 0
@@ -197,7 +204,7 @@
         if state.limit is None and now - state.returned_at > RELAPSE_S:
             state.ejections = 0
         length_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**state.ejections)
-        self.ejections += 1
+        self.ejections_by_service[state.upstream.service] += 1
         log_state_change(
             "upstream.ejected",
             upstream=state.upstream.upstream_id,
--- a/foxtailshunt/upstreams/_success_estimate.py
+++ b/foxtailshunt/upstreams/_success_estimate.py
@@ -59,6 +59,11 @@
         """Return the share of the results that are failures; 0 without results."""
         return self.failed / self.rated if self._results else 0.0
 
+    @property
+    def cautious_share(self) -> float:
+        """Return the share of failures, estimated on the low side; one failure changes little."""
+        return self.failed / (self.rated + PRIOR_RESULTS)
+
     def counts(self) -> dict[str, int]:
         """Return the number of failures by kind."""
         kinds = [result.value for result in self._results if result.is_failure]
