Let another zone send to an upstream that fails the requests of one zone only

Cause: requests to an upstream come from one node in its own zone, so that a failure between that zone and the upstream made it lose its keys, although nodes of other zones could have sent.

Change: the leader keeps the shares of failures by zone of the sender (ZoneFailures).

--- a/features/steps/fast_failures_steps.py
+++ b/features/steps/fast_failures_steps.py
@@ -61,7 +61,7 @@
         """Return the leader's estimates from the reports of the sender."""
         estimator = CapacityEstimator()
         for report in self.sender.latencies.drain_reports():
-            estimator.observe(report, _REPORTED_AT)
+            estimator.observe(report, "zone", _REPORTED_AT)
         upstreams = [
             Upstream(name, "counter", server.address, "zone", _SLOTS, False, 0.0, 0)
             for name, server in self.servers.items()
--- a/features/steps/upstream_capacity_steps.py
+++ b/features/steps/upstream_capacity_steps.py
@@ -62,7 +62,7 @@
             for sender in self.senders.values():
                 for report in sender.drain_reports():
                     received = from_pace_message(to_pace_message(report))
-                    self.estimator.observe(received, self.now)
+                    self.estimator.observe(received, "zone", self.now)
             self._plan()
 
     def load(self) -> dict[str, float]:
@@ -222,7 +222,7 @@
             message = UpstreamPace(
                 upstream_id=name, taken_ms=ratio * 700, expected_ms=700, answered=7, failed=0
             )
-            context.earlier.observe(from_pace_message(message), 100.0 + number / 2)
+            context.earlier.observe(from_pace_message(message), "zone", 100.0 + number / 2)
 
 
 @then("its capacity is between 0.4 and 0.7 of that of the others")
--- a/foxtailshunt/assigning/_capacity_estimator.py
+++ b/foxtailshunt/assigning/_capacity_estimator.py
@@ -7,6 +7,7 @@
 
 from foxtailshunt.assigning._failing_upstreams import FailingUpstreams, UpstreamState
 from foxtailshunt.assigning._upstream_speeds import UpstreamSpeeds
+from foxtailshunt.assigning._zone_failures import ZoneFailures
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.telemetry import log_state_change
 from foxtailshunt.upstreams import LatencyReport
@@ -50,12 +51,11 @@
         self._lock = threading.Lock()
         self._speeds = UpstreamSpeeds()
         self._failing = FailingUpstreams()
+        self._zones = ZoneFailures()
         #: Logarithm of the work per slot and second that is used for each upstream.
         self._used: dict[str, float] = {}
         #: When the first report of the current term was received, in seconds; None before.
         self._first_report_at: float | None = None
-        #: When each upstream was last asked for, in seconds.
-        self._asked_at: dict[str, float] = {}
         self._pruned_at = float("-inf")
 
     def begin_term(self) -> None:
@@ -80,10 +80,11 @@
         first = self._first_report_at
         return first is not None and now - first >= SETTLING_S
 
-    def observe(self, report: LatencyReport, now: float) -> None:
+    def observe(self, report: LatencyReport, zone: str, now: float) -> None:
         """Add a report of a sender.
 
         :param report: the requests of one upstream since the sender's last report.
+        :param zone: zone of the sender.
         :param now: the time in seconds.
         """
         if report.answered + report.failed <= 0:
@@ -91,6 +92,29 @@
         with self._lock:
             self._speeds.observe(report, now)
             self._failing.observe(report, now)
+            self._zones.observe(report, zone, now)
+
+    def avoided_zones(
+        self, upstreams: Collection[Upstream], zones: Collection[str], now: float
+    ) -> dict[str, tuple[str, ...]]:
+        """Return the zones whose nodes should not send to each upstream, if there are any.
+
+        :param upstreams: all upstreams.
+        :param zones: the zones that have nodes.
+        :param now: the time in seconds.
+        """
+        by_service: dict[str, list[Upstream]] = {}
+        for upstream in upstreams:
+            by_service.setdefault(upstream.service, []).append(upstream)
+        with self._lock:
+            for found in by_service.values():
+                self._zones.update(found, zones, now)
+            self._prune({item.upstream_id for item in upstreams}, now)
+            return {
+                item.upstream_id: avoided
+                for item in upstreams
+                if (avoided := self._zones.avoided_zones(item.upstream_id))
+            }
 
     def capacities(
         self, service: str, upstreams: Collection[Upstream], now: float
@@ -103,9 +127,9 @@
         """
         with self._lock:
             names = [item.upstream_id for item in upstreams]
-            self._failing.update(service, names, now)
+            spared = [name for name in names if self._zones.avoided_zones(name)]
+            self._failing.update(service, names, spared, now)
             self._update_used(service, names, now)
-            self._prune(names, now)
             return {item.upstream_id: self._capacity(item) for item in upstreams}
 
     def _capacity(self, upstream: Upstream) -> Capacity:
@@ -149,15 +173,11 @@
             -self._speeds.age_s(name, now) / CAUTION_TIME_S
         )
 
-    def _prune(self, names: Collection[str], now: float) -> None:
-        self._asked_at.update(dict.fromkeys(names, now))
+    def _prune(self, names: set[str], now: float) -> None:
         if now - self._pruned_at < PRUNE_INTERVAL_S:
             return
         self._pruned_at = now
-        self._asked_at = {
-            name: at for name, at in self._asked_at.items() if now - at < PRUNE_INTERVAL_S
-        }
-        kept = self._asked_at.keys()
-        self._speeds.retain(set(kept))
-        self._failing.retain(set(kept))
-        self._used = {name: value for name, value in self._used.items() if name in kept}
+        self._speeds.retain(names)
+        self._failing.retain(names)
+        self._zones.retain(names)
+        self._used = {name: value for name, value in self._used.items() if name in names}
--- a/foxtailshunt/assigning/_failing_upstreams.py
+++ b/foxtailshunt/assigning/_failing_upstreams.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from statistics import median
 
+from foxtailshunt.assigning._failure_share import FailureShare, is_outlier
 from foxtailshunt.telemetry import log_state_change
 from foxtailshunt.upstreams import LatencyReport
 
@@ -18,13 +19,9 @@
 MIN_SUCCESS = 0.1
 #: Number of recent requests from which a share is known.
 MIN_REQUESTS = 2.5
-#: Share of failures from which an upstream is failing, and its least multiple of the median of the
-#: service. An upstream that fails half of its requests does less than half of the work, since
-#: each failed request is sent again or lost.
-MIN_FAILING_SHARE, MIN_SHARE_RATIO = 0.5, 2.0
-#: Least difference from the median of the service, in standard deviations of a share that is
-#: estimated from as many requests, and least median that is assumed for this.
-MIN_DEVIATIONS, MIN_USUAL_SHARE = 4.0, 0.05
+#: Share of failures from which an upstream is failing. An upstream that fails half of its requests
+#: does less than half of the work, since each failed request is sent again or lost.
+MIN_FAILING_SHARE = 0.5
 #: Share of failures up to which a failing upstream is considered well again.
 MAX_RECOVERED_SHARE = 0.2
 #: First and longest time for which an upstream remains failing, in seconds; a relapse within the
@@ -37,46 +34,6 @@
 UPSTREAMS_PER_FAILING = 3
 
 
-class FailureShare:
-    """Share of failures of recent requests, whose weight decays.
-
-    :param time_s: time constant in seconds.
-    :param prior_requests: weight of the assumption that requests are served, in requests.
-    """
-
-    def __init__(self, time_s: float, prior_requests: float) -> None:
-        self._time_s = time_s
-        self._prior_requests = prior_requests
-        self._requests = self._failures = self._updated_at = 0.0
-
-    def add(self, requests: int, failures: int, now: float) -> None:
-        """Add requests.
-
-        :param requests: number of requests.
-        :param failures: number of failed ones among them.
-        :param now: the time in seconds.
-        """
-        weight = self._weight(now)
-        self._requests = self._requests * weight + requests
-        self._failures = self._failures * weight + failures
-        self._updated_at = now
-
-    def requests(self, now: float) -> float:
-        """Return the number of recent requests.
-
-        :param now: the time in seconds.
-        """
-        return self._requests * self._weight(now)
-
-    @property
-    def value(self) -> float:
-        """Return the share of failures."""
-        return self._failures / (self._requests + self._prior_requests)
-
-    def _weight(self, now: float) -> float:
-        return math.exp(-max(0.0, now - self._updated_at) / self._time_s)
-
-
 class UpstreamState(Enum):
     """Whether an upstream serves its requests."""
 
@@ -142,11 +99,14 @@
         episode = self._episodes.get(upstream_id)
         return UpstreamState.SERVING if episode is None else episode.state
 
-    def update(self, service: str, upstream_ids: Collection[str], now: float) -> None:
+    def update(
+        self, service: str, upstream_ids: Collection[str], spared: Collection[str], now: float
+    ) -> None:
         """Update which upstreams of a service are failing.
 
         :param service: name of the service.
         :param upstream_ids: its upstreams.
+        :param spared: upstreams that may fail only the requests of one zone.
         :param now: the time in seconds.
         """
         known = {
@@ -164,8 +124,8 @@
                 return
             others = [share.value for other, share in known.items() if other != name]
             usual = median(others) if others else 0.0
-            is_failing = self.state(name) is UpstreamState.FAILING
-            if not is_failing and _is_outlier(known[name], usual, now):
+            is_excepted = self.state(name) is UpstreamState.FAILING or name in spared
+            if not is_excepted and is_outlier(known[name], usual, now):
                 self._begin(service, name, known[name].value, usual, now)
                 count += 1
 
@@ -223,11 +183,3 @@
             failures=episode.failures,
             after_s=round(now - episode.since, 1),
         )
-
-
-def _is_outlier(share: FailureShare, usual: float, now: float) -> bool:
-    """Return whether the share of failures of an upstream is far above the usual one."""
-    assumed = min(0.95, max(MIN_USUAL_SHARE, usual))
-    deviation = math.sqrt(assumed * (1.0 - assumed) / share.requests(now))
-    is_certain = share.value - assumed >= MIN_DEVIATIONS * deviation
-    return is_certain and share.value >= MIN_SHARE_RATIO * usual
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -124,6 +124,7 @@
             self._is_store_unavailable = False
         if upstreams and self._first_upstream_at is None:
             self._first_upstream_at = started
+        upstreams = self._with_avoided_zones(upstreams)
         if self._have_changed(upstreams):
             self._upstreams_version += 1
             self._upstreams = upstreams
@@ -134,6 +135,16 @@
         age_s = self._now() - started
         self._view.update_upstreams(self._term, self._upstreams_version, published, age_s)
 
+    def _with_avoided_zones(self, upstreams: dict[str, Upstream]) -> dict[str, Upstream]:
+        zones = {member.zone for member in self._view.members if not member.leaving}
+        avoided = self._deps.capacities.avoided_zones(upstreams.values(), zones, self._now())
+        if not avoided:
+            return upstreams
+        return {
+            name: replace(item, avoided_zones=avoided.get(name, ()))
+            for name, item in upstreams.items()
+        }
+
     def _have_changed(self, upstreams: dict[str, Upstream]) -> bool:
         if upstreams.keys() != self._upstreams.keys():
             return True
--- a/foxtailshunt/fleet/_types.py
+++ b/foxtailshunt/fleet/_types.py
@@ -25,6 +25,8 @@
     warmup_s: float
     #: When it started, in milliseconds of its own clock since the epoch; 0 if unknown.
     started_ms: int
+    #: Zones whose nodes should not send to it, because it fails their requests.
+    avoided_zones: tuple[str, ...] = ()
 
     @property
     def incarnation(self) -> tuple[str, Address, int]:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -230,7 +230,7 @@
             self._demand_tracker.observe(service, key, demand_s, now)
         self._capacity_estimator.record_poll(now)
         for report in self._latencies.drain_reports():
-            self._capacity_estimator.observe(report, now)
+            self._capacity_estimator.observe(report, self._me.zone, now)
 
     def _poll(self, clients: ClientPool, address: tuple[str, int], wait_s: float) -> None:
         demands = self._demand_collector.pop_all()
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -88,6 +88,7 @@
             leaving=item.leaving,
             warmup_ms=int(item.warmup_s * _MS_PER_S),
             started_ms=item.started_ms,
+            avoided_zones=list(item.avoided_zones) or None,
         )
         for item in upstreams
     ]
@@ -108,6 +109,7 @@
             leaving=item.leaving,
             warmup_s=item.warmup_ms / _MS_PER_S,
             started_ms=item.started_ms,
+            avoided_zones=tuple(item.avoided_zones or ()),
         )
         for item in messages
     }
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -114,4 +114,4 @@
             )
         self._capacity_estimator.record_poll(now)
         for pace in req.paces:
-            self._capacity_estimator.observe(from_pace_message(pace), now)
+            self._capacity_estimator.observe(from_pace_message(pace), req.member.zone, now)
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -9,7 +9,12 @@
 from foxtailshunt.relay._retry_policy import AttemptHistory, RetryDecision, decide_retry
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
-from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
+from foxtailshunt.relay._upstream_groups import (
+    UpstreamGroup,
+    UpstreamGroups,
+    form_groups,
+    sender_candidates,
+)
 
 __all__ = [
     "STOPPING_RETRY_AFTER_S",
@@ -26,6 +31,7 @@
     "UpstreamGroups",
     "decide_retry",
     "form_groups",
+    "sender_candidates",
     "to_call",
     "to_relay_reply",
 ]
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -27,7 +27,7 @@
 from foxtailshunt.relay._outcome import Outcome
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
-from foxtailshunt.relay._upstream_groups import UpstreamGroups
+from foxtailshunt.relay._upstream_groups import UpstreamGroups, sender_candidates
 from foxtailshunt.telemetry import Metrics, log_state_change
 
 #: First and longest backoff after a node could not be reached, in seconds.
@@ -90,7 +90,8 @@
         self._lock = threading.Lock()
         self._backoffs: dict[Address, _Backoff] = {}
         self._ranked_members: object = None
-        self._ranked: dict[str, list[Member]] = {}
+        #: Senders by upstream and by the zones that should not send to it.
+        self._ranked: dict[tuple[str, tuple[str, ...]], list[Member]] = {}
 
     def execute(self, call: Call, caller: socket.socket | None) -> Outcome:
         """Forward or send a request and return its outcome.
@@ -210,14 +211,13 @@
             if self._ranked_members is not members:
                 self._ranked_members = members
                 self._ranked.clear()
-            ranked = self._ranked.get(upstream.upstream_id)
+            ranked = self._ranked.get((upstream.upstream_id, upstream.avoided_zones))
         if ranked is None:
-            serving = [member for member in members if not member.leaving]
-            same_zone = [member for member in serving if member.zone == upstream.zone]
-            ranked = rank_by_rendezvous(upstream.upstream_id, same_zone or serving)
+            candidates = sender_candidates(members, upstream.zone, upstream.avoided_zones)
+            ranked = rank_by_rendezvous(upstream.upstream_id, candidates)
             with self._lock:
                 if self._ranked_members is members:
-                    self._ranked[upstream.upstream_id] = ranked
+                    self._ranked[(upstream.upstream_id, upstream.avoided_zones)] = ranked
         return ranked
 
     def _forward(self, member: Member, call: Call, caller: socket.socket | None) -> Outcome | None:
--- a/foxtailshunt/relay/_upstream_groups.py
+++ b/foxtailshunt/relay/_upstream_groups.py
@@ -6,7 +6,7 @@
 """
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 import xxhash
@@ -52,23 +52,60 @@
     :param upstreams: upstreams of the service.
     :param members: nodes of the fleet.
     """
+    members = tuple(members)
     available = [item for item in upstreams if not item.leaving]
+    usual = [item for item in available if not item.avoided_zones]
+    avoiding = [item for item in available if item.avoided_zones]
+    groups = _form_usual_groups(service, usual, members, len(available))
+    # Their requests come from other nodes than those to the rest of their group.
+    for zone, avoided in sorted({(item.zone, item.avoided_zones) for item in avoiding}):
+        found = [item for item in avoiding if (item.zone, item.avoided_zones) == (zone, avoided)]
+        name = f"{zone}/avoiding {' '.join(avoided)}"
+        candidates = sender_candidates(members, zone, avoided)
+        senders = tuple(rank_by_rendezvous(f"{service}/{name}", candidates))
+        groups.append(UpstreamGroup(name, zone, tuple(found), senders))
+    return tuple(groups)
+
+
+def sender_candidates(
+    members: Iterable[Member], zone: str, avoided_zones: Collection[str]
+) -> list[Member]:
+    """Return the nodes that may send to the upstreams of a zone.
+
+    :param members: nodes of the fleet.
+    :param zone: the zone of the upstreams, whose nodes are preferred.
+    :param avoided_zones: zones whose nodes send only if no others are left.
+    """
     serving = [member for member in members if not member.leaving]
-    if len(available) < MIN_DIVIDED_UPSTREAMS:
+    suitable = [member for member in serving if member.zone not in avoided_zones]
+    return [member for member in suitable if member.zone == zone] or suitable or serving
+
+
+def _form_usual_groups(
+    service: str, available: list[Upstream], members: Iterable[Member], count: int
+) -> list[UpstreamGroup]:
+    """Divide upstreams to which all zones may send.
+
+    :param count: number of upstreams of the service.
+    """
+    if count < MIN_DIVIDED_UPSTREAMS:
+        serving = [member for member in members if not member.leaving]
+        if not available and count:
+            return []
         senders = tuple(rank_by_rendezvous(service, serving))
-        return (UpstreamGroup("", None, tuple(available), senders),)
+        return [UpstreamGroup("", None, tuple(available), senders)]
     groups = []
     taken: set[str] = set()
     for zone in sorted({item.zone for item in available}):
         in_zone = [item for item in available if item.zone == zone]
-        candidates = [member for member in serving if member.zone == zone] or serving
+        candidates = sender_candidates(members, zone, ())
         for name, found in _divide(zone, in_zone).items():
             ranked = rank_by_rendezvous(f"{service}/{name}", candidates)
             # A node sends for several groups only if there are fewer nodes than groups.
             ranked.sort(key=lambda member: member.instance_id in taken)
             taken.update(member.instance_id for member in ranked[:1])
             groups.append(UpstreamGroup(name, zone, tuple(found), tuple(ranked)))
-    return tuple(groups)
+    return groups
 
 
 def _divide(zone: str, upstreams: list[Upstream]) -> dict[str, list[Upstream]]:
