Test what each outcome states about an upstream; bound memory and log lines of the estimates

A load report in a response of another upstream at the address is ignored. Estimates of at most 4,096 upstreams are kept, and an upstream that is not ejected is logged at most every 10 s.

--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -69,6 +69,11 @@
     def close(self) -> None:
         self._listener.close()
 
+    def refuse_connections(self) -> None:
+        """Stop listening; close() alone lets the thread that waits accept one more connection."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def _accept(self) -> None:
         while True:
             try:
--- a/features/steps/upstream_ejections_steps.py
+++ b/features/steps/upstream_ejections_steps.py
@@ -7,7 +7,7 @@
 
 from features.pool_support import PoolSimulation
 from foxtailshunt.fleet import Upstream
-from foxtailshunt.upstreams import OutlierDetector, RequestResult
+from foxtailshunt.upstreams import LoadReport, OutlierDetector, RequestResult
 
 _STEP_S = 0.01
 
@@ -58,7 +58,7 @@
             simulation.advance(1 / rate_per_s)
             ejected = simulation.pool.outliers.ejected(simulation.now)
             self.most_ejected = max(self.most_ejected, ejected)
-        simulation.advance(2.0)
+        simulation.advance(0.5)
 
     def received(self, number: int) -> int:
         return sum(item.upstream == f"u{number}" for item in self.simulation.requests)
@@ -226,3 +226,15 @@
         found.append(subject.max_running("u1"))
         subject.record("u1", RequestResult.SERVED)
     assert found == [int(limit) for limit in limits.split()], found
+
+
+@when("upstream {number:d} reports that work takes {percent:d} % of the usual time")
+def _(context: Context, number: int, percent: int) -> None:
+    report = LoadReport(1, 0, 4, percent)
+    context.pool_simulation.latencies.record_load(f"u{number}", report)
+
+
+@then("upstream {number:d} has got all of them")
+def _(context: Context, number: int) -> None:
+    found = [item.upstream for item in context.submitted]
+    assert found == [f"u{number}"] * len(found), found
--- a/features/steps/zone_failures_steps.py
+++ b/features/steps/zone_failures_steps.py
@@ -322,3 +322,40 @@
 @then("the upstream in it avoids no zone")
 def _(context: Context) -> None:
     assert context.follower.upstreams["u1"].avoided_zones == ()
+
+
+@given("a node that knows an upstream that avoids zone a and has a capacity ratio of 0.5")
+def _(context: Context) -> None:
+    context.now = 100.0
+    context.follower = FleetView(lambda: context.now)
+    context.follower.begin_term(1)
+    context.registered = Upstream("u1", _SERVICE, ("h", 1), "a", 2, False, 0.0, 0)
+    known = replace(context.registered, avoided_zones=("a",), capacity_ratio=0.5)
+    context.follower.update_upstreams(1, 1, {"u1": known}, 0.0)
+
+
+def _read_from_store(context: Context, upstream: Upstream) -> None:
+    context.now += 2.0
+    context.follower.update_upstreams_from_store({"u1": upstream}, context.now)
+
+
+@when("it reads the upstream from the store")
+def _(context: Context) -> None:
+    _read_from_store(context, replace(context.registered, slots=3))
+
+
+@when("it reads the next run of the upstream from the store")
+def _(context: Context) -> None:
+    _read_from_store(context, replace(context.registered, started_ms=7))
+
+
+@then("the upstream avoids zone a and has a capacity ratio of 0.5")
+def _(context: Context) -> None:
+    found = context.follower.upstreams["u1"]
+    assert (found.slots, found.avoided_zones, found.capacity_ratio) == (3, ("a",), 0.5), found
+
+
+@then("the upstream has no estimates")
+def _(context: Context) -> None:
+    found = context.follower.upstreams["u1"]
+    assert (found.started_ms, found.avoided_zones, found.capacity_ratio) == (7, (), 1.0), found
--- a/features/upstream_ejections.feature
+++ b/features/upstream_ejections.feature
@@ -128,3 +128,11 @@
     When u1 fails 4 requests in a row with error
     And u1 is replaced by its next process
     Then u1 may get 4 requests at a time
+
+  Scenario: Among free upstreams the one without reported load is chosen
+    # A reported slowdown was ignored, so that requests waited for a slow upstream beside a free one.
+    Given a pool of 2 upstreams with 4 slots and requests of 100 ms
+    When requests arrive for 1 seconds at 2 a second for each upstream
+    And upstream 0 reports that work takes 300 % of the usual time
+    And 3 requests arrive that have 2000 ms
+    Then upstream 1 has got all of them
--- a/features/zone_failures.feature
+++ b/features/zone_failures.feature
@@ -101,3 +101,11 @@
   Scenario: A list of a leader of an earlier build names no avoided zones
     Given a message with an upstream as leaders of earlier builds send it
     Then the upstream in it avoids no zone
+
+  Scenario: A node that reads the list of upstreams from the store keeps the leader's estimates
+    # The store has none, so that keys would move and senders change whenever the leader is lost.
+    Given a node that knows an upstream that avoids zone a and has a capacity ratio of 0.5
+    When it reads the upstream from the store
+    Then the upstream avoids zone a and has a capacity ratio of 0.5
+    When it reads the next run of the upstream from the store
+    Then the upstream has no estimates
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -6,6 +6,7 @@
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
+from foxtailshunt.relay._result_recorder import rate_outcome
 from foxtailshunt.relay._retry_policy import AttemptHistory, RetryDecision, decide_retry
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
@@ -31,6 +32,7 @@
     "UpstreamGroups",
     "decide_retry",
     "form_groups",
+    "rate_outcome",
     "sender_candidates",
     "to_call",
     "to_relay_reply",
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -308,7 +308,8 @@
         else:
             self._channels.release(upstream, channel)
         self._unreachable.record_connection(upstream.upstream_id, connected=True)
-        self._load_reports.record(upstream, response)
+        if result is not AttemptResult.REPLACED:
+            self._load_reports.record(upstream, response)
         if response.states_leaving and result is not AttemptResult.REPLACED:
             self._leaving.record(upstream)
         if response.retry_after_s is not None:
--- a/foxtailshunt/upstreams/_latency_estimator.py
+++ b/foxtailshunt/upstreams/_latency_estimator.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import TypeVar
 
 from foxtailshunt.upstreams._latency_reports import LatencyReport, ReportTotals
 from foxtailshunt.upstreams._load_hint import LoadHint, LoadReport
@@ -22,10 +23,14 @@
 #: Time for which a current ratio is used once it was computed, in seconds. A long queue asks for it
 #: more than a thousand times a second.
 RATIO_VALIDITY_S = 0.01
+#: Maximum number of upstreams that are remembered; the one that was recorded first is forgotten.
+MAX_REMEMBERED = 4096
 #: Weights, in the logarithm of the current ratio, of latencies measured just now, of a report that
 #: is trusted entirely, and of the assumption that nothing has changed.
 MEASURED_WEIGHT, REPORTED_WEIGHT, UNCHANGED_WEIGHT = 3.0, 1.0, 0.5
 
+_Estimate = TypeVar("_Estimate")
+
 
 class LatencyEstimator:
     """Estimates latencies from completed requests; safe to use from any thread.
@@ -63,6 +68,8 @@
         if cached is not None and now < cached[0]:
             return cached[1]
         ratio = self._latency_ratio(upstream_id, now)
+        if len(self._ratios) >= MAX_REMEMBERED:
+            self._ratios.clear()
         self._ratios[upstream_id] = (now + RATIO_VALIDITY_S, ratio)
         return ratio
 
@@ -127,7 +134,8 @@
         :param report: the report.
         """
         with self._lock:
-            self._hints.setdefault(upstream_id, LoadHint()).add(report, self._now())
+            hint = _get_or_create(self._hints, upstream_id, LoadHint)
+            hint.add(report, self._now())
             self._ratios.pop(upstream_id, None)
 
     def record_failure(self, upstream_id: str, result: RequestResult) -> None:
@@ -176,7 +184,19 @@
         return min(MAX_RATIO, current * (1.0 if speed is None else speed.slow_ratio))
 
     def _speed(self, upstream_id: str) -> SpeedEstimate:
-        return self._speeds.setdefault(upstream_id, SpeedEstimate())
+        return _get_or_create(self._speeds, upstream_id, SpeedEstimate)
 
     def _totals_of(self, upstream_id: str) -> ReportTotals:
         return self._totals.setdefault(upstream_id, ReportTotals())
+
+
+def _get_or_create(
+    estimates: dict[str, _Estimate], upstream_id: str, create: Callable[[], _Estimate]
+) -> _Estimate:
+    """Return the estimate of an upstream; forgets the oldest one if there are too many."""
+    estimate = estimates.get(upstream_id)
+    if estimate is None:
+        if len(estimates) >= MAX_REMEMBERED:
+            del estimates[next(iter(estimates))]
+        estimate = estimates[upstream_id] = create()
+    return estimate
--- a/foxtailshunt/upstreams/_outlier_detector.py
+++ b/foxtailshunt/upstreams/_outlier_detector.py
@@ -32,6 +32,8 @@
 #: Difference in the shares of failures of two upstreams that has no effect on the choice between
 #: them. Estimates from 32 results of upstreams that fail equally often differ by up to 0.25.
 TOLERATED_EXCESS = 0.3
+#: Interval between two lines about an upstream that is not ejected, in seconds.
+SPARED_LOG_INTERVAL_S = 10.0
 #: Number of other upstreams whose share of failures is logged at an ejection.
 MAX_LOGGED = 12
 
@@ -52,8 +54,8 @@
     served: int = 0
     #: Start of the full use, in seconds.
     returned_at: float = float("-inf")
-    #: Whether an ejection was due, but too many upstreams were ejected.
-    is_spared: bool = False
+    #: When it was last logged that too many upstreams were ejected to eject this one, in seconds.
+    spared_logged_at: float = float("-inf")
 
 
 class OutlierDetector:
@@ -198,7 +200,7 @@
         if len(lasting) >= self._max_ejected():
             least_bad = min(lasting, key=lambda item: item.share_when_ejected)
             if least_bad.share_when_ejected >= share:
-                self._spare(state, share)
+                self._log_spared(state, share, now)
                 return
             least_bad.ejected_until = now
         if state.limit is None and now - state.returned_at > RELAPSE_S:
@@ -222,23 +224,22 @@
         state.ejections += 1
         state.ejected_until = now + length_s
         state.limit, state.served = 1, 0
-        state.is_spared = False
         state.estimate.clear()
 
-    def _spare(self, state: _State, share: float) -> None:
-        if not state.is_spared:
-            log_state_change(
-                "upstream.not_ejected",
-                upstream=state.upstream.upstream_id,
-                service=state.upstream.service,
-                share=round(share, 3),
-                reason="too many upstreams are ejected",
-            )
-        state.is_spared = True
+    def _log_spared(self, state: _State, share: float, now: float) -> None:
+        if now - state.spared_logged_at < SPARED_LOG_INTERVAL_S:
+            return
+        state.spared_logged_at = now
+        log_state_change(
+            "upstream.not_ejected",
+            upstream=state.upstream.upstream_id,
+            service=state.upstream.service,
+            share=round(share, 3),
+            reason="too many upstreams are ejected",
+        )
 
     def _raise_limit(self, state: _State, now: float) -> None:
         """Let an upstream on probation have twice as many requests once it served the present."""
-        state.is_spared = False
         if state.limit is None:
             return
         state.served += 1
