Forget the failures of an upstream that restarts

Cause: requests that a restart interrupted counted as failures of the next run, which could lose its keys after it was back. On probation, one failed request set the share by which outliers are compared; the share before the last ejection is kept instead.

--- a/features/steps/zone_failures_steps.py
+++ b/features/steps/zone_failures_steps.py
@@ -55,6 +55,7 @@
         #: Time and the upstreams that avoided a zone at that time.
         self.avoiding: list[tuple[float, set[str]]] = []
         self.has_been_failing: set[str] = set()
+        self.accepting: set[str] = set()
 
     def run(self, seconds: float) -> None:
         for _report in range(int(seconds / _REPORT_INTERVAL_S)):
@@ -84,6 +85,7 @@
         avoiding = {name for name, item in self.upstreams.items() if item.avoided_zones}
         self.avoiding.append((self.now, avoiding))
         found = self.estimator.capacities(_SERVICE, self.upstreams.values(), self.now)
+        self.accepting = {name for name, item in found.items() if item.accepts_keys}
         self.has_been_failing |= {name for name, item in found.items() if not item.accepts_keys}
 
 
@@ -143,6 +145,17 @@
     _subject(context).run(seconds)
 
 
+@when("upstream {number:d} restarts in the simulation of zones")
+def _(context: Context, number: int) -> None:
+    upstreams = _subject(context).upstreams
+    upstreams[f"u{number}"] = replace(upstreams[f"u{number}"], started_ms=1)
+
+
+@then("upstream {number:d} accepts keys")
+def _(context: Context, number: int) -> None:
+    assert f"u{number}" in _subject(context).accepting
+
+
 @then("upstream {number:d} avoids zone {zone}")
 def _(context: Context, number: int, zone: str) -> None:
     assert _subject(context).upstreams[f"u{number}"].avoided_zones == (zone,)
--- a/features/zone_failures.feature
+++ b/features/zone_failures.feature
@@ -50,6 +50,15 @@
       | if all upstreams refuse        | a b   | all upstreams fail 60 % of their requests   |
       | after single failures          | a b   | all upstreams fail 2 % of their requests    |
 
+  Scenario: The failures of an upstream that restarts are forgotten
+    # The requests that its restart interrupted made it lose its keys after it was back.
+    Given 6 upstreams in zone a, and nodes in the zones a b
+    When upstream 0 fails all requests from zones a b for 3 s
+    And upstream 0 restarts in the simulation of zones
+    And upstream 0 serves all requests for 1 s
+    Then upstream 0 avoids no zone
+    And upstream 0 accepts keys
+
   Scenario: At most a third of the upstreams avoid a zone
     # The nodes of other zones have links and processors for their own upstreams only.
     Given 6 upstreams in zone a, and nodes in the zones a b
--- a/foxtailshunt/assigning/_capacity_estimator.py
+++ b/foxtailshunt/assigning/_capacity_estimator.py
@@ -56,6 +56,8 @@
         self._used: dict[str, float] = {}
         #: When the first report of the current term was received, in seconds; None before.
         self._first_report_at: float | None = None
+        #: Runs of the upstreams when they were last listed.
+        self._incarnations: dict[str, object] = {}
         self._pruned_at = float("-inf")
 
     def begin_term(self, upstreams: Iterable[Upstream]) -> None:
@@ -116,6 +118,7 @@
         for upstream in upstreams.values():
             by_service.setdefault(upstream.service, []).append(upstream)
         with self._lock:
+            self._forget_restarted(upstreams)
             for found in by_service.values():
                 self._zones.update(found, zones, now)
             self._prune(set(upstreams), now)
@@ -137,6 +140,15 @@
             self._update_used(service, names, now)
             return {item.upstream_id: self._capacity(item) for item in upstreams}
 
+    def _forget_restarted(self, upstreams: dict[str, Upstream]) -> None:
+        """Discard the failures of upstreams that have restarted; their speed is that of before."""
+        for name, upstream in upstreams.items():
+            known = self._incarnations.get(name, upstream.incarnation)
+            if known != upstream.incarnation:
+                self._failing.forget(name)
+                self._zones.forget(name)
+        self._incarnations = {name: item.incarnation for name, item in upstreams.items()}
+
     def _with_estimate(self, upstream: Upstream) -> Upstream:
         avoided_zones = self._zones.avoided_zones(upstream.upstream_id)
         ratio = round(math.exp(self._used.get(upstream.upstream_id, 0.0)), 4)
--- a/foxtailshunt/assigning/_failing_upstreams.py
+++ b/foxtailshunt/assigning/_failing_upstreams.py
@@ -133,9 +133,16 @@
 
         :param upstream_ids: the upstreams that exist.
         """
+        for name in self._slow_shares.keys() - upstream_ids:
+            self.forget(name)
+
+    def forget(self, upstream_id: str) -> None:
+        """Discard what is known of an upstream.
+
+        :param upstream_id: the upstream.
+        """
         for known in (self._shares, self._slow_shares, self._episodes):
-            for name in known.keys() - upstream_ids:
-                del known[name]
+            known.pop(upstream_id, None)
 
     def _begin(self, service: str, name: str, share: float, usual: float, now: float) -> None:
         previous = self._episodes.get(name)
--- a/foxtailshunt/assigning/_zone_failures.py
+++ b/foxtailshunt/assigning/_zone_failures.py
@@ -120,9 +120,15 @@
         :param upstream_ids: the upstreams that exist.
         """
         for name in self._shares.keys() - upstream_ids:
-            del self._shares[name]
-        for name in self._episodes.keys() - upstream_ids:
-            del self._episodes[name]
+            self.forget(name)
+
+    def forget(self, upstream_id: str) -> None:
+        """Discard what is known of an upstream.
+
+        :param upstream_id: the upstream.
+        """
+        self._shares.pop(upstream_id, None)
+        self._episodes.pop(upstream_id, None)
 
     def _may_try(self, name: str, now: float) -> bool:
         episode = self._episodes.get(name)
--- a/foxtailshunt/upstreams/_outlier_detector.py
+++ b/foxtailshunt/upstreams/_outlier_detector.py
@@ -195,7 +195,8 @@
 
     def _eject(self, state: _State, now: float) -> None:
         """Eject an upstream, unless others that are at least as bad take up the limit."""
-        share = state.estimate.share
+        # On probation, one or two results tell less than those before the last ejection.
+        share = state.estimate.share if state.limit is None else state.share_when_ejected
         lasting = [item for item in self._states.values() if now < item.ejected_until]
         if len(lasting) >= self._max_ejected():
             least_bad = min(lasting, key=lambda item: item.share_when_ejected)
