Find a failing upstream also if it alone gets requests

Cause: the usual share of failures was the median of the upstreams with recent requests; if that was only the failing one, it was compared with itself.

--- a/features/node_ownership.feature
+++ b/features/node_ownership.feature
@@ -64,6 +64,13 @@
     Then it eventually holds keys
     And no key was ever held by two upstreams
 
+  Scenario: The keys of an upstream that fails quickly move to the others
+    # Its responses with status 500 counted as fast ones, so that it was assigned more keys.
+    Given the nodes serve
+    When an upstream responds to all requests with 500 at once
+    Then requests for 30 keys through each node are answered by the others
+    And no key was ever held by two upstreams
+
   Scenario: A frozen leader resumes after another node has become leader
     Given the nodes serve
     When the leader is frozen until another node leads
--- a/features/steps/node_ownership_steps.py
+++ b/features/steps/node_ownership_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from features.node_support import NodeFleet
-from standins.keyowner import KeyOwner
+from standins.keyowner import KeyOwner, Manner
 from standins.metadata import StoreFault
 
 _SERVICE = "desk"
@@ -178,6 +178,13 @@
     subject.upstream.leave()
 
 
+@when("an upstream responds to all requests with 500 at once")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.upstream = subject.fleet.owners["u0"]
+    subject.upstream.manner = Manner.FAILS_QUICKLY
+
+
 @when("an upstream carries out orders without answering them")
 def _(context: Context) -> None:
     subject = _subject(context)
--- a/foxtailshunt/assigning/_failing_upstreams.py
+++ b/foxtailshunt/assigning/_failing_upstreams.py
@@ -4,9 +4,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
-from statistics import median_low
 
-from foxtailshunt.assigning._failure_share import FailureShare, is_outlier
+from foxtailshunt.assigning._failure_share import FailureShare, is_outlier, usual_share
 from foxtailshunt.telemetry import log_state_change
 from foxtailshunt.upstreams import LatencyReport
 
@@ -119,7 +118,7 @@
         count = sum(self.state(name) is UpstreamState.FAILING for name in upstream_ids)
         limit = len(upstream_ids) // UPSTREAMS_PER_FAILING
         limit = max(1, limit) if len(upstream_ids) > 1 else 0
-        usual = median_low([share.value for share in known.values()]) if known else 0.0
+        usual = usual_share(known.values())
         for name in sorted(known, key=lambda name: known[name].value, reverse=True):
             if count >= limit or known[name].value < MIN_FAILING_SHARE:
                 return
--- a/foxtailshunt/assigning/_failure_share.py
+++ b/foxtailshunt/assigning/_failure_share.py
@@ -1,6 +1,8 @@
 """Share of failures of the recent requests to an upstream."""
 
 import math
+from collections.abc import Iterable
+from statistics import median_low
 
 #: Least multiple of the median of a service from which a share of failures is far above it.
 MIN_SHARE_RATIO = 2.0
@@ -60,3 +62,12 @@
     deviation = math.sqrt(assumed * (1.0 - assumed) / share.requests(now))
     is_certain = share.value - assumed >= MIN_DEVIATIONS * deviation
     return is_certain and share.value >= MIN_SHARE_RATIO * usual
+
+
+def usual_share(shares: Iterable[FailureShare]) -> float:
+    """Return the share of failures that is usual for the upstreams of a service.
+
+    :param shares: the shares that are known.
+    """
+    # The additional 0 decides if only one upstream gets requests: no other one fails like it.
+    return median_low([0.0, *(share.value for share in shares)])
--- a/foxtailshunt/assigning/_zone_failures.py
+++ b/foxtailshunt/assigning/_zone_failures.py
@@ -8,9 +8,8 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
-from statistics import median_low
 
-from foxtailshunt.assigning._failure_share import FailureShare, is_outlier
+from foxtailshunt.assigning._failure_share import FailureShare, is_outlier, usual_share
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.telemetry import log_state_change
 from foxtailshunt.upstreams import LatencyReport
@@ -106,7 +105,7 @@
         }
         count = sum(bool(self.avoided_zones(name)) for name in names)
         limit = max(1, len(names) // UPSTREAMS_PER_AVOIDING)
-        usual = median_low([share.value for share in shares.values()]) if shares else 0.0
+        usual = usual_share(shares.values())
         for (name, zone), share in shares.items():
             is_failing = share.value >= MIN_FAILING_SHARE and is_outlier(share, usual, now)
             has_other_zone = any(other != zone for other in zones)
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -50,6 +50,8 @@
     ASKS_FOR_PAUSE = "asks for a pause"
     #: Responds with 503 without ``Not-Executed``.
     UNAVAILABLE = "fails"
+    #: Responds with 500 at once.
+    FAILS_QUICKLY = "fails quickly"
     #: Responds with 200 without ``Response-Seal``.
     WITHOUT_SEAL = "answers without the seal"
 
@@ -218,6 +220,8 @@
         if self.manner is Manner.ASKS_FOR_PAUSE:
             refusal = (("Not-Executed", "1"), ("Attempt-Id", request_id))
             return CompleteResponse(503, b"", (*refusal, ("Retry-After", str(_PAUSE_S))))
+        if self.manner is Manner.FAILS_QUICKLY:
+            return CompleteResponse(500, b"", (("Attempt-Id", request_id),))
         with self._lock:
             self.runs[request_id] += 1
             self._in_flight[key] += 1
