--- a/features/steps/upstream_capacity_steps.py
+++ b/features/steps/upstream_capacity_steps.py
@@ -255,7 +255,7 @@
     assert 0.4 <= found["u0"].work / found["u1"].work <= 0.7, found
 
 
-@given("a report with refused and silent requests and latencies of 2 routes")
+@given("a report with refused and unanswered requests and latencies of 2 routes")
 def _(context: Context) -> None:
     latencies = (RouteLatency("stock", 3, -2.0), RouteLatency("order", 1, -1.5))
     context.report = LatencyReport("u1", 0.7, 0.6, 4, 5, 2, 3, latencies)
--- a/features/upstream_capacity.feature
+++ b/features/upstream_capacity.feature
@@ -107,5 +107,5 @@
     Then its capacity is between 0.4 and 0.7 of that of the others
 
   Scenario: Reports reach the leader unchanged
-    Given a report with refused and silent requests and latencies of 2 routes
+    Given a report with refused and unanswered requests and latencies of 2 routes
     Then a message to the leader and back keeps it
--- a/features/upstream_ejections.feature
+++ b/features/upstream_ejections.feature
@@ -84,7 +84,7 @@
     When u1 fails <count> requests in a row with <kind>
     Then u1 <state>
 
-    Examples: several silences in a row are enough; refusals count less than errors
+    Examples: several requests in a row without a response are enough; refusals count less than errors
       | count | kind        | effect         | state                    |
       | 1     | error       | eject nobody   | may get 4 requests at a time |
       | 2     | error       | eject nobody   | may get 4 requests at a time |
@@ -97,7 +97,7 @@
       | 6     | refused     | eject it       | is ejected for 0.25 s    |
       | 50    | not_rated   | eject nobody   | may get 4 requests at a time |
 
-  Scenario: Silences eject even if the peers fail too
+  Scenario: Requests without a response eject even if the peers fail too
     # A share of the peers' failures is no reason to wait for an upstream that does not respond.
     Given the upstreams u1 u2 u3 with 4 slots are compared
     And u2 has failed every second of 20 requests
--- a/foxtailshunt/assigning/_capacity_estimator.py
+++ b/foxtailshunt/assigning/_capacity_estimator.py
@@ -20,7 +20,7 @@
 MIN_CHANGE = 1.3
 #: Factor by which the change has to be larger at first, and time constant in which that decays, in
 #: seconds: early estimates are from few slowdowns.
-NEW_ESTIMATE_CAUTION, CAUTION_TIME_S = 2.0, 6.0
+NEW_ESTIMATE_UNCERTAINTY, UNCERTAINTY_TIME_S = 2.0, 6.0
 #: Bounds of the latency ratio that a capacity uses.
 MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.4, 12.0
 _MIN_LOG_RATIO, _MAX_LOG_RATIO = math.log(MIN_LATENCY_RATIO), math.log(MAX_LATENCY_RATIO)
@@ -135,8 +135,8 @@
         """
         with self._lock:
             names = [item.upstream_id for item in upstreams]
-            spared = [name for name in names if self._zones.avoided_zones(name)]
-            self._failing.update(service, names, spared, now)
+            excluded = [name for name in names if self._zones.avoided_zones(name)]
+            self._failing.update(service, names, excluded, now)
             self._update_used(service, names, now)
             return {item.upstream_id: self._capacity(item) for item in upstreams}
 
@@ -180,7 +180,7 @@
             log_ratio = slowness[name] - mean_slowness
             bounded = min(_MAX_LOG_RATIO, max(_MIN_LOG_RATIO, log_ratio))
             estimate = success[name] - mean_success - bounded
-            min_change = math.log(MIN_CHANGE) * self._caution(name, now)
+            min_change = math.log(MIN_CHANGE) * self._uncertainty(name, now)
             if abs(estimate - self._used.get(name, 0.0)) >= min_change:
                 self._used[name] = estimate
                 log_state_change(
@@ -191,10 +191,10 @@
                     success_rate=round(math.exp(success[name]), 3),
                 )
 
-    def _caution(self, name: str, now: float) -> float:
+    def _uncertainty(self, name: str, now: float) -> float:
         """Return a factor by which a change has to be larger while an estimate is new."""
-        return 1.0 + NEW_ESTIMATE_CAUTION * math.exp(
-            -self._speeds.age_s(name, now) / CAUTION_TIME_S
+        return 1.0 + NEW_ESTIMATE_UNCERTAINTY * math.exp(
+            -self._speeds.age_s(name, now) / UNCERTAINTY_TIME_S
         )
 
     def _prune(self, names: set[str], now: float) -> None:
--- a/foxtailshunt/assigning/_failing_upstreams.py
+++ b/foxtailshunt/assigning/_failing_upstreams.py
@@ -99,13 +99,13 @@
         return UpstreamState.SERVING if episode is None else episode.state
 
     def update(
-        self, service: str, upstream_ids: Collection[str], spared: Collection[str], now: float
+        self, service: str, upstream_ids: Collection[str], excluded: Collection[str], now: float
     ) -> None:
         """Update which upstreams of a service are failing.
 
         :param service: name of the service.
         :param upstream_ids: its upstreams.
-        :param spared: upstreams that may fail only the requests of one zone.
+        :param excluded: upstreams that may fail only the requests of one zone.
         :param now: the time in seconds.
         """
         known = {
@@ -122,7 +122,7 @@
         for name in sorted(known, key=lambda name: known[name].value, reverse=True):
             if count >= limit or known[name].value < MIN_FAILING_SHARE:
                 return
-            is_excepted = self.state(name) is UpstreamState.FAILING or name in spared
+            is_excepted = self.state(name) is UpstreamState.FAILING or name in excluded
             if not is_excepted and is_outlier(known[name], usual, now):
                 self._begin(service, name, known[name].value, usual, now)
                 count += 1
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -129,7 +129,7 @@
         answered=report.answered,
         failed=report.failed,
         refused=report.refused,
-        silent=report.silent,
+        unanswered=report.unanswered,
         latencies=[
             protocol.RouteLatency(
                 route=item.route, count=item.count, mean_log_ms=item.mean_log_s + _LOG_MS_PER_S
@@ -151,7 +151,7 @@
         answered=message.answered,
         failed=message.failed,
         refused=message.refused or 0,
-        silent=message.silent or 0,
+        unanswered=message.unanswered or 0,
         latencies=tuple(
             RouteLatency(item.route, item.count, item.mean_log_ms - _LOG_MS_PER_S)
             for item in message.latencies or ()
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -90,7 +90,7 @@
   /* Failed requests that it refused, and those to which it did not respond; absent in messages of
    * earlier builds, like the latencies. */
   6: optional i32 refused,
-  7: optional i32 silent,
+  7: optional i32 unanswered,
   8: optional list<RouteLatency> latencies,
 }
 
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -870,20 +870,20 @@
      - answered
      - failed
      - refused
-     - silent
+     - unanswered
      - latencies
 
     """
 
 
-    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None, refused=None, silent=None, latencies=None,):
+    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None, refused=None, unanswered=None, latencies=None,):
         self.upstream_id = upstream_id
         self.taken_ms = taken_ms
         self.expected_ms = expected_ms
         self.answered = answered
         self.failed = failed
         self.refused = refused
-        self.silent = silent
+        self.unanswered = unanswered
         self.latencies = latencies
 
     def read(self, iprot):
@@ -927,7 +927,7 @@
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.I32:
-                    self.silent = iprot.readI32()
+                    self.unanswered = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
@@ -975,9 +975,9 @@
             oprot.writeFieldBegin('refused', TType.I32, 6)
             oprot.writeI32(self.refused)
             oprot.writeFieldEnd()
-        if self.silent is not None:
-            oprot.writeFieldBegin('silent', TType.I32, 7)
-            oprot.writeI32(self.silent)
+        if self.unanswered is not None:
+            oprot.writeFieldBegin('unanswered', TType.I32, 7)
+            oprot.writeI32(self.unanswered)
             oprot.writeFieldEnd()
         if self.latencies is not None:
             oprot.writeFieldBegin('latencies', TType.LIST, 8)
@@ -1998,7 +1998,7 @@
     (4, TType.I32, 'answered', None, None, ),  # 4
     (5, TType.I32, 'failed', None, None, ),  # 5
     (6, TType.I32, 'refused', None, None, ),  # 6
-    (7, TType.I32, 'silent', None, None, ),  # 7
+    (7, TType.I32, 'unanswered', None, None, ),  # 7
     (8, TType.LIST, 'latencies', (TType.STRUCT, [RouteLatency, None], False), None, ),  # 8
 )
 all_structs.append(NodeMember)
--- a/foxtailshunt/upstreams/_latency_reports.py
+++ b/foxtailshunt/upstreams/_latency_reports.py
@@ -39,7 +39,7 @@
     #: Number of failed requests that the upstream refused.
     refused: int = 0
     #: Number of failed requests to which the upstream did not respond at all.
-    silent: int = 0
+    unanswered: int = 0
     #: Latencies of the requests that it served, by route.
     latencies: tuple[RouteLatency, ...] = ()
 
@@ -80,7 +80,7 @@
             answered=self.results[RequestResult.SERVED],
             failed=sum(n for result, n in self.results.items() if result.is_failure),
             refused=self.results[RequestResult.REFUSED],
-            silent=sum(n for result, n in self.results.items() if result.is_silence),
+            unanswered=sum(n for result, n in self.results.items() if result.is_unanswered),
             latencies=tuple(
                 RouteLatency(route, count, total / count)
                 for route, (count, total) in self.logs.items()
--- a/foxtailshunt/upstreams/_outlier_detector.py
+++ b/foxtailshunt/upstreams/_outlier_detector.py
@@ -24,7 +24,7 @@
 #: Share of failures, as a multiple of that of the peers, below which no upstream is an outlier.
 MIN_SHARE_RATIO = 2.0
 #: Number of requests in a row without any response after which an upstream is ejected at once.
-MAX_SILENCES = 3
+MAX_UNANSWERED = 3
 #: Share of failures of the peers up to which one failure ejects an upstream on probation again.
 MAX_PEER_SHARE_ON_PROBATION = 0.25
 #: At most one of this many upstreams may be ejected at a time; of two, one may be.
@@ -33,7 +33,7 @@
 #: them. Estimates from 32 results of upstreams that fail equally often differ by up to 0.25.
 TOLERATED_EXCESS = 0.3
 #: Interval between two lines about an upstream that is not ejected, in seconds.
-SPARED_LOG_INTERVAL_S = 10.0
+LIMIT_LOG_INTERVAL_S = 10.0
 #: Number of other upstreams whose share of failures is logged at an ejection.
 MAX_LOGGED = 12
 
@@ -55,7 +55,7 @@
     #: Start of the full use, in seconds.
     returned_at: float = float("-inf")
     #: When it was last logged that too many upstreams were ejected to eject this one, in seconds.
-    spared_logged_at: float = float("-inf")
+    limit_logged_at: float = float("-inf")
 
 
 class OutlierDetector:
@@ -82,7 +82,7 @@
             states[upstream.upstream_id] = state
         self._states = states
         self._least_share = min(
-            (item.estimate.cautious_share for item in states.values()), default=0.0
+            (item.estimate.lower_share for item in states.values()), default=0.0
         )
         ejected = sorted(
             (state for state in states.values() if state.ejected_until),
@@ -112,7 +112,7 @@
             # A request from before the ejection, which accounts for it.
             return
         state.estimate.add(result)
-        self._least_share = min(item.estimate.cautious_share for item in self._states.values())
+        self._least_share = min(item.estimate.lower_share for item in self._states.values())
         if result is RequestResult.SERVED:
             self._raise_limit(state, now)
         elif result.is_failure and self._is_outlier(state):
@@ -153,7 +153,7 @@
         state = self._states.get(upstream_id)
         if state is None:
             return 1.0
-        excess = state.estimate.cautious_share - self._least_share - TOLERATED_EXCESS
+        excess = state.estimate.lower_share - self._least_share - TOLERATED_EXCESS
         return 1.0 - max(0.0, excess)
 
     def ejected(self, now: float) -> int:
@@ -175,7 +175,7 @@
         if len(self._states) < 2:
             # The only upstream of a key: no other one could serve its requests.
             return False
-        if state.estimate.silences_in_a_row >= MAX_SILENCES:
+        if state.estimate.unanswered_in_a_row >= MAX_UNANSWERED:
             return True
         # Other upstreams that are ejected or on probation are no measure of what is normal.
         peers = [
@@ -201,7 +201,7 @@
         if len(lasting) >= self._max_ejected():
             least_bad = min(lasting, key=lambda item: item.share_when_ejected)
             if least_bad.share_when_ejected >= share:
-                self._log_spared(state, share, now)
+                self._log_limit_reached(state, share, now)
                 return
             least_bad.ejected_until = now
         if state.limit is None and now - state.returned_at > RELAPSE_S:
@@ -227,10 +227,10 @@
         state.limit, state.served = 1, 0
         state.estimate.clear()
 
-    def _log_spared(self, state: _State, share: float, now: float) -> None:
-        if now - state.spared_logged_at < SPARED_LOG_INTERVAL_S:
+    def _log_limit_reached(self, state: _State, share: float, now: float) -> None:
+        if now - state.limit_logged_at < LIMIT_LOG_INTERVAL_S:
             return
-        state.spared_logged_at = now
+        state.limit_logged_at = now
         log_state_change(
             "upstream.not_ejected",
             upstream=state.upstream.upstream_id,
--- a/foxtailshunt/upstreams/_request_result.py
+++ b/foxtailshunt/upstreams/_request_result.py
@@ -25,6 +25,6 @@
         return self not in (RequestResult.SERVED, RequestResult.NOT_RATED)
 
     @property
-    def is_silence(self) -> bool:
+    def is_unanswered(self) -> bool:
         """Return whether the upstream did not respond at all."""
         return self in (RequestResult.UNREACHABLE, RequestResult.NO_RESPONSE)
--- a/foxtailshunt/upstreams/_success_estimate.py
+++ b/foxtailshunt/upstreams/_success_estimate.py
@@ -28,7 +28,7 @@
         #: Number of the results that are failures.
         self.failed = 0
         #: Number of requests without any response since the last response.
-        self.silences_in_a_row = 0
+        self.unanswered_in_a_row = 0
 
     def add(self, result: RequestResult) -> None:
         """Add the result of a request.
@@ -41,13 +41,13 @@
             self.failed -= self._results[0].is_failure
         self._results.append(result)
         self.failed += result.is_failure
-        self.silences_in_a_row = self.silences_in_a_row + 1 if result.is_silence else 0
+        self.unanswered_in_a_row = self.unanswered_in_a_row + 1 if result.is_unanswered else 0
 
     def clear(self) -> None:
         """Discard all results."""
         self._results.clear()
         self.failed = 0
-        self.silences_in_a_row = 0
+        self.unanswered_in_a_row = 0
 
     @property
     def rated(self) -> int:
@@ -60,7 +60,7 @@
         return self.failed / self.rated if self._results else 0.0
 
     @property
-    def cautious_share(self) -> float:
+    def lower_share(self) -> float:
         """Return the share of failures, estimated on the low side; one failure changes little."""
         return self.failed / (self.rated + PRIOR_RESULTS)
 
