--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -2,6 +2,8 @@
 
 import heapq
 import itertools
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, Refusal, SlotPool
@@ -10,6 +12,7 @@
 from foxtailshunt.upstreams import (
     ColdBound,
     LatencyEstimator,
+    RequestResult,
     StartLimiter,
     UpstreamPauses,
     WarmupStates,
@@ -22,8 +25,8 @@
 class CountingEstimator(LatencyEstimator):
     """Counts how often the latency of a request at an upstream is looked up."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, now: Callable[[], float]) -> None:
+        super().__init__(now)
         self.lookups = 0
 
     def expected_latency_s(self, route: str, upstream_id: str) -> float:
@@ -58,11 +61,15 @@
     #: Factor on the latency by upstream.
     latency_factors: dict[str, float] = field(default_factory=dict)
     fails_until: dict[str, float] = field(default_factory=dict)
+    #: Share of the requests that each upstream fails at once, and how.
+    failure_shares: dict[str, float] = field(default_factory=dict)
+    failure_results: dict[str, RequestResult] = field(default_factory=dict)
     route_latencies_s: dict[str, float] = field(default_factory=dict)
     now: float = 1000.0
+    seed: int = 1
 
     def __post_init__(self) -> None:
-        self.latencies = CountingEstimator()
+        self.latencies = CountingEstimator(lambda: self.now)
         self.seed_latency("route", self.base_latency_s)
         self.pauses = UpstreamPauses()
         self.service = ServiceInfo("desk", False, 64)
@@ -82,6 +89,7 @@
         self._requests_by_entry: dict[QueueEntry, SimulatedRequest] = {}
         self._completions: list[tuple[float, int, QueueEntry]] = []
         self._sequence = itertools.count()
+        self._rng = random.Random(self.seed)
 
     def new_pool(self) -> SlotPool:
         return SlotPool(self.latencies, "zone", self.pauses, self.limiter)
@@ -125,7 +133,9 @@
                 continue
             request.upstream = entry.upstream.upstream_id
             request.started_at = self.now
-            request.failed = self.now < self.fails_until.get(request.upstream, 0.0)
+            share = self.failure_shares.get(request.upstream, 0.0)
+            is_failing = self.now < self.fails_until.get(request.upstream, 0.0)
+            request.failed = is_failing or self._rng.random() < share
             latency_s = self._latency_s(entry)
             end = self.now + (_FAILURE_LATENCY_S if request.failed else latency_s)
             heapq.heappush(self._completions, (end, next(self._sequence), entry))
@@ -145,7 +155,10 @@
             self.latencies.record_response(
                 entry.call.route, request.upstream, self._latency_s(entry)
             )
-        self.pool.finish(entry, request.failed, self.now)
+        result = RequestResult.SERVED
+        if request.failed:
+            result = self.failure_results.get(request.upstream, RequestResult.ERROR)
+        self.pool.finish(entry, result, self.now)
 
     def _latency_s(self, entry: QueueEntry) -> float:
         latency_s = self.route_latencies_s.get(entry.call.route, self.base_latency_s)
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -277,10 +277,18 @@
 
 
 def _render(template: str, values: dict[str, Any]) -> str:
-    """Render a template as the platform does: sections for values that are present, then values."""
+    """Render a template as the platform does.
+
+    A section is rendered for each entry of a list or table, else once if the value is present; an
+    inverted section is rendered if it is not.
+    """
 
     def section(match: re.Match) -> str:
-        return match[2] if values.get(match[1]) is not None else ""
+        found = values.get(match[2])
+        is_present = found is not None and found is not False
+        if match[1] == "^":
+            return "" if is_present else match[3]
+        return match[3] * (len(found) if isinstance(found, list | dict) else int(is_present))
 
     def value(match: re.Match) -> str:
         found = values.get(match[1])
@@ -288,7 +296,9 @@
             return ""
         return json.dumps(found) if match[2] else str(found)
 
-    without_sections = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    without_sections = re.sub(
+        r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", section, template, flags=re.S
+    )
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value, without_sections)
 
 
--- a/foxtailshunt/assigning/_move_planner.py
+++ b/foxtailshunt/assigning/_move_planner.py
@@ -49,18 +49,22 @@
 
         :param service: name of the service.
         """
-        candidates = []
-        for name in sorted(self._upstreams.current):
-            upstream = self._upstreams.current[name]
-            renewer = self._renewers.get(name)
-            if upstream.service != service or upstream.leaving or renewer is None:
-                continue
-            if self._deps.view.is_evacuated(upstream):
-                continue
-            if renewer.is_reachable:
-                capacity = self._deps.capacities.capacity(name, upstream.slots)
-                candidates.append(Candidate(name, capacity, self._cold_limit(upstream)))
-        return candidates
+        available = {
+            name: upstream
+            for name, upstream in sorted(self._upstreams.current.items())
+            if upstream.service == service and self._may_own_keys(upstream)
+        }
+        capacities = self._deps.capacities.capacities(service, available.values(), self._now())
+        return [
+            Candidate(name, item.work, self._cold_limit(available[name]), item.accepts_keys)
+            for name, item in capacities.items()
+        ]
+
+    def _may_own_keys(self, upstream: Upstream) -> bool:
+        renewer = self._renewers.get(upstream.upstream_id)
+        if upstream.leaving or renewer is None or self._deps.view.is_evacuated(upstream):
+            return False
+        return renewer.is_reachable
 
     def _cold_limit(self, upstream: Upstream) -> float | None:
         """Return the most demand that an upstream may be given, in slots; None if it is warm."""
--- a/foxtailshunt/assigning/_placement.py
+++ b/foxtailshunt/assigning/_placement.py
@@ -39,6 +39,8 @@
     capacity: float
     #: Most demand that it may be given while it is cold, in slots; None if it is warm.
     limit: float | None = None
+    #: False if it may keep keys but is to get no further ones.
+    accepts_keys: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,10 @@
             )
             for candidate in candidates
         }
+        #: The candidates that may get keys; all of them if none accepts keys.
+        self.receivers = [item.upstream_id for item in candidates if item.accepts_keys] or list(
+            self.capacity
+        )
         self.load = dict.fromkeys(self.capacity, 0.0)
         self.owned: dict[str, list[KeyRange]] = {
             candidate.upstream_id: [] for candidate in candidates
@@ -160,7 +166,7 @@
             continue
         amount = loads.demand_between(item.first, item.last)
         new_owner = min(
-            loads.load,
+            loads.receivers,
             key=lambda name: (
                 loads.room(name) < amount,
                 (loads.load[name] + amount) / loads.capacity[name],
@@ -181,8 +187,8 @@
     moves: list[Move] = []
     new_owners = {move.new_owner for move in moves}
     current_owners = {item.owner for item in ranges}
-    for idle, owned in loads.owned.items():
-        if owned or idle in new_owners or idle in current_owners:
+    for idle in loads.receivers:
+        if loads.owned[idle] or idle in new_owners or idle in current_owners:
             continue
         divisible = [
             item
@@ -249,8 +255,9 @@
 
 def _offload_busiest(loads: _Loads, moved: set[KeyRange]) -> Move | None:
     by_utilization = sorted(loads.load, key=loads.utilization, reverse=True)
+    receivers = sorted(loads.receivers, key=loads.utilization)
     # A cold upstream may have no room for any run.
-    targets = [by_utilization[-1], *(n for n in reversed(by_utilization) if n not in loads.limit)]
+    targets = [receivers[0], *(name for name in receivers if name not in loads.limit)]
     for target in targets[: 2 if targets[0] in loads.limit else 1]:
         move = _offload(by_utilization[:3], target, loads, moved)
         if move is not None:
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -51,7 +51,7 @@
         self._fence = 0
         self._ownership_version = 0
         self._members_version = 0
-        self._upstreams = UpstreamPublisher(deps.store, deps.view, deps.now, term)
+        self._upstreams = UpstreamPublisher(deps.store, deps.view, deps.capacities, deps.now, term)
         self._renewers: dict[str, GrantRenewer] = {}
         self._previous_leaders = self._track_previous_leaders(())
         self._previous_grants = PreviousGrants((), self._previous_leaders.grants_expire_at)
@@ -66,6 +66,7 @@
             log_state_change("term.outdated", term=self._term)
             self._deps.leadership.step_down("a newer term is known")
             return
+        self._deps.capacities.begin_term(self._view.upstreams.values())
         self._upstreams.update()
         self._take_over()
         rebalance_at = 0.0
@@ -75,7 +76,8 @@
                 self._upstreams.update()
                 self._publish_members()
                 self._update_renewers()
-                is_rebalancing = started >= rebalance_at
+                is_settled = self._deps.capacities.is_settled(started)
+                is_rebalancing = started >= rebalance_at and is_settled
                 if is_rebalancing:
                     rebalance_at = started + REBALANCE_INTERVAL_S
                 self._assign(is_rebalancing)
--- a/foxtailshunt/assigning/_upstream_publisher.py
+++ b/foxtailshunt/assigning/_upstream_publisher.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from foxtailshunt.assigning._capacity_estimator import CapacityEstimator
 from foxtailshunt.assigning._table_store import STORE_RETRY_S
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
 from foxtailshunt.fleet import FleetView, Upstream
@@ -19,15 +20,22 @@
 
     :param store: the store.
     :param view: the view to which the list is published.
+    :param capacities: adds its estimates to the published upstreams.
     :param now: returns seconds of a clock that also advances during suspension.
     :param term: number of the term.
     """
 
     def __init__(
-        self, store: StoreClient, view: FleetView, now: Callable[[], float], term: int
+        self,
+        store: StoreClient,
+        view: FleetView,
+        capacities: CapacityEstimator,
+        now: Callable[[], float],
+        term: int,
     ) -> None:
         self._reader = UpstreamReader(store, now, view.apply_serving_rules)
         self._view = view
+        self._capacities = capacities
         self._now = now
         self._term = term
         self._version = 0
@@ -58,6 +66,8 @@
             self._is_store_unavailable = False
         if upstreams and self.first_at is None:
             self.first_at = started
+        zones = {member.zone for member in self._view.members if not member.leaving}
+        upstreams = self._capacities.with_estimates(upstreams, zones, self._now())
         read_at = self._now()
         if self._have_changed(upstreams, read_at):
             self._version += 1
--- a/foxtailshunt/fleet/_types.py
+++ b/foxtailshunt/fleet/_types.py
@@ -25,6 +25,11 @@
     warmup_s: float
     #: When it started, in milliseconds of its own clock since the epoch; 0 if unknown.
     started_ms: int
+    #: Zones whose nodes should not send to it, because it fails their requests.
+    avoided_zones: tuple[str, ...] = ()
+    #: Work that it does for each of its slots, relative to the average of its service, as estimated
+    #: by the leader.
+    capacity_ratio: float = 1.0
 
     @property
     def incarnation(self) -> tuple[str, Address, int]:
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -178,12 +178,29 @@
             self.versions = replace(self.versions, upstreams=0)
             self._earlier_upstreams.clear()
             age_s = self._now() - read_at
+            upstreams = self._with_known_estimates(upstreams)
             if upstreams != self.upstreams:
                 self._replace_upstreams(upstreams, age_s)
                 self._changed.notify_all()
             else:
                 self._observe(self.upstreams, age_s)
 
+    def _with_known_estimates(self, upstreams: dict[str, Upstream]) -> dict[str, Upstream]:
+        """Return upstreams with the leader's last estimates, which are not in the store."""
+        known = self.upstreams
+        return {
+            name: (
+                replace(
+                    item,
+                    avoided_zones=known[name].avoided_zones,
+                    capacity_ratio=known[name].capacity_ratio,
+                )
+                if name in known and known[name].incarnation == item.incarnation
+                else item
+            )
+            for name, item in upstreams.items()
+        }
+
     def update_ownership_from_store(self, ownership: OwnershipTable) -> None:
         """Use the stored ownership table until a leader has published one.
 
--- a/foxtailshunt/node/__init__.py
+++ b/foxtailshunt/node/__init__.py
@@ -8,6 +8,12 @@
 from foxtailshunt.node._evacuations import EvacuationEntries
 from foxtailshunt.node._follow_reply import apply_reply, build_reply
 from foxtailshunt.node._follower import DemandCollector, Follower
+from foxtailshunt.node._messages import (
+    from_pace_message,
+    from_upstreams_message,
+    to_pace_message,
+    to_upstreams_message,
+)
 from foxtailshunt.node._peer_service import PeerService
 from foxtailshunt.node._program import NodeProgram
 from foxtailshunt.node._reply_pacer import ReplyPacer
@@ -26,5 +32,9 @@
     "ReplyPacer",
     "apply_reply",
     "build_reply",
+    "from_pace_message",
+    "from_upstreams_message",
     "load_node_settings",
+    "to_pace_message",
+    "to_upstreams_message",
 ]
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -14,7 +14,7 @@
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Versions
 from foxtailshunt.node._follow_reply import build_reply
-from foxtailshunt.node._messages import from_member_message
+from foxtailshunt.node._messages import from_member_message, from_pace_message
 from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.protocol import (
     ExitNotice,
@@ -131,16 +131,12 @@
             self._demand_tracker.observe(
                 demand.service_name, demand.key, demand.work_ms / 1000, now
             )
-        for report in req.paces:
+        self._capacity_estimator.record_poll(now)
+        for pace in req.paces:
+            report = from_pace_message(pace)
             upstream = self._view.upstreams.get(report.upstream_id)
             if upstream is not None:
                 self._mean_work.observe(
-                    upstream.service, report.expected_ms / 1000, report.answered
+                    upstream.service, report.expected_latency_s, report.answered
                 )
-            self._capacity_estimator.observe(
-                report.upstream_id,
-                report.taken_ms / 1000,
-                report.expected_ms / 1000,
-                report.answered,
-                report.failed,
-            )
+            self._capacity_estimator.observe(report, req.member.zone, now)
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -795,6 +795,91 @@
         return not (self == other)
 
 
+class RouteLatency(object):
+    """
+    Attributes:
+     - route
+     - count
+     - mean_log_ms
+
+    """
+
+
+    def __init__(self, route=None, count=None, mean_log_ms=None,):
+        self.route = route
+        self.count = count
+        self.mean_log_ms = mean_log_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.mean_log_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteLatency')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 2)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.mean_log_ms is not None:
+            oprot.writeFieldBegin('mean_log_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.mean_log_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        if self.mean_log_ms is None:
+            raise TProtocolException(message='Required field mean_log_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamPace(object):
     """
     Attributes:
@@ -803,16 +888,22 @@
      - expected_ms
      - answered
      - failed
+     - refused
+     - unanswered
+     - latencies
 
     """
 
 
-    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None,):
+    def __init__(self, upstream_id=None, taken_ms=None, expected_ms=None, answered=None, failed=None, refused=None, unanswered=None, latencies=None,):
         self.upstream_id = upstream_id
         self.taken_ms = taken_ms
         self.expected_ms = expected_ms
         self.answered = answered
         self.failed = failed
+        self.refused = refused
+        self.unanswered = unanswered
+        self.latencies = latencies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -848,6 +939,27 @@
                     self.failed = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.refused = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.unanswered = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.latencies = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = RouteLatency()
+                        _elem33.read(iprot)
+                        self.latencies.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -878,6 +990,21 @@
             oprot.writeFieldBegin('failed', TType.I32, 5)
             oprot.writeI32(self.failed)
             oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I32, 6)
+            oprot.writeI32(self.refused)
+            oprot.writeFieldEnd()
+        if self.unanswered is not None:
+            oprot.writeFieldBegin('unanswered', TType.I32, 7)
+            oprot.writeI32(self.unanswered)
+            oprot.writeFieldEnd()
+        if self.latencies is not None:
+            oprot.writeFieldBegin('latencies', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.latencies))
+            for iter34 in self.latencies:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1041,11 +1168,13 @@
      - leaving
      - warmup_ms
      - started_ms
+     - avoided_zones
+     - capacity_ratio
 
     """
 
 
-    def __init__(self, upstream_id=None, service_name=None, endpoint=None, zone=None, slots=None, leaving=None, warmup_ms=None, started_ms=None,):
+    def __init__(self, upstream_id=None, service_name=None, endpoint=None, zone=None, slots=None, leaving=None, warmup_ms=None, started_ms=None, avoided_zones=None, capacity_ratio=None,):
         self.upstream_id = upstream_id
         self.service_name = service_name
         self.endpoint = endpoint
@@ -1054,6 +1183,8 @@
         self.leaving = leaving
         self.warmup_ms = warmup_ms
         self.started_ms = started_ms
+        self.avoided_zones = avoided_zones
+        self.capacity_ratio = capacity_ratio
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1105,6 +1236,21 @@
                     self.started_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.avoided_zones = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.avoided_zones.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.DOUBLE:
+                    self.capacity_ratio = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1147,6 +1293,17 @@
             oprot.writeFieldBegin('started_ms', TType.I64, 8)
             oprot.writeI64(self.started_ms)
             oprot.writeFieldEnd()
+        if self.avoided_zones is not None:
+            oprot.writeFieldBegin('avoided_zones', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRING, len(self.avoided_zones))
+            for iter41 in self.avoided_zones:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.capacity_ratio is not None:
+            oprot.writeFieldBegin('capacity_ratio', TType.DOUBLE, 15)
+            oprot.writeDouble(self.capacity_ratio)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1488,22 +1645,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = KeyDemand()
-                        _elem33.read(iprot)
-                        self.demands.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = KeyDemand()
+                        _elem47.read(iprot)
+                        self.demands.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = UpstreamPace()
-                        _elem39.read(iprot)
-                        self.paces.append(_elem39)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = UpstreamPace()
+                        _elem53.read(iprot)
+                        self.paces.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1537,15 +1694,15 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter40 in self.demands:
-                iter40.write(oprot)
+            for iter54 in self.demands:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter41 in self.paces:
-                iter41.write(oprot)
+            for iter55 in self.paces:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepts_upstream_changes is not None:
@@ -1639,33 +1796,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = UpstreamRecord()
-                        _elem47.read(iprot)
-                        self.upstreams.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = UpstreamRecord()
+                        _elem61.read(iprot)
+                        self.upstreams.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.ownership = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = OwnedRange()
-                        _elem53.read(iprot)
-                        self.ownership.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = OwnedRange()
+                        _elem67.read(iprot)
+                        self.ownership.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = NodeMember()
-                        _elem59.read(iprot)
-                        self.members.append(_elem59)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = NodeMember()
+                        _elem73.read(iprot)
+                        self.members.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1677,42 +1834,42 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ownership_changes = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = OwnedRange()
-                        _elem65.read(iprot)
-                        self.ownership_changes.append(_elem65)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = OwnedRange()
+                        _elem79.read(iprot)
+                        self.ownership_changes.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.upstream_changes = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = UpstreamRecord()
-                        _elem71.read(iprot)
-                        self.upstream_changes.append(_elem71)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = UpstreamRecord()
+                        _elem85.read(iprot)
+                        self.upstream_changes.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.upstreams_removed = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams_removed.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams_removed.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.evacuated_zones = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated_zones.append(_elem83)
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_zones.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1741,22 +1898,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter84 in self.upstreams:
-                iter84.write(oprot)
+            for iter98 in self.upstreams:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ownership is not None:
             oprot.writeFieldBegin('ownership', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership))
-            for iter85 in self.ownership:
-                iter85.write(oprot)
+            for iter99 in self.ownership:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter86 in self.members:
-                iter86.write(oprot)
+            for iter100 in self.members:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_age_ms is not None:
@@ -1766,29 +1923,29 @@
         if self.ownership_changes is not None:
             oprot.writeFieldBegin('ownership_changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership_changes))
-            for iter87 in self.ownership_changes:
-                iter87.write(oprot)
+            for iter101 in self.ownership_changes:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_changes is not None:
             oprot.writeFieldBegin('upstream_changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.upstream_changes))
-            for iter88 in self.upstream_changes:
-                iter88.write(oprot)
+            for iter102 in self.upstream_changes:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_removed is not None:
             oprot.writeFieldBegin('upstreams_removed', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.upstreams_removed))
-            for iter89 in self.upstreams_removed:
-                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            for iter103 in self.upstreams_removed:
+                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuated_zones is not None:
             oprot.writeFieldBegin('evacuated_zones', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.evacuated_zones))
-            for iter90 in self.evacuated_zones:
-                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            for iter104 in self.evacuated_zones:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1877,6 +2034,13 @@
     (2, TType.I32, 'key', None, None, ),  # 2
     (3, TType.DOUBLE, 'work_ms', None, None, ),  # 3
 )
+all_structs.append(RouteLatency)
+RouteLatency.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'count', None, None, ),  # 2
+    (3, TType.DOUBLE, 'mean_log_ms', None, None, ),  # 3
+)
 all_structs.append(UpstreamPace)
 UpstreamPace.thrift_spec = (
     None,  # 0
@@ -1885,6 +2049,9 @@
     (3, TType.DOUBLE, 'expected_ms', None, None, ),  # 3
     (4, TType.I32, 'answered', None, None, ),  # 4
     (5, TType.I32, 'failed', None, None, ),  # 5
+    (6, TType.I32, 'refused', None, None, ),  # 6
+    (7, TType.I32, 'unanswered', None, None, ),  # 7
+    (8, TType.LIST, 'latencies', (TType.STRUCT, [RouteLatency, None], False), None, ),  # 8
 )
 all_structs.append(NodeMember)
 NodeMember.thrift_spec = (
@@ -1907,6 +2074,13 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'warmup_ms', None, None, ),  # 7
     (8, TType.I64, 'started_ms', None, None, ),  # 8
+    (9, TType.LIST, 'avoided_zones', (TType.STRING, 'UTF8', False), None, ),  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    (15, TType.DOUBLE, 'capacity_ratio', None, None, ),  # 15
 )
 all_structs.append(OwnedRange)
 OwnedRange.thrift_spec = (
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -3,13 +3,20 @@
 from foxtailshunt.relay._cold_upstreams import ColdUpstreams
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
+from foxtailshunt.relay._load_reports import LoadReports
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
+from foxtailshunt.relay._result_recorder import rate_outcome
 from foxtailshunt.relay._retry_policy import AttemptHistory, RetryDecision, decide_retry
 from foxtailshunt.relay._sender import Sender
 from foxtailshunt.relay._stop_schedule import STOPPING_RETRY_AFTER_S, StopSchedule
-from foxtailshunt.relay._upstream_groups import UpstreamGroup, UpstreamGroups, form_groups
+from foxtailshunt.relay._upstream_groups import (
+    UpstreamGroup,
+    UpstreamGroups,
+    form_groups,
+    sender_candidates,
+)
 from foxtailshunt.relay._upstream_senders import UpstreamSenders
 
 __all__ = [
@@ -18,6 +25,7 @@
     "ColdUpstreams",
     "Forwarder",
     "GroupSelector",
+    "LoadReports",
     "RetryDecision",
     "OriginExits",
     "Outcome",
@@ -28,6 +36,8 @@
     "UpstreamSenders",
     "decide_retry",
     "form_groups",
+    "rate_outcome",
+    "sender_candidates",
     "to_call",
     "to_relay_reply",
 ]
--- a/foxtailshunt/relay/_upstream_senders.py
+++ b/foxtailshunt/relay/_upstream_senders.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from foxtailshunt.fleet import FleetView, Member, Upstream, rank_by_rendezvous
-from foxtailshunt.relay._upstream_groups import UpstreamGroups
+from foxtailshunt.relay._upstream_groups import UpstreamGroups, sender_candidates
 
 #: Time since the last poll that the leader answered after which this node no longer counts as the
 #: sender of cold upstreams, in seconds. It is less than the time after which the leader removes a
@@ -32,7 +32,8 @@
         self._leads = leads
         self._lock = threading.Lock()
         self._ranked_members: object = None
-        self._ranked: dict[str, list[Member]] = {}
+        #: Senders by upstream and by the zones that should not send to it.
+        self._ranked: dict[tuple[str, tuple[str, ...]], list[Member]] = {}
 
     def of_owner(self, upstream: Upstream) -> list[Member]:
         """Return the nodes that may send to an upstream with keys, the preferred one first.
@@ -44,14 +45,13 @@
             if self._ranked_members is not members:
                 self._ranked_members = members
                 self._ranked.clear()
-            ranked = self._ranked.get(upstream.upstream_id)
+            ranked = self._ranked.get((upstream.upstream_id, upstream.avoided_zones))
         if ranked is None:
-            serving = [member for member in members if not member.leaving]
-            same_zone = [member for member in serving if member.zone == upstream.zone]
-            ranked = rank_by_rendezvous(upstream.upstream_id, same_zone or serving)
+            candidates = sender_candidates(members, upstream.zone, upstream.avoided_zones)
+            ranked = rank_by_rendezvous(upstream.upstream_id, candidates)
             with self._lock:
                 if self._ranked_members is members:
-                    self._ranked[upstream.upstream_id] = ranked
+                    self._ranked[(upstream.upstream_id, upstream.avoided_zones)] = ranked
         return ranked
 
     def is_sender(self, upstream: Upstream) -> bool:
