--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -6,7 +6,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from foxtailshunt.admission import Call, QueueEntry, QueueEntryState, Refusal, SlotPool
+from foxtailshunt.admission import (
+    Call,
+    OverloadPolicy,
+    QueueEntry,
+    QueueEntryState,
+    Refusal,
+    SlotPool,
+)
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.routing import ServiceInfo
 from foxtailshunt.upstreams import (
@@ -67,6 +74,7 @@
     route_latencies_s: dict[str, float] = field(default_factory=dict)
     now: float = 1000.0
     seed: int = 1
+    policy: OverloadPolicy = OverloadPolicy.BY_SLACK
 
     def __post_init__(self) -> None:
         self.latencies = CountingEstimator(lambda: self.now)
@@ -92,7 +100,7 @@
         self._rng = random.Random(self.seed)
 
     def new_pool(self) -> SlotPool:
-        return SlotPool(self.latencies, "zone", self.pauses, self.limiter)
+        return SlotPool(self.latencies, "zone", self.pauses, self.policy, self.limiter)
 
     def set_cold(self, number: int, seconds: float, rate: float, is_sender: bool) -> None:
         """Let an upstream be cold from now on."""
@@ -127,7 +135,7 @@
     def assign_slots(self) -> None:
         for entry in self.pool.assign(self.now):
             request = self._requests_by_entry[entry]
-            if entry.state is QueueEntryState.EXPIRED:
+            if entry.state is not QueueEntryState.ASSIGNED:
                 request.refused_at = self.now
                 request.refusal = entry.refusal
                 continue
--- a/features/scripted_upstream/__init__.py
+++ b/features/scripted_upstream/__init__.py
@@ -258,6 +258,7 @@
         timeout_s: float,
         excluded: frozenset[str] = frozenset(),
         origin: str = "",
+        caller_timeout_s: float | None = None,
     ) -> Outcome:
         """Send a request and return its outcome."""
         deadline = self._now() + timeout_s
@@ -276,6 +277,7 @@
             route="issue",
             excluded=excluded,
             origin=origin,
+            caller_deadline=None if caller_timeout_s is None else self._now() + caller_timeout_s,
         )
         return self._sender.execute(call, None)
 
--- a/features/steps/cold_starts_steps.py
+++ b/features/steps/cold_starts_steps.py
@@ -13,7 +13,7 @@
 from foxtailshunt.fleet import FleetView, Member, rank_by_rendezvous
 from foxtailshunt.relay import UpstreamGroups, UpstreamSenders
 from foxtailshunt.routing import FrontLimits, HostRoutes, RouteTable
-from foxtailshunt.upstreams import ColdBound
+from foxtailshunt.upstreams import ColdBound, RequestResult
 
 _SEED = 3
 _RUN_S = 5.0
@@ -286,7 +286,7 @@
             for entry in pool.assign(simulation.now):
                 if entry.state is QueueEntryState.ASSIGNED:
                     context.assigned.append(simulation.now)
-                    pool.finish(entry, False, simulation.now)
+                    pool.finish(entry, RequestResult.SERVED, simulation.now)
 
 
 @then("upstream 0 has got at most {limit:d} requests in any second")
--- a/features/steps/rank_floors_steps.py
+++ b/features/steps/rank_floors_steps.py
@@ -4,6 +4,7 @@
 from behave.runner import Context
 
 from features.pool_support import PoolSimulation
+from foxtailshunt.admission import OverloadPolicy
 from foxtailshunt.routing import RankFloor
 
 _RANKS = {"U": 0, "C": 1, "D": 2}
@@ -14,6 +15,11 @@
     return context.pool_simulation
 
 
+@given("a by-cost pool of one upstream with 1 slot and requests of {latency:d} ms")
+def _(context: Context, latency: int) -> None:
+    context.pool_simulation = PoolSimulation(1, 1, latency / 1000, policy=OverloadPolicy.BY_COST)
+
+
 @given("floors of {careful:g} for careful and {deferrable:g} for deferrable work")
 def _(context: Context, careful: float, deferrable: float) -> None:
     _simulation(context).pool.set_floors((RankFloor(1, careful), RankFloor(2, deferrable)))
--- a/foxtailshunt/admission/_call.py
+++ b/foxtailshunt/admission/_call.py
@@ -38,6 +38,9 @@
     #: Boot id of the node that received the request from its caller; empty for this node, or if
     #: the other node's build doesn't state it.
     origin: str = ""
+    #: Deadline of the caller itself, which the route's timeout may precede, in seconds of the
+    #: monotonic clock; the same for all attempts of a caller. None if it is not known.
+    caller_deadline: float | None = None
     #: Zones whose upstreams may get the request; None if all may.
     allowed_zones: frozenset[str] | None = None
 
--- a/foxtailshunt/admission/_floor_credits.py
+++ b/foxtailshunt/admission/_floor_credits.py
@@ -45,6 +45,13 @@
         self._shares = {floor.rank: floor.share for floor in floors if floor.share > 0}
         self._credit = {rank: self._credit.get(rank, 0.0) for rank in self._shares}
 
+    def share(self, rank: int) -> float:
+        """Return the minimum share of a rank; 0 if it has none.
+
+        :param rank: the rank.
+        """
+        return self._shares.get(rank, 0.0)
+
     def copy(self) -> "FloorCredits":
         """Return an independent copy."""
         other = FloorCredits(self._floors)
--- a/foxtailshunt/admission/_slot_pools.py
+++ b/foxtailshunt/admission/_slot_pools.py
@@ -1,9 +1,11 @@
 """The pools of slots of a sending node."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxtailshunt.admission._call import Call
+from foxtailshunt.admission._overload_policy import Decision, OverloadPolicy
 from foxtailshunt.admission._slot_pool import SlotPool
 from foxtailshunt.fleet import Upstream
 from foxtailshunt.upstreams import (
@@ -14,6 +16,10 @@
 )
 
 
+def _ignore_decision(service: str, decision: Decision, rank: int) -> None:
+    pass
+
+
 @dataclass(slots=True)
 class LockedPool:
     """A pool with its lock."""
@@ -39,6 +45,8 @@
     :param latencies: latency estimates by route and upstream.
     :param zone: the preferred availability zone among otherwise equal upstreams.
     :param pauses: the pauses that upstreams have asked for.
+    :param policy: what is served first and what is refused if capacity is short.
+    :param record: called for each decision with the service and the rank of the request.
     :param limiter: limits the starts at cold upstreams; None for no limit.
     """
 
@@ -47,10 +55,14 @@
         latencies: LatencyEstimator,
         zone: str,
         pauses: UpstreamPauses,
+        policy: OverloadPolicy = OverloadPolicy.BY_SLACK,
+        record: Callable[[str, Decision, int], None] = _ignore_decision,
         limiter: StartLimiter | None = None,
     ) -> None:
-        self._pauses = pauses
+        self._policy = policy
+        self._record = record
         self._limiter = limiter
+        self._pauses = pauses
         self._latencies = latencies
         self._zone = zone
         self._lock = threading.Lock()
@@ -65,13 +77,20 @@
         with self._lock:
             locked = self._pools.get(name)
             if locked is None:
-                locked = LockedPool(
-                    SlotPool(self._latencies, self._zone, self._pauses, self._limiter),
-                    threading.Lock(),
-                )
+                locked = LockedPool(self._new_pool(call.service), threading.Lock())
                 self._pools[name] = locked
             return locked
 
+    def _new_pool(self, service: str) -> SlotPool:
+        return SlotPool(
+            self._latencies,
+            self._zone,
+            self._pauses,
+            self._policy,
+            self._limiter,
+            lambda decision, rank: self._record(service, decision, rank),
+        )
+
     def reuse_equal(self, call: Call, upstreams: tuple[Upstream, ...]) -> tuple[Upstream, ...]:
         """Return the tuple that the pool of a request has, if it is equal to the given one.
 
--- a/foxtailshunt/admission/_upstream_slots.py
+++ b/foxtailshunt/admission/_upstream_slots.py
@@ -68,6 +68,15 @@
         limit = self.start_limit(now)
         return self.blocked_until if limit is None else max(self.blocked_until, limit.first_at)
 
+    def earliest_start(self, n: int, now: float) -> float:
+        """Return when the n-th next request may start if a slot is free, in seconds.
+
+        :param n: number of requests that start before it; 0 for the next request.
+        :param now: the time in seconds.
+        """
+        limit = self.start_limit(now)
+        return self.blocked_until if limit is None else max(self.blocked_until, limit.start_at(n))
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether a request may be assigned.
 
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -230,6 +230,7 @@
                 route=route.name,
                 excluded=state.excluded,
                 allowed_zones=self._regions.allowed_zones(route.allowed_regions),
+                caller_deadline=state.caller_deadline,
             )
             outcome = self._execute(call, caller)
             if not self._prepare_retry(state, outcome):
--- a/foxtailshunt/front/_request_state.py
+++ b/foxtailshunt/front/_request_state.py
@@ -38,6 +38,12 @@
     #: Outcome of the last attempt that ran or may have run; None if there was none.
     may_have_run: Outcome | None = None
 
+    @property
+    def caller_deadline(self) -> float | None:
+        """Return until when the caller waits, in seconds of the clock; None if it is not stated."""
+        timeout_s = self.request_info.caller_timeout_s
+        return None if timeout_s is None else self.started_at + timeout_s
+
     def final_outcome(self, last: Outcome) -> Outcome:
         """Return the outcome that the caller gets.
 
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any
 
-from foxtailshunt.admission import RetryBudget
+from foxtailshunt.admission import OverloadPolicy, RetryBudget
 from foxtailshunt.assigning import (
     Assigner,
     CapacityEstimator,
@@ -43,6 +43,7 @@
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay import (
     Forwarder,
+    GroupShortage,
     OriginExits,
     Sender,
     StopSchedule,
@@ -74,6 +75,8 @@
 FLEET_SIZE_INTERVAL_S = 0.5
 #: Interval between log lines that report suppressed lines, in seconds.
 SUPPRESSED_LINES_INTERVAL_S = 1.0
+#: Interval between log lines that count the decisions of admission control, in seconds.
+DECISIONS_INTERVAL_S = 1.0
 #: Interval between checks whether this node has become leader, in seconds.
 LEADERSHIP_CHECK_INTERVAL_S = 0.5
 #: Interval between checks for idle connections to other nodes, in seconds.
@@ -153,7 +156,9 @@
             self._stop_schedule,
             origin_exits=origin_exits,
             warmups=follow_warmups(self._view, senders, settings),
+            overload_policy=settings.effective_overload_policy,
         )
+        by_cost = settings.effective_overload_policy is OverloadPolicy.BY_COST
         self._forwarder = Forwarder(
             local_member,
             self._view,
@@ -163,6 +168,7 @@
             self._stop_schedule,
             senders,
             regions,
+            GroupShortage() if by_cost else None,
         )
         fleet_size = FleetSize(self._view, now)
         budget = RetryBudget(
@@ -224,6 +230,7 @@
         self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
         self._timers = TimerService(MonotonicClock(), lambda exc: log_thread_error("timer", exc))
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
+        self._timers.subscribe(DECISIONS_INTERVAL_S, self._sender.log_decisions)
         gauges = GaugeUpdater(self._metrics, self._view, self._sender, self._leadership, budget)
         self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
         self._timers.subscribe(FLEET_SIZE_INTERVAL_S, fleet_size.observe)
@@ -243,7 +250,11 @@
         self._front.start_serving()
         self._readiness.start()
         self._operator.start()
-        log_state_change("node.started", zone=self._settings.zone)
+        log_state_change(
+            "node.started",
+            zone=self._settings.zone,
+            overload_policy=self._settings.effective_overload_policy.value,
+        )
 
     def stop(self) -> None:
         """Shut down gracefully: refuse new work and wait for requests in progress.
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -6,9 +6,10 @@
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
+from foxtailshunt.admission import OverloadPolicy
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.network import Address, parse_address
-from foxtailshunt.platform import Seconds
+from foxtailshunt.platform import Feature, Seconds, features_of
 
 
 class InterfaceKind(Enum):
@@ -77,6 +78,21 @@
     region: str | None = None
     #: Region of each availability zone; ignored if it is not a table.
     zone_regions: Annotated[dict[str, str], BeforeValidator(_keep_regions)] = {}
+    #: What is served first and what is refused if capacity is short; None for what the contracts
+    #: ask for, or ``by-slack``.
+    overload_policy: OverloadPolicy | None = None
+    #: What the platform's deployment asks for; unknown entries have no effect.
+    contracts: tuple[Any, ...] | None = None
+
+    @property
+    def effective_overload_policy(self) -> OverloadPolicy:
+        """Return the overload policy that is in force."""
+        if self.overload_policy is not None:
+            return self.overload_policy
+        is_on_platform = self.interface is InterfaceKind.PLATFORM
+        features = features_of(self.contracts or ()) if is_on_platform else ()
+        by_cost = Feature.ADMISSION_BY_COST in features
+        return OverloadPolicy.BY_COST if by_cost else OverloadPolicy.BY_SLACK
 
 
 def load_node_settings(path: Path) -> NodeSettings:
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -7,6 +7,7 @@
 from foxtailshunt.platform._configuration import decode_configuration
 from foxtailshunt.platform._durations import Seconds
 from foxtailshunt.platform._evacuations import decode_evacuation
+from foxtailshunt.platform._features import Feature, features_of
 from foxtailshunt.platform._grants import (
     GrantOutcome,
     KeyGrantClient,
@@ -41,6 +42,7 @@
     "UPSTREAM_PREFIX",
     "AttemptResult",
     "ConflictError",
+    "Feature",
     "GrantOutcome",
     "HistoryLostError",
     "KeyGrantClient",
@@ -58,6 +60,7 @@
     "decode_configuration",
     "decode_evacuation",
     "decode_upstream",
+    "features_of",
     "states_leaving",
     "upstream_request_headers",
 ]
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -36,6 +36,9 @@
   14: optional string group,
   /* Boot id of the calling node; absent in messages of earlier builds. */
   15: optional string origin,
+  /* Time until the caller's own deadline, which the route's timeout may precede; absent if the
+   * caller states none, and in messages of earlier builds. */
+  16: optional i64 caller_remaining_ms,
   /* Zones whose upstreams the request may be sent to; absent if all are allowed. */
   18: optional list<string> allowed_zones,
 }
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -178,12 +178,13 @@
      - excluded
      - group
      - origin
+     - caller_remaining_ms
      - allowed_zones
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None, group=None, origin=None, allowed_zones=None,):
+    def __init__(self, request_id=None, service_name=None, key=None, upstream_id=None, method=None, target=None, headers=None, body=None, remaining_ms=None, aim_ms=None, rank=None, route=None, excluded=None, group=None, origin=None, caller_remaining_ms=None, allowed_zones=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.key = key
@@ -199,6 +200,7 @@
         self.excluded = excluded
         self.group = group
         self.origin = origin
+        self.caller_remaining_ms = caller_remaining_ms
         self.allowed_zones = allowed_zones
 
     def read(self, iprot):
@@ -296,6 +298,11 @@
                     self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.caller_remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.allowed_zones = []
@@ -382,6 +389,10 @@
             oprot.writeFieldBegin('origin', TType.STRING, 15)
             oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
             oprot.writeFieldEnd()
+        if self.caller_remaining_ms is not None:
+            oprot.writeFieldBegin('caller_remaining_ms', TType.I64, 16)
+            oprot.writeI64(self.caller_remaining_ms)
+            oprot.writeFieldEnd()
         if self.allowed_zones is not None:
             oprot.writeFieldBegin('allowed_zones', TType.LIST, 18)
             oprot.writeListBegin(TType.STRING, len(self.allowed_zones))
@@ -2000,7 +2011,7 @@
     (13, TType.LIST, 'excluded', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.STRING, 'group', 'UTF8', None, ),  # 14
     (15, TType.STRING, 'origin', 'UTF8', None, ),  # 15
-    None,  # 16
+    (16, TType.I64, 'caller_remaining_ms', None, None, ),  # 16
     None,  # 17
     (18, TType.LIST, 'allowed_zones', (TType.STRING, 'UTF8', False), None, ),  # 18
 )
--- a/foxtailshunt/relay/__init__.py
+++ b/foxtailshunt/relay/__init__.py
@@ -3,6 +3,7 @@
 from foxtailshunt.relay._cold_upstreams import ColdUpstreams
 from foxtailshunt.relay._forwarder import Forwarder
 from foxtailshunt.relay._group_selector import GroupSelector
+from foxtailshunt.relay._group_shortage import GroupShortage
 from foxtailshunt.relay._load_reports import LoadReports
 from foxtailshunt.relay._messages import to_call, to_relay_reply
 from foxtailshunt.relay._origin_exits import OriginExits
@@ -26,6 +27,7 @@
     "Forwarder",
     "GroupSelector",
     "LoadReports",
+    "GroupShortage",
     "RetryDecision",
     "OriginExits",
     "Outcome",
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -23,6 +23,7 @@
 )
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay._group_selector import GroupSelector
+from foxtailshunt.relay._group_shortage import GroupShortage
 from foxtailshunt.relay._messages import to_outcome, to_relay_request
 from foxtailshunt.relay._outcome import Outcome
 from foxtailshunt.relay._sender import Sender
@@ -71,6 +72,7 @@
     :param stop_schedule: limits requests while the node is stopping; None if it never stops.
     :param senders: the nodes that may send to each upstream; None to determine them here.
     :param regions: regions of the deployment; None if it has only one.
+    :param shortage: decides whether a second group is tried; None if it always is.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         stop_schedule: StopSchedule | None = None,
         senders: UpstreamSenders | None = None,
         regions: Regions | None = None,
+        shortage: GroupShortage | None = None,
     ) -> None:
         self._regions = regions or Regions(me.zone)
+        self._shortage = shortage
         self._groups = groups
         self._senders = senders or UpstreamSenders(view, groups, me, lambda: False)
         self._selector = GroupSelector(me.zone, random.Random())
@@ -135,10 +139,19 @@
                 delay_s = max(delay_s, call.deadline - now)
             if outcome.code is not ResultCode.CANCELLED:
                 self._selector.record(call.service, group.name, delay_s, now)
+            if self._shortage is not None:
+                refused = outcome.code is ResultCode.TOO_LATE
+                self._shortage.record(call.service, group.name, refused, now)
             if outcome.code is not ResultCode.TOO_LATE or outcome.arrived:
                 return outcome
+            if not self._may_try_another(call.service, group.name, now):
+                return outcome
         return outcome or self._sender.execute(call, caller)
 
+    def _may_try_another(self, service: str, group: str, now: float) -> bool:
+        shortage = self._shortage
+        return shortage is None or shortage.has_capacity_elsewhere(service, group, now)
+
     def _execute_at_sender(
         self, call: Call, senders: Sequence[Member], caller: socket.socket | None
     ) -> Outcome:
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -33,6 +33,7 @@
         excluded=sorted(call.excluded),
         group=call.group or None,
         origin=origin,
+        caller_remaining_ms=_remaining_ms(call.caller_deadline, now),
         allowed_zones=None if call.allowed_zones is None else sorted(call.allowed_zones),
     )
 
@@ -59,6 +60,9 @@
         excluded=frozenset(req.excluded),
         group=req.group or "",
         origin=req.origin or "",
+        caller_deadline=(
+            None if req.caller_remaining_ms is None else now + req.caller_remaining_ms / _MS_PER_S
+        ),
         allowed_zones=None if req.allowed_zones is None else frozenset(req.allowed_zones),
     )
 
@@ -103,3 +107,7 @@
         queued_s=(reply.queued_ms or 0) / _MS_PER_S,
         upstream_s=(reply.upstream_ms or 0) / _MS_PER_S,
     )
+
+
+def _remaining_ms(deadline: float | None, now: float) -> int | None:
+    return None if deadline is None else int((deadline - now) * _MS_PER_S)
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -5,7 +5,14 @@
 import time
 from dataclasses import replace
 
-from foxtailshunt.admission import Call, LockedPool, QueueEntry, QueueEntryState, Refusal, SlotPools
+from foxtailshunt.admission import (
+    Call,
+    LockedPool,
+    OverloadPolicy,
+    QueueEntry,
+    QueueEntryState,
+    SlotPools,
+)
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Member, Upstream
 from foxtailshunt.network import caller_disconnected
@@ -18,11 +25,18 @@
 from foxtailshunt.relay._channel import ChannelError
 from foxtailshunt.relay._channel_pool import ChannelPool
 from foxtailshunt.relay._cold_upstreams import ColdUpstreams
+from foxtailshunt.relay._decision_counts import DecisionCounts
 from foxtailshunt.relay._eligible_upstreams import EligibleUpstreams
 from foxtailshunt.relay._load_reports import LoadReports
 from foxtailshunt.relay._origin_exits import OriginExits
 from foxtailshunt.relay._outcome import Outcome
 from foxtailshunt.relay._result_recorder import ResultRecorder
+from foxtailshunt.relay._sender_outcomes import (
+    OWNER_RETRY_AFTER_S,
+    failed_outcome,
+    refusal_outcome,
+    response_outcome,
+)
 from foxtailshunt.relay._stop_schedule import StopSchedule, stopping_outcome
 from foxtailshunt.relay._upstream_groups import UpstreamGroups
 from foxtailshunt.routing import RankFloor
@@ -41,8 +55,6 @@
 RESPONSE_RESERVE_S = 0.02
 #: Interval at which queued requests check whether their caller is still connected, in seconds.
 CALLER_CHECK_INTERVAL_S = 0.2
-#: Retry-After while the owner of a key is unknown or changing, in seconds; a handover takes 0.3 s.
-OWNER_RETRY_AFTER_S = 0.4
 #: Retry-After while all upstreams of a service are evacuated, in seconds; the operator ends that.
 EVACUATED_RETRY_AFTER_S = 1.5
 
@@ -56,10 +68,11 @@
     :param me: this node.
     :param metrics: counters and histograms.
     :param log: log of decisions about requests.
-    :param stop_schedule: limits requests while the node is stopping; None if it never stops.
+    :param stop_schedule: limits requests while the node is stopping; None for no limit.
     :param leaving: remembers upstreams that state that they are leaving; None for an own memory.
     :param origin_exits: exits of the nodes whose requests this one sends; None for an own memory.
     :param warmups: the warm-up of upstreams, and the limit while they are cold; None for no limit.
+    :param overload_policy: what is served first and what is refused if capacity is short.
     """
 
     def __init__(
@@ -74,6 +87,7 @@
         leaving: LeavingUpstreams | None = None,
         origin_exits: OriginExits | None = None,
         warmups: ColdUpstreams | None = None,
+        overload_policy: OverloadPolicy = OverloadPolicy.BY_SLACK,
     ) -> None:
         self._view = view
         self._latencies = latencies
@@ -83,7 +97,15 @@
         self._origin_exits = origin_exits or OriginExits()
         self._pauses = UpstreamPauses()
         self._warmups = warmups or ColdUpstreams()
-        self._pools = SlotPools(latencies, me.zone, self._pauses, self._warmups.limiter)
+        self._decisions = DecisionCounts(metrics)
+        self._pools = SlotPools(
+            latencies,
+            me.zone,
+            self._pauses,
+            overload_policy,
+            self._decisions.record,
+            self._warmups.limiter,
+        )
         self._channels = ChannelPool()
         self._load_reports = LoadReports(latencies)
         self._unreachable = UnreachableUpstreams()
@@ -154,11 +176,12 @@
             locked.update_upstreams(upstreams)
             locked.pool.set_floors(self._floors(call.service))
             refusal = locked.pool.enqueue(entry, time.monotonic())
-            if refusal is None:
-                self._assign(locked, call)
-        if refusal is not None:
-            return self._refusal_outcome(call, refusal)
+            if refusal is not None:
+                return refusal_outcome(call, refusal, time.monotonic())
+            self._assign(locked, call)
         self._wait_for_slot(locked, entry, state_changed, caller)
+        if entry.expected_wait_s is not None:
+            self._decisions.record_expected_wait(call.rank, entry.expected_wait_s)
         if entry.state is QueueEntryState.ASSIGNED:
             return self._send(locked, entry, caller)
         return self._unsent_outcome(entry, caller)
@@ -172,6 +195,10 @@
         known = self._view.upstreams
         return summarize_health(self._pools.outliers(), known, self._latencies, time.monotonic())
 
+    def log_decisions(self) -> None:
+        """Log the decisions of admission control since the last call, if capacity was short."""
+        self._decisions.log()
+
     @property
     def leaving(self) -> LeavingUpstreams:
         """Return the memory of the upstreams that have stated that they are leaving."""
@@ -214,10 +241,10 @@
         while not state_changed.is_set():
             now = time.monotonic()
             with locked.lock:
-                pause_end = locked.pool.next_pause_end(now)
+                next_event = locked.pool.next_event(entry, now)
             wait_s = min(CALLER_CHECK_INTERVAL_S, max(0.0, entry.call.deadline - now))
-            if pause_end is not None:
-                wait_s = min(wait_s, max(0.005, pause_end - now))
+            if next_event is not None:
+                wait_s = min(wait_s, max(0.005, next_event - now))
             if state_changed.wait(max(0.001, wait_s)):
                 return
             with locked.lock:
@@ -247,23 +274,13 @@
         if caller_disconnected(caller):
             return Outcome(ResultCode.CANCELLED, "the caller disconnected before a slot was free")
         if entry.refusal is not None:
-            return self._refusal_outcome(entry.call, entry.refusal)
+            return refusal_outcome(entry.call, entry.refusal, time.monotonic())
         if not self._may_run(entry.call):
             return stopping_outcome()
         return Outcome(
             ResultCode.KEY_MOVED, "the key moved while the request was queued", retry_after_s=0.1
         )
 
-    def _refusal_outcome(self, call: Call, refusal: Refusal) -> Outcome:
-        estimate = "unknown" if refusal.estimate_s is None else f"{refusal.estimate_s:.3f} s"
-        remaining_s = call.deadline - time.monotonic()
-        return Outcome(
-            ResultCode.TOO_LATE,
-            f"estimated {estimate}, remaining {remaining_s:.3f} s",
-            retry_after_s=refusal.retry_after_s,
-            upstream_id=call.upstream_id,
-        )
-
     def _send(self, locked: LockedPool, entry: QueueEntry, caller: socket.socket | None) -> Outcome:
         upstream = entry.upstream
         assert upstream is not None
@@ -279,15 +296,24 @@
             outcome = self._exchange(entry.call, upstream, caller)
             upstream_s = time.monotonic() - started
             result = self._results.record(entry.call, upstream, outcome, upstream_s)
-            if outcome.retry_after_s is not None:
-                with locked.lock:
-                    pause_s = locked.pool.pause_s(time.monotonic())
-                outcome = replace(outcome, retry_after_s=max(outcome.retry_after_s, pause_s))
-            return replace(outcome, upstream_s=upstream_s)
         finally:
             with locked.lock:
                 locked.pool.finish(entry, result, time.monotonic())
                 self._assign(locked, entry.call)
+        outcome = self._limit_retry_after(locked, entry.call, outcome)
+        return replace(outcome, upstream_s=upstream_s)
+
+    def _limit_retry_after(self, locked: LockedPool, call: Call, outcome: Outcome) -> Outcome:
+        """Return an outcome with the time after which its upstream accepts the request."""
+        if outcome.retry_after_s is None:
+            return outcome
+        now = time.monotonic()
+        with locked.lock:
+            retry_after_s = max(outcome.retry_after_s, locked.pool.pause_s(now))
+            if outcome.code is ResultCode.REFUSED_BY_UPSTREAM:
+                shed_s = locked.pool.shed_retry_after_s(call, now)
+                retry_after_s = retry_after_s if shed_s is None else shed_s
+        return replace(outcome, retry_after_s=retry_after_s)
 
     def _exchange(self, call: Call, upstream: Upstream, caller: socket.socket | None) -> Outcome:
         def is_own_response(response: UpstreamResponse) -> bool:
@@ -315,7 +341,11 @@
                 is_own_response,
             )
         except ChannelError as exc:
-            return self._to_failed_outcome(upstream, exc)
+            if not exc.sent and exc.refused:
+                self._warmups.record_refusal(upstream, time.monotonic())
+            if not exc.sent and exc.code is not ResultCode.BAD_REQUEST:
+                self._unreachable.record_connection(upstream.upstream_id, connected=False)
+            return failed_outcome(upstream.upstream_id, exc)
         result = classify_response(response, call.request_id, upstream.upstream_id)
         if result.is_refusal or not response.names_request(call.request_id):
             # A copy of the response could pass for that to the next request, if it does not name
@@ -332,52 +362,6 @@
             self._warmups.record_response(upstream, response, time.monotonic())
         if response.retry_after_s is not None:
             self._pauses.record(upstream, response.retry_after_s, time.monotonic())
-        return self._to_outcome(upstream, response, result)
-
-    def _to_failed_outcome(self, upstream: Upstream, exc: ChannelError) -> Outcome:
-        if not exc.sent:
-            if exc.refused:
-                self._warmups.record_refusal(upstream, time.monotonic())
-            if exc.code is not ResultCode.BAD_REQUEST:
-                self._unreachable.record_connection(upstream.upstream_id, connected=False)
-            code = exc.code if exc.code is ResultCode.BAD_REQUEST else ResultCode.NO_OWNER
-            return Outcome(
-                code,
-                exc.message,
-                upstream_id=upstream.upstream_id,
-                retry_after_s=OWNER_RETRY_AFTER_S,
-            )
-        return Outcome(exc.code, exc.message, upstream_id=upstream.upstream_id, arrived=True)
-
-    def _to_outcome(
-        self, upstream: Upstream, response: UpstreamResponse, result: AttemptResult
-    ) -> Outcome:
-        if result is AttemptResult.ANSWERED:
-            return Outcome(
-                ResultCode.OK,
-                "answered",
-                status=response.status,
-                headers=response.caller_headers(),
-                body=response.body,
-                upstream_id=upstream.upstream_id,
-                arrived=True,
-            )
-        detail = f"status {response.status}, {result.value}"
         if result is AttemptResult.REPLACED:
             self._eligible.mark_replaced(upstream)
-        if result.is_refusal:
-            code = (
-                ResultCode.REFUSED_BY_UPSTREAM
-                if result is AttemptResult.NOT_RUN
-                else ResultCode.NO_OWNER
-            )
-            return Outcome(
-                code,
-                detail,
-                retry_after_s=OWNER_RETRY_AFTER_S,
-                upstream_id=upstream.upstream_id,
-                arrived=True,
-            )
-        return Outcome(
-            ResultCode.ANSWER_MISMATCH, detail, upstream_id=upstream.upstream_id, arrived=True
-        )
+        return response_outcome(upstream.upstream_id, response, result)
