Decide on cold upstreams without the time of day; prefer warm upstreams that are equally fast

The start times of upstreams were compared with Unix time on a node's first list, although only time stamps of log lines may depend on the time of day. Entries state the rest of a warm-up, so nothing else is needed.

Of two upstreams that are equally fast, noise of the estimates decided whether the cold one got the request. The test of this now lasts for all its requests; it passed by that noise before.

--- a/features/cold_starts.feature
+++ b/features/cold_starts.feature
@@ -68,7 +68,7 @@
 
   Scenario: A pool uses warm upstreams first while another one is cold: guards against waiting for tokens
     Given a pool of 2 upstreams with 2 slots and requests of 100 ms
-    And upstream 0 is cold for 3 s, takes 5 requests per second, and this node is its sender
+    And upstream 0 is cold for 8 s, takes 5 requests per second, and this node is its sender
     When 30 requests arrive one by one that have 1000 ms
     Then all admitted requests are served before their deadline
     And at least 20 of them are served by upstream 1
--- a/features/cold_support/__init__.py
+++ b/features/cold_support/__init__.py
@@ -8,7 +8,7 @@
 from foxtailshunt.upstreams import ColdBound, StartLimiter, WarmupStates
 
 SERVICE = "desk"
-#: Unix time of the model's start, in seconds.
+#: Unix time, in seconds, from which the start times of upstreams are counted.
 UNIX_START = 1_786_000_000.0
 _STEP_S = 0.002
 
@@ -33,7 +33,7 @@
     ) -> None:
         self.is_sender = False
         self.states = WarmupStates()
-        self.states.observe(listed, 0.0, 0.0, UNIX_START)
+        self.states.observe(listed, 0.0, 0.0)
         self.limiter = StartLimiter(
             self.states, lambda _name: service, lambda _upstream: self.is_sender, bound
         )
@@ -63,7 +63,7 @@
     def _new_node(self, listed: set[str]) -> ModelNode:
         node = ModelNode(self._service, self._bound, {})
         # The upstream joins during traffic.
-        node.states.observe({self.target.upstream_id: self.target}, self.now, 0.0, UNIX_START)
+        node.states.observe({self.target.upstream_id: self.target}, self.now, 0.0)
         return node
 
     def set_senders(self, *numbers: int) -> None:
--- a/features/cold_upstreams.feature
+++ b/features/cold_upstreams.feature
@@ -5,13 +5,15 @@
     When this happens: <event>
     Then the upstream is <state>
 
-    Examples: first lists; the clock of an upstream may be wrong, so its start is only a hint
+    Examples: first lists; the clock of an upstream may be wrong, so its start time states nothing
       | first                              | event                                 | state             |
       | listed                             | nothing happens                       | warm              |
       | listed with 1.2 s left             | nothing happens                       | cold for 1.2 s    |
-      | born 1 s ago                       | nothing happens                       | cold for 2 s      |
+      | born 1 s ago                       | nothing happens                       | warm              |
+      | born 1 s ago with 2 s left         | nothing happens                       | cold for 2 s      |
       | born 60 s ago                      | nothing happens                       | warm              |
-      | born 60 s ahead                    | nothing happens                       | cold for 3 s      |
+      | born 60 s ahead                    | nothing happens                       | warm              |
+      | born 60 s ahead with 1.2 s left    | nothing happens                       | cold for 1.2 s    |
       | born at an unknown time            | nothing happens                       | warm              |
       | born 60 s ago with 2 s left        | nothing happens                       | cold for 2 s      |
 
--- a/features/pool_support/__init__.py
+++ b/features/pool_support/__init__.py
@@ -92,7 +92,7 @@
             for n in range(self.count)
         ]
         self.pool.set_upstreams(self.upstreams)
-        self.states.observe({item.upstream_id: item for item in self.upstreams}, self.now, 0.0, 0.0)
+        self.states.observe({item.upstream_id: item for item in self.upstreams}, self.now, 0.0)
         self.requests: list[SimulatedRequest] = []
         self._requests_by_entry: dict[QueueEntry, SimulatedRequest] = {}
         self._completions: list[tuple[float, int, QueueEntry]] = []
--- a/features/steps/cold_placement_steps.py
+++ b/features/steps/cold_placement_steps.py
@@ -5,8 +5,13 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.cold_support import UNIX_START, cold_service
-from foxtailshunt.assigning import Candidate, UpstreamPublisher, UpstreamReader
+from features.cold_support import cold_service
+from foxtailshunt.assigning import (
+    Candidate,
+    CapacityEstimator,
+    UpstreamPublisher,
+    UpstreamReader,
+)
 from foxtailshunt.fleet import FleetView
 from foxtailshunt.node import apply_reply, build_reply
 from foxtailshunt.platform import StoreChange, StoreItem
@@ -45,14 +50,16 @@
         self.view = self._new_view()
         self.view.begin_term(1)
         self.reader = UpstreamReader(self.store, lambda: self.now, lambda upstream: upstream)
-        self.publisher = UpstreamPublisher(self.store, self.view, lambda: self.now, 1)
+        self.publisher = UpstreamPublisher(
+            self.store, self.view, CapacityEstimator(), lambda: self.now, 1
+        )
         self.publisher.update()
 
     def _new_view(self) -> FleetView:
         view = FleetView(lambda: self.now)
         service = cold_service(5.0, 0.0)
         view.upstream_observer = WarmupTracker(
-            WarmupStates(), lambda _name: service, lambda: self.now, lambda: UNIX_START
+            WarmupStates(), lambda _name: service, lambda: self.now
         )
         return view
 
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -61,7 +61,7 @@
         return upstream(**fields)
 
     def _observe(self, listed: dict[str, Upstream]) -> None:
-        self.states.observe(listed, self.now, 0.0, UNIX_START)
+        self.states.observe(listed, self.now, 0.0)
 
     def let(self, event: str) -> None:
         """Apply an event of the table, given as its parts."""
@@ -143,7 +143,7 @@
         self.sender = SenderSubject(
             {"u1": self.server}, slots=4, owner="u1", warmups=ColdUpstreams(self.states, limiter)
         )
-        self.states.observe(self.sender.upstreams, time.monotonic(), 0.0, time.time())
+        self.states.observe(self.sender.upstreams, time.monotonic(), 0.0)
         self.outcomes: list[Outcome] = []
         self.logged: list[dict[str, Any]] = []
 
--- a/foxtailshunt/admission/_pool_state.py
+++ b/foxtailshunt/admission/_pool_state.py
@@ -16,6 +16,9 @@
     UpstreamPauses,
 )
 
+#: Advantage that a warm upstream, or one of the own zone, has over another one, in seconds. It
+#: decides among upstreams that are about equally fast.
+PREFERENCE_S = 0.002
 #: Assumed wait of a request for which no upstream is available, in seconds.
 NO_UPSTREAM_WAIT_S = 0.25
 #: Idle time after which an upstream is probed with a request, in seconds; multiplied by the latency
@@ -191,9 +194,11 @@
             # An upstream that fails some requests is expected to need more than one attempt.
             success = self.outliers.relative_success(upstream_id)
             end = free_at + self._selection_latency_s(call, slots, now) / success
-            # Prefers the own zone unless an upstream of another zone is expected to be 2 ms faster.
+            # Among upstreams that are about equally fast, warm ones of the own zone come first.
             if slots.upstream.zone != self._zone:
-                end += 0.002
+                end += PREFERENCE_S
+            if forecast.is_cold(upstream_id):
+                end += PREFERENCE_S
             if end < earliest_end:
                 best, earliest_end = slots, end
         return best
--- a/foxtailshunt/admission/_slot_forecast.py
+++ b/foxtailshunt/admission/_slot_forecast.py
@@ -36,6 +36,13 @@
         start_at = self._start_limits[upstream_id].start_at(self._added[upstream_id])
         return max(free_at, start_at)
 
+    def is_cold(self, upstream_id: str) -> bool:
+        """Return whether the starts at an upstream are limited.
+
+        :param upstream_id: the upstream.
+        """
+        return upstream_id in self._start_limits
+
     def startable_slots(self, upstream_id: str, work_s: float) -> float:
         """Return how many slots the starts that an upstream may get keep busy.
 
--- a/foxtailshunt/upstreams/_warmup_states.py
+++ b/foxtailshunt/upstreams/_warmup_states.py
@@ -51,22 +51,18 @@
         #: When the last evacuation of a zone ended, by zone.
         self._evacuations_ended: dict[str, float] = {}
 
-    def observe(
-        self, upstreams: Mapping[str, Upstream], now: float, age_s: float, unix_s: float
-    ) -> None:
+    def observe(self, upstreams: Mapping[str, Upstream], now: float, age_s: float) -> None:
         """Record a complete list of upstreams.
 
         Upstreams that the first list does not contain have started if a later one does. Those of
-        the first list may have started long ago; they are cold only if they state so, or if they
-        started a short time ago by their own clock. That clock may differ, so it does not show that
-        they are warm.
+        the first list may have started long ago; they are cold only if they state so. Their start
+        times are not compared with the time of day, since either clock may be wrong.
 
         :param upstreams: the upstreams by id; the same object if only its age has changed. The rest
             of a warm-up counts from now, unless the upstream is the same object as in the list
             before.
         :param now: the time in seconds.
         :param age_s: time since the list was read, in seconds.
-        :param unix_s: Unix time in seconds.
         """
         with self._lock:
             self._listed_at = max(self._listed_at, now - age_s)
@@ -78,7 +74,7 @@
             for item in upstreams.values():
                 run = unlisted.pop(item.incarnation, None)
                 if run is None or _is_forgotten(run, now):
-                    run = _Run(_start_by_own_clock(item, now, unix_s) if is_first else now)
+                    run = _Run(float("-inf") if is_first else now)
                 run.unlisted_at = None
                 if item.warmup_s > 0 and previous.get(item.upstream_id) is not item:
                     run.stated_until = max(run.stated_until, now + item.warmup_s)
@@ -165,10 +161,3 @@
 
 def _is_forgotten(run: _Run, now: float) -> bool:
     return run.unlisted_at is not None and now - run.unlisted_at >= REMEMBERED_S
-
-
-def _start_by_own_clock(upstream: Upstream, now: float, unix_s: float) -> float:
-    """Return when an upstream started by its own clock, at the latest now."""
-    if not upstream.started_ms:
-        return float("-inf")
-    return now - max(0.0, unix_s - upstream.started_ms / 1000)
--- a/foxtailshunt/upstreams/_warmup_tracker.py
+++ b/foxtailshunt/upstreams/_warmup_tracker.py
@@ -14,7 +14,6 @@
     :param states: the warm-up of upstreams.
     :param find_service: returns a service of the configuration in force, or None.
     :param now: returns the time in seconds.
-    :param unix_time: returns Unix time in seconds.
     """
 
     def __init__(
@@ -22,12 +21,10 @@
         states: WarmupStates,
         find_service: Callable[[str], ServiceInfo | None],
         now: Callable[[], float] = time.monotonic,
-        unix_time: Callable[[], float] = time.time,
     ) -> None:
         self._states = states
         self._find_service = find_service
         self._now = now
-        self._unix_time = unix_time
 
     def observe(self, upstreams: Mapping[str, Upstream], age_s: float) -> None:
         """Record a complete list of upstreams, or a later read that found no change.
@@ -35,7 +32,7 @@
         :param upstreams: the upstreams by id.
         :param age_s: time since the list was read, in seconds.
         """
-        self._states.observe(upstreams, self._now(), age_s, self._unix_time())
+        self._states.observe(upstreams, self._now(), age_s)
 
     def record_evacuation_end(self, zone: str) -> None:
         """Record that upstreams of a zone may get requests again.
