--- a/features/steps/operator_command_steps.py
+++ b/features/steps/operator_command_steps.py
@@ -207,13 +207,17 @@
         store = context.operator.placeholders["STORE"]
         commands.append(["apply", str(subject.file), "--store", store, "--expect-version", "1"])
     program = str(Path(sys.executable).parent / "foxtailshunt")
-    processes = [subprocess.Popen([program, *command]) for command in commands]
-    context.exit_codes = [process.wait(WAIT_TIMEOUT_S) for process in processes]
+    processes = [
+        subprocess.Popen([program, *command], stderr=subprocess.PIPE, text=True)
+        for command in commands
+    ]
+    context.errors = [process.communicate(timeout=WAIT_TIMEOUT_S)[1] for process in processes]
+    context.exit_codes = [process.returncode for process in processes]
 
 
 @then("one exit code is {first:d} and the other {second:d}")
 def check_exit_codes(context: Context, first: int, second: int) -> None:
-    assert sorted(context.exit_codes) == [first, second], context.exit_codes
+    assert sorted(context.exit_codes) == [first, second], (context.exit_codes, context.errors)
 
 
 @then("the store holds version {version:d} with the content of the successful operator")
