--- a/foxtailshunt/cli/_operator_options.py
+++ b/foxtailshunt/cli/_operator_options.py
@@ -8,11 +8,12 @@
 
 import click
 
+from foxtailshunt.checks import Category
 from foxtailshunt.cli._operator_text import to_json, to_text
-from foxtailshunt.errors import FoxtailshuntError
+from foxtailshunt.errors import DocumentError, FoxtailshuntError
 from foxtailshunt.network import Address, parse_address
 from foxtailshunt.node import load_node_settings
-from foxtailshunt.operator import ExitCode, exit_code_of
+from foxtailshunt.operator import FORMATS, ExitCode, exit_code_of
 
 #: Timeout for the response of one node, in seconds.
 TIMEOUT_S = 2.0
@@ -72,6 +73,15 @@
     )(command)
 
 
+def interface_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add the option ``--interface``."""
+    return click.option(
+        "--interface",
+        type=click.Choice(list(FORMATS)),
+        help="Interface whose format FILE has; by default it is determined from the content.",
+    )(command)
+
+
 def json_option(command: Callable[..., Any]) -> Callable[..., Any]:
     """Add the option ``--json``."""
     return click.option("--json", "as_json", is_flag=True, help="Print a JSON document.")(command)
@@ -109,10 +119,24 @@
             click.echo(f"error: {exc}", err=True)
             raise click.exceptions.Exit(exit_code)
         click.echo(to_json(result) if as_json else to_text(result))
+        exit_code = getattr(result, "exit_code", ExitCode.OK)
+        if exit_code != ExitCode.OK:
+            raise click.exceptions.Exit(exit_code)
 
     return run_command
 
 
 def _error_document(exc: FoxtailshuntError, exit_code: ExitCode) -> dict[str, Any]:
     error = {"code": int(exc.code), "name": exc.code.name, "message": exc.message}
-    return {"error": error, "exit_code": int(exit_code)}
+    document: dict[str, Any] = {"error": error, "exit_code": int(exit_code)}
+    if isinstance(exc, DocumentError) and exc.faults:
+        document["findings"] = [
+            {
+                "category": Category.ERROR,
+                "kind": "invalid",
+                "location": fault.location,
+                "message": fault.message,
+            }
+            for fault in exc.faults
+        ]
+    return document
--- a/foxtailshunt/cli/_operator_text.py
+++ b/foxtailshunt/cli/_operator_text.py
@@ -5,9 +5,11 @@
 from functools import singledispatch
 from typing import Any
 
+from foxtailshunt.checks import DifferenceKind
 from foxtailshunt.operator import (
     ApplyResult,
     CheckResult,
+    Comparison,
     EvacuationStatus,
     Explanation,
     FleetStatus,
@@ -40,13 +42,48 @@
 
 @to_text.register
 def _(result: CheckResult) -> str:
-    lines = [f"valid: fleet {result.fleet}, {result.zones} zones"]
-    for name, upstreams in result.upstreams.items():
-        operations = result.operations[name]
-        lines.append(f"service {name}: {upstreams} upstreams, {operations} operations")
+    if result.fleet is None:
+        lines = [f"valid: format of the interface {result.interface}"]
+    else:
+        lines = [f"valid: fleet {result.fleet}, {result.zones} zones"]
+    for name, operations in result.operations.items():
+        if name in result.upstreams:
+            upstreams = result.upstreams[name]
+            lines.append(f"service {name}: {upstreams} upstreams, {operations} operations")
+        else:
+            lines.append(f"service {name}: {operations} routes")
+    lines += [
+        f"{item.category}: {item.location}: {item.message} [{item.kind}]"
+        for item in result.findings
+    ]
+    if result.comparison is not None:
+        lines += _comparison_lines(result.comparison)
     return "\n".join(lines)
 
 
+def _comparison_lines(comparison: Comparison) -> list[str]:
+    if comparison.error is not None:
+        return [f"the version in force cannot be read: {comparison.error}"]
+    if comparison.version is None:
+        return ["no version is in force"]
+    source = f"version {comparison.version}, in force at {comparison.source}"
+    if not comparison.differences:
+        return [f"no differences from {source}"]
+    lines = [f"differences from {source}:"]
+    for item in comparison.differences:
+        values = {
+            DifferenceKind.ADDED: f"{_value_text(item.new)}",
+            DifferenceKind.REMOVED: f"{_value_text(item.old)}",
+            DifferenceKind.CHANGED: f"{_value_text(item.old)} -> {_value_text(item.new)}",
+        }
+        lines.append(f"{_COLUMN_GAP}{item.kind} {item.location}: {values[item.kind]}")
+    return lines
+
+
+def _value_text(value: Any) -> str:
+    return json.dumps(value, ensure_ascii=False)
+
+
 @to_text.register
 def _(result: ApplyResult) -> str:
     if result.changed:
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -9,6 +9,7 @@
 from foxtailshunt.cli._operator_options import (
     TIMEOUT_S,
     AddressType,
+    interface_option,
     json_option,
     node_option,
     prints_result,
@@ -18,7 +19,10 @@
 )
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.network import Address
+from foxtailshunt.node import load_node_settings
 from foxtailshunt.operator import (
+    FORMATS,
+    OWN_FORMAT,
     ApplyResult,
     CheckResult,
     ConfigApplier,
@@ -26,6 +30,7 @@
     Explanation,
     FleetStatus,
     RequestTrace,
+    VersionReader,
     check_file,
     collect_status,
     explain_key,
@@ -46,6 +51,10 @@
   4  it is not known whether the store applied the change
 """
 
+_CHECK_EXIT_CODES = f"""{_EXIT_CODES.rstrip()}
+  5  the file is valid, but has entries without effect or contradictory limits
+"""
+
 
 @click.group(epilog=_EXIT_CODES)
 def main() -> None:
@@ -56,13 +65,35 @@
     """
 
 
-@main.command(epilog=_EXIT_CODES)
+@main.command(epilog=_CHECK_EXIT_CODES)
 @click.argument("file", type=click.Path(path_type=Path))
+@interface_option
+@store_option
+@node_option
+@settings_option
 @json_option
 @prints_result
-def check(file: Path) -> CheckResult:
-    """Validate the configuration FILE without contacting the fleet."""
-    return check_file(file)
+def check(
+    file: Path,
+    interface: str | None,
+    store: Address | None,
+    nodes: tuple[Address, ...],
+    settings: Path | None,
+) -> CheckResult:
+    """Check the configuration FILE, and compare it with the version in force.
+
+    Reports errors, entries that can never take effect and limits that contradict each other. With
+    the address of the store or of a node it also lists the differences from the version in force,
+    which it reads from the store, or from the first node that responds. Otherwise it contacts
+    nothing. It never changes anything.
+    """
+    addresses = resolve_addresses(settings, store, nodes)
+    reader = None
+    if addresses.store is not None or addresses.nodes:
+        client = StoreClient(addresses.store) if addresses.store is not None else None
+        reader = VersionReader(client, DumpClient(TIMEOUT_S), addresses.nodes)
+    regions = load_node_settings(settings).regions() if settings is not None else None
+    return check_file(file, FORMATS[interface] if interface else None, regions, reader)
 
 
 @main.command(epilog=_EXIT_CODES)
@@ -85,7 +116,7 @@
     the version in force on each node. A file with the same content as the newest version changes
     nothing.
     """
-    check_file(file)
+    check_file(file, OWN_FORMAT)
     store_address = resolve_addresses(settings, store, ()).store
     if store_address is None:
         raise _missing_address("--store or --settings")
--- a/foxtailshunt/config/__init__.py
+++ b/foxtailshunt/config/__init__.py
@@ -1,5 +1,6 @@
 """The configuration file written by operators and its record in the store."""
 
+from foxtailshunt.config._description import describe_file, describe_record
 from foxtailshunt.config._file import FileModel, read_configuration, to_route_table
 from foxtailshunt.config._record import (
     CONFIG_KEY,
@@ -16,6 +17,8 @@
     "config_record_from_json",
     "config_record_to_json",
     "decode_config_record",
+    "describe_file",
+    "describe_record",
     "read_configuration",
     "to_route_table",
 ]
--- a/foxtailshunt/config/_file.py
+++ b/foxtailshunt/config/_file.py
@@ -13,7 +13,7 @@
     model_validator,
 )
 
-from foxtailshunt.errors import DocumentError
+from foxtailshunt.errors import DocumentError, DocumentFault
 from foxtailshunt.network import parse_address
 from foxtailshunt.routing import (
     FrontLimits,
@@ -157,7 +157,7 @@
     try:
         return FileModel.model_validate_json(text)
     except ValidationError as exc:
-        raise DocumentError(describe_validation_error(exc))
+        raise DocumentError(describe_validation_error(exc), list_faults(exc))
 
 
 def to_route_table(model: FileModel, version: int) -> RouteTable:
@@ -167,19 +167,34 @@
     :param version: version of the configuration's record in the store.
     """
     operations = OperationRoutes(
-        Operation(item.method, item.path, item.key_query, _to_route(service.name, item))
+        to_operation(service.name, item)
         for service in model.services
         for item in service.operations
     )
-    callers = model.callers
-    limits = FrontLimits(
-        max_header_bytes=callers.max_header_bytes,
-        max_body_bytes=callers.max_body_bytes,
-        header_timeout_s=callers.header_timeout_ms / 1000,
-        idle_timeout_s=callers.idle_timeout_ms / 1000,
+    services = {service.name: to_service_info(service) for service in model.services}
+    return RouteTable(version, operations, services, to_front_limits(model.callers))
+
+
+def to_operation(service: str, model: OperationModel) -> Operation:
+    """Return an operation of the route table.
+
+    :param service: name of the operation's service.
+    :param model: the operation in the file.
+    """
+    return Operation(model.method, model.path, model.key_query, _to_route(service, model))
+
+
+def to_front_limits(model: CallersModel) -> FrontLimits:
+    """Return the limits of the route table.
+
+    :param model: the limits in the file.
+    """
+    return FrontLimits(
+        max_header_bytes=model.max_header_bytes,
+        max_body_bytes=model.max_body_bytes,
+        header_timeout_s=model.header_timeout_ms / 1000,
+        idle_timeout_s=model.idle_timeout_ms / 1000,
     )
-    services = {service.name: _to_service_info(service) for service in model.services}
-    return RouteTable(version, operations, services, limits)
 
 
 def describe_validation_error(exc: ValidationError) -> str:
@@ -187,11 +202,18 @@
 
     :param exc: the error raised by pydantic.
     """
-    fields = []
-    for error in exc.errors(include_url=False, include_input=False, include_context=False):
-        field = ".".join(str(part) for part in error["loc"]) or "document"
-        fields.append(f"{field}: {error['msg']}")
-    return "; ".join(fields)
+    return "; ".join(str(fault) for fault in list_faults(exc))
+
+
+def list_faults(exc: ValidationError) -> tuple[DocumentFault, ...]:
+    """Return all invalid fields of a document.
+
+    :param exc: the error raised by pydantic.
+    """
+    return tuple(
+        DocumentFault(".".join(str(part) for part in error["loc"]) or "document", error["msg"])
+        for error in exc.errors(include_url=False, include_input=False, include_context=False)
+    )
 
 
 def _check_unique(kind: str, values: Iterable[str]) -> None:
@@ -238,7 +260,11 @@
     )
 
 
-def _to_service_info(model: ServiceModel) -> ServiceInfo:
+def to_service_info(model: ServiceModel) -> ServiceInfo:
+    """Return a service of the route table.
+
+    :param model: the service in the file.
+    """
     shares = model.floors.model_dump()
     return ServiceInfo(
         name=model.name,
--- a/foxtailshunt/errors.py
+++ b/foxtailshunt/errors.py
@@ -6,6 +6,7 @@
 docs/RESULT-CODES.md lists all codes.
 """
 
+from dataclasses import dataclass
 from enum import Enum, IntEnum
 
 
@@ -106,14 +107,29 @@
         return f"[{int(self.code)} {self.code.name}] {self.message}"
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentFault:
+    """One invalid value of a document."""
+
+    #: Path of the value in the document; ``document`` for the document as a whole.
+    location: str
+    #: What is wrong with it.
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.location}: {self.message}"
+
+
 class DocumentError(FoxtailshuntError):
     """A settings file, configuration or table is malformed.
 
     :param message: description of the error, with its location in the document.
+    :param faults: all errors of the document, if they are known one by one.
     """
 
-    def __init__(self, message: str) -> None:
+    def __init__(self, message: str, faults: tuple[DocumentFault, ...] = ()) -> None:
         super().__init__(ResultCode.MALFORMED_DOCUMENT, message)
+        self.faults = faults
 
 
 class StoreUnknownError(FoxtailshuntError):
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -227,7 +227,13 @@
         )
         self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
-        self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
+        self._operator = OperatorServer(
+            operator_address,
+            self._metrics,
+            self._dump,
+            self._is_ready,
+            lambda: self._view.document,
+        )
         self._timers = TimerService(MonotonicClock(), lambda exc: log_thread_error("timer", exc))
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
         self._timers.subscribe(DECISIONS_INTERVAL_S, self._sender.log_decisions)
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -84,6 +84,11 @@
     #: What the platform's deployment asks for; unknown entries have no effect.
     contracts: tuple[Any, ...] | None = None
 
+    def regions(self) -> frozenset[str]:
+        """Return the regions of the zones that the settings name."""
+        own = {} if self.region is None else {self.zone: self.region}
+        return frozenset((own | self.zone_regions).values())
+
     @property
     def effective_overload_policy(self) -> OverloadPolicy:
         """Return the overload policy that is in force."""
--- a/foxtailshunt/operator/__init__.py
+++ b/foxtailshunt/operator/__init__.py
@@ -1,8 +1,15 @@
 """Operations behind the operator command line, without its argument parsing and output."""
 
 from foxtailshunt.operator._apply import ApplyResult, ConfigApplier
-from foxtailshunt.operator._check import CheckResult, check_file, read_file
+from foxtailshunt.operator._check import (
+    CheckFinding,
+    CheckResult,
+    Comparison,
+    check_file,
+    read_file,
+)
 from foxtailshunt.operator._conditional_write import ConditionalWrite, ConditionalWriter, Store
+from foxtailshunt.operator._document_formats import FORMATS, OWN_FORMAT, DocumentFormat
 from foxtailshunt.operator._dump_client import DumpClient, DumpError
 from foxtailshunt.operator._exit_codes import ExitCode, exit_code_of
 from foxtailshunt.operator._explain import Explanation, explain_key
@@ -21,13 +28,19 @@
     UpstreamStatus,
     collect_status,
 )
+from foxtailshunt.operator._version_in_force import VersionReader
 
 __all__ = [
+    "FORMATS",
+    "OWN_FORMAT",
     "ApplyResult",
+    "CheckFinding",
     "CheckResult",
+    "Comparison",
     "ConditionalWrite",
     "ConditionalWriter",
     "ConfigApplier",
+    "DocumentFormat",
     "DumpClient",
     "DumpError",
     "ExitCode",
@@ -40,6 +53,7 @@
     "RequestTrace",
     "Store",
     "UpstreamStatus",
+    "VersionReader",
     "check_file",
     "collect_status",
     "exit_code_of",
--- a/foxtailshunt/operator/_dump_client.py
+++ b/foxtailshunt/operator/_dump_client.py
@@ -1,4 +1,4 @@
-"""Client for the ``/dump`` endpoint of operator ports."""
+"""Client for the ``/dump`` and ``/configuration`` endpoints of operator ports."""
 
 import json
 from typing import Any
@@ -24,7 +24,7 @@
 
 
 class DumpClient:
-    """Fetches the state of processes from ``/dump``.
+    """Fetches the state of processes and their configuration.
 
     :param timeout_s: connect timeout and read timeout, in seconds each.
     """
@@ -38,16 +38,31 @@
         :param address: operator address of the process.
         :raises DumpError: the address cannot be reached or its response is not a dump.
         """
-        endpoint = f"{address[0]}:{address[1]}"
+        return _parse(self._get(address, "/dump"), _endpoint(address))
+
+    def read_configuration(self, address: Address) -> bytes:
+        """Return the configuration in force at a node as the store held it; empty if it has none.
+
+        :param address: operator address of the node.
+        :raises DumpError: the address cannot be reached or does not return a configuration.
+        """
+        return self._get(address, "/configuration")
+
+    def _get(self, address: Address, path: str) -> bytes:
+        endpoint = _endpoint(address)
         try:
             with HTTPConnectionPool(*address, timeout=self._timeout, retries=False) as pool:
-                response = pool.request("GET", "/dump", preload_content=False, redirect=False)
+                response = pool.request("GET", path, preload_content=False, redirect=False)
                 body = response.read(_MAX_DUMP_BYTES)
         except (HTTPError, OSError) as exc:
             raise DumpError(f"{endpoint} cannot be reached: {exc}")
         if response.status != _OK:
             raise DumpError(f"{endpoint} responded with status {response.status}")
-        return _parse(body, endpoint)
+        return body
+
+
+def _endpoint(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
 
 
 def _parse(body: bytes, endpoint: str) -> dict[str, Any]:
--- a/foxtailshunt/operator/_exit_codes.py
+++ b/foxtailshunt/operator/_exit_codes.py
@@ -18,6 +18,8 @@
     CONFLICT = 3
     #: It is not known whether the store applied the change.
     UNKNOWN = 4
+    #: The configuration is valid, but has entries without effect or contradictory limits.
+    FINDINGS = 5
 
 
 _EXIT_CODES = {
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from foxtailshunt.platform._configuration import decode_configuration
+from foxtailshunt.platform._description import describe_configuration
 from foxtailshunt.platform._durations import Seconds
 from foxtailshunt.platform._evacuations import decode_evacuation
 from foxtailshunt.platform._features import Feature, features_of
@@ -60,6 +61,7 @@
     "decode_configuration",
     "decode_evacuation",
     "decode_upstream",
+    "describe_configuration",
     "features_of",
     "states_leaving",
     "upstream_request_headers",
--- a/foxtailshunt/platform/_configuration.py
+++ b/foxtailshunt/platform/_configuration.py
@@ -2,11 +2,13 @@
 
 import math
 import re
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Annotated, Any
 
 from pydantic import BaseModel, BeforeValidator, Field, ValidationError
 
-from foxtailshunt.errors import DocumentError
+from foxtailshunt.errors import DocumentError, DocumentFault
 from foxtailshunt.platform._durations import Seconds, parse_warmup_s
 from foxtailshunt.routing import (
     FrontLimits,
@@ -37,12 +39,16 @@
     return int(match[1])
 
 
-class _WireTrafficShare(BaseModel):
+class WireTrafficShare(BaseModel):
+    """A service that gets a share of a route's requests."""
+
     service: str
     weight: float = Field(ge=0)
 
 
-class _WireRoute(BaseModel):
+class WireRoute(BaseModel):
+    """A route in the document."""
+
     host: str
     prefix: str
     #: ``safe`` means that a request may be executed more than once; it may have side effects.
@@ -53,7 +59,7 @@
     #: 0 is the highest priority.
     priority: int = Field(ge=0)
     service: str | None = None
-    traffic_split: list[_WireTrafficShare] | None = None
+    traffic_split: list[WireTrafficShare] | None = None
     #: Number of upstreams that one request may be sent to; not the number of retries.
     max_attempts: int = Field(ge=1)
     #: Names of the regions whose upstreams may get the requests; absent or empty for all. Checked
@@ -61,7 +67,9 @@
     allowed_regions: Any = None
 
 
-class _WireService(BaseModel):
+class WireService(BaseModel):
+    """A service in the document."""
+
     max_conns: int = Field(default=64, ge=1)
     #: True if the service is sharded by key.
     sharded: bool = False
@@ -78,30 +86,77 @@
     idle_timeout: Seconds
 
 
-class _WireConfiguration(BaseModel):
+class WireConfiguration(BaseModel):
+    """The whole document."""
+
     version: Annotated[int, BeforeValidator(_parse_version)]
-    routes: dict[str, _WireRoute]
-    services: dict[str, _WireService]
+    routes: dict[str, WireRoute]
+    services: dict[str, WireService]
     limits: _WireLimits
 
 
+@dataclass(frozen=True, slots=True)
+class DecodedConfiguration:
+    """The content of a configuration document."""
+
+    #: Number of the version.
+    version: int
+    #: Routes by name, in the order of the document.
+    routes: dict[str, HostRoute]
+    #: Services by name.
+    services: dict[str, ServiceInfo]
+    #: Limits on callers' requests.
+    limits: FrontLimits
+    #: Messages about malformed optional values that are not used.
+    ignored_values: tuple[str, ...]
+
+
 def decode_configuration(document: bytes) -> RouteTable:
     """Decode a configuration document.
 
     :param document: the stored bytes.
     :raises DocumentError: the document is malformed; the message names the field.
     """
+    decoded = convert_configuration(read_wire_configuration(document))
+    routes = HostRoutes(decoded.routes.values())
+    return RouteTable(
+        decoded.version, routes, decoded.services, decoded.limits, decoded.ignored_values
+    )
+
+
+def read_wire_configuration(document: bytes) -> WireConfiguration:
+    """Validate a configuration document.
+
+    :param document: the stored bytes.
+    :raises DocumentError: the document is malformed; the message names the first field.
+    """
     try:
-        wire = _WireConfiguration.model_validate_json(document)
+        wire = WireConfiguration.model_validate_json(document)
     except ValidationError as exc:
-        error = exc.errors()[0]
-        field = ".".join(str(part) for part in error["loc"])
-        raise DocumentError(f"{field}: {error['msg']}") from exc
+        raise _document_error(
+            DocumentFault(".".join(str(part) for part in error["loc"]) or "document", error["msg"])
+            for error in exc.errors()
+        ) from exc
+    faults = [
+        DocumentFault(f"routes.{name}", "no service")
+        for name, route in wire.routes.items()
+        if not route.traffic_split and route.service is None
+    ]
+    if faults:
+        raise _document_error(faults)
+    return wire
+
+
+def convert_configuration(wire: WireConfiguration) -> DecodedConfiguration:
+    """Return the content of a document in the project's types.
+
+    :param wire: the valid document.
+    """
     ignored: list[str] = []
-    routes = HostRoutes(
-        HostRoute(route.host, route.prefix, _to_route(name, route, ignored))
+    routes = {
+        name: HostRoute(route.host, route.prefix, _to_route(name, route, ignored))
         for name, route in wire.routes.items()
-    )
+    }
     services = {name: _to_service(name, item, ignored) for name, item in wire.services.items()}
     limits = FrontLimits(
         max_header_bytes=wire.limits.max_header_bytes,
@@ -109,10 +164,16 @@
         header_timeout_s=wire.limits.header_timeout,
         idle_timeout_s=wire.limits.idle_timeout,
     )
-    return RouteTable(wire.version, routes, services, limits, tuple(ignored))
+    return DecodedConfiguration(wire.version, routes, services, limits, tuple(ignored))
+
+
+def _document_error(faults: Iterable[DocumentFault]) -> DocumentError:
+    """Return an error whose message is bounded, since nodes log it; it names the first fault."""
+    listed = tuple(faults)
+    return DocumentError(str(listed[0]), listed)
 
 
-def _to_service(name: str, wire: _WireService, ignored: list[str]) -> ServiceInfo:
+def _to_service(name: str, wire: WireService, ignored: list[str]) -> ServiceInfo:
     """Return a service; adds a message for each malformed optional value."""
     warmup_s = rate = 0.0
     try:
@@ -149,13 +210,12 @@
     return parse_warmup_s(value)
 
 
-def _to_route(name: str, wire: _WireRoute, ignored: list[str]) -> Route:
+def _to_route(name: str, wire: WireRoute, ignored: list[str]) -> Route:
     if wire.traffic_split:
         services = tuple(WeightedService(part.service, part.weight) for part in wire.traffic_split)
-    elif wire.service is not None:
-        services = (WeightedService(wire.service, 1.0),)
     else:
-        raise DocumentError(f"routes.{name}: no service")
+        # A document in which neither is given is rejected before.
+        services = (WeightedService(wire.service or "", 1.0),)
     return Route(
         name=name,
         idempotent=wire.route_type == "safe",
--- a/foxtailshunt/telemetry/_operator_server.py
+++ b/foxtailshunt/telemetry/_operator_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of the operator port, with ``/metrics``, ``/health`` and ``/dump``."""
+"""HTTP server of the operator port: metrics, health, state dump and configuration in force."""
 
 import json
 import threading
@@ -30,15 +30,22 @@
     :param metrics: metrics rendered at ``/metrics``.
     :param dump: returns the state of the process for ``/dump``.
     :param health: returns whether the process is healthy for ``/health``.
+    :param configuration: returns the configuration in force for ``/configuration``.
     :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
     """
 
     def __init__(
-        self, address: Address, metrics: Metrics, dump: DumpSource, health: Callable[[], bool]
+        self,
+        address: Address,
+        metrics: Metrics,
+        dump: DumpSource,
+        health: Callable[[], bool],
+        configuration: Callable[[], bytes],
     ) -> None:
         self._metrics = metrics
         self._dump = dump
         self._health = health
+        self._configuration = configuration
         self._server = _WsgiServer(address, self._application, numthreads=_THREADS)
         self._server.max_request_header_size = _MAX_REQUEST_BYTES
         self._server.max_request_body_size = _MAX_REQUEST_BYTES
@@ -74,4 +81,7 @@
         if path == "/dump":
             body = json.dumps(self._dump(), indent=1, default=str).encode()
             return "200 OK", "application/json", body
-        return "404 Not Found", "text/plain", b"try /metrics, /health or /dump\n"
+        if path == "/configuration":
+            return "200 OK", "application/json", self._configuration()
+        message = b"try /metrics, /health, /dump or /configuration\n"
+        return "404 Not Found", "text/plain", message
