--- a/features/node_program.feature
+++ b/features/node_program.feature
@@ -28,6 +28,7 @@
     Given settings of a node
     When the node program is started and a caller sends 3 requests
     Then its health is 503 and its dump names the instance "n1"
+    And it has no configuration yet
     And its metrics are well-formed, and count 3 requests with the result NO_CONFIG
     And its metrics include queue lengths, versions, leadership and calls to the store
     When the program receives SIGHUP after a change of its settings
--- a/features/operator_support/__init__.py
+++ b/features/operator_support/__init__.py
@@ -19,6 +19,19 @@
 from standins.http import HttpServer, Request, json_response
 from standins.metadata import MetadataServer, MetadataStore
 
+_REMOVED = "-"
+
+
+def set_field(document: Any, field: str, value: str) -> None:
+    """Set a field of a document to a JSON value, or remove it if the value is ``-``."""
+    *path, last = [int(part) if part.isdigit() else part for part in field.split(".")]
+    for part in path:
+        document = document[part]
+    if value == _REMOVED:
+        del document[last]
+    else:
+        document[last] = json.loads(value)
+
 
 class StoreSubject:
     """A stand-in store that holds configuration versions."""
--- a/features/steps/node_program_steps.py
+++ b/features/steps/node_program_steps.py
@@ -134,6 +134,12 @@
         assert urllib3.request("GET", url, retries=False).status == 503
 
 
+@then("it has no configuration yet")
+def check_no_configuration(context: Context) -> None:
+    response = context.program.get("/configuration")
+    assert (response.status, response.data) == (200, b""), (response.status, response.data)
+
+
 @then('its health is {status:d} and its dump names the instance "{name}"')
 def check_health(context: Context, status: int, name: str) -> None:
     assert context.program.get("/health").status == status
--- a/features/steps/operator_command_steps.py
+++ b/features/steps/operator_command_steps.py
@@ -12,7 +12,13 @@
 from click.testing import CliRunner, Result
 
 from features.front_support import WAIT_TIMEOUT_S, make_document, random_address
-from features.operator_support import FailsAfterWriteStore, NodeSubject, StoreSubject, make_member
+from features.operator_support import (
+    FailsAfterWriteStore,
+    NodeSubject,
+    StoreSubject,
+    make_member,
+    set_field,
+)
 from foxtailshunt.cli.operator import main
 from foxtailshunt.config import (
     CONFIG_KEY,
@@ -23,8 +29,6 @@
 from foxtailshunt.operator import ConfigApplier, exit_code_of
 from standins.http import HttpServer, json_response
 
-_REMOVED = "-"
-
 
 class OperatorSubject:
     """An operator with a configuration file who runs commands.
@@ -66,16 +70,6 @@
     return context.operator
 
 
-def _set_field(document: Any, field: str, value: str) -> None:
-    *path, last = [int(part) if part.isdigit() else part for part in field.split(".")]
-    for part in path:
-        document = document[part]
-    if value == _REMOVED:
-        del document[last]
-    else:
-        document[last] = json.loads(value)
-
-
 @given("a valid configuration file")
 def write_valid(context: Context) -> None:
     _operator(context).write(make_document())
@@ -84,7 +78,7 @@
 @given("a configuration file with {field} set to {value}")
 def write_changed(context: Context, field: str, value: str) -> None:
     document = make_document()
-    _set_field(document, field, value)
+    set_field(document, field, value)
     _operator(context).write(document)
 
 
--- a/foxtailshunt/cli/_operator_options.py
+++ b/foxtailshunt/cli/_operator_options.py
@@ -119,6 +119,9 @@
             click.echo(f"error: {exc}", err=True)
             raise click.exceptions.Exit(exit_code)
         click.echo(to_json(result) if as_json else to_text(result))
+        error = getattr(result, "error", None)
+        if error is not None:
+            click.echo(f"error: {error}", err=True)
         exit_code = getattr(result, "exit_code", ExitCode.OK)
         if exit_code != ExitCode.OK:
             raise click.exceptions.Exit(exit_code)
--- a/foxtailshunt/config/_file.py
+++ b/foxtailshunt/config/_file.py
@@ -210,9 +210,13 @@
 
     :param exc: the error raised by pydantic.
     """
+    errors = exc.errors(include_url=False, include_input=False, include_context=False)
+    parents = {error["loc"][:end] for error in errors for end in range(len(error["loc"]))}
     return tuple(
         DocumentFault(".".join(str(part) for part in error["loc"]) or "document", error["msg"])
-        for error in exc.errors(include_url=False, include_input=False, include_context=False)
+        for error in errors
+        # A list counts as too short if its items are invalid, which are listed themselves.
+        if error["type"] != "too_short" or error["loc"] not in parents
     )
 
 
--- a/foxtailshunt/operator/_check.py
+++ b/foxtailshunt/operator/_check.py
@@ -69,6 +69,11 @@
     #: Exit code of the command.
     exit_code: ExitCode
 
+    @property
+    def error(self) -> str | None:
+        """Return why the version in force cannot be read; None if there is no such error."""
+        return self.comparison.error if self.comparison is not None else None
+
 
 def read_file(path: Path) -> str:
     """Return the text of a file.
@@ -158,6 +163,8 @@
 
 
 def _exit_code(findings: list[Finding], comparison: Comparison | None) -> ExitCode:
+    # The findings are printed in any case; a comparison that was asked for and failed must not pass
+    # for one without differences.
     if comparison is not None and comparison.error is not None:
         return ExitCode.FAILED
     return ExitCode.FINDINGS if findings else ExitCode.OK
