--- a/foxtailshunt/checks/_findings.py
+++ b/foxtailshunt/checks/_findings.py
@@ -31,6 +31,7 @@
         *_find_unused_floors(description, effective),
         *_find_unused_zones(description),
         *(finding for item in description.routes for finding in _check_limits(item, description)),
+        *_check_attempts(description),
         *_check_services(description),
         *_check_warmups(description),
         *_check_caller_limits(description),
@@ -139,16 +140,23 @@
         )
         location = f"{item.location}.{names.latency_objective}"
         yield Finding(FindingKind.OBJECTIVE_ABOVE_TIMEOUT, location, message)
+
+
+def _check_attempts(description: Description) -> Iterator[Finding]:
     counts = {
         service.info.name: len(service.info.upstream_addresses)
         for service in description.services
         if service.info.upstream_addresses is not None
     }
-    available = max((counts.get(part.service, 0) for part in route.services), default=0)
-    if item.states_max_upstreams and 0 < available < route.max_upstreams:
-        message = f"{route.max_upstreams} upstreams for one request, but there are {available}"
-        location = f"{item.location}.{names.max_upstreams}"
-        yield Finding(FindingKind.ATTEMPTS_ABOVE_UPSTREAMS, location, message)
+    for item in description.routes:
+        available = max(counts.get(part.service, 0) for part in item.route.services)
+        if item.states_max_upstreams and 0 < available < item.route.max_upstreams:
+            message = (
+                f"a request may be sent to {item.route.max_upstreams} upstreams, but there are "
+                f"only {available}"
+            )
+            location = f"{item.location}.{description.names.max_upstreams}"
+            yield Finding(FindingKind.ATTEMPTS_ABOVE_UPSTREAMS, location, message)
 
 
 def _check_services(description: Description) -> Iterator[Finding]:
