--- a/features/configuration_check.feature
+++ b/features/configuration_check.feature
@@ -85,6 +85,20 @@
       | ["north", "south"] | 0    |                                                         |
       | ["south", "west"]  | 5    | no-effect unknown-region routes.r-a.allowed_regions     |
 
+  Scenario Outline: The router does not use routes that are reported as hidden or unmatchable: <field> <value>
+    Given a platform configuration with <field> set to <value>
+    Then a request of "<host>" for "<target>" is routed to <route>
+
+    Examples: guards against a check that differs from the router
+      | field             | value             | host            | target | route |
+      | version           | "r7"              | shop.example    | /a/x   | r-a   |
+      | routes.r-a.prefix | "/b/"             | shop.example    | /b/x   | r-b   |
+      | routes.r-a.host   | "SHOP.example"    | shop.example    | /a/x   | r-a   |
+      | routes.r-b.host   | "shop.example:80" | shop.example:80 | /b/x   | none  |
+      | routes.r-b.prefix | "/b"              | shop.example    | /b     | none  |
+      | routes.r-b.prefix | "b/"              | shop.example    | /b/    | none  |
+      | routes.r-b.prefix | "/b?/"            | shop.example    | /b?/x  | none  |
+
   Scenario: A name that occurs twice in an object is found, since only the last value is used
     Given a platform configuration in which the route r-b has the name r-a
     When the operator runs "check FILE --json"
@@ -98,11 +112,11 @@
 
     Examples:
       | field                     | value                | lines |
-      | fleet                     | "test"               | no differences from version 1, in force at store |
-      | services.0.connections    | 40                   | no differences from version 1, in force at store |
-      | services.0.connections    | 3                    | differences from version 1, in force at store: /   changed services.desk.connections: 40 -> 3 |
-      | zones                     | ["wanaka", "twizel"] | differences from version 1, in force at store: /   added zones.twizel: "twizel" |
-      | services.0.upstreams.0.id | "u9"                 | differences from version 1, in force at store: /   removed services.desk.upstreams.u1: {"zone": "wanaka", "address": "127.0.0.1:1001"} /   added services.desk.upstreams.u9: {"zone": "wanaka", "address": "127.0.0.1:1001"} |
+      | fleet                     | "test"               | no differences from version 1, read from store |
+      | services.0.connections    | 40                   | no differences from version 1, read from store |
+      | services.0.connections    | 3                    | differences from version 1, read from store: /   changed services.desk.connections: 40 -> 3 |
+      | zones                     | ["wanaka", "twizel"] | differences from version 1, read from store: /   added zones.twizel: "twizel" |
+      | services.0.upstreams.0.id | "u9"                 | differences from version 1, read from store: /   removed services.desk.upstreams.u1: {"zone": "wanaka", "address": "127.0.0.1:1001"} /   added services.desk.upstreams.u9: {"zone": "wanaka", "address": "127.0.0.1:1001"} |
 
   Scenario Outline: Differences from the version in force, platform's format: <field> <value>
     Given a store and a valid configuration file
@@ -131,9 +145,9 @@
 
     Examples: with an exit code for a version that cannot be read
       | arguments                            | code | text                                   |
-      | --store STORE --node NODE            | 0    | version 7, in force at store           |
-      | --node CLOSED --node NODE            | 0    | version 7, in force at 127.            |
-      | --store CLOSED --node NODE           | 0    | version 7, in force at 127.            |
+      | --store STORE --node NODE            | 0    | version 7, read from store           |
+      | --node CLOSED --node NODE            | 0    | version 7, read from 127.            |
+      | --store CLOSED --node NODE           | 0    | version 7, read from 127.            |
       | --node EMPTY                         | 0    | no version is in force                 |
       | --store CLOSED                       | 1    | cannot be read: [408 STORE_UNAVAILABLE] |
       | --node CLOSED                        | 1    | cannot be read: [211 NODE_UNREACHABLE] |
--- a/features/steps/configuration_check_steps.py
+++ b/features/steps/configuration_check_steps.py
@@ -10,7 +10,8 @@
 from features.operator_support import set_field
 from foxtailshunt.config import CONFIG_KEY
 from foxtailshunt.network import format_address
-from foxtailshunt.platform import CONFIGURATION_KEY
+from foxtailshunt.platform import CONFIGURATION_KEY, decode_configuration
+from foxtailshunt.routing import RequestLine
 from foxtailshunt.telemetry import Metrics, OperatorServer
 
 
@@ -120,6 +121,13 @@
     check_findings(context, code, "")
 
 
+@then('a request of "{host}" for "{target}" is routed to {name}')
+def check_routing(context: Context, host: str, target: str, name: str) -> None:
+    routes = decode_configuration(context.operator.file.read_bytes())
+    found = routes.match(RequestLine("GET", host, target))
+    assert (found.route.name if found else "none") == name, found
+
+
 @then('the output ends with the lines "{lines}"')
 def check_last_lines(context: Context, lines: str) -> None:
     expected = lines.split(" / ")
--- a/foxtailshunt/checks/_findings.py
+++ b/foxtailshunt/checks/_findings.py
@@ -136,7 +136,7 @@
     elif route.latency_objective_s > route.timeout_s:
         message = (
             f"the latency objective of {route.latency_objective_s:g} s is above the timeout of "
-            f"{route.timeout_s:g} s ({names.timeout})"
+            f"{route.timeout_s:g} s"
         )
         location = f"{item.location}.{names.latency_objective}"
         yield Finding(FindingKind.OBJECTIVE_ABOVE_TIMEOUT, location, message)
--- a/foxtailshunt/cli/_operator_text.py
+++ b/foxtailshunt/cli/_operator_text.py
@@ -66,7 +66,7 @@
         return [f"the version in force cannot be read: {comparison.error}"]
     if comparison.version is None:
         return ["no version is in force"]
-    source = f"version {comparison.version}, in force at {comparison.source}"
+    source = f"version {comparison.version}, read from {comparison.source}"
     if not comparison.differences:
         return [f"no differences from {source}"]
     lines = [f"differences from {source}:"]
