--- a/features/node_support/_fleet.py
+++ b/features/node_support/_fleet.py
@@ -83,6 +83,7 @@
         routes: dict[str, Any],
         services: dict[str, bool],
         service_fields: dict[str, dict[str, Any]] | None = None,
+        max_body_bytes: int = 1_000_000,
     ) -> None:
         """Write the next version of the configuration; services by name, true if sharded."""
         self.version += 1
@@ -108,7 +109,7 @@
             },
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 1000000,
+                "max_body_bytes": max_body_bytes,
                 "header_timeout": "3000ms",
                 "idle_timeout": "15000ms",
             },
--- a/standins/fleet/_process.py
+++ b/standins/fleet/_process.py
@@ -65,6 +65,8 @@
                 stdout=log,
                 stderr=log,
                 cwd=_ROOT,
+                # As on the platform; further arenas keep freed memory.
+                env=os.environ | {"MALLOC_ARENA_MAX": "1"},
             )
         self._frozen = False
 
--- a/standins/keyowner/_upstream.py
+++ b/standins/keyowner/_upstream.py
@@ -70,6 +70,7 @@
     :param known: advertised address; None for the address that it listens on.
     :param born: advertised start of the upstream, in milliseconds since the Unix epoch.
     :param is_cut_from_store: whether it starts without a path to the store.
+    :param response_bytes: least size of the body of a response.
     """
 
     def __init__(
@@ -85,7 +86,9 @@
         known: tuple[str, int] | None = None,
         born: int = FIRST_BORN,
         is_cut_from_store: bool = False,
+        response_bytes: int = 0,
     ) -> None:
+        self._response_bytes = response_bytes
         self.upstream_id = upstream_id
         self.service = service
         self.zone = zone
@@ -238,7 +241,9 @@
         return self._make_response(request_id, req)
 
     def _make_response(self, request_id: str, req: Request) -> Response:
-        body = f"{self.upstream_id} ran {req.method} {req.path}".encode()
+        body = f"{self.upstream_id} ran {req.method} {req.path}".encode().ljust(
+            self._response_bytes
+        )
         complete = _sealed_response(request_id, body)
         foreign = _sealed_response("another", b"not yours")
         if self.manner is Manner.LOSES_RESPONSES:
