--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -12,8 +12,8 @@
 from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
-from foxtailshunt.front import BodyBudget
 from foxtailshunt.http import SocketReader
+from foxtailshunt.memory import MemoryAccount, MemoryLimits
 from foxtailshunt.protocol import ProtocolServer, RelayReply, RelayRequest
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay import Forwarder, Outcome, UpstreamGroups
@@ -28,7 +28,7 @@
 @given("a front server with memory for bodies of {size:d} bytes, whose upstreams hold requests")
 def start(context: Context, size: int) -> None:
     context.front = FrontSubject(["slow"], max_body_bytes=_MAX_BODY_BYTES)
-    context.front.server.body_budget = BodyBudget(size)
+    context.front.server.memory = MemoryAccount(MemoryLimits(size))
     context.front.configure()
     context.add_cleanup(context.front.stop)
 
@@ -88,8 +88,8 @@
 
 @then("the node counts no more bytes of bodies")
 def check_released(context: Context) -> None:
-    budget = context.front.server.body_budget
-    wait_until(lambda: budget.reserved == 0, "release of the bytes")
+    memory = context.front.server.memory
+    wait_until(lambda: memory.reserved == 0, "release of the bytes")
 
 
 @then("a further body of {size:d} bytes is served")
--- a/foxtailshunt/admission/_call.py
+++ b/foxtailshunt/admission/_call.py
@@ -1,6 +1,8 @@
 """Requests to upstreams."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from foxtailshunt.memory import Reservation
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,8 @@
     caller_deadline: float | None = None
     #: Zones whose upstreams may get the request; None if all may.
     allowed_zones: frozenset[str] | None = None
+    #: Counts the bytes of the response; None to count none.
+    memory: Reservation | None = field(default=None, compare=False, repr=False)
 
     def may_use(self, zone: str) -> bool:
         """Return whether the request may be sent to upstreams of a zone.
--- a/foxtailshunt/cli/node.py
+++ b/foxtailshunt/cli/node.py
@@ -5,7 +5,6 @@
 import sys
 import uuid
 from pathlib import Path
-from types import FrameType
 
 import click
 
@@ -17,20 +16,8 @@
 EXIT_BAD_SETTINGS = 2
 
 
-class _SignalPipe:
-    """Passes signals to the main thread through a pipe, since a handler must not take locks."""
-
-    def __init__(self) -> None:
-        self._read_end, self._write_end = os.pipe()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, self._handle)
-
-    def wait(self) -> int:
-        """Block until a signal arrives and return its number."""
-        return os.read(self._read_end, 1)[0]
-
-    def _handle(self, number: int, frame: FrameType | None) -> None:
-        os.write(self._write_end, bytes([number]))
+#: Signals that the main thread waits for.
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 @click.command()
@@ -44,7 +31,9 @@
 )
 def main(settings_path: Path) -> None:
     """Run a node until SIGTERM or SIGINT; SIGHUP reloads the settings."""
-    signals = _SignalPipe()
+    # Blocked before any other thread starts, and thus in all threads: the kernel may give a signal
+    # that arrives while the process is suspended to any of them, which would not wake this one.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
     try:
         settings = load_node_settings(settings_path)
         set_source_host(settings.host)
@@ -53,7 +42,7 @@
         print(f"foxtailshunt-node: {exc}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     program.start()
-    while signals.wait() == signal.SIGHUP:
+    while signal.sigwait(_SIGNALS) == signal.SIGHUP:
         program.reload(settings_path)
     program.stop()
     sys.stdout.flush()
--- a/foxtailshunt/front/_front_connection.py
+++ b/foxtailshunt/front/_front_connection.py
@@ -4,22 +4,28 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPConnection
 
 from foxtailshunt.callers import Headers, Reply
-from foxtailshunt.front._body_budget import BodyBudgetError, BodyReservation
 from foxtailshunt.front._read_ahead import ReadAheadWatcher
 from foxtailshunt.front._response_order import Render, ResponseOrder
-from foxtailshunt.http import SocketReader, SocketWriter, StrictHttpRequest
+from foxtailshunt.http import (
+    BodyTooLargeError,
+    SocketReader,
+    SocketWriter,
+    StrictHttpRequest,
+    read_chunked_body,
+)
+from foxtailshunt.memory import NoMemoryError, Reservation
 
 #: Timeout for writing a response, in seconds.
 WRITE_TIMEOUT_S = 5.0
 
-_READ_BYTES = 65_536
+#: Size from which a response's body is sent separately instead of being copied behind its head.
+_SEPARATE_BODY_BYTES = 65_536
 _NO_BODY_STATUSES = (204, 304)
 #: Stands for a thread that has been started and has not begun to read.
 _STARTING_THREAD = -1
@@ -64,51 +70,64 @@
 
     def respond(self) -> None:
         """Serve the request of the connection."""
-        reservation = BodyReservation(self.req.server.body_budget)
+        reservation = self.req.server.memory.open()
+        conn = self.req.conn
         try:
-            body = self._read_body(reservation)
+            reservation.begin_transfer(conn.shut_down)
+            conn.rfile.on_receive = reservation.record_progress
+            try:
+                body = self._read_body(reservation)
+            finally:
+                conn.rfile.on_receive = None
+                reservation.end_transfer()
             if body is not None:
                 self.req.sent_headers = True
                 self.req.conn.run(self.req, body)
         finally:
             reservation.release()
 
-    def _read_body(self, reservation: BodyReservation) -> bytes | None:
-        """Return the whole body, or None if the request was refused."""
+    def _read_body(self, reservation: Reservation) -> bytes | None:
+        """Return the whole body, or None if the request was refused or its connection closed."""
         req = self.req
         length = 0 if req.chunked_read else int(req.inheaders.get(b"Content-Length", 0))
         try:
             reservation.grow(length)
             body = self._read_chunks(reservation) if req.chunked_read else req.rfile.read()
-        except BodyBudgetError:
+        except NoMemoryError:
+            # The refused caller may still send for a while.
+            reservation.release()
             req.refuse_body()
             return None
-        except ValueError:
-            req.simple_response("400 Bad Request", "The chunked body is malformed.")
-            return None
-        except TimeoutError:
-            req.simple_response("408 Request Timeout", "The body did not arrive in time.")
-            return None
-        except (MaxSizeExceeded, OSError) as exc:
-            # cheroot raises an OSError without an errno for a chunk that is too large.
-            if isinstance(exc, OSError) and exc.errno is not None:
-                raise
+        except (OSError, ValueError) as exc:
+            if not reservation.is_evicted:
+                self._report_failure(exc)
+                return None
+            body = b""
+        except BodyTooLargeError:
             req.simple_response("413 Content Too Large", "The body is too large.")
             return None
+        if reservation.is_evicted:
+            req.close_connection = True
+            req.sent_headers = True
+            req.conn.order.fail()
+            return None
         if not req.chunked_read and len(body) != length:
             req.simple_response("400 Bad Request", "The body ended early.")
             return None
         return body
 
-    def _read_chunks(self, reservation: BodyReservation) -> bytes:
-        rfile = self.req.rfile
-        parts: list[bytes] = []
-        while part := rfile.read(_READ_BYTES):
-            reservation.grow(len(part))
-            parts.append(part)
-        for _ in rfile.read_trailer_lines():
-            pass
-        return b"".join(parts)
+    def _report_failure(self, exc: Exception) -> None:
+        req = self.req
+        if isinstance(exc, ValueError):
+            req.simple_response("400 Bad Request", "The chunked body is malformed.")
+        elif isinstance(exc, TimeoutError):
+            req.simple_response("408 Request Timeout", "The body did not arrive in time.")
+        else:
+            raise exc
+
+    def _read_chunks(self, reservation: Reservation) -> bytes:
+        max_bytes = self.req.server.max_request_body_size
+        return read_chunked_body(self.req.conn.rfile, max_bytes, reservation.grow)
 
 
 class _InterimWriter:
@@ -156,8 +175,9 @@
         sock.setblocking(False)
         writer = SocketWriter(sock)
         writer.timeout_s = WRITE_TIMEOUT_S
+        self._writer = writer
         #: Order of the responses.
-        self.order = ResponseOrder(writer.write, lambda: server.is_draining)
+        self.order = ResponseOrder(self._write_response, lambda: server.is_draining)
         #: True after the first request was served.
         self.has_served = False
         self._interim_writer = _InterimWriter(writer, self.order)
@@ -205,7 +225,9 @@
         headers = _decode_headers(req)
         handler = self.server.handler
         idempotent = handler.is_idempotent(method, target, headers)
-        turn = self.order.admit(idempotent, len(body))
+        # Released when the response has been written, possibly by another thread.
+        memory = self.server.memory.open()
+        turn = self.order.admit(idempotent, len(body), memory)
         if turn is None:
             # An earlier response closes the connection.
             req.close_connection = True
@@ -213,7 +235,9 @@
         if idempotent and not req.close_connection and self.order.may_read_ahead():
             self._release_reading()
         try:
-            reply = handler.handle(method, target, headers, body, self.socket, req.received_at)
+            reply = handler.handle(
+                method, target, headers, body, self.socket, req.received_at, memory
+            )
         except Exception:
             req.close_connection = True
             reply = handler.reject(500, "Internal error.")
@@ -228,6 +252,26 @@
         if self.order.complete(turn, render, len(reply.body), req.close_connection):
             self._reclaim_reading()
 
+    def shut_down(self) -> None:
+        """End the connection; the threads that read or write it get an error."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller has closed it.
+            pass
+
+    def _write_response(self, parts: Sequence[bytes], memory: Reservation | None) -> None:
+        if memory is not None:
+            memory.begin_transfer(self.shut_down)
+            self._writer.on_send = memory.record_progress
+        try:
+            for part in parts:
+                self._writer.write(part)
+        finally:
+            self._writer.on_send = None
+            if memory is not None:
+                memory.release()
+
     def _release_reading(self) -> None:
         """Let another thread read the next request while this thread runs one."""
         with self._lock:
@@ -280,7 +324,7 @@
     :param is_head: whether it answers a HEAD request.
     """
 
-    def render(closes: bool) -> bytes:
+    def render(closes: bool) -> tuple[bytes, ...]:
         reason = http.client.responses.get(reply.status, "Status")
         lines = [f"HTTP/1.1 {reply.status} {reason}"]
         lines += [f"{name}: {value}" for name, value in reply.headers]
@@ -289,7 +333,11 @@
             lines.append(f"Content-Length: {len(reply.body)}")
         if closes:
             lines.append("Connection: close")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("latin-1") + (b"" if is_empty or is_head else reply.body)
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        if is_empty or is_head:
+            return (head,)
+        if len(reply.body) < _SEPARATE_BODY_BYTES:
+            return (head + reply.body,)
+        return (head, reply.body)
 
     return render
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers, with a thread for each connection and for each overlapping request."""
 
+import errno
 import os
 import select
 import socket
@@ -9,25 +10,24 @@
 from collections.abc import Callable
 
 from foxtailshunt.fleet import Address
-from foxtailshunt.front._body_budget import BodyBudget
 from foxtailshunt.front._front_connection import FrontConnection, FrontGateway
 from foxtailshunt.front._lingering_close import discard_until_closed
 from foxtailshunt.front._read_ahead import ReadAheadWatcher
 from foxtailshunt.front._request_handler import RequestHandler
+from foxtailshunt.memory import MemoryAccount, connection_limit
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBindingServer, Metrics, log_state_change
 
-#: Maximum number of connections; each has a thread of about 60 KB.
-MAX_CONNECTIONS = 1500
-#: Number of threads from which requests of one connection no longer overlap.
-MAX_THREADS = MAX_CONNECTIONS
 #: Time that a connection accepted while draining may take to start its request, in seconds.
 FIRST_REQUEST_TIMEOUT_S = 1.0
 #: Interval between checks for open connections while draining, in seconds.
 DRAIN_POLL_INTERVAL_S = 0.02
 
 _BACKLOG = 512
+_NO_DESCRIPTOR_ERRORS = (errno.EMFILE, errno.ENFILE)
 _ACCEPT_TIMEOUT_S = 0.1
+#: Pause after a connection could not be accepted for lack of descriptors, in seconds.
+_NO_DESCRIPTOR_PAUSE_S = 0.05
 
 
 class FrontServer(EarlyBindingServer):
@@ -37,6 +37,9 @@
     :param handler: serves requests.
     :param limits: returns the current limits.
     :param metrics: counters.
+    :param memory: counts the bytes of bodies; None for an own account.
+    :param max_connections: maximum number of connections, and of the threads from which requests of
+        one connection no longer overlap; None for the default.
     :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
     """
 
@@ -46,10 +49,13 @@
         handler: RequestHandler,
         limits: Callable[[], FrontLimits],
         metrics: Metrics,
+        memory: MemoryAccount | None = None,
+        max_connections: int | None = None,
     ) -> None:
         super().__init__(address, FrontGateway, minthreads=1)
         self.handler = handler
-        self.body_budget = BodyBudget()
+        self.memory = memory or MemoryAccount()
+        self._max_connections = max_connections or connection_limit(None)
         self.is_draining = False
         self._limits = limits
         self._metrics = metrics
@@ -140,14 +146,21 @@
             except ConnectionAbortedError:
                 # The caller has closed its connection already; others may wait behind it.
                 continue
-            except OSError:
+            except OSError as exc:
+                if exc.errno in _NO_DESCRIPTOR_ERRORS:
+                    self.count_rejected("descriptors")
+                    time.sleep(_NO_DESCRIPTOR_PAUSE_S)
                 return None
 
     def _add_connection(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            return
         conn = FrontConnection(self, sock, self._watcher, self._start_further_thread)
         with self._lock:
-            is_at_limit = len(self._connections) >= MAX_CONNECTIONS
+            is_at_limit = len(self._connections) >= self._max_connections
             if not is_at_limit:
                 self._connections.add(conn)
                 self._thread_count += 1
@@ -160,7 +173,7 @@
     def _start_further_thread(self, conn: FrontConnection) -> bool:
         """Start another thread for a connection, unless there are too many threads."""
         with self._lock:
-            if self._thread_count >= MAX_THREADS:
+            if self._thread_count >= self._max_connections:
                 return False
             self._thread_count += 1
         try:
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -15,6 +15,7 @@
     build_failure,
     find_host,
 )
+from foxtailshunt.memory import Reservation
 from foxtailshunt.relay import (
     STOPPING_RETRY_AFTER_S,
     AttemptHistory,
@@ -105,6 +106,7 @@
         body: bytes,
         caller: socket.socket | None,
         received_at: float | None = None,
+        memory: Reservation | None = None,
     ) -> Reply:
         """Serve a request and return the reply.
 
@@ -115,6 +117,7 @@
         :param caller: the caller's connection, watched for a disconnect; None if there is none.
         :param received_at: when the head of the request was received, in seconds of the monotonic
             clock, from which timeouts are counted; None for now.
+        :param memory: counts the bytes of the response; None to count none.
         """
         started_at = time.monotonic() if received_at is None else received_at
         request_id = ""
@@ -123,7 +126,7 @@
             state = self._route(request_id, method, target, headers, started_at)
         except FoxtailshuntError as exc:
             return self._refuse(request_id, exc)
-        last = self._send_with_retries(state, method, target, headers, body, caller)
+        last = self._send_with_retries(state, method, target, headers, body, caller, memory)
         outcome = state.final_outcome(last)
         # The node may have begun to stop after the request was routed.
         is_shortened = self._stop_schedule.limit(state.deadline) < state.deadline
@@ -199,6 +202,7 @@
         headers: tuple[tuple[str, str], ...],
         body: bytes,
         caller: socket.socket | None,
+        memory: Reservation | None,
     ) -> Outcome:
         route, request_info = state.route, state.request_info
         key = self._request_key(state)
@@ -206,6 +210,9 @@
         if key is not None:
             self._record_demand(state.service, key, self._latencies.mean_latency_s(route.name))
         while True:
+            if memory is not None:
+                # The response to an earlier attempt is dropped.
+                memory.release()
             owner = None
             if key is not None:
                 owner = self._find_owner(state, key)
@@ -231,6 +238,7 @@
                 excluded=state.excluded,
                 allowed_zones=self._regions.allowed_zones(route.allowed_regions),
                 caller_deadline=state.caller_deadline,
+                memory=memory,
             )
             outcome = self._execute(call, caller)
             if not self._prepare_retry(state, outcome):
--- a/foxtailshunt/front/_response_order.py
+++ b/foxtailshunt/front/_response_order.py
@@ -2,9 +2,11 @@
 
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from foxtailshunt.memory import Reservation
+
 #: Maximum number of requests of one connection that are in progress or wait for their response to
 #: be written.
 MAX_OVERLAPPING = 8
@@ -12,8 +14,10 @@
 #: request may exceed it.
 MAX_OVERLAPPING_BYTES = 256 * 1024
 
-#: Returns the bytes of a response; its argument tells whether the response closes the connection.
-Render = Callable[[bool], bytes]
+#: Returns the parts of a response; its argument tells whether the response closes the connection.
+Render = Callable[[bool], Sequence[bytes]]
+#: Sends the parts of a response, and releases its memory.
+Write = Callable[[Sequence[bytes], Reservation | None], None]
 
 
 @dataclass(slots=True, eq=False)
@@ -28,6 +32,8 @@
     render: Render | None = None
     #: True if the connection is to be closed after the response.
     closes: bool = False
+    #: Memory of the response; None if it takes none.
+    memory: Reservation | None = None
 
 
 class ResponseOrder:
@@ -37,12 +43,12 @@
     and none behind it starts before it has ended. A response that closes the connection is the last
     one: no request behind it is admitted.
 
-    :param write: sends bytes to the caller; raises ``OSError`` if that fails.
+    :param write: sends a response to the caller; raises ``OSError`` if that fails.
     :param is_draining: returns whether the connection is to be closed after the responses to the
         requests that have been admitted.
     """
 
-    def __init__(self, write: Callable[[bytes], None], is_draining: Callable[[], bool]) -> None:
+    def __init__(self, write: Write, is_draining: Callable[[], bool]) -> None:
         self._write = write
         self._is_draining = is_draining
         self._changed = threading.Condition()
@@ -58,18 +64,19 @@
         """Return whether no more requests are admitted."""
         return self._is_closing
 
-    def admit(self, idempotent: bool, size: int) -> Turn | None:
+    def admit(self, idempotent: bool, size: int, memory: Reservation | None = None) -> Turn | None:
         """Wait until a request may start; return its turn, or None if it must not be passed on.
 
         :param idempotent: whether the request may overlap with other idempotent ones.
         :param size: size of its body in bytes.
+        :param memory: memory of its response, which is released when that has been written.
         """
         with self._changed:
             while not self._is_closing and not self._may_start(idempotent, size):
                 self._changed.wait()
             if self._is_closing:
                 return None
-            turn = Turn(idempotent, size)
+            turn = Turn(idempotent, size, memory=memory)
             self._turns.append(turn)
             return turn
 
@@ -96,13 +103,16 @@
         :raises OSError: writing failed; no further response is written.
         """
         with self._changed:
+            is_dropped = turn not in self._turns
             turn.render, turn.size, turn.closes = render, size, closes
             if closes:
                 self._is_closing = True
-            if self._is_writing:
-                return False
+            may_write = not self._is_writing
             self._is_writing = True
-        return self._write_due()
+        if is_dropped:
+            # The connection has failed, or an earlier response was the last one.
+            _release([turn])
+        return self._write_due() if may_write else False
 
     def close_after(self, render: Render) -> None:
         """Add a response of this node's own behind those to the admitted requests, and close.
@@ -127,8 +137,10 @@
         """Write no further response and admit no further request."""
         with self._changed:
             self._is_closing = self._has_failed = True
+            dropped = list(self._turns)
             self._turns.clear()
             self._changed.notify_all()
+        _release(dropped)
 
     def _may_start(self, idempotent: bool, size: int) -> bool:
         if not self._turns:
@@ -151,14 +163,24 @@
                 closes = turn.closes or (is_last and self._is_closing)
                 data = turn.render(closes)
             try:
-                self._write(data)
+                self._write(data, turn.memory)
             except OSError:
                 self.fail()
                 raise
             with self._changed:
                 if self._turns:
                     self._turns.popleft()
+                dropped = []
                 if closes:
                     self.has_sent_last = True
+                    dropped = list(self._turns)
                     self._turns.clear()
                 self._changed.notify_all()
+            _release(dropped)
+
+
+def _release(turns: Sequence[Turn]) -> None:
+    """Release the memory of responses that are not written."""
+    for turn in turns:
+        if turn.memory is not None:
+            turn.memory.release()
--- a/foxtailshunt/http/__init__.py
+++ b/foxtailshunt/http/__init__.py
@@ -1,6 +1,7 @@
 """Strict HTTP: callers' requests, built on cheroot, and responses of upstreams."""
 
 from foxtailshunt.http._channel import HttpChannel, format_request
+from foxtailshunt.http._chunked_body import BodyTooLargeError, read_chunked_body
 from foxtailshunt.http._response import (
     MAX_RESPONSE_BODY_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
@@ -15,6 +16,7 @@
     "MAX_HEAD_BYTES",
     "MAX_RESPONSE_BODY_BYTES",
     "MAX_RESPONSE_HEAD_BYTES",
+    "BodyTooLargeError",
     "HttpChannel",
     "HttpResponse",
     "MalformedResponseError",
@@ -22,5 +24,6 @@
     "SocketWriter",
     "StrictHttpRequest",
     "format_request",
+    "read_chunked_body",
     "read_response",
 ]
--- a/foxtailshunt/http/_channel.py
+++ b/foxtailshunt/http/_channel.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from foxtailshunt.http._response import MAX_RESPONSE_BODY_BYTES, HttpResponse, read_response
@@ -52,18 +52,26 @@
         finally:
             self._reader.may_receive = True
 
-    def send(self, message: bytes, deadline: float) -> None:
+    def send(self, message: bytes, deadline: float, body: bytes = b"") -> None:
         """Send a request.
 
         :param message: the request, as :func:`format_request` returns it.
         :param deadline: time of the timeout, in seconds of the monotonic clock.
+        :param body: body that the message does not contain.
         :raises OSError: sending failed; part of the request may have arrived.
         """
         self.sock.settimeout(max(0.001, deadline - time.monotonic()))
         self.sock.sendall(message)
+        if body:
+            self.sock.settimeout(max(0.001, deadline - time.monotonic()))
+            self.sock.sendall(body)
 
     def receive(
-        self, method: str, deadline: float, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+        self,
+        method: str,
+        deadline: float,
+        max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
+        reserve: Callable[[int], None] | None = None,
     ) -> HttpResponse:
         """Receive a response.
 
@@ -71,11 +79,13 @@
         :param deadline: time by which the response has to be complete, in seconds of the monotonic
             clock.
         :param max_body_bytes: maximum size of the body, in bytes.
+        :param reserve: called with the size of each part of the body before it is read; may raise
+            an exception to end the reading. None for no call.
         :raises http.client.HTTPException: the response is malformed, incomplete or too large.
         :raises OSError: receiving failed, for example because of the deadline.
         """
         self._reader.deadline = deadline
-        return read_response(self._buffered, method, max_body_bytes)
+        return read_response(self._buffered, method, max_body_bytes, reserve)
 
     def reset(self) -> None:
         """Reset the connection, so that the server stops working and unsent data is discarded."""
@@ -122,13 +132,16 @@
         self.parts.append(bytes(data))
 
 
-def format_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+def format_request(
+    method: str, target: str, headers: Headers, body: bytes, with_body: bool = True
+) -> bytes:
     """Return the bytes of a request.
 
     :param method: HTTP method.
     :param target: path and query.
     :param headers: headers except Content-Length.
     :param body: body.
+    :param with_body: False to return the head only; the body is sent separately.
     :raises http.client.HTTPException: the target or method is malformed.
     :raises ValueError: a header is malformed.
     """
@@ -139,4 +152,4 @@
     if body or method not in _METHODS_WITHOUT_BODY:
         formatter.putheader("Content-Length", str(len(body)))
     formatter.endheaders()
-    return b"".join(formatter.parts) + body
+    return b"".join(formatter.parts) + (body if with_body else b"")
--- a/foxtailshunt/http/_response.py
+++ b/foxtailshunt/http/_response.py
@@ -9,6 +9,7 @@
 import http.client
 import io
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,6 +24,8 @@
 #: chunk takes processor time, however small it is.
 _MAX_FRAMING_BYTES, _MAX_FRAMING_SHARE = 65_536, 0.25
 _FIRST_FINAL_STATUS = 200
+#: Size of the pieces in which a body without a length is read, in bytes.
+_PIECE_BYTES = 65_536
 _MAX_LENGTH_DIGITS = 18
 #: Statuses are 100 to 599. ``http.client`` accepts up to 999, and whatever ``int()`` reads as a
 #: number, such as ``+200`` and ``2_00``.
@@ -54,17 +57,22 @@
 
 
 def read_response(
-    source: io.BufferedReader, method: str, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES
+    source: io.BufferedReader,
+    method: str,
+    max_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
+    reserve: Callable[[int], None] | None = None,
 ) -> HttpResponse:
     """Read one response.
 
     :param source: the connection; stays open.
     :param method: method of the request.
     :param max_body_bytes: maximum size of the body, in bytes.
+    :param reserve: called with the size of each part of the body before it is read; may raise an
+        exception to end the reading. None for no call.
     :raises http.client.HTTPException: the response is malformed, incomplete or too large.
     :raises OSError: reading failed.
     """
-    bounded: Any = _BoundedSource(source)
+    bounded: Any = _BoundedSource(source, reserve)
     response = http.client.HTTPResponse(bounded, method=method)
     bounded.allow(MAX_RESPONSE_HEAD_BYTES)
     bounded.expect_status_line()
@@ -105,15 +113,21 @@
     if "Transfer-Encoding" in response.headers:
         return _read_chunks(source, max_body_bytes)
     if response.length is None:
-        body = source.read(max_body_bytes + 1)
-        if len(body) > max_body_bytes:
-            raise MalformedResponseError("the body is too large")
-        return body
+        return _read_to_end(source, max_body_bytes)
     if response.length > max_body_bytes:
         raise MalformedResponseError("the body is too large")
     return _read_exactly(source, response.length)
 
 
+def _read_to_end(source: "_BoundedSource", max_body_bytes: int) -> bytes:
+    body = bytearray()
+    while part := source.read(_PIECE_BYTES):
+        body += part
+        if len(body) > max_body_bytes:
+            raise MalformedResponseError("the body is too large")
+    return bytes(body)
+
+
 def _read_chunks(source: "_BoundedSource", max_body_bytes: int) -> bytes:
     """Return the content of all chunks, after reading the trailers."""
     # One buffer: an object for each chunk would take many times the memory of a small one.
@@ -152,8 +166,9 @@
 class _BoundedSource:
     """File of a connection that http.client can neither close nor read without limit."""
 
-    def __init__(self, source: io.BufferedReader) -> None:
+    def __init__(self, source: io.BufferedReader, reserve: Callable[[int], None] | None) -> None:
         self._source = source
+        self._reserve = reserve
         self._left = 0
         self._has_read = False
         self._is_in_head = False
@@ -206,7 +221,10 @@
 
         :param size: number of bytes.
         """
-        return self._take(self._source.read(min(size, self._left + 1)))
+        size = min(size, self._left + 1)
+        if self._reserve is not None:
+            self._reserve(size)
+        return self._take(self._source.read(size))
 
     def _take(self, data: bytes) -> bytes:
         self._left -= len(data)
--- /dev/null
+++ b/foxtailshunt/memory/_limits.py
@@ -0,0 +1,56 @@
+"""Limits of bodies and connections, from the memory and descriptors of an instance."""
+
+from dataclasses import dataclass
+
+_MB = 1024 * 1024
+#: Limit without a stated memory, in bytes. A body exists up to twice while it is sent on, and an
+#: instance may have 200 MB, of which a node without requests takes 45.
+DEFAULT_LIMIT_BYTES = 24 * _MB
+#: Memory of a node without requests, with room for the fleet's tables and for threads, in MB.
+_BASE_MB = 64
+#: Share of the remaining memory that bodies may take by count; copies take the rest.
+_BODY_SHARE = 0.25
+#: Smallest limit: two of the largest messages between nodes, in bytes.
+_MIN_LIMIT_BYTES = 8 * _MB
+#: A single body takes up to this multiple of its size while it is received.
+_SINGLE_BODY_FACTOR = 1.3
+#: Maximum number of callers' connections; each has a thread of about 60 KB.
+_MAX_CONNECTIONS = 1500
+_MIN_CONNECTIONS = 16
+#: Descriptors for the store, other nodes, upstreams and the process itself.
+_RESERVED_FDS = 150
+#: Descriptors of a connection with a request: its own and that of the connection it is sent on.
+_FDS_PER_CONNECTION = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryLimits:
+    """Limits of a memory account, in bytes."""
+
+    #: Limit of all bodies together.
+    total: int = DEFAULT_LIMIT_BYTES
+    #: Limit of a single body, which may exceed that of all; None for no limit.
+    single: int | None = None
+
+    @classmethod
+    def for_memory(cls, memory_mb: float | None) -> "MemoryLimits":
+        """Return the limits for an instance.
+
+        :param memory_mb: memory of the instance in MB; None if it is not stated.
+        """
+        if memory_mb is None:
+            return cls()
+        free_bytes = max(0, int((memory_mb - _BASE_MB) * _MB))
+        total = max(_MIN_LIMIT_BYTES, int(free_bytes * _BODY_SHARE))
+        return cls(total, max(total, int(free_bytes / _SINGLE_BODY_FACTOR)))
+
+
+def connection_limit(max_fds: int | None) -> int:
+    """Return the maximum number of callers' connections.
+
+    :param max_fds: descriptors that the process may open; None if it is not stated.
+    """
+    if max_fds is None:
+        return _MAX_CONNECTIONS
+    count = (max_fds - _RESERVED_FDS) // _FDS_PER_CONNECTION
+    return max(_MIN_CONNECTIONS, min(_MAX_CONNECTIONS, count))
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -24,11 +24,25 @@
     RelayReply,
     RelayRequest,
     current_connection,
+    current_memory,
 )
 from foxtailshunt.relay import OriginExits, Outcome, Sender, to_call, to_relay_reply
 
 #: Maximum time that a poll waits for a change, in seconds.
 MAX_POLL_WAIT_S = 2.0
+#: Retry-After of a request that the sender has no memory for, in seconds.
+_NO_MEMORY_RETRY_AFTER_S = 0.5
+
+
+def refuse_relay() -> RelayReply:
+    """Return the reply to a request of another node that this one has no memory for."""
+    return to_relay_reply(
+        Outcome(
+            ResultCode.NO_MEMORY,
+            "the bodies in progress take too much memory at the sender",
+            retry_after_s=_NO_MEMORY_RETRY_AFTER_S,
+        )
+    )
 
 
 class PeerService:
@@ -80,7 +94,7 @@
         """
         if self._stopping.is_set():
             return to_relay_reply(Outcome(ResultCode.STOPPING, "the sender is stopping"))
-        call = to_call(req, time.monotonic())
+        call = to_call(req, time.monotonic(), current_memory())
         return to_relay_reply(self._sender.execute_for_peer(call, current_connection()))
 
     def announce_exit(self, req: ExitNotice) -> ExitNoticeReply:
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -20,6 +20,7 @@
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import FleetSize, FleetView, Member, StoreCallSpacing
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
+from foxtailshunt.memory import MemoryAccount, MemoryLimits, connection_limit
 from foxtailshunt.node._configuration_watch import (
     ConfigurationApplier,
     ConfigurationFormat,
@@ -28,7 +29,8 @@
 from foxtailshunt.node._dump import describe_node
 from foxtailshunt.node._follower import DemandCollector, Follower
 from foxtailshunt.node._gauges import GAUGE_INTERVAL_S, GaugeUpdater
-from foxtailshunt.node._peer_service import PeerService
+from foxtailshunt.node._memory_events import MemoryEvents
+from foxtailshunt.node._peer_service import PeerService, refuse_relay
 from foxtailshunt.node._settings import InterfaceKind, NodeSettings, load_node_settings
 from foxtailshunt.node._warmups import follow_warmups
 from foxtailshunt.platform import (
@@ -77,6 +79,8 @@
 SUPPRESSED_LINES_INTERVAL_S = 1.0
 #: Interval between log lines that count the decisions of admission control, in seconds.
 DECISIONS_INTERVAL_S = 1.0
+#: Interval between log lines that count the transfers without memory, in seconds.
+MEMORY_EVENTS_INTERVAL_S = 1.0
 #: Interval between checks whether this node has become leader, in seconds.
 LEADERSHIP_CHECK_INTERVAL_S = 0.5
 #: Interval between checks for idle connections to other nodes, in seconds.
@@ -197,11 +201,15 @@
             now,
             mean_work,
         )
+        memory_events = MemoryEvents(self._metrics)
+        memory = MemoryAccount(MemoryLimits.for_memory(settings.memory_mb), memory_events.record)
         self._peer_server = ProtocolServer(
             Peer,
             self._peer_service,
             (settings.host, settings.peer_listen_port or settings.peer_port),
             self._count_bad_frame,
+            memory,
+            {"relay": refuse_relay},
         )
         configuration_applier = ConfigurationApplier(fmt, self._view)
         self._follower = Follower(
@@ -225,12 +233,20 @@
             call_spacing,
             lambda: self._leadership.term is not None,
         )
-        self._front = FrontServer(settings.callers, handler, self._limits, self._metrics)
+        self._front = FrontServer(
+            settings.callers,
+            handler,
+            self._limits,
+            self._metrics,
+            memory,
+            connection_limit(settings.max_fds),
+        )
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
         self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
         self._timers = TimerService(MonotonicClock(), lambda exc: log_thread_error("timer", exc))
         self._timers.subscribe(SUPPRESSED_LINES_INTERVAL_S, log.log_suppressed)
         self._timers.subscribe(DECISIONS_INTERVAL_S, self._sender.log_decisions)
+        self._timers.subscribe(MEMORY_EVENTS_INTERVAL_S, lambda: memory_events.log(memory.reserved))
         gauges = GaugeUpdater(self._metrics, self._view, self._sender, self._leadership, budget)
         self._timers.subscribe(GAUGE_INTERVAL_S, gauges.update)
         self._timers.subscribe(FLEET_SIZE_INTERVAL_S, fleet_size.observe)
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -74,6 +74,11 @@
     #: of its rate and this additional number. None if the deployment states no such bound.
     cold_rate_ratio: float | None = Field(default=None, ge=1)
     cold_reserve: float | None = Field(default=None, ge=0)
+    #: Memory of the instance in MB, which limits the bodies in progress; None for a fixed limit.
+    memory_mb: float | None = Field(default=None, gt=0)
+    #: Descriptors that the node may open, which limit the connections of callers; None for a fixed
+    #: limit.
+    max_fds: int | None = Field(default=None, gt=0)
     #: Region of the node; None if the deployment has no regions.
     region: str | None = None
     #: Region of each availability zone; ignored if it is not a table.
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -4,9 +4,14 @@
 file and committed.
 """
 
-from foxtailshunt.protocol._client import CallerDisconnectedError, ClientPool, PeerClient
+from foxtailshunt.protocol._client import (
+    CallerDisconnectedError,
+    ClientPool,
+    NoReplyMemoryError,
+    PeerClient,
+)
 from foxtailshunt.protocol._limits import MAX_RELAYED_BODY_BYTES
-from foxtailshunt.protocol._server import ProtocolServer, current_connection
+from foxtailshunt.protocol._server import ProtocolServer, current_connection, current_memory
 from foxtailshunt.protocol.gen.ttypes import (
     Endpoint,
     ExitNotice,
@@ -37,6 +42,7 @@
     "Header",
     "KeyDemand",
     "KnownVersions",
+    "NoReplyMemoryError",
     "NodeMember",
     "OwnedRange",
     "PeerClient",
@@ -47,4 +53,5 @@
     "UpstreamPace",
     "UpstreamRecord",
     "current_connection",
+    "current_memory",
 ]
--- a/foxtailshunt/protocol/_client.py
+++ b/foxtailshunt/protocol/_client.py
@@ -11,9 +11,9 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TException
 from thrift.transport.TSocket import TSocket
-from thrift.transport.TTransport import TFramedTransport
 
 from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.memory import NoMemoryError, Reservation
 from foxtailshunt.network import (
     KEEPALIVE_SOCKET_OPTIONS,
     WaitOutcome,
@@ -21,7 +21,8 @@
     source_address,
     wait_readable,
 )
-from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S, MAX_FRAME_BYTES
+from foxtailshunt.protocol._counted_transport import CountedTransport
+from foxtailshunt.protocol._limits import CONNECT_TIMEOUT_S
 from foxtailshunt.protocol._validation import check_required_fields
 
 # The library logs each refused connection with a traceback; here the error is raised and counted.
@@ -43,6 +44,16 @@
         super().__init__(message, sent=True)
 
 
+class NoReplyMemoryError(PeerUnreachableError):
+    """There was no memory for the reply to a call; the connection to the peer was reset.
+
+    :param message: the method and the peer.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, sent=True)
+
+
 class PeerClient:
     """A connection to a peer's Thrift service; used by one thread at a time.
 
@@ -55,7 +66,7 @@
         #: When the connection last became idle, in seconds of the monotonic clock.
         self.idle_since = 0.0
         self._socket = TSocket(*address)
-        self._transport = TFramedTransport(self._socket, MAX_FRAME_BYTES)
+        self._transport = CountedTransport(self._socket)
         self._client = service.Client(TCompactProtocolAccelerated(self._transport))
 
     def open(self) -> None:
@@ -77,6 +88,7 @@
         req: Any,
         timeout_s: float,
         caller: socket.socket | None = None,
+        memory: Reservation | None = None,
     ) -> Any:
         """Send a request and wait for its reply.
 
@@ -85,12 +97,16 @@
         :param timeout_s: timeout of each socket operation in seconds.
         :param caller: the caller's connection; the call is cancelled when the caller closes it.
             None to watch no connection.
+        :param memory: counts the bytes of the reply; None to count none.
         :returns: reply struct of the method.
         :raises CallerDisconnectedError: the caller closed its connection.
+        :raises NoReplyMemoryError: there is no memory for the reply.
         :raises PeerUnreachableError: the call failed; the request may have reached the peer. The
             connection was reset and must not be used again.
         """
         self._socket.setTimeout(timeout_s * 1000)
+        self._transport.count_next(memory)
+        held = 0 if memory is None else memory.held
         try:
             getattr(self._client, f"send_{method}")(req)
             if caller is not None:
@@ -99,9 +115,15 @@
             check_required_fields(reply)
         except PeerUnreachableError:
             raise
+        except NoMemoryError:
+            self.reset()
+            raise NoReplyMemoryError(f"{method} at {self.address}: no memory for the reply")
         except _CALL_ERRORS as exc:
             self.reset()
             raise PeerUnreachableError(f"{method} at {self.address} failed: {exc}", sent=True)
+        if memory is not None:
+            # The frame has been decoded, and only the copy remains.
+            memory.shrink((memory.held - held) // 2)
         return reply
 
     def _wait_for_reply(self, method: str, timeout_s: float, caller: socket.socket) -> None:
@@ -160,6 +182,7 @@
         timeout_s: float,
         max_idle_s: float | None = None,
         caller: socket.socket | None = None,
+        memory: Reservation | None = None,
     ) -> Any:
         """Call a peer on an idle connection, or on a new one.
 
@@ -173,6 +196,7 @@
         :param max_idle_s: maximum idle time in seconds; connections idle for longer are reset
             and replaced. None for no limit.
         :param caller: the caller's connection; the call is cancelled when the caller closes it.
+        :param memory: counts the bytes of the reply; None to count none.
         :returns: the reply struct.
         :raises CallerDisconnectedError: the caller closed its connection.
         :raises PeerUnreachableError: the call failed; ``sent`` is True if the request may have
@@ -182,7 +206,7 @@
         with self._lock:
             self._calling.add(client)
         try:
-            reply = client.call(method, req, timeout_s, caller)
+            reply = client.call(method, req, timeout_s, caller, memory)
         finally:
             with self._lock:
                 self._calling.discard(client)
--- a/foxtailshunt/protocol/_server.py
+++ b/foxtailshunt/protocol/_server.py
@@ -3,20 +3,24 @@
 import socket
 import struct
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import ModuleType
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocol, TCompactProtocolAccelerated
+from thrift.Thrift import TMessageType
 from thrift.transport.TTransport import TMemoryBuffer
 
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
+from foxtailshunt.memory import MemoryAccount, Reservation
 from foxtailshunt.network import KEEPALIVE_SOCKET_OPTIONS
+from foxtailshunt.protocol._frame_reader import FrameReader, UncountedFrameError
 from foxtailshunt.protocol._limits import MAX_FRAME_BYTES
 from foxtailshunt.protocol._validation import ReplacedTextError, ValidatingHandler
 
 _BACKLOG = 512
-_RECEIVE_BYTES = 65_536
+#: Size from which a reply is sent separately instead of being copied behind its header, in bytes.
+_SEPARATE_BODY_BYTES = 65_536
 _FRAME_HEADER = struct.Struct("!i")
 _ACCEPT_POLL_S = 0.1
 _DRAIN_POLL_S = 0.02
@@ -32,6 +36,11 @@
     return _thread_state.conn
 
 
+def current_memory() -> Reservation:
+    """Return the memory of the call that this thread is handling."""
+    return _thread_state.memory
+
+
 class ProtocolServer:
     """Serves a Thrift service on one address, with one thread for each connection.
 
@@ -41,6 +50,9 @@
     :param handler: object whose methods handle the calls.
     :param address: host and port to listen on.
     :param on_bad_frame: called for each malformed or oversized frame.
+    :param memory: counts the bytes of calls and replies; None for an own account.
+    :param refusals: for each method whose calls are refused if there is no memory, a function that
+        returns the reply; other calls are always read.
     :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
     """
 
@@ -50,10 +62,17 @@
         handler: Any,
         address: tuple[str, int],
         on_bad_frame: Callable[[], None],
+        memory: MemoryAccount | None = None,
+        refusals: Mapping[str, Callable[[], Any]] | None = None,
     ) -> None:
-        self._processor = service.Processor(ValidatingHandler(handler, is_text_checked=True))
+        self._service = service
+        self._memory = memory or MemoryAccount()
+        self._refusals = refusals or {}
+        self._processor = service.Processor(
+            ValidatingHandler(handler, is_text_checked=True, on_valid=_drop_frame)
+        )
         self._strict_processor = service.Processor(
-            ValidatingHandler(handler, is_text_checked=False)
+            ValidatingHandler(handler, is_text_checked=False, on_valid=_drop_frame)
         )
         self._on_bad_frame = on_bad_frame
         self._stopping = threading.Event()
@@ -114,19 +133,31 @@
 
     def _serve_calls(self, conn: socket.socket) -> None:
         while True:
+            memory = _thread_state.memory = self._memory.open()
+            reader = FrameReader(conn, memory, self._refusals)
             try:
-                frame = _read_frame(conn)
+                frame = reader.read()
+            except UncountedFrameError as exc:
+                if not self._refuse(conn, exc):
+                    return
+                continue
             except OSError:
                 return
             except ValueError:
                 self._on_bad_frame()
                 return
+            finally:
+                if reader.has_failed:
+                    memory.release()
             if frame is None:
                 return
             with self._lock:
                 self._calls_in_progress += 1
             try:
-                conn.sendall(self._process(frame))
+                _thread_state.frame_bytes = len(frame)
+                buffer = TMemoryBuffer(frame)
+                del frame
+                _send_frame(conn, self._process(buffer))
             except OSError:
                 return
             except Exception:
@@ -134,25 +165,56 @@
                 self._on_bad_frame()
                 return
             finally:
+                memory.release()
                 with self._lock:
                     self._calls_in_progress -= 1
 
-    def _process(self, frame: bytes) -> bytes:
+    def _refuse(self, conn: socket.socket, exc: UncountedFrameError) -> bool:
+        """Reply to a call for which there is no memory; return whether the connection is usable."""
+        result = getattr(self._service, f"{exc.method}_result")(self._refusals[exc.method]())
+        reply = TMemoryBuffer()
+        protocol = _compiled(reply)
+        protocol.writeMessageBegin(exc.method, TMessageType.REPLY, exc.seqid)
+        result.write(protocol)
+        protocol.writeMessageEnd()
+        try:
+            _send_frame(conn, reply.getvalue())
+        except OSError:
+            return False
+        return True
+
+    def _process(self, buffer: TMemoryBuffer) -> bytes:
         """Run the call in a frame and return the reply frame.
 
         Decoding from a buffer of one frame keeps a truncated call from reading the next frame. The
         compiled decoder takes a tenth of the processor time, but replaces bytes that are not UTF-8
         where the other one rejects them.
         """
+        _thread_state.buffer = buffer
         reply = TMemoryBuffer()
         try:
-            self._processor.process(_compiled(TMemoryBuffer(frame)), _compiled(reply))
+            self._processor.process(_compiled(buffer), _compiled(reply))
         except ReplacedTextError:
             reply = TMemoryBuffer()
-            strict = TCompactProtocol(TMemoryBuffer(frame))
-            self._strict_processor.process(strict, _compiled(reply))
-        body = reply.getvalue()
-        return _FRAME_HEADER.pack(len(body)) + body
+            buffer.cstringio_buf.seek(0)
+            self._strict_processor.process(TCompactProtocol(buffer), _compiled(reply))
+        return reply.getvalue()
+
+
+def _drop_frame() -> None:
+    """Drop the frame of a call that has been decoded, so that only the decoded copy remains."""
+    memory = _thread_state.memory
+    _thread_state.buffer.close()
+    memory.shrink(min(_thread_state.frame_bytes, memory.held // 2))
+
+
+def _send_frame(conn: socket.socket, body: bytes) -> None:
+    header = _FRAME_HEADER.pack(len(body))
+    if len(body) < _SEPARATE_BODY_BYTES:
+        conn.sendall(header + body)
+        return
+    conn.sendall(header)
+    conn.sendall(body)
 
 
 def _compiled(buffer: TMemoryBuffer) -> TCompactProtocolAccelerated:
@@ -161,31 +223,6 @@
     )
 
 
-def _read_frame(conn: socket.socket) -> bytes | None:
-    """Return the next frame, or None if the peer closed the connection.
-
-    :raises ValueError: the frame size is out of range.
-    """
-    header = _read_exactly(conn, _FRAME_HEADER.size)
-    if header is None:
-        return None
-    (size,) = _FRAME_HEADER.unpack(header)
-    if not 0 < size <= MAX_FRAME_BYTES:
-        raise ValueError(f"frame size {size} is out of range")
-    return _read_exactly(conn, size)
-
-
-def _read_exactly(conn: socket.socket, size: int) -> bytes | None:
-    parts = []
-    while size > 0:
-        part = conn.recv(min(size, _RECEIVE_BYTES))
-        if not part:
-            return None
-        parts.append(part)
-        size -= len(part)
-    return b"".join(parts)
-
-
 def _listen(address: tuple[str, int]) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/foxtailshunt/protocol/_validation.py
+++ b/foxtailshunt/protocol/_validation.py
@@ -1,5 +1,6 @@
 """Validates fields of messages, which the generated code does not do by itself."""
 
+from collections.abc import Callable
 from functools import cache
 from typing import Any
 
@@ -35,10 +36,14 @@
 
     :param handler: object whose methods handle the calls.
     :param is_text_checked: False if the decoder rejects text that is not UTF-8.
+    :param on_valid: called before each call of the handler.
     """
 
-    def __init__(self, handler: Any, is_text_checked: bool) -> None:
+    def __init__(
+        self, handler: Any, is_text_checked: bool, on_valid: Callable[[], None] = lambda: None
+    ) -> None:
         self._handler = handler
+        self._on_valid = on_valid
         self._is_text_checked = is_text_checked
 
     def __getattr__(self, name: str) -> Any:
@@ -48,6 +53,7 @@
             _check_request(req)
             if self._is_text_checked and _has_replaced_text(req):
                 raise ReplacedTextError()
+            self._on_valid()
             return method(req)
 
         return call
--- a/foxtailshunt/relay/_channel.py
+++ b/foxtailshunt/relay/_channel.py
@@ -12,6 +12,7 @@
 from foxtailshunt.errors import FoxtailshuntError, ResultCode
 from foxtailshunt.fleet import Address
 from foxtailshunt.http import HttpChannel, format_request
+from foxtailshunt.memory import NoMemoryError, Reservation
 from foxtailshunt.network import UPSTREAM_SOCKET_OPTIONS, WaitOutcome, wait_readable
 from foxtailshunt.platform import UpstreamResponse
 
@@ -23,6 +24,11 @@
 IDLE_MARGIN_S = 1.5
 #: Number of responses to other requests that are skipped before a connection is reset.
 MAX_MISMATCHED_RESPONSES = 2
+#: Size from which a body is sent separately instead of being copied behind its head, in bytes.
+SEPARATE_BODY_BYTES = 65_536
+#: Longest wait for memory for a response, in seconds; upstreams cut responses off that stay unread
+#: for some seconds.
+MEMORY_WAIT_S = 2.0
 
 
 class ChannelError(FoxtailshuntError):
@@ -73,6 +79,7 @@
         deadline: float,
         caller: socket.socket | None,
         is_own_response: Callable[[UpstreamResponse], bool],
+        memory: Reservation | None = None,
     ) -> UpstreamResponse:
         """Send a request and wait for its complete response.
 
@@ -83,16 +90,22 @@
         :param deadline: time of the timeout, in seconds of the monotonic clock.
         :param caller: the caller's connection; the request is cancelled if its peer closes it.
         :param is_own_response: returns False for a response to another request.
+        :param memory: counts the bytes of the response; None to count none.
         :raises ChannelError: there is no usable response; the connection was reset.
         """
         try:
-            message = format_request(method, target, headers, body)
+            is_separate = len(body) >= SEPARATE_BODY_BYTES
+            message = format_request(method, target, headers, body, with_body=not is_separate)
         except (http.client.HTTPException, ValueError) as exc:
             self.reset()
             raise ChannelError(ResultCode.BAD_REQUEST, f"malformed request: {exc}", False) from exc
         try:
-            self._http.send(message, deadline)
-            return self._receive_own_response(method, deadline, caller, is_own_response)
+            self._http.send(message, deadline, body if is_separate else b"")
+            return self._receive_own_response(method, deadline, caller, is_own_response, memory)
+        except NoMemoryError as exc:
+            self.reset()
+            detail = "no memory for the response"
+            raise ChannelError(ResultCode.DEADLINE_EXCEEDED, detail, True) from exc
         except TimeoutError as exc:
             self.reset()
             raise ChannelError(ResultCode.DEADLINE_EXCEEDED, "response timed out", True) from exc
@@ -112,10 +125,11 @@
         deadline: float,
         caller: socket.socket | None,
         is_own_response: Callable[[UpstreamResponse], bool],
+        memory: Reservation | None,
     ) -> UpstreamResponse:
         for _ in range(1 + MAX_MISMATCHED_RESPONSES):
             self._wait_for_response(deadline, caller)
-            response = self._receive_response(method, deadline)
+            response = self._receive_response(method, deadline, memory)
             if is_own_response(response):
                 return response
             # An unrequested response came first, so data after the own response isn't trusted.
@@ -132,8 +146,14 @@
             self.reset()
             raise ChannelError(ResultCode.CANCELLED, "the caller disconnected", sent=True)
 
-    def _receive_response(self, method: str, deadline: float) -> UpstreamResponse:
-        received = self._http.receive(method, deadline)
+    def _receive_response(
+        self, method: str, deadline: float, memory: Reservation | None
+    ) -> UpstreamResponse:
+        def reserve(size: int) -> None:
+            if memory is not None:
+                memory.grow(size, min(deadline, time.monotonic() + MEMORY_WAIT_S))
+
+        received = self._http.receive(method, deadline, reserve=reserve)
         response = UpstreamResponse(received.status, received.headers, received.body)
         stated_idle_s = response.keep_alive_s
         idle_s = IDLE_LIMIT_S if stated_idle_s is None else max(0.0, stated_idle_s - IDLE_MARGIN_S)
--- a/foxtailshunt/relay/_forwarder.py
+++ b/foxtailshunt/relay/_forwarder.py
@@ -19,6 +19,7 @@
     CallerDisconnectedError,
     ClientPool,
     ExitNotice,
+    NoReplyMemoryError,
     RelayReply,
 )
 from foxtailshunt.protocol.gen import Peer
@@ -253,6 +254,11 @@
                 remaining_s,
                 max_idle_s=MAX_IDLE_S,
                 caller=caller,
+                memory=call.memory,
+            )
+        except NoReplyMemoryError as exc:
+            return Outcome(
+                ResultCode.DEADLINE_EXCEEDED, exc.message, arrived=True, sender=member.instance_id
             )
         except CallerDisconnectedError:
             return Outcome(
--- a/foxtailshunt/relay/_messages.py
+++ b/foxtailshunt/relay/_messages.py
@@ -2,6 +2,7 @@
 
 from foxtailshunt.admission import Call
 from foxtailshunt.errors import ResultCode
+from foxtailshunt.memory import Reservation
 from foxtailshunt.protocol import Header, RelayReply, RelayRequest
 from foxtailshunt.relay._outcome import Outcome
 
@@ -38,11 +39,12 @@
     )
 
 
-def to_call(req: RelayRequest, now: float) -> Call:
+def to_call(req: RelayRequest, now: float, memory: Reservation | None = None) -> Call:
     """Return the request in a message.
 
     :param req: the message.
     :param now: the time in seconds of the monotonic clock.
+    :param memory: counts the bytes of the response; None to count none.
     """
     return Call(
         request_id=req.request_id,
@@ -64,6 +66,7 @@
             None if req.caller_remaining_ms is None else now + req.caller_remaining_ms / _MS_PER_S
         ),
         allowed_zones=None if req.allowed_zones is None else frozenset(req.allowed_zones),
+        memory=memory,
     )
 
 
--- a/foxtailshunt/relay/_sender.py
+++ b/foxtailshunt/relay/_sender.py
@@ -339,6 +339,7 @@
                 schedule.response_deadline(call.deadline) - RESPONSE_RESERVE_S / 2,
                 caller,
                 is_own_response,
+                call.memory,
             )
         except ChannelError as exc:
             if not exc.sent and exc.refused:
