--- a/foxtailshunt/front/_front_connection.py
+++ b/foxtailshunt/front/_front_connection.py
@@ -26,6 +26,9 @@
 
 #: Size from which a response's body is sent separately instead of being copied behind its head.
 _SEPARATE_BODY_BYTES = 65_536
+#: Bytes that a response counts for before it is known, so that a request is refused before it runs
+#: if the account is full.
+_RESPONSE_START_BYTES = 4096
 _NO_BODY_STATUSES = (204, 304)
 #: Stands for a thread that has been started and has not begun to read.
 _STARTING_THREAD = -1
@@ -227,10 +230,16 @@
         idempotent = handler.is_idempotent(method, target, headers)
         # Released when the response has been written, possibly by another thread.
         memory = self.server.memory.open()
+        try:
+            memory.grow(_RESPONSE_START_BYTES)
+        except NoMemoryError:
+            req.refuse_body()
+            return
         turn = self.order.admit(idempotent, len(body), memory)
         if turn is None:
             # An earlier response closes the connection.
             req.close_connection = True
+            memory.release()
             return
         if idempotent and not req.close_connection and self.order.may_read_ahead():
             self._release_reading()
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -55,7 +55,7 @@
         super().__init__(address, FrontGateway, minthreads=1)
         self.handler = handler
         self.memory = memory or MemoryAccount()
-        self._max_connections = max_connections or connection_limit(None)
+        self._max_connections = max_connections or connection_limit()
         self.is_draining = False
         self._limits = limits
         self._metrics = metrics
--- a/foxtailshunt/front/_request_handler.py
+++ b/foxtailshunt/front/_request_handler.py
@@ -210,7 +210,7 @@
         if key is not None:
             self._record_demand(state.service, key, self._latencies.mean_latency_s(route.name))
         while True:
-            if memory is not None:
+            if memory is not None and state.tries:
                 # The response to an earlier attempt is dropped.
                 memory.release()
             owner = None
--- a/foxtailshunt/memory/_limits.py
+++ b/foxtailshunt/memory/_limits.py
@@ -3,19 +3,24 @@
 from dataclasses import dataclass
 
 _MB = 1024 * 1024
-#: Limit without a stated memory, in bytes. A body exists up to twice while it is sent on, and an
-#: instance may have 200 MB, of which a node without requests takes 45.
-DEFAULT_LIMIT_BYTES = 24 * _MB
+#: Limit without a stated memory, in bytes; that of an instance with 200 MB. A limit of 24 MiB for
+#: requests, responses and frames refused half of the uploads in review/4 at 88 MB of memory.
+DEFAULT_LIMIT_BYTES = 54 * _MB
 #: Memory of a node without requests, with room for the fleet's tables and for threads, in MB.
 _BASE_MB = 64
-#: Share of the remaining memory that bodies may take by count; copies take the rest.
-_BODY_SHARE = 0.25
+#: Share of the remaining memory that bodies may take by count. A process took 1.8 times the counted
+#: bytes in review/4, since messages are copied while they are encoded and decoded.
+_BODY_SHARE = 0.4
 #: Smallest limit: two of the largest messages between nodes, in bytes.
 _MIN_LIMIT_BYTES = 8 * _MB
 #: A single body takes up to this multiple of its size while it is received.
 _SINGLE_BODY_FACTOR = 1.3
-#: Maximum number of callers' connections; each has a thread of about 60 KB.
+#: Maximum number of callers' connections.
 _MAX_CONNECTIONS = 1500
+#: Memory of a connection: its thread takes about 60 KB, its buffer 16 KB.
+_CONNECTION_BYTES = 80_000
+#: Share of the memory above that of a node without requests that connections may take.
+_CONNECTION_SHARE = 0.25
 _MIN_CONNECTIONS = 16
 #: Descriptors for the store, other nodes, upstreams and the process itself.
 _RESERVED_FDS = 150
@@ -45,12 +50,16 @@
         return cls(total, max(total, int(free_bytes / _SINGLE_BODY_FACTOR)))
 
 
-def connection_limit(max_fds: int | None) -> int:
+def connection_limit(max_fds: int | None = None, memory_mb: float | None = None) -> int:
     """Return the maximum number of callers' connections.
 
     :param max_fds: descriptors that the process may open; None if it is not stated.
+    :param memory_mb: memory of the instance in MB; None if it is not stated.
     """
-    if max_fds is None:
-        return _MAX_CONNECTIONS
-    count = (max_fds - _RESERVED_FDS) // _FDS_PER_CONNECTION
-    return max(_MIN_CONNECTIONS, min(_MAX_CONNECTIONS, count))
+    count = _MAX_CONNECTIONS
+    if max_fds is not None:
+        count = min(count, (max_fds - _RESERVED_FDS) // _FDS_PER_CONNECTION)
+    if memory_mb is not None:
+        free_bytes = (memory_mb - _BASE_MB) * _MB
+        count = min(count, int(free_bytes * _CONNECTION_SHARE / _CONNECTION_BYTES))
+    return max(_MIN_CONNECTIONS, count)
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -239,7 +239,7 @@
             self._limits,
             self._metrics,
             memory,
-            connection_limit(settings.max_fds),
+            connection_limit(settings.max_fds, settings.memory_mb),
         )
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
         self._operator = OperatorServer(operator_address, self._metrics, self._dump, self._is_ready)
