--- a/features/cold_upstreams.feature
+++ b/features/cold_upstreams.feature
@@ -110,5 +110,6 @@
   Scenario: A deployment without the bounds and regions gets valid settings, as does one with them
     Then the settings template gives valid settings without the bounds of cold upstreams
     And with them gives a ratio of 1.5 and a reserve of 8
+    And with limits of 200 MB and 4100 descriptors gives both, and without them neither
     And with a region eu and zones {"zone-a": "eu"} gives the region eu of zone-a
     And with a region eu and zones ["zone-a"] gives the region none of zone-a
--- a/features/steps/cold_upstreams_steps.py
+++ b/features/steps/cold_upstreams_steps.py
@@ -317,6 +317,15 @@
     assert (settings.cold_rate_ratio, settings.cold_reserve) == (None, None), settings
 
 
+@then("with limits of {memory:d} MB and {fds:d} descriptors gives both, and without them neither")
+def _(context: Context, memory: int, fds: int) -> None:
+    limits = {"limits.memory_mb": memory, "limits.max_fds": fds}
+    settings = _load(context, _PLATFORM_VALUES | limits)
+    assert (settings.memory_mb, settings.max_fds) == (memory, fds), settings
+    settings = _load(context, _PLATFORM_VALUES)
+    assert (settings.memory_mb, settings.max_fds) == (None, None), settings
+
+
 @then("with a region {region} and zones {zones} gives the region {expected:w} of zone-a")
 def _(context: Context, region: str, zones: str, expected: str) -> None:
     settings = _load(context, _PLATFORM_VALUES | {"region": region, "zones": json.loads(zones)})
--- a/foxtailshunt/front/_front_connection.py
+++ b/foxtailshunt/front/_front_connection.py
@@ -256,6 +256,7 @@
         if reply.status == 0:
             # The caller has disconnected.
             self.order.fail()
+            memory.release()
             req.close_connection = True
             return
         render = _renderer(reply, method == "HEAD")
--- a/foxtailshunt/memory/_account.py
+++ b/foxtailshunt/memory/_account.py
@@ -81,11 +81,12 @@
         """Stop counting bytes of a body.
 
         :param item: the body.
-        :param size: the number of bytes.
+        :param size: the number of bytes; no more than are counted are taken off.
         """
         if size <= 0:
             return
         with self._changed:
+            size = min(size, item.held)
             item.held -= size
             self._held -= size
             if item is self._oversized and (not item.held or self._held <= self._limits.total):
--- a/foxtailshunt/memory/_reservation.py
+++ b/foxtailshunt/memory/_reservation.py
@@ -15,7 +15,9 @@
 
 
 class Reservation:
-    """Counts the bytes of one body; belongs to the thread that transfers it.
+    """Counts the bytes of one body.
+
+    One thread at a time grows it and transfers the body; any thread may release it.
 
     :param account: counts the bytes of all bodies.
     """
@@ -67,9 +69,10 @@
 
         :param size: the number of bytes.
         """
-        if self.stalls_at is not None:
+        stalls_at = self.stalls_at
+        if stalls_at is not None:
             now = time.monotonic()
-            earned = max(self.stalls_at, now) + size / MIN_BYTES_PER_S
+            earned = max(stalls_at, now) + size / MIN_BYTES_PER_S
             self.stalls_at = min(now + STALL_ALLOWANCE_S, earned)
 
     def end_transfer(self) -> None:
