--- a/foxtailshunt/memory/_account.py
+++ b/foxtailshunt/memory/_account.py
@@ -66,8 +66,8 @@
                 stalled = self._select_stalled(item, size)
             now = time.monotonic()
             for other in stalled:
-                other.evict()
                 self._report("closed", other.held)
+                other.evict()
             if stalled:
                 limit_s = max(limit_s or 0.0, now + _EVICTION_WAIT_S)
             if limit_s is None or now >= limit_s:
