--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -5,7 +5,7 @@
 from foxtailshunt.assigning._demand_tracker import DemandTracker
 from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
-from foxtailshunt.assigning._leadership import LEADER_KEY, Leadership, election_delay_s
+from foxtailshunt.assigning._leadership import LEADER_KEY, LastTerm, Leadership, election_delay_s
 from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
@@ -18,6 +18,12 @@
     decode_table,
     encode_table,
 )
+from foxtailshunt.assigning._table_recovery import (
+    CopyStatements,
+    FetchCopy,
+    TableRecovery,
+    find_own_copy,
+)
 from foxtailshunt.assigning._token_requests import TokenRequests
 from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
 from foxtailshunt.assigning._upstream_reader import UpstreamReader
@@ -33,12 +39,16 @@
     "GrantHold",
     "GrantRenewer",
     "LeaderProcess",
+    "LastTerm",
     "Leadership",
     "MeanWork",
     "MemberRegistry",
     "Move",
     "Candidate",
     "TableRecord",
+    "TableRecovery",
+    "CopyStatements",
+    "FetchCopy",
     "TokenRequests",
     "UpstreamPublisher",
     "UpstreamReader",
@@ -46,5 +56,6 @@
     "decode_table",
     "election_delay_s",
     "encode_table",
+    "find_own_copy",
     "plan_moves",
 ]
--- a/foxtailshunt/assigning/_assigner.py
+++ b/foxtailshunt/assigning/_assigner.py
@@ -10,6 +10,7 @@
 from foxtailshunt.assigning._leadership import Leadership
 from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
+from foxtailshunt.assigning._table_recovery import CopyStatements, FetchCopy
 from foxtailshunt.assigning._term import Term
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.fleet import FleetView, Member
@@ -28,6 +29,8 @@
     :param capacities: estimated capacity of each upstream.
     :param mean_work: mean work of the requests of each service.
     :param members: the last heartbeat of each node.
+    :param statements: what the members have stated about their copies of the table.
+    :param fetch_copy: fetches the copy of a member.
     :param now: returns seconds of a clock that also advances during suspension.
     :param metrics: counters.
     """
@@ -42,6 +45,8 @@
         capacities: CapacityEstimator,
         mean_work: MeanWork,
         members: MemberRegistry,
+        statements: CopyStatements,
+        fetch_copy: FetchCopy,
         now: Callable[[], float],
         metrics: Metrics,
     ) -> None:
@@ -57,6 +62,8 @@
             capacities=capacities,
             mean_work=mean_work,
             members=members,
+            statements=statements,
+            fetch_copy=fetch_copy,
             now=now,
             metrics=metrics,
             started=now(),
--- a/foxtailshunt/assigning/_leader_dependencies.py
+++ b/foxtailshunt/assigning/_leader_dependencies.py
@@ -9,6 +9,7 @@
 from foxtailshunt.assigning._leadership import Leadership
 from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
+from foxtailshunt.assigning._table_recovery import CopyStatements, FetchCopy
 from foxtailshunt.fleet import FleetView, Member
 from foxtailshunt.platform import StoreClient
 from foxtailshunt.telemetry import Metrics
@@ -34,6 +35,10 @@
     mean_work: MeanWork
     #: The last heartbeat of each node.
     members: MemberRegistry
+    #: What the members have stated about their copies of the table.
+    statements: CopyStatements
+    #: Fetches the copy of a member.
+    fetch_copy: FetchCopy
     #: Returns seconds of a clock that also advances during suspension.
     now: Callable[[], float]
     #: Counters.
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -3,15 +3,17 @@
 import random
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from foxtailshunt.assigning._leader_record import Leader, decode_leader, encode_leader
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import Member, StoreCallSpacing
+from foxtailshunt.fleet import Member, StoreCallSpacing, era_of
 from foxtailshunt.platform import (
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
     StoreClient,
+    StoreEraChangedError,
     StoreError,
     StoreItem,
 )
@@ -40,6 +42,10 @@
 #: Extra delay of an instance with hardly any capacity, in seconds: larger instances win elections,
 #: since the leader's work grows with the fleet. Upstreams keep their keys for longer.
 MAX_CAPACITY_DELAY_S = 0.3
+#: Share by which the clock of the store may run fast.
+CLOCK_RATE_BOUND = 0.02
+#: Longest delay before calls are repeated in a new era of the store, in seconds.
+ERA_RETRY_DELAY_S = 0.05
 #: Delay before a failed call is retried in a small fleet, in seconds.
 RETRY_DELAY_S = 0.3
 
@@ -52,6 +58,16 @@
     return MAX_CAPACITY_DELAY_S * max(0.0, 1 - capacity_cores / FULL_CAPACITY_CORES)
 
 
+@dataclass(frozen=True, slots=True)
+class LastTerm:
+    """A term of this node that is known to be the last one before an era of the store."""
+
+    #: The term.
+    term: int
+    #: The era that followed it.
+    before_era: int
+
+
 class Leadership:
     """Becomes leader when there is none, and renews the leader's lease.
 
@@ -82,6 +98,8 @@
         self._is_store_unavailable = False
         #: The leader as last read from the store; None if there is none or it is not known.
         self.leader: Leader | None = None
+        #: The last term of this node that no other leader followed before the store's next era.
+        self.last_term: LastTerm | None = None
         #: Set while this node is leader.
         self.leading = threading.Event()
         self._thread = threading.Thread(target=self._run, name="leadership", daemon=True)
@@ -92,6 +110,9 @@
         term = self._term
         if term is None or self._now() - self._renewed_at > MAX_UNCONFIRMED_S:
             return None
+        if era_of(term) != self._store.era:
+            # The store has lost the lease, or returned it to a state of the past.
+            return None
         return term
 
     @property
@@ -140,6 +161,9 @@
                 else:
                     self._follow_or_lead()
                     self._log_store_state(None)
+            except StoreEraChangedError as exc:
+                log_state_change("store.era_left", part="leadership", call=exc.message)
+                self._stopping.wait(random.uniform(0, ERA_RETRY_DELAY_S))
             except HistoryLostError as exc:
                 log_state_change("store.history_lost", part="leadership", watch=exc.message)
                 self._stopping.wait(random.uniform(0, RETRY_DELAY_S))
@@ -157,12 +181,27 @@
         except LeaseEndedError:
             self._step_down("the lease has ended")
             return
+        except StoreEraChangedError:
+            self._leave_era()
+            return
         except StoreError as exc:
             if self._now() - self._renewed_at > MAX_UNCONFIRMED_S:
                 self._step_down("the store has not renewed the lease in time")
             self._log_store_state(exc)
         self._stopping.wait(RENEW_INTERVAL_S)
 
+    def _leave_era(self) -> None:
+        """Step down since the store has returned from an older copy."""
+        term, next_era = self._term, self._store.era
+        if term is None:
+            return
+        # While the lease was valid no other node could be elected.
+        lease_s = LEASE_TTL_S * (1 - CLOCK_RATE_BOUND)
+        is_last = next_era == era_of(term) + 1 and self._now() - self._renewed_at <= lease_s
+        self._step_down("the store has returned from an older copy")
+        # Published after the term has ended, so that the table can't change any more.
+        self.last_term = LastTerm(term, next_era) if is_last else None
+
     def _follow_or_lead(self) -> None:
         item, revision = self._store.read_to_watch(LEADER_KEY, CALL_TIMEOUT_S)
         self._log_store_state(None)
@@ -181,9 +220,10 @@
             that of the election, which the store's history may no longer contain.
         """
         self._update_leader(item)
-        if self._is_earlier_process(self.leader):
-            # The key belongs to an earlier process of this instance, which has ended. Waiting for
-            # its lease to expire would only delay the election.
+        if self._is_outdated(self.leader):
+            # The key belongs to an earlier process of this instance, which has ended, or to an
+            # election of this process that the store's return has ended. Waiting for its lease to
+            # expire would only delay the election.
             self._try_to_become_leader(replaces=item.revision)
             return
         while not self._stopping.is_set():
@@ -210,12 +250,11 @@
     def _election_delay_s(self) -> float:
         return self._capacity_delay_s + random.uniform(0, MAX_ELECTION_DELAY_S)
 
-    def _is_earlier_process(self, leader: Leader | None) -> bool:
-        return (
-            leader is not None
-            and leader.instance_id == self._local_member.instance_id
-            and leader.boot_id != self._local_member.boot_id
-        )
+    def _is_outdated(self, leader: Leader | None) -> bool:
+        if leader is None or leader.instance_id != self._local_member.instance_id:
+            return False
+        # After the store has returned from a copy, the key may be one of this process itself.
+        return leader.boot_id != self._local_member.boot_id or self._store.era > 0
 
     def _try_to_become_leader(self, replaces: int = 0) -> None:
         """Try to become leader by writing the leader's key under a new lease.
--- a/foxtailshunt/assigning/_previous_leaders.py
+++ b/foxtailshunt/assigning/_previous_leaders.py
@@ -14,6 +14,11 @@
 UNKNOWN_LEADER_GRANTS_S = grant_expires_at(MAX_UNCONFIRMED_S, HOLD_S)
 
 
+#: Stands for leaders of earlier eras of the store that the table doesn't name, since the store has
+#: lost the table that did. The lease of each of them was renewed last before the store's return.
+UNNAMED_LEADER = LeaderProcess("", "", UNKNOWN_LEADER_GRANTS_S)
+
+
 class PreviousLeaders:
     """Processes that led before and may still renew grants; safe to use from any thread.
 
--- a/foxtailshunt/assigning/_table_record.py
+++ b/foxtailshunt/assigning/_table_record.py
@@ -38,6 +38,8 @@
     ranges: tuple[KeyRange, ...]
     #: The leader that wrote the table and previous leaders whose grants may still be in force.
     leaders: tuple[LeaderProcess, ...]
+    #: Era of the store in which the table was written.
+    era: int = 0
 
 
 class _Row(BaseModel):
@@ -65,6 +67,7 @@
     fence: int = Field(ge=0)
     ranges: list[_Row]
     leaders: list[_Process]
+    era: int = Field(default=0, ge=0)
 
 
 def encode_table(record: TableRecord) -> bytes:
@@ -91,7 +94,9 @@
         }
         for item in record.leaders
     ]
-    document = {"fence": record.fence, "ranges": rows, "leaders": leaders}
+    document: dict[str, object] = {"fence": record.fence, "ranges": rows, "leaders": leaders}
+    if record.era:
+        document["era"] = record.era
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -116,4 +121,4 @@
     leaders = tuple(
         LeaderProcess(item.instance_id, item.boot_id, item.grants_left_s) for item in wire.leaders
     )
-    return TableRecord(wire.fence, ranges, leaders)
+    return TableRecord(wire.fence, ranges, leaders, wire.era)
--- a/foxtailshunt/assigning/_table_store.py
+++ b/foxtailshunt/assigning/_table_store.py
@@ -12,8 +12,14 @@
     encode_table,
 )
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import KeyRange, Member
-from foxtailshunt.platform import ConflictError, StoreClient, StoreError, StoreItem
+from foxtailshunt.fleet import KeyRange, Member, era_of
+from foxtailshunt.platform import (
+    ConflictError,
+    StoreClient,
+    StoreEraChangedError,
+    StoreError,
+    StoreItem,
+)
 from foxtailshunt.telemetry import log_state_change
 
 #: Timeout of a store call, in seconds; a slow store takes 0.4 s.
@@ -78,7 +84,9 @@
             self._local_member.instance_id, self._local_member.boot_id, UNKNOWN_LEADER_GRANTS_S
         )
         others = tuple(process for process in previous if process.boot_id != own_process.boot_id)
-        document = encode_table(TableRecord(fence, tuple(ranges), (own_process, *others)))
+        document = encode_table(
+            TableRecord(fence, tuple(ranges), (own_process, *others), era_of(self._term))
+        )
         try:
             if self._revision is None:
                 self._read_item()
@@ -87,6 +95,11 @@
                 conditions, [(TABLE_KEY, document, 0)], STORE_TIMEOUT_S
             )
             return True
+        except StoreEraChangedError as exc:
+            # The term has ended with its era, so it doesn't matter whether the write took effect.
+            log_state_change("table.write_failed", error=str(exc))
+            self._revision = None
+            return False
         except ConflictError:
             log_state_change("table.conflict", term=self._term)
         except StoreError as exc:
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -14,12 +14,13 @@
 from foxtailshunt.assigning._move_planner import MovePlanner
 from foxtailshunt.assigning._placement import Move, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
-from foxtailshunt.assigning._previous_leaders import PreviousLeaders
-from foxtailshunt.assigning._table_record import LeaderProcess
+from foxtailshunt.assigning._previous_leaders import UNNAMED_LEADER, PreviousLeaders
+from foxtailshunt.assigning._table_record import LeaderProcess, TableRecord
+from foxtailshunt.assigning._table_recovery import TableRecovery, find_own_copy
 from foxtailshunt.assigning._table_store import STORE_RETRY_S, TableStore
 from foxtailshunt.assigning._token_requests import TokenRequests
 from foxtailshunt.assigning._upstream_publisher import UpstreamPublisher
-from foxtailshunt.fleet import KeyRange, OwnershipTable, Upstream
+from foxtailshunt.fleet import KeyRange, OwnershipTable, TableCopy, Upstream, era_of, next_token
 from foxtailshunt.telemetry import log_state_change
 
 #: How often the leader reads the list of upstreams, in seconds; keys of a leaving upstream have to
@@ -29,6 +30,8 @@
 REBALANCE_INTERVAL_S = 0.5
 #: Fencing token of probes; no grant has a lower one.
 PROBE_FENCE = 1
+#: How often a leader checks whether it can continue from a table of an earlier era, in seconds.
+RECOVERY_INTERVAL_S = 0.1
 #: How long the leader waits for more upstreams to register after the first one, in seconds, before
 #: it assigns keys for the first time.
 REGISTRATION_WAIT_S = 2.0
@@ -44,6 +47,7 @@
     def __init__(self, deps: LeaderDependencies, term: int) -> None:
         self._deps = deps
         self._term = term
+        self._era = era_of(term)
         self._view = deps.view
         self._now = deps.now
         self._lock = threading.RLock()
@@ -115,9 +119,12 @@
     def _take_over(self) -> None:
         while self._is_active():
             record = self._table.read()
-            if record is not None:
+            if record is not None and record.era < self._era:
+                record = self._recover(record)
+            elif record is not None:
                 self._previous_leaders = self._track_previous_leaders(record.leaders)
-                fence = record.fence + 1
+            if record is not None:
+                fence = next_token(self._era, record.fence)
                 ranges = [replace(item, fence=fence) for item in record.ranges]
                 if not ranges or self._write(fence, ranges):
                     self._previous_grants = PreviousGrants(
@@ -136,6 +143,32 @@
             if item.giver is not None:
                 self._mover.start_move(item)
 
+    def _recover(self, stored: TableRecord) -> TableRecord | None:
+        """Return the table to continue from although the stored one is of an earlier era.
+
+        The store has returned from an older copy; it may lack moves, and the names of leaders.
+
+        :returns: None if this node no longer leads.
+        """
+        deps = self._deps
+        leaders = (*stored.leaders, UNNAMED_LEADER)
+        self._previous_leaders = self._track_previous_leaders(leaders)
+        log_state_change("table.outdated", term=self._term, era=stored.era, fence=stored.fence)
+        recovery = TableRecovery(
+            self._era, self._own_copy, deps.statements, deps.fetch_copy, self._now
+        )
+        while self._is_active():
+            found = recovery.choose(stored, self._previous_leaders.grants_expire_at())
+            if found is not None:
+                return found
+            self._upstreams.update()
+            self._publish_members()
+            deps.stopping.wait(RECOVERY_INTERVAL_S)
+        return None
+
+    def _own_copy(self) -> TableCopy | None:
+        return find_own_copy(self._view, self._deps.leadership)
+
     def _create_mover(self) -> KeyMover:
         return KeyMover(
             self._renewers,
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -9,6 +9,7 @@
     HistoryLostError,
     StoreChange,
     StoreClient,
+    StoreEraChangedError,
     StoreError,
     StoreItem,
     decode_upstream,
@@ -78,6 +79,11 @@
         except HistoryLostError:
             self._revision = None
             return self.poll()
+        except StoreEraChangedError:
+            # Upstreams that registered after the store's copy was taken register again.
+            self._revision = None
+            self._failed_at = self._now()
+            raise
         except StoreError:
             self._failed_at = self._now()
             raise
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -1,14 +1,21 @@
 """A node's view of the fleet: upstreams, owners of keys, members and configuration."""
 
+from foxtailshunt.fleet._era import MAX_ERA, at_era, era_of, next_token, plain_revision
 from foxtailshunt.fleet._fleet_size import FleetSize
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._rendezvous import rank_by_rendezvous
 from foxtailshunt.fleet._store_call_spacing import StoreCallSpacing
+from foxtailshunt.fleet._table_copy import TableCopy, TablePosition
 from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
 from foxtailshunt.fleet._view import FleetView
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 
 __all__ = [
+    "MAX_ERA",
+    "at_era",
+    "era_of",
+    "next_token",
+    "plain_revision",
     "Address",
     "FleetSize",
     "FleetView",
@@ -16,6 +23,8 @@
     "Member",
     "OwnershipTable",
     "StoreCallSpacing",
+    "TableCopy",
+    "TablePosition",
     "Upstream",
     "UpstreamChanges",
     "UpstreamObserver",
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from foxtailshunt.fleet._ownership import OwnershipTable
+from foxtailshunt.fleet._table_copy import TableCopy
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 from foxtailshunt.routing import RouteTable, ServiceInfo
@@ -36,6 +37,8 @@
         self.document = b""
         self.upstreams: dict[str, Upstream] = {}
         self.ownership = OwnershipTable(())
+        #: The newest ownership table that a leader has published, also after its term has ended.
+        self.table_copy: TableCopy | None = None
         self.members: tuple[Member, ...] = ()
         #: Zones whose upstreams get no new requests.
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -224,6 +227,7 @@
                     self._earlier[self.versions.ownership] = self.ownership
                     self._earlier.pop(version - MAX_EARLIER_VERSIONS, None)
                 self.ownership = ownership
+                self.table_copy = TableCopy(term, ownership.ranges)
                 self.versions = replace(self.versions, ownership=version)
                 self._changed.notify_all()
 
--- a/foxtailshunt/node/__init__.py
+++ b/foxtailshunt/node/__init__.py
@@ -18,8 +18,10 @@
 from foxtailshunt.node._program import NodeProgram
 from foxtailshunt.node._reply_pacer import ReplyPacer
 from foxtailshunt.node._settings import NodeSettings, load_node_settings
+from foxtailshunt.node._table_copies import reply_with_copy
 
 __all__ = [
+    "reply_with_copy",
     "ConfigurationApplier",
     "ConfigurationFormat",
     "ConfigurationWatch",
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -19,7 +19,14 @@
     decode_table,
 )
 from foxtailshunt.errors import FoxtailshuntError, PeerUnreachableError
-from foxtailshunt.fleet import FleetView, Member, OwnershipTable, StoreCallSpacing, Versions
+from foxtailshunt.fleet import (
+    FleetView,
+    Member,
+    OwnershipTable,
+    StoreCallSpacing,
+    Versions,
+    era_of,
+)
 from foxtailshunt.network import Address
 from foxtailshunt.node._configuration_watch import ConfigurationApplier
 from foxtailshunt.node._follow_reply import apply_reply
@@ -28,6 +35,7 @@
     to_pace_message,
     to_versions_message,
 )
+from foxtailshunt.node._table_copies import statement_to_leader
 from foxtailshunt.platform import StoreClient, StoreError
 from foxtailshunt.protocol import (
     ClientPool,
@@ -254,6 +262,7 @@
             ],
             paces=[to_pace_message(report) for report in self._latencies.drain_reports()],
             accepts_upstream_changes=True,
+            table_copy=statement_to_leader(self._view, self._leadership, self._store),
         )
         sent_at = self._now()
         reply: FollowReply = clients.call(address, "follow", req, wait_s + POLL_TIMEOUT_MARGIN_S)
@@ -262,6 +271,7 @@
         self._apply_reply(reply, known)
 
     def _apply_reply(self, reply: FollowReply, known: Versions) -> None:
+        self._store.observe_era(era_of(reply.versions.term))
         if reply.configuration is not None:
             self._configuration_applier.apply(reply.configuration, "peer")
         apply_reply(self._view, reply, known)
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -6,6 +6,7 @@
 
 from foxtailshunt.assigning import (
     CapacityEstimator,
+    CopyStatements,
     DemandTracker,
     Leadership,
     MeanWork,
@@ -16,6 +17,7 @@
 from foxtailshunt.node._follow_reply import build_reply
 from foxtailshunt.node._messages import from_member_message, from_pace_message
 from foxtailshunt.node._reply_pacer import ReplyPacer
+from foxtailshunt.node._table_copies import reply_with_copy, to_position
 from foxtailshunt.protocol import (
     ExitNotice,
     ExitNoticeReply,
@@ -43,6 +45,7 @@
     :param capacity_estimator: records the upstream latencies that followers report.
     :param now: returns seconds of a clock that includes time spent suspended.
     :param mean_work: records the work of requests that followers report.
+    :param statements: records what the followers state about their copies of the table.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         capacity_estimator: CapacityEstimator,
         now: Callable[[], float],
         mean_work: MeanWork,
+        statements: CopyStatements | None = None,
     ) -> None:
+        self._statements = statements or CopyStatements()
         self._view = view
         self._sender = sender
         self._origin_exits = origin_exits
@@ -113,7 +118,9 @@
         self._view.wait_for_change(known, min(MAX_POLL_WAIT_S, req.wait_ms / 1000))
         if req.wait_ms > 0:
             time.sleep(self._pacer.delay_s(req.member.instance_id, len(self._view.members)))
-        return build_reply(self._view, known, leads, bool(req.accepts_upstream_changes))
+        reply = build_reply(self._view, known, leads, bool(req.accepts_upstream_changes))
+        reply.table_copy = reply_with_copy(req, self._view, self._leadership)
+        return reply
 
     def _known_evacuations(self, req: FollowRequest) -> int:
         """Return the evacuations that a follower knows; at most those of this node.
@@ -126,7 +133,11 @@
 
     def _record_report(self, req: FollowRequest) -> None:
         now = self._now()
-        self._members.observe(from_member_message(req.member), req.known.term, now)
+        member = from_member_message(req.member)
+        self._members.observe(member, req.known.term, now)
+        copy = req.table_copy
+        if copy is not None:
+            self._statements.observe(member, to_position(copy), copy.final_before or 0, now)
         for demand in req.demands:
             self._demand_tracker.observe(
                 demand.service_name, demand.key, demand.work_ms / 1000, now
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -10,6 +10,7 @@
 from foxtailshunt.assigning import (
     Assigner,
     CapacityEstimator,
+    CopyStatements,
     DemandTracker,
     Leadership,
     MeanWork,
@@ -30,6 +31,7 @@
 from foxtailshunt.node._gauges import GAUGE_INTERVAL_S, GaugeUpdater
 from foxtailshunt.node._peer_service import PeerService
 from foxtailshunt.node._settings import InterfaceKind, NodeSettings, load_node_settings
+from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.node._warmups import follow_warmups
 from foxtailshunt.platform import (
     CONFIGURATION_KEY,
@@ -119,6 +121,7 @@
         capacity_estimator = CapacityEstimator()
         mean_work = MeanWork()
         members = MemberRegistry()
+        statements = CopyStatements()
         call_spacing = StoreCallSpacing(self._view, random.Random())
         self._leadership = Leadership(
             local_member,
@@ -136,6 +139,8 @@
             capacity_estimator,
             mean_work,
             members,
+            statements,
+            CopyFetcher(local_member, self._view).fetch,
             now,
             self._metrics,
         )
@@ -196,6 +201,7 @@
             capacity_estimator,
             now,
             mean_work,
+            statements,
         )
         self._peer_server = ProtocolServer(
             Peer,
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -26,6 +26,7 @@
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    StoreEraChangedError,
     StoreError,
 )
 from foxtailshunt.platform._store_messages import StoreChange, StoreItem
@@ -52,6 +53,7 @@
     "Seconds",
     "StoreChange",
     "StoreClient",
+    "StoreEraChangedError",
     "StoreError",
     "StoreItem",
     "UpstreamReplacedError",
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -9,7 +9,7 @@
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
-from foxtailshunt.fleet import Address
+from foxtailshunt.fleet import MAX_ERA, Address, era_of, plain_revision
 from foxtailshunt.http import HttpChannel, HttpResponse, format_request
 from foxtailshunt.network import (
     KEEPALIVE_SOCKET_OPTIONS,
@@ -22,9 +22,11 @@
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    StoreEraChangedError,
     StoreError,
 )
 from foxtailshunt.platform._store_messages import (
+    LEASE_BITS,
     StoreChange,
     StoreItem,
     to_changes,
@@ -34,6 +36,7 @@
     to_page,
     to_revision,
 )
+from foxtailshunt.telemetry import log_state_change
 
 #: Timeout of connecting to the store, in seconds; connecting takes about 1 ms on a working link.
 CONNECT_TIMEOUT_S = 0.5
@@ -46,6 +49,8 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024
 
 _OK_STATUS = 200
+_ERA_HEADER = "store-era"
+_MAX_ERA_DIGITS = 6
 _DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 
 T = TypeVar("T")
@@ -60,6 +65,11 @@
 
     Each thread has its own connection, so that a blocking watch does not delay other calls.
 
+    The store may return from an older copy: its era increases, and it reuses revisions and leases.
+    All revisions and leases that this client returns contain the era of their response. A call with
+    one of an earlier era is not sent, and a response from another era than the newest one, or than
+    that of the revision or lease that the call depends on, fails the call.
+
     :param address: host and port of the store.
     :param on_call: called after each call with its name and the status ("none" without a response).
     """
@@ -74,6 +84,26 @@
         )
         self._on_call = on_call
         self._local = threading.local()
+        self._era_lock = threading.Lock()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the highest era of the store that is known; 0 if the store states none."""
+        return self._era
+
+    def observe_era(self, era: int) -> None:
+        """Record an era of the store, for example one that another node states.
+
+        A higher one at once invalidates all revisions and leases of earlier eras.
+
+        :param era: the era.
+        """
+        with self._era_lock:
+            if not self._era < era <= MAX_ERA:
+                return
+            known, self._era = self._era, era
+        log_state_change("store.era_changed", era=era, known=known)
 
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
         """Return the item of a key, or None if the key does not exist.
@@ -82,11 +112,11 @@
         :param timeout_s: maximum wait in seconds.
         :raises StoreError: the call failed.
         """
-        status, reply = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
+        status, reply, era = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
         if status == 404:
             return None
         self._expect(status, f"read {key}")
-        return _decode(f"read {key}", False, to_item, reply)
+        return _decode(f"read {key}", False, to_item, reply, era)
 
     def read_to_watch(self, key: str, timeout_s: float) -> tuple[StoreItem | None, int]:
         """Return the item of a key and the revision from which to watch the key for changes.
@@ -96,11 +126,11 @@
         :returns: the item and the store's revision; None and 0 if the key does not exist.
         :raises StoreError: the call failed.
         """
-        status, reply = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
+        status, reply, era = self._call("GET", "/api/kv-key", {"key": key}, None, timeout_s)
         if status == 404:
             return None, 0
         self._expect(status, f"read {key}")
-        return _decode(f"read {key}", False, to_item_at, reply)
+        return _decode(f"read {key}", False, to_item_at, reply, era)
 
     def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list[StoreItem], int]:
         """Return the items under a prefix and the revision from which to watch for changes.
@@ -112,14 +142,17 @@
         """
         items: list[StoreItem] = []
         first_revision: int | None = None
+        list_era: int | None = None
         query: dict[str, Any] = {"prefix": prefix} | ({"allow_stale": 1} if stale else {})
         while True:
-            status, reply = self._call("GET", "/api/kv-range", query, None, timeout_s)
+            status, reply, era = self._call(
+                "GET", "/api/kv-range", query, None, timeout_s, list_era
+            )
             self._expect(status, f"list {prefix}")
-            page = _decode(f"list {prefix}", False, to_page, reply)
+            page = _decode(f"list {prefix}", False, to_page, reply, era)
             # The pages are not a snapshot, so the watch has to start at the first page's revision.
             if first_revision is None:
-                first_revision = page.revision
+                first_revision, list_era = page.revision, era
             items.extend(page.items)
             if not page.has_more or not page.items:
                 return items, first_revision
@@ -135,12 +168,18 @@
         :raises HistoryLostError: the store no longer keeps the changes since the revision.
         :raises StoreError: the call failed.
         """
-        query = {"prefix": prefix, "after": after, "wait_ms": round(wait_s * 1000)}
-        status, reply = self._call("GET", "/api/kv-watch", query, None, wait_s + WATCH_MARGIN_S)
+        query = {
+            "prefix": prefix,
+            "after": plain_revision(after),
+            "wait_ms": round(wait_s * 1000),
+        }
+        status, reply, era = self._call(
+            "GET", "/api/kv-watch", query, None, wait_s + WATCH_MARGIN_S, era_of(after)
+        )
         if status == 410:
             raise HistoryLostError(f"watch {prefix} after {after}")
         self._expect(status, f"watch {prefix}")
-        return _decode(f"watch {prefix}", False, to_changes, reply)
+        return _decode(f"watch {prefix}", False, to_changes, reply, era)
 
     def commit(
         self,
@@ -163,22 +202,33 @@
         """
         body = {
             "precondition": [
-                {"key": key, "revision": revision} for key, revision in conditions.items()
+                {"key": key, "revision": plain_revision(revision)}
+                for key, revision in conditions.items()
             ],
             "set_keys": [
-                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": _plain_lease(lease),
+                }
                 for key, value, lease in puts
             ],
             "remove": list(removes),
         }
-        status, reply = self._call("POST", "/api/kv-txn", None, body, timeout_s)
+        eras = {era_of(revision) for revision in conditions.values() if revision}
+        eras |= {lease >> LEASE_BITS for _, _, lease in puts if lease}
+        if len(eras) > 1:
+            raise StoreEraChangedError("commit with revisions of several eras", False)
+        status, reply, era = self._call(
+            "POST", "/api/kv-txn", None, body, timeout_s, next(iter(eras), None)
+        )
         keys = ",".join(key for key, _, _ in puts)
         if status == 412:
             raise ConflictError(f"commit {keys}")
         if status == 404:
             raise LeaseEndedError(f"commit {keys}")
         self._expect(status, f"commit {keys}")
-        return _decode(f"commit {keys}", True, to_revision, reply)
+        return _decode(f"commit {keys}", True, to_revision, reply, era)
 
     def open_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
         """Open a lease and return its id and its time to live in seconds.
@@ -188,9 +238,9 @@
         :raises StoreError: the call failed.
         """
         body = {"ttl_time": format_duration(ttl_s)}
-        status, reply = self._call("POST", "/api/kv-lease", None, body, timeout_s)
+        status, reply, era = self._call("POST", "/api/kv-lease", None, body, timeout_s)
         self._expect(status, "open lease")
-        return _decode("open lease", True, to_lease, reply)
+        return _decode("open lease", True, to_lease, reply, era)
 
     def renew_lease(self, lease: int, timeout_s: float) -> None:
         """Renew a lease.
@@ -200,7 +250,8 @@
         :raises LeaseEndedError: the lease has expired.
         :raises StoreError: the call failed.
         """
-        status, _ = self._call("POST", f"/api/kv-keep/{lease}", None, {}, timeout_s)
+        path = f"/api/kv-keep/{_plain_lease(lease)}"
+        status, _, _ = self._call("POST", path, None, {}, timeout_s, lease >> LEASE_BITS)
         if status == 404:
             raise LeaseEndedError(f"renew lease {lease}")
         self._expect(status, "renew lease")
@@ -212,11 +263,24 @@
         :param timeout_s: maximum wait in seconds.
         :raises StoreError: the call failed.
         """
-        self._call("DELETE", f"/api/kv-lease-end/{lease}", None, None, timeout_s)
+        path = f"/api/kv-lease-end/{_plain_lease(lease)}"
+        self._call("DELETE", path, None, None, timeout_s, lease >> LEASE_BITS)
 
     def _call(
-        self, method: str, path: str, query: dict[str, Any] | None, body: Any, timeout_s: float
-    ) -> tuple[int, dict[str, Any]]:
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any] | None,
+        body: Any,
+        timeout_s: float,
+        depends_on: int | None = None,
+    ) -> tuple[int, dict[str, Any], int]:
+        """Return the status, the fields and the era of the response to a call.
+
+        :param depends_on: era of the revisions and leases in the call; None if there are none.
+        """
+        if depends_on is not None and depends_on != self._era:
+            raise StoreEraChangedError(f"{path}: era {depends_on}, now {self._era}", False)
         target = f"{path}?{urlencode(query)}" if query else path
         payload = b"" if body is None else json.dumps(body).encode()
         may_have_run = False
@@ -225,6 +289,7 @@
             may_have_run = method != "GET"
             response = self._exchange(channel, method, target, payload, timeout_s)
             has_reply = response.status == _OK_STATUS and response.body
+            era = _era_of_response(response)
             reply = json.loads(response.body) if has_reply else {}
             if not isinstance(reply, dict):
                 raise ValueError("the response is not an object")
@@ -236,9 +301,15 @@
         if response.status != _OK_STATUS or response.closes_connection:
             # A refusal names no call, so a copy of it could pass for the next response.
             self._disconnect()
+        if era is not None:
+            self.observe_era(era)
         if response.status in (429, 503):
             raise StoreError(f"{path}: status {response.status}", may_have_run=False)
-        return response.status, reply
+        found = era or 0
+        if found != self._era or depends_on not in (None, found):
+            message = f"{path}: response of era {found}, now {self._era}"
+            raise StoreEraChangedError(message, may_have_run)
+        return response.status, reply, found
 
     def _exchange(
         self, channel: HttpChannel, method: str, target: str, payload: bytes, timeout_s: float
@@ -277,8 +348,33 @@
     return path.split("/")[2]
 
 
+def _plain_lease(lease: int) -> int:
+    return lease & ((1 << LEASE_BITS) - 1)
+
+
+def _era_of_response(response: HttpResponse) -> int | None:
+    """Return the era that a response states; None if it states none.
+
+    :raises ValueError: the header is malformed.
+    """
+    texts = {value for name, value in response.headers if name.lower() == _ERA_HEADER}
+    if not texts:
+        return None
+    text = texts.pop()
+    is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS
+    if texts or not is_number:
+        raise ValueError(f"malformed era {text[:20]!r}")
+    if int(text) > MAX_ERA:
+        raise ValueError(f"era {text} is above {MAX_ERA}")
+    return int(text)
+
+
 def _decode(
-    call: str, may_have_run: bool, convert: Callable[[dict[str, Any]], T], reply: dict[str, Any]
+    call: str,
+    may_have_run: bool,
+    convert: Callable[[dict[str, Any], int], T],
+    reply: dict[str, Any],
+    era: int,
 ) -> T:
     """Return the converted fields of a response.
 
@@ -286,10 +382,11 @@
     :param may_have_run: whether the call may have had an effect.
     :param convert: converts the fields.
     :param reply: the body of the response.
+    :param era: era of the response.
     :raises StoreError: a field is missing or malformed.
     """
     try:
-        return convert(reply)
+        return convert(reply, era)
     except _DECODE_ERRORS as exc:
         message = f"{call}: malformed response: {type(exc).__name__}: {exc}"
         raise StoreError(message, may_have_run) from exc
--- a/foxtailshunt/platform/_store_errors.py
+++ b/foxtailshunt/platform/_store_errors.py
@@ -44,3 +44,14 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(message, may_have_run=False)
+
+
+class StoreEraChangedError(StoreError):
+    """The store has returned from an older copy, so what the call depends on is no longer valid.
+
+    :param message: the call.
+    :param may_have_run: False if the call has definitely had no effect.
+    """
+
+    def __init__(self, message: str, may_have_run: bool) -> None:
+        super().__init__(message, may_have_run)
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -21,6 +21,7 @@
     RelayReply,
     RelayRequest,
     RouteLatency,
+    TableCopy,
     UpstreamPace,
     UpstreamRecord,
 )
@@ -44,6 +45,7 @@
     "RelayReply",
     "RelayRequest",
     "RouteLatency",
+    "TableCopy",
     "UpstreamPace",
     "UpstreamRecord",
     "current_connection",
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -139,6 +139,19 @@
   7: required bool moving,
 }
 
+/* The newest ownership table that a node holds in memory, after the store has returned from an older
+ * copy of its data. */
+struct TableCopy {
+  /* Era of the store, term and highest fencing token of the table. */
+  1: required i64 era,
+  2: required i64 term,
+  3: required i64 token,
+  /* The era before which no leader published a later table; absent if that is not known. */
+  4: optional i64 final_before,
+  /* The table; absent where only its place in the order of tables is stated. */
+  5: optional list<OwnedRange> ranges,
+}
+
 struct KnownVersions {
   1: required i64 configuration,
   2: required i64 term,
@@ -157,6 +170,9 @@
   5: required list<UpstreamPace> paces,
   /* True if the calling node applies upstream_changes; nodes of earlier builds ignore them. */
   6: optional bool accepts_upstream_changes,
+  /* The copy that the calling node holds, without the ranges; present only if it is of an earlier
+   * era of the store. Numbers 7 to 19 are left to other fields. */
+  20: optional TableCopy table_copy,
 }
 
 /* Parts that the calling node already knows are absent. */
@@ -177,6 +193,9 @@
   10: optional list<string> upstreams_removed,
   /* All zones that are being evacuated, as of versions.evacuations. */
   11: optional list<string> evacuated_zones,
+  /* The copy that the replying node holds, with the ranges; present only if the caller states an
+   * older one and the replying node is not the leader. Numbers 12 to 19 are left to other fields. */
+  20: optional TableCopy table_copy,
 }
 
 service Peer {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1484,6 +1484,122 @@
         return not (self == other)
 
 
+class TableCopy(object):
+    """
+    Attributes:
+     - era
+     - term
+     - token
+     - final_before
+     - ranges
+
+    """
+
+
+    def __init__(self, era=None, term=None, token=None, final_before=None, ranges=None,):
+        self.era = era
+        self.term = term
+        self.token = token
+        self.final_before = final_before
+        self.ranges = ranges
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.final_before = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.ranges = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = OwnedRange()
+                        _elem47.read(iprot)
+                        self.ranges.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableCopy')
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 1)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 2)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 3)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.final_before is not None:
+            oprot.writeFieldBegin('final_before', TType.I64, 4)
+            oprot.writeI64(self.final_before)
+            oprot.writeFieldEnd()
+        if self.ranges is not None:
+            oprot.writeFieldBegin('ranges', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.ranges))
+            for iter48 in self.ranges:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
+        if self.term is None:
+            raise TProtocolException(message='Required field term is unset!')
+        if self.token is None:
+            raise TProtocolException(message='Required field token is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class KnownVersions(object):
     """
     Attributes:
@@ -1615,17 +1731,19 @@
      - demands
      - paces
      - accepts_upstream_changes
+     - table_copy
 
     """
 
 
-    def __init__(self, member=None, known=None, wait_ms=None, demands=None, paces=None, accepts_upstream_changes=None,):
+    def __init__(self, member=None, known=None, wait_ms=None, demands=None, paces=None, accepts_upstream_changes=None, table_copy=None,):
         self.member = member
         self.known = known
         self.wait_ms = wait_ms
         self.demands = demands
         self.paces = paces
         self.accepts_upstream_changes = accepts_upstream_changes
+        self.table_copy = table_copy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1656,22 +1774,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = KeyDemand()
-                        _elem47.read(iprot)
-                        self.demands.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = KeyDemand()
+                        _elem54.read(iprot)
+                        self.demands.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = UpstreamPace()
-                        _elem53.read(iprot)
-                        self.paces.append(_elem53)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = UpstreamPace()
+                        _elem60.read(iprot)
+                        self.paces.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1680,6 +1798,12 @@
                     self.accepts_upstream_changes = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.table_copy = TableCopy()
+                    self.table_copy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1705,21 +1829,25 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter54 in self.demands:
-                iter54.write(oprot)
+            for iter61 in self.demands:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter55 in self.paces:
-                iter55.write(oprot)
+            for iter62 in self.paces:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accepts_upstream_changes is not None:
             oprot.writeFieldBegin('accepts_upstream_changes', TType.BOOL, 6)
             oprot.writeBool(self.accepts_upstream_changes)
             oprot.writeFieldEnd()
+        if self.table_copy is not None:
+            oprot.writeFieldBegin('table_copy', TType.STRUCT, 20)
+            self.table_copy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1762,11 +1890,12 @@
      - upstream_changes
      - upstreams_removed
      - evacuated_zones
+     - table_copy
 
     """
 
 
-    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None, ownership_changes=None, upstream_changes=None, upstreams_removed=None, evacuated_zones=None,):
+    def __init__(self, versions=None, leads=None, configuration=None, upstreams=None, ownership=None, members=None, upstreams_age_ms=None, ownership_changes=None, upstream_changes=None, upstreams_removed=None, evacuated_zones=None, table_copy=None,):
         self.versions = versions
         self.leads = leads
         self.configuration = configuration
@@ -1778,6 +1907,7 @@
         self.upstream_changes = upstream_changes
         self.upstreams_removed = upstreams_removed
         self.evacuated_zones = evacuated_zones
+        self.table_copy = table_copy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1807,33 +1937,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = UpstreamRecord()
-                        _elem61.read(iprot)
-                        self.upstreams.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = UpstreamRecord()
+                        _elem68.read(iprot)
+                        self.upstreams.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.ownership = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = OwnedRange()
-                        _elem67.read(iprot)
-                        self.ownership.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = OwnedRange()
+                        _elem74.read(iprot)
+                        self.ownership.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = NodeMember()
-                        _elem73.read(iprot)
-                        self.members.append(_elem73)
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = NodeMember()
+                        _elem80.read(iprot)
+                        self.members.append(_elem80)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1845,45 +1975,51 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ownership_changes = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = OwnedRange()
-                        _elem79.read(iprot)
-                        self.ownership_changes.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = OwnedRange()
+                        _elem86.read(iprot)
+                        self.ownership_changes.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.upstream_changes = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = UpstreamRecord()
-                        _elem85.read(iprot)
-                        self.upstream_changes.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = UpstreamRecord()
+                        _elem92.read(iprot)
+                        self.upstream_changes.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.upstreams_removed = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.upstreams_removed.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.upstreams_removed.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.evacuated_zones = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.evacuated_zones.append(_elem97)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_zones.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.table_copy = TableCopy()
+                    self.table_copy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1909,22 +2045,22 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter98 in self.upstreams:
-                iter98.write(oprot)
+            for iter105 in self.upstreams:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ownership is not None:
             oprot.writeFieldBegin('ownership', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership))
-            for iter99 in self.ownership:
-                iter99.write(oprot)
+            for iter106 in self.ownership:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter100 in self.members:
-                iter100.write(oprot)
+            for iter107 in self.members:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_age_ms is not None:
@@ -1934,31 +2070,35 @@
         if self.ownership_changes is not None:
             oprot.writeFieldBegin('ownership_changes', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ownership_changes))
-            for iter101 in self.ownership_changes:
-                iter101.write(oprot)
+            for iter108 in self.ownership_changes:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstream_changes is not None:
             oprot.writeFieldBegin('upstream_changes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.upstream_changes))
-            for iter102 in self.upstream_changes:
-                iter102.write(oprot)
+            for iter109 in self.upstream_changes:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.upstreams_removed is not None:
             oprot.writeFieldBegin('upstreams_removed', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.upstreams_removed))
-            for iter103 in self.upstreams_removed:
-                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
+            for iter110 in self.upstreams_removed:
+                oprot.writeString(iter110.encode('utf-8') if sys.version_info[0] == 2 else iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuated_zones is not None:
             oprot.writeFieldBegin('evacuated_zones', TType.LIST, 11)
             oprot.writeListBegin(TType.STRING, len(self.evacuated_zones))
-            for iter104 in self.evacuated_zones:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.evacuated_zones:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.table_copy is not None:
+            oprot.writeFieldBegin('table_copy', TType.STRUCT, 20)
+            self.table_copy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2104,6 +2244,15 @@
     (6, TType.STRING, 'giver', 'UTF8', None, ),  # 6
     (7, TType.BOOL, 'moving', None, None, ),  # 7
 )
+all_structs.append(TableCopy)
+TableCopy.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'era', None, None, ),  # 1
+    (2, TType.I64, 'term', None, None, ),  # 2
+    (3, TType.I64, 'token', None, None, ),  # 3
+    (4, TType.I64, 'final_before', None, None, ),  # 4
+    (5, TType.LIST, 'ranges', (TType.STRUCT, [OwnedRange, None], False), None, ),  # 5
+)
 all_structs.append(KnownVersions)
 KnownVersions.thrift_spec = (
     None,  # 0
@@ -2128,6 +2277,20 @@
     (4, TType.LIST, 'demands', (TType.STRUCT, [KeyDemand, None], False), None, ),  # 4
     (5, TType.LIST, 'paces', (TType.STRUCT, [UpstreamPace, None], False), None, ),  # 5
     (6, TType.BOOL, 'accepts_upstream_changes', None, None, ),  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'table_copy', [TableCopy, None], None, ),  # 20
 )
 all_structs.append(FollowReply)
 FollowReply.thrift_spec = (
@@ -2143,6 +2306,15 @@
     (9, TType.LIST, 'upstream_changes', (TType.STRUCT, [UpstreamRecord, None], False), None, ),  # 9
     (10, TType.LIST, 'upstreams_removed', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.LIST, 'evacuated_zones', (TType.STRING, 'UTF8', False), None, ),  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.STRUCT, 'table_copy', [TableCopy, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/standins/metadata/_server.py
+++ b/standins/metadata/_server.py
@@ -5,11 +5,19 @@
 import random
 import threading
 import time
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 from urllib.parse import parse_qs
 
-from standins.http import HttpServer, Request, Response, WithheldResponse, json_response
+from standins.http import (
+    CompleteResponse,
+    HttpServer,
+    Request,
+    Response,
+    WithheldResponse,
+    json_response,
+)
 from standins.metadata._store import (
     CompactedError,
     ConditionFailedError,
@@ -81,10 +89,15 @@
         fault = self.faults_by_host.get(req.caller_ip, self.fault)
         time.sleep(self.delay_s)
         if fault is StoreFault.BUSY:
-            return json_response(503, {})
+            return _with_era(json_response(503, {}), self.store.era)
         if fault is StoreFault.SILENT:
             return WithheldResponse()
-        response = self._dispatch(req)
+        if req.path == "/api/kv-watch":
+            response = _with_era(self._dispatch(req), self.store.era)
+        else:
+            # A response states the era in which the call was executed.
+            with self.store.lock:
+                response = _with_era(self._dispatch(req), self.store.era)
         if req.path == "/api/kv-txn" and self._is_response_lost(fault, req):
             return WithheldResponse()
         return response
@@ -99,7 +112,7 @@
                     return True
             return self._random.random() < self.lost_response_ratio
 
-    def _dispatch(self, req: Request) -> Response:
+    def _dispatch(self, req: Request) -> CompleteResponse:
         query = {name: values[0] for name, values in parse_qs(req.query).items()}
         body = json.loads(req.body) if req.body else {}
         if req.path == "/api/kv-key":
@@ -116,7 +129,7 @@
             return self._commit(body)
         return self._lease(req, body)
 
-    def _range(self, query: dict[str, str]) -> Response:
+    def _range(self, query: dict[str, str]) -> CompleteResponse:
         after = query.get("after", "")
         found = [item for item in self.store.under(query.get("prefix", "")) if item.key > after]
         page = [_item_json(item) for item in found[:50]]
@@ -125,7 +138,7 @@
             200, {"items": page, "has_more": has_more, "as_of": self.store.revision}
         )
 
-    def _watch(self, query: dict[str, str]) -> Response:
+    def _watch(self, query: dict[str, str]) -> CompleteResponse:
         wait_s = int(query["wait_ms"]) / 1000
         try:
             changes, revision = self.store.watch(query["prefix"], int(query["after"]), wait_s)
@@ -134,7 +147,7 @@
         events = [_change_json(change) for change in changes]
         return json_response(200, {"events": events, "as_of": revision})
 
-    def _commit(self, body: dict[str, Any]) -> Response:
+    def _commit(self, body: dict[str, Any]) -> CompleteResponse:
         conditions = {row["key"]: row["revision"] for row in body["precondition"]}
         puts = [
             (row["key"], base64.b64decode(row["value"]), row["lease"]) for row in body["set_keys"]
@@ -149,7 +162,7 @@
         except UnknownLeaseError:
             return json_response(404, {})
 
-    def _lease(self, req: Request, body: dict[str, Any]) -> Response:
+    def _lease(self, req: Request, body: dict[str, Any]) -> CompleteResponse:
         if req.path == "/api/kv-lease":
             ttl = body["ttl_time"]
             lease = self.store.open_lease(float(ttl.removesuffix("ms")) / 1000)
@@ -165,6 +178,10 @@
         return json_response(200, {"ttl_time": f"{round(ttl_s * 1000)}ms"})
 
 
+def _with_era(response: CompleteResponse, era: int) -> CompleteResponse:
+    return replace(response, headers=(*response.headers, ("Store-Era", str(era))))
+
+
 def _item_json(item: StoredItem) -> dict[str, Any]:
     return {
         "key": item.key,
--- a/standins/metadata/_store.py
+++ b/standins/metadata/_store.py
@@ -33,6 +33,24 @@
     item: StoredItem | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The complete state of a store at one moment."""
+
+    #: Items by key.
+    items: dict[str, StoredItem]
+    #: Changes that are kept.
+    history: list[StoredChange]
+    #: Revision up to which changes were discarded.
+    compacted_revision: int
+    #: Revision of the last change.
+    revision: int
+    #: Time to live and remaining time of each lease, in seconds.
+    leases: dict[int, tuple[float, float]]
+    #: Id of the last lease.
+    last_lease: int
+
+
 class ConditionFailedError(Exception):
     """A condition of a transaction does not hold."""
 
@@ -56,6 +74,8 @@
         self._revision = 1
         self._leases: dict[int, tuple[float, float]] = {}
         self._next_lease = 1000
+        #: Increases by one each time that the store returns from a copy.
+        self.era = 0
         threading.Thread(target=self._expire_leases, name="leases", daemon=True).start()
 
     @property
@@ -63,6 +83,39 @@
         """Return the revision of the last change."""
         return self._revision
 
+    @property
+    def lock(self) -> threading.Condition:
+        """Return the reentrant lock under which the state and the era change."""
+        return self._changed
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy from which the store can return later."""
+        with self._changed:
+            now = time.monotonic()
+            leases = {key: (ttl_s, end - now) for key, (ttl_s, end) in self._leases.items()}
+            return StoreCopy(
+                dict(self._items),
+                list(self._history),
+                self._compacted_revision,
+                self._revision,
+                leases,
+                self._next_lease,
+            )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose all changes since a copy was taken; revisions and leases are reused.
+
+        :param copy: the copy.
+        """
+        with self._changed:
+            now = time.monotonic()
+            self._items, self._history = dict(copy.items), list(copy.history)
+            self._compacted_revision = copy.compacted_revision
+            self._revision, self._next_lease = copy.revision, copy.last_lease
+            self._leases = {key: (ttl, now + left) for key, (ttl, left) in copy.leases.items()}
+            self.era += 1
+            self._changed.notify_all()
+
     def read(self, key: str) -> StoredItem | None:
         """Return the item of a key, or None."""
         with self._changed:
@@ -113,11 +166,12 @@
 
         Waits up to ``wait_s`` seconds for the first change.
 
-        :raises CompactedError: changes after the revision were compacted.
+        :raises CompactedError: changes after the revision were compacted, or the store doesn't have
+            the revision.
         """
 
         def found() -> list[StoredChange]:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self._revision:
                 raise CompactedError
             return [c for c in self._history if c.revision > after and c.key.startswith(prefix)]
 
