Keep configuration and evacuations in force over a return of the store

What the store shows first after its return may be an older copy: it replaces no later configuration and ends no evacuation. The operator's next write counts, also with a lower version.

--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -25,10 +25,24 @@
     at_era,
     next_token,
 )
-from foxtailshunt.node import reply_with_copy
-from foxtailshunt.platform import StoreClient, StoreEraChangedError, StoreError
+from foxtailshunt.node import (
+    ConfigurationApplier,
+    ConfigurationFormat,
+    EvacuationEntries,
+    build_reply,
+    reply_with_copy,
+)
+from foxtailshunt.platform import (
+    StoreChange,
+    StoreClient,
+    StoreEraChangedError,
+    StoreError,
+    StoreItem,
+    decode_evacuation,
+)
 from foxtailshunt.protocol import FollowRequest
 from foxtailshunt.protocol import TableCopy as TableCopyMessage
+from foxtailshunt.routing import FrontLimits, RouteTable
 from standins.metadata import MetadataServer, MetadataStore
 
 _KEY = "foxtailshunt/table"
@@ -239,3 +253,71 @@
     assert [item.fence for item in found.ranges] == [found.token], found
     text = f"{'last ' if found.final_before == 1 else ''}token {found.token}"
     assert text == reply, text
+
+
+# The configuration and evacuations.
+
+
+def _apply_all(configurations: str) -> FleetView:
+    """Return the view of a node that has applied configurations, as a list, write or reply."""
+    view = FleetView(lambda: 0.0)
+    limits = FrontLimits()
+    fmt = ConfigurationFormat("op/", "op/c", lambda data: RouteTable(int(data), None, {}, limits))
+    applier = ConfigurationApplier(fmt, view)
+    for text in configurations.split(", "):
+        kind, version, _, place = text.split(" ", 3)
+        era, _, plain = place.removeprefix("era ").partition(".")
+        revision = at_era(int(era), int(plain or 0))
+        if kind == "other":
+            applier.apply(version.encode(), "peer", int(era))
+        elif kind == "write":
+            applier.apply(version.encode(), "store", int(era))
+        else:
+            item = StoreItem("op/c", version.encode(), revision, 0)
+            applier.apply_listed(None if version == "nothing" else item, revision)
+    return view
+
+
+@when("a node applies {configurations}")
+def _(context: Context, configurations: str) -> None:
+    context.view = _apply_all(configurations)
+
+
+@then("version {version:d} of era {era:d} is in force")
+def _(context: Context, version: int, era: int) -> None:
+    assert context.view.versions.configuration_order == (era, version), context.view.versions
+    assert context.view.routes.version == version, context.view.routes
+
+
+@given("a follower that applies {follower} and a leader that applies {leader}")
+def _(context: Context, follower: str, leader: str) -> None:
+    context.follower, context.leader = _apply_all(follower), _apply_all(leader)
+
+
+@then("the leader {sends} its configuration")
+def _(context: Context, sends: str) -> None:
+    reply = build_reply(context.leader, context.follower.versions, True, True)
+    assert (reply.configuration is not None) == (sends == "sends"), reply
+
+
+@when("a node reads these evacuations: {reads}")
+def _(context: Context, reads: str) -> None:
+    context.view = FleetView(lambda: 0.0)
+    entries = EvacuationEntries(decode_evacuation, context.view)
+    for text in reads.split(", "):
+        kind, zone, era, plain = re.fullmatch(r"(\w+) (\S) at (\d)\.(\d+)", text).groups()
+        key, revision = f"op/evacuate/{zone}", at_era(int(era), int(plain))
+        item = StoreItem(key, b"{}", revision, 0)
+        if kind == "list":
+            entries.replace([] if zone == "-" else [item], revision)
+        elif kind == "others":
+            context.view.update_evacuations(revision, frozenset({zone}))
+        else:
+            change = StoreChange(key, None if kind == "removed" else item)
+            entries.change([change], revision)
+
+
+@then("its evacuated zones are {zones}")
+def _(context: Context, zones: str) -> None:
+    found = context.view.evacuated_zones
+    assert found == frozenset(zones.replace("-", "").split()), found
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -1,5 +1,7 @@
 """Steps for fleets whose store returns from an older copy."""
 
+import time
+
 from behave import then, when
 from behave.runner import Context
 
@@ -27,6 +29,35 @@
     hosts[subject.chosen_instance.host] = StoreFault.SILENT
 
 
+@when("the fleet's leading node is partitioned from the other nodes")
+def partition_leader_from_nodes(context: Context) -> None:
+    subject = context.fleet_subject
+    leader = subject.leader()
+    hosts = {item.host for item in subject.fleet.layout.instances} - {leader.host}
+    subject.fleet.proxy.cut(hosts, leader.peer_advertised)
+
+
+@when("{count:d} configurations of the fleet are applied one after the other")
+def apply_configurations(context: Context, count: int) -> None:
+    for _ in range(count):
+        context.fleet_subject.apply_change()
+
+
+@then("version {version:d} of the configuration is in force at every node of the fleet")
+def check_version(context: Context, version: int) -> None:
+    wait_for(lambda: context.fleet_subject.all_at_version(version), f"version {version}")
+
+
+@then("version {version:d} of the configuration stays in force at every node of the fleet")
+def check_version_kept(context: Context, version: int) -> None:
+    subject = context.fleet_subject
+    # Each node reads the store anew before its part in the new era is complete.
+    for _ in range(20):
+        subject.wait_until_served(time.monotonic())
+        assert subject.all_at_version(version), subject.dump()["versions"]
+        time.sleep(0.1)
+
+
 @when("the fleet's partitioned node reaches the store again")
 def end_partition(context: Context) -> None:
     subject = context.fleet_subject
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -109,3 +109,62 @@
       | does not lead    | term 7, token 9  | nothing      |
       | led in that term | term 0, token 0  | last token 9 |
       | leads            | term 0, token 0  | nothing      |
+
+  # Guards against a configuration that reverts, and against the operator's next write being ignored
+  # because its version is lower.
+  Scenario Outline: A configuration that the store shows after its return does not revert a later one
+    When a node applies <configurations>
+    Then version <version> of era <era> is in force
+
+    Examples: a list or a write of a version at a revision of an era, or one from another node
+      | configurations                                                            | version | era |
+      | list 7 at 0.50                                                            | 7       | 0   |
+      | list 7 at 0.50, write 6 at 0.51                                           | 7       | 0   |
+      | list 7 at 0.50, list 5 at 1.40                                            | 7       | 0   |
+      | list 7 at 0.50, list 5 at 1.40, list 5 at 1.40                            | 7       | 0   |
+      | list 7 at 0.50, list nothing at 1.40                                      | 7       | 0   |
+      | list 7 at 0.50, list 8 at 1.40                                            | 8       | 0   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45                           | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, list 6 at 1.45                            | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 7 at 1.45                           | 7       | 1   |
+      | list 7 at 0.50, list nothing at 1.40, list 1 at 1.45                      | 1       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, list 7 at 2.42           | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, list 7 at 2.42, write 4 at 2.43 | 4 | 2   |
+      | list 5 at 1.40                                                            | 5       | 0   |
+      | list 5 at 1.40, other 7 of era 0                                          | 7       | 0   |
+      | list 7 at 0.50, other 6 of era 1                                          | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, other 9 of era 0         | 6       | 1   |
+
+  Scenario Outline: Nodes pass on the configuration that is later by era, then by version
+    Given a follower that applies <follower> and a leader that applies <leader>
+    Then the leader <sends> its configuration
+
+    Examples:
+      | follower                        | leader                          | sends         |
+      | list 7 at 0.50                  | list 8 at 0.51                  | sends         |
+      | list 8 at 0.51                  | list 7 at 0.50                  | does not send |
+      | list 7 at 0.50                  | list 5 at 1.40, write 6 at 1.45 | sends         |
+      | list 5 at 1.40, write 6 at 1.45 | list 7 at 0.50                  | does not send |
+
+  # Guards against requests to an evacuated zone. Which of two states is later cannot be known, so a
+  # zone is evacuated if either shows it, until the operator removes the entry.
+  Scenario Outline: A return of the store ends no evacuation
+    When a node reads these evacuations: <reads>
+    Then its evacuated zones are <zones>
+
+    Examples: a complete list, or one entry written or removed, at a revision of an era
+      | reads                                                         | zones |
+      | list a at 0.50, list - at 0.51                                | -     |
+      | list a at 0.50, list - at 1.40                                | a     |
+      | list a at 0.50, list - at 1.40, list - at 1.41                | a     |
+      | list a at 0.50, list - at 1.40, written b at 1.41             | a b   |
+      | list a at 0.50, list - at 1.40, written a at 1.41, removed a at 1.42 | - |
+      | list a at 0.50, list - at 1.40, written a at 1.41, list - at 1.42 | - |
+      | list a at 0.50, list - at 1.40, removed a at 1.41             | -     |
+      | list a at 0.50, list a at 1.40, list - at 1.41                | -     |
+      | list a at 0.50, list a at 1.40, removed a at 1.41             | -     |
+      | list - at 0.50, list a at 1.40                                | a     |
+      | list a at 0.50, list - at 1.40, list - at 2.30                | a     |
+      | list - at 1.40, others a at 0.50                              | a     |
+      | list - at 1.40, others a at 0.50, written b at 1.41           | a b   |
+      | list - at 1.40, others a at 0.50, removed a at 1.41           | -     |
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -40,6 +40,35 @@
     Then every key is served again by the fleet
     And no guarantee of the fleet was violated
 
+  # No node that the new leader reaches knows the last moves of the leader before it.
+  Scenario: The leader is partitioned from all nodes and then from the store
+    Given a proxied fleet "one-zone" with callers on every key
+    When a copy of the fleet's store is taken
+    And the fleet's leading node is partitioned from the other nodes
+    And an upstream of the fleet announces that it is leaving
+    Then the fleet's leaving upstream owns no key
+    When the fleet's leading node is partitioned from the store
+    And the fleet's store returns from the copy
+    Then the fleet has a leader in the new era of the store
+    And every key is served again by the fleet
+    When the fleet's connectivity is restored
+    And the fleet's partitioned node reaches the store again
+    Then every key is served again by the fleet
+    And no guarantee of the fleet was violated
+
+  # Guards against a configuration that reverts, and against the next one being ignored.
+  Scenario: The configuration in the copy is older than the one in force
+    Given a fleet "one-zone" with callers on every key
+    When a copy of the fleet's store is taken
+    And 3 configurations of the fleet are applied one after the other
+    Then version 4 of the configuration is in force at every node of the fleet
+    When the fleet's store returns from the copy
+    Then the fleet has a leader in the new era of the store
+    And version 4 of the configuration stays in force at every node of the fleet
+    When 1 configurations of the fleet are applied one after the other
+    Then version 2 of the configuration is in force at every node of the fleet
+    And no guarantee of the fleet was violated
+
   Scenario: The store returns twice
     Given a fleet "one-zone" with callers on every key
     When a copy of the fleet's store is taken
--- a/foxtailshunt/fleet/_view_types.py
+++ b/foxtailshunt/fleet/_view_types.py
@@ -23,6 +23,15 @@
     members: int = 0
     #: Revision of the store at which the evacuations were read, in any term.
     evacuations: int = 0
+    #: Era of the store in which the configuration was written, if that is known to be later than
+    #: the store's return from a copy; else 0. It precedes the version in the order of
+    #: configurations.
+    configuration_era: int = 0
+
+    @property
+    def configuration_order(self) -> tuple[int, int]:
+        """Return the place of the configuration in the order of configurations."""
+        return self.configuration_era, self.configuration
 
 
 @dataclass(frozen=True, slots=True)
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -1,13 +1,20 @@
 """Watches the store for new configurations and applies them."""
 
+import random
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, StoreCallSpacing
+from foxtailshunt.fleet import FleetView, StoreCallSpacing, era_of
 from foxtailshunt.node._evacuations import DecodeEvacuation, EvacuationEntries
-from foxtailshunt.platform import HistoryLostError, StoreClient, StoreError
+from foxtailshunt.platform import (
+    HistoryLostError,
+    StoreClient,
+    StoreEraChangedError,
+    StoreError,
+    StoreItem,
+)
 from foxtailshunt.routing import RouteTable
 from foxtailshunt.telemetry import log_state_change
 
@@ -17,6 +24,8 @@
 WATCH_TIMEOUT_S = 12.0
 #: The same for the leader, in seconds: if the response is lost, the followers wait for it too.
 LEADER_WATCH_TIMEOUT_S = 5.0
+#: Longest delay before the configuration is read in a new era of the store, in seconds.
+ERA_RETRY_DELAY_S = 0.1
 #: Delay after a failed call to the store in a small fleet, in seconds.
 RETRY_DELAY_S = 0.4
 
@@ -38,6 +47,11 @@
 class ConfigurationApplier:
     """Applies configurations received from the store or from other nodes.
 
+    A later version replaces an earlier one. After the store has returned from an older copy, the
+    operator may write a version again that was in force before. What the first list of an era
+    shows may be in the copy, so it replaces only a lower version; what is written after that list
+    replaces every configuration of earlier eras.
+
     :param fmt: location and decoder of configurations.
     :param view: the view that is updated.
     """
@@ -46,19 +60,47 @@
         self.format = fmt
         self.evacuations = EvacuationEntries(fmt.decode_evacuation, view)
         self._view = view
+        self._lock = threading.Lock()
+        #: Era of the last list, and the revision of the configuration in the first list of that
+        #: era; 0 if it had none.
+        self._listed_era, self._first_revision = 0, 0
+
+    def apply_listed(self, item: StoreItem | None, revision: int) -> None:
+        """Apply the configuration in a list of the store's items.
 
-    def apply(self, document: bytes, source: str) -> None:
+        :param item: the configuration; None if there is none.
+        :param revision: revision of the list.
+        """
+        era = era_of(revision)
+        found = item.revision if item is not None else 0
+        with self._lock:
+            is_first = era > self._listed_era
+            if is_first:
+                self._listed_era, self._first_revision = era, found
+            may_be_copied = found == self._first_revision or era < self._listed_era
+        if item is None:
+            return
+        if not may_be_copied:
+            self.apply(item.value, "store", era)
+        elif self._view.versions.configuration_era == 0:
+            self.apply(item.value, "store")
+        if is_first and self._view.document != item.value:
+            in_force = self._view.versions.configuration
+            log_state_change("configuration.kept", version=in_force, era=era)
+
+    def apply(self, document: bytes, source: str, era: int = 0) -> None:
         """Apply a configuration if it can be decoded and is newer than the active one.
 
         :param document: the encoded configuration.
         :param source: origin of the configuration, for the log.
+        :param era: era of the store in which it was written; 0 if not known.
         """
         try:
             routes = self.format.decode(document)
         except DocumentError as exc:
             log_state_change("configuration.unreadable", source=source, reason=exc.message)
             return
-        if self._view.update_routes(routes, document):
+        if self._view.update_routes(routes, document, era):
             log_state_change("configuration.in_force", version=routes.version, source=source)
             for message in routes.ignored_values:
                 log_state_change(
@@ -115,6 +157,9 @@
                 self._watch(self._read_current())
             except HistoryLostError:
                 continue
+            except StoreEraChangedError as exc:
+                log_state_change("store.era_left", part="configuration", call=exc.message)
+                self._stopping.wait(random.uniform(0, ERA_RETRY_DELAY_S))
             except StoreError as exc:
                 self._log_store_lost(exc)
                 self._stopping.wait(self._call_spacing.delay_s(RETRY_DELAY_S))
@@ -123,9 +168,8 @@
         items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
         self._log_store_regained()
         self._configuration_applier.evacuations.replace(items, revision)
-        for item in items:
-            if item.key == self._format.key:
-                self._configuration_applier.apply(item.value, "store")
+        listed = next((item for item in items if item.key == self._format.key), None)
+        self._configuration_applier.apply_listed(listed, revision)
         return revision
 
     def _read_as_leader(self) -> None:
@@ -143,7 +187,8 @@
             self._configuration_applier.evacuations.change(changes, revision)
             for change in changes:
                 if change.key == self._format.key and change.item is not None:
-                    self._configuration_applier.apply(change.item.value, "store")
+                    era = era_of(revision)
+                    self._configuration_applier.apply(change.item.value, "store", era)
 
     def _log_store_lost(self, exc: StoreError) -> None:
         if not self._store_is_lost:
--- a/foxtailshunt/node/_evacuations.py
+++ b/foxtailshunt/node/_evacuations.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
-from foxtailshunt.fleet import FleetView
+from foxtailshunt.fleet import FleetView, era_of
 from foxtailshunt.platform import StoreChange, StoreItem
 from foxtailshunt.telemetry import log_state_change
 
@@ -11,12 +11,19 @@
 #: ValueError if it is malformed.
 DecodeEvacuation = Callable[[str, bytes], str | None]
 
+#: Stated by a node that starts after the store's return from a copy, so that it adopts the
+#: evacuations that others know.
+FIRST_REVISION = 1
+_ANY_VALUE = b"{}"
+
 
 class EvacuationEntries:
     """The entries as this node has read them; safe to use from any thread.
 
     An evacuation is in force from the entry that asks for it until its removal is read, however
-    long the store cannot be read in between.
+    long the store cannot be read in between. A return of the store from an older copy ends none:
+    what is in force stays in force until an entry is removed that the store has shown since its
+    return, or whose removal this node reads. Entries that the store shows are put in force.
 
     :param decode: decodes an entry; None if the configuration format has none.
     :param view: the view that is updated.
@@ -40,12 +47,16 @@
         with self._lock:
             if self._decode is None or revision < self._revision:
                 return
+            earlier = frozenset(self._zones.values())
+            if era_of(revision) > era_of(self._revision):
+                # The entries were read in an earlier era, so none of them was removed.
+                earlier = frozenset()
             self._zones = {}
             found = {item.key for item in items}
             self._malformed = {key: text for key, text in self._malformed.items() if key in found}
             for item in items:
                 self._put(item)
-            self._apply(revision)
+            self._apply(revision, earlier - set(self._zones.values()))
 
     def change(self, changes: Iterable[StoreChange], revision: int) -> None:
         """Apply changes of entries.
@@ -57,13 +68,24 @@
             # Another thread may have read a complete list in the meantime.
             if self._decode is None or revision <= self._revision:
                 return
+            ended = set(self._zones.values())
             for change in changes:
                 if change.item is not None:
                     self._put(change.item)
                 else:
+                    ended |= self._zones_of_removed(change.key)
                     self._zones.pop(change.key, None)
                     self._malformed.pop(change.key, None)
-            self._apply(revision)
+            self._apply(revision, ended - set(self._zones.values()))
+
+    def _zones_of_removed(self, key: str) -> set[str]:
+        """Return the zone that an entry evacuated; the entry may never have been read."""
+        assert self._decode is not None
+        try:
+            zone = self._decode(key, _ANY_VALUE)
+        except ValueError:
+            return set()
+        return set() if zone is None else {zone}
 
     def _put(self, item: StoreItem) -> None:
         assert self._decode is not None
@@ -79,6 +101,12 @@
         if zone is not None:
             self._zones[item.key] = zone
 
-    def _apply(self, revision: int) -> None:
-        self._revision = revision
-        self._view.update_evacuations_from_store(revision, frozenset(self._zones.values()))
+    def _apply(self, revision: int, ended: Iterable[str]) -> None:
+        is_first, self._revision = self._revision == 0, revision
+        zones = frozenset(self._zones.values())
+        if era_of(revision) > 0:
+            zones |= self._view.evacuated_zones - set(ended)
+            if is_first:
+                # Nodes that have run for longer know what the store has lost.
+                revision = FIRST_REVISION
+        self._view.update_evacuations_from_store(revision, zones)
--- a/foxtailshunt/node/_follow_reply.py
+++ b/foxtailshunt/node/_follow_reply.py
@@ -31,7 +31,7 @@
         leads=leads,
         upstreams_age_ms=int((view.upstreams_age_s() or 0.0) * _MS_PER_S),
     )
-    if versions.configuration > known.configuration:
+    if versions.configuration_order > known.configuration_order:
         reply.configuration = view.document
     if versions.evacuations > known.evacuations:
         reply.evacuated_zones = sorted(view.evacuated_zones)
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -31,6 +31,7 @@
         ownership=versions.ownership,
         members=versions.members,
         evacuations=versions.evacuations,
+        configuration_era=versions.configuration_era,
     )
 
 
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -107,8 +107,10 @@
         leads = self._leadership.term is not None
         if leads:
             self._record_report(req)
+        configuration_era, configuration = self._known_configuration(req)
         known = Versions(
-            configuration=req.known.configuration,
+            configuration=configuration,
+            configuration_era=configuration_era,
             term=req.known.term,
             upstreams=req.known.upstreams,
             ownership=req.known.ownership,
@@ -122,6 +124,20 @@
         reply.table_copy = reply_with_copy(req, self._view, self._leadership)
         return reply
 
+    def _known_configuration(self, req: FollowRequest) -> tuple[int, int]:
+        """Return the era and the version of the configuration that a follower knows.
+
+        A follower that knows one of a later era, or whose build knows no eras, has nothing to wait
+        for.
+        """
+        current = self._view.versions
+        era = req.known.configuration_era
+        if era is None:
+            era = current.configuration_era
+        if era > current.configuration_era:
+            return current.configuration_order
+        return era, req.known.configuration
+
     def _known_evacuations(self, req: FollowRequest) -> int:
         """Return the evacuations that a follower knows; at most those of this node.
 
--- a/foxtailshunt/protocol/foxtailshunt.thrift
+++ b/foxtailshunt/protocol/foxtailshunt.thrift
@@ -160,6 +160,9 @@
   5: required i64 members,
   /* Revision of the store at which the evacuations were read; unknown to earlier builds. */
   11: optional i64 evacuations,
+  /* Era of the store in which the configuration was written; unknown to earlier builds. Numbers 12
+   * to 19 are left to other fields. */
+  20: optional i64 configuration_era,
 }
 
 struct FollowRequest {
--- a/foxtailshunt/protocol/gen/ttypes.py
+++ b/foxtailshunt/protocol/gen/ttypes.py
@@ -1609,17 +1609,19 @@
      - ownership
      - members
      - evacuations
+     - configuration_era
 
     """
 
 
-    def __init__(self, configuration=None, term=None, upstreams=None, ownership=None, members=None, evacuations=None,):
+    def __init__(self, configuration=None, term=None, upstreams=None, ownership=None, members=None, evacuations=None, configuration_era=None,):
         self.configuration = configuration
         self.term = term
         self.upstreams = upstreams
         self.ownership = ownership
         self.members = members
         self.evacuations = evacuations
+        self.configuration_era = configuration_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1660,6 +1662,11 @@
                     self.evacuations = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.configuration_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1694,6 +1701,10 @@
             oprot.writeFieldBegin('evacuations', TType.I64, 11)
             oprot.writeI64(self.evacuations)
             oprot.writeFieldEnd()
+        if self.configuration_era is not None:
+            oprot.writeFieldBegin('configuration_era', TType.I64, 20)
+            oprot.writeI64(self.configuration_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2267,6 +2278,15 @@
     None,  # 9
     None,  # 10
     (11, TType.I64, 'evacuations', None, None, ),  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.I64, 'configuration_era', None, None, ),  # 20
 )
 all_structs.append(FollowRequest)
 FollowRequest.thrift_spec = (
