--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from foxtailshunt.fleet._ownership import OwnershipTable
+from foxtailshunt.fleet._table_copy import TableCopy
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 from foxtailshunt.routing import RouteTable, ServiceInfo
@@ -36,6 +37,8 @@
         self.document = b""
         self.upstreams: dict[str, Upstream] = {}
         self.ownership = OwnershipTable(())
+        #: The newest ownership table that a leader has published, also after its term has ended.
+        self.table_copy: TableCopy | None = None
         self.members: tuple[Member, ...] = ()
         #: Zones whose upstreams get no new requests.
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -48,19 +51,23 @@
         #: Upstreams by service, for load balancing.
         self.upstreams_by_service: dict[str, tuple[Upstream, ...]] = {}
 
-    def update_routes(self, routes: RouteTable, document: bytes) -> bool:
+    def update_routes(self, routes: RouteTable, document: bytes, era: int = 0) -> bool:
         """Apply a configuration unless the current one is as new or newer.
 
         :param routes: the configuration.
         :param document: the configuration as it was read.
+        :param era: era of the store in which it was written; 0 if not known.
         :returns: whether the configuration was applied.
         """
         with self._changed:
-            if self.routes is not None and routes.version <= self.routes.version:
+            order = (era, routes.version)
+            if self.routes is not None and order <= self.versions.configuration_order:
                 return False
             self.routes = routes
             self.document = document
-            self.versions = replace(self.versions, configuration=routes.version)
+            self.versions = replace(
+                self.versions, configuration=routes.version, configuration_era=era
+            )
             self._changed.notify_all()
             return True
 
@@ -93,6 +100,7 @@
             if term > self.versions.term:
                 self.versions = Versions(
                     configuration=self.versions.configuration,
+                    configuration_era=self.versions.configuration_era,
                     term=term,
                     evacuations=self.versions.evacuations,
                 )
@@ -224,6 +232,7 @@
                     self._earlier[self.versions.ownership] = self.ownership
                     self._earlier.pop(version - MAX_EARLIER_VERSIONS, None)
                 self.ownership = ownership
+                self.table_copy = TableCopy(term, ownership.ranges)
                 self.versions = replace(self.versions, ownership=version)
                 self._changed.notify_all()
 
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -10,6 +10,7 @@
 from foxtailshunt.assigning import (
     Assigner,
     CapacityEstimator,
+    CopyStatements,
     DemandTracker,
     Leadership,
     MeanWork,
@@ -32,6 +33,7 @@
 from foxtailshunt.node._memory_events import MemoryEvents
 from foxtailshunt.node._peer_service import PeerService, refuse_relay
 from foxtailshunt.node._settings import InterfaceKind, NodeSettings, load_node_settings
+from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.node._warmups import follow_warmups
 from foxtailshunt.platform import (
     CONFIGURATION_KEY,
@@ -123,6 +125,7 @@
         capacity_estimator = CapacityEstimator()
         mean_work = MeanWork()
         members = MemberRegistry()
+        statements = CopyStatements()
         call_spacing = StoreCallSpacing(self._view, random.Random())
         self._leadership = Leadership(
             local_member,
@@ -140,6 +143,8 @@
             capacity_estimator,
             mean_work,
             members,
+            statements,
+            CopyFetcher(local_member, self._view).fetch,
             now,
             self._metrics,
         )
@@ -200,6 +205,7 @@
             capacity_estimator,
             now,
             mean_work,
+            statements,
         )
         memory_events = MemoryEvents(self._metrics)
         memory = MemoryAccount(MemoryLimits.for_memory(settings.memory_mb), memory_events.record)
--- a/foxtailshunt/protocol/__init__.py
+++ b/foxtailshunt/protocol/__init__.py
@@ -26,6 +26,7 @@
     RelayReply,
     RelayRequest,
     RouteLatency,
+    TableCopy,
     UpstreamPace,
     UpstreamRecord,
 )
@@ -50,6 +51,7 @@
     "RelayReply",
     "RelayRequest",
     "RouteLatency",
+    "TableCopy",
     "UpstreamPace",
     "UpstreamRecord",
     "current_connection",
