--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -63,6 +63,8 @@
         self._planner = self._create_planner()
         self._table = TableStore(deps.store, deps.local_member, term, deps.leadership, deps.now)
         self._token_requests = TokenRequests()
+        #: Set once the stored table turned out to be of an earlier era.
+        self._recovery: TableRecovery | None = None
 
     def run(self) -> None:
         """Take over the ownership table and lead until the term ends."""
@@ -151,14 +153,16 @@
         :returns: None if this node no longer leads.
         """
         deps = self._deps
-        leaders = (*stored.leaders, UNNAMED_LEADER)
-        self._previous_leaders = self._track_previous_leaders(leaders)
-        log_state_change("table.outdated", term=self._term, era=stored.era, fence=stored.fence)
-        recovery = TableRecovery(
-            self._era, self._own_copy, deps.statements, deps.fetch_copy, self._now
-        )
+        if self._recovery is None:
+            # Kept if the table can't be written, since the expiry of grants counts from the begin.
+            leaders = (*stored.leaders, UNNAMED_LEADER)
+            self._previous_leaders = self._track_previous_leaders(leaders)
+            self._recovery = TableRecovery(
+                self._era, self._own_copy, deps.statements, deps.fetch_copy, self._now
+            )
+            log_state_change("table.outdated", term=self._term, era=stored.era, fence=stored.fence)
         while self._is_active():
-            found = recovery.choose(stored, self._previous_leaders.grants_expire_at())
+            found = self._recovery.choose(stored, self._previous_leaders.grants_expire_at())
             if found is not None:
                 return found
             self._upstreams.update()
