--- /dev/null
+++ b/features/grant_support/_fleet.py
@@ -0,0 +1,299 @@
+"""Nodes that elect leaders and assign keys in virtual time, by the classes of the product."""
+
+import itertools
+import json
+import random
+import sys
+from contextlib import ExitStack
+from functools import partial
+from types import SimpleNamespace
+from unittest.mock import patch
+
+import eliot
+
+from features.grant_support._network import (
+    STORE,
+    Network,
+    NetworkGrantClient,
+    NetworkStoreClient,
+    UpstreamRun,
+)
+from features.grant_support._virtual_time import Process, VirtualTime
+from foxtailshunt.assigning import (
+    Assigner,
+    CapacityEstimator,
+    DemandTracker,
+    Leadership,
+    MeanWork,
+    MemberRegistry,
+)
+from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
+from foxtailshunt.node import DemandCollector, Follower, PeerService
+from foxtailshunt.platform import UPSTREAM_PREFIX, StoreError
+from foxtailshunt.routing import FrontLimits, HostRoutes, RouteTable, ServiceInfo
+from foxtailshunt.telemetry import Metrics
+from foxtailshunt.upstreams import LatencyEstimator
+from standins.keyowner import find_overlaps
+
+NODES = ("n0", "n1", "n2")
+UPSTREAMS = ("u0", "u1", "u2", "u3")
+_SERVICE = UpstreamRun.service
+#: Modules whose threads, waits and clock are virtual.
+_VIRTUAL = (
+    "foxtailshunt.assigning.",
+    "foxtailshunt.fleet.",
+    "foxtailshunt.node._follower",
+    "foxtailshunt.node._peer_service",
+    "standins.metadata._store",
+    "standins.keyowner._key_grants",
+)
+#: Interval of an upstream's heartbeats and time to live of its entry, in seconds.
+_HEARTBEAT_S, _ENTRY_TTL_S = 0.87, 3.0
+#: How long a stopping node goes on after it has resigned, in seconds.
+_GRACE_S = 1.0
+_SEEDS = tuple((name, 1) for name in NODES)
+
+
+class Node:
+    """One process of a node.
+
+    :param fleet: the fleet.
+    :param name: its instance and its place in the network.
+    :param boot_id: id of the process.
+    """
+
+    def __init__(self, fleet: "GrantFleet", name: str, boot_id: str) -> None:
+        time, rng = fleet.time, fleet.rng
+        self._fleet = fleet
+        self.process = Process(name)
+        # Clocks of different processes have nothing in common.
+        offset = rng.uniform(0, 1000.0)
+        now = lambda: time.now + offset  # noqa: E731
+        member = Member(name, boot_id, "zone-a", (name, 1))
+        self.view = FleetView(now)
+        services = {_SERVICE: ServiceInfo(_SERVICE, True, 64)}
+        self.view.update_routes(RouteTable(1, HostRoutes(()), services, FrontLimits()), b"")
+        store = NetworkStoreClient(fleet.network)
+        spacing = StoreCallSpacing(self.view, rng)
+        self.demands = DemandTracker()
+        capacities, mean_work, members = CapacityEstimator(), MeanWork(), MemberRegistry()
+        with time.starting(self.process):
+            self.leadership = Leadership(member, store, now, 1.0, spacing)
+            self.assigner = Assigner(
+                member,
+                self.leadership,
+                store,
+                self.view,
+                self.demands,
+                capacities,
+                mean_work,
+                members,
+                now,
+                Metrics(),
+            )
+            self._follower = Follower(
+                member,
+                self.view,
+                self.leadership,
+                None,
+                store,
+                DemandCollector(),
+                LatencyEstimator(now),
+                self.demands,
+                capacities,
+                now,
+                spacing,
+                tuple(seed for seed in _SEEDS if seed[0] != name),
+                mean_work,
+            )
+            for part in (self.leadership, self.assigner, self._follower):
+                part.start()
+        self.now = now
+        self.service = PeerService(
+            self.view, None, None, self.leadership, members, self.demands, capacities, now, mean_work
+        )
+
+    @property
+    def leads(self) -> bool:
+        """Return whether the process runs and acts as leader."""
+        return not self.process.is_killed and self.leadership.term is not None
+
+    def stop(self) -> None:
+        """Shut down as the program does, on a thread of the process."""
+        with self._fleet.time.starting(self.process):
+            self._fleet.time.spawn(self._stop)
+
+    def _stop(self) -> None:
+        self._follower.announce_leaving()
+        deadline = self._fleet.time.now + _GRACE_S
+        while not self.leadership.resign() and self._fleet.time.now < deadline:
+            self.assigner.prepare_to_leave()
+            self._fleet.time.sleep(0.1)
+        self.assigner.stop()
+        self._fleet.time.sleep(max(0.0, deadline - self._fleet.time.now))
+        self.process.is_killed = True
+
+
+class GrantFleet:
+    """A store, nodes and upstreams, into which a test injects faults.
+
+    :param seed: determines delays, elections and clocks.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.time = VirtualTime()
+        self.log: list[str] = []
+        self.counts = dict.fromkeys(("leader.elected", "keys.moved", "upstream.replaced"), 0)
+        self._patches = ExitStack()
+        self._virtualize()
+        self.network = Network(self.time, self.rng)
+        self._peers: dict = {}
+        for module in ("_grant_renewer", "_key_mover"):
+            target = f"foxtailshunt.assigning.{module}.KeyGrantClient"
+            self._patches.enter_context(patch(target, partial(NetworkGrantClient, self.network)))
+        pool = self.network.poll_peers(self._peers)
+        self._patches.enter_context(patch("foxtailshunt.node._follower.ClientPool", pool))
+        eliot.add_destinations(self._record)
+        self._patches.callback(eliot.remove_destination, self._record)
+        self._numbers = itertools.count(1)
+        self._evacuations = 0
+        self.nodes: dict[str, Node] = {}
+        self.upstreams: dict[str, UpstreamRun] = {}
+        #: All processes of upstreams so far.
+        self._runs: list[UpstreamRun] = []
+        for name in UPSTREAMS:
+            self.start_upstream(name)
+        for name in NODES:
+            self.start_node(name)
+
+    def _virtualize(self) -> None:
+        threads = self.time.threading_module()
+        clock = SimpleNamespace(monotonic=lambda: self.time.now, sleep=self.time.sleep)
+        for name, module in list(sys.modules.items()):
+            if name.startswith(_VIRTUAL):
+                for attribute, value in (("threading", threads), ("time", clock)):
+                    if hasattr(module, attribute):
+                        self._patches.enter_context(patch.object(module, attribute, value))
+        self._patches.enter_context(
+            patch("foxtailshunt.assigning._leadership.random.uniform", self.rng.uniform)
+        )
+
+    def _record(self, message: dict) -> None:
+        event = message.get("message_type", "")
+        if event in self.counts:
+            self.counts[event] += 1
+        fields = {
+            key: value
+            for key, value in message.items()
+            if key not in ("message_type", "task_uuid", "task_level", "timestamp")
+        }
+        self.log.append(f"{self.time.now:8.3f} {self.time.process.name} {event} {fields}")
+
+    def close(self) -> None:
+        """End all threads."""
+        processes = [node.process for node in self.nodes.values()]
+        processes += [run.process for run in self._runs]
+        for process in processes:
+            self.time.kill(process)
+        self.time.kill(self.time.process)
+        self._patches.close()
+
+    # Faults.
+
+    def resolve(self, name: str) -> str:
+        """Return a node by its name or by its role, ``leader``."""
+        leaders = (node for node in self.nodes.values() if node.leads)
+        if name != "leader":
+            return name
+        return max(leaders, key=lambda node: node.leadership.term, default=self.nodes["n0"]).process.name
+
+    def start_node(self, name: str) -> None:
+        """Start a node's process, after the end of the one before."""
+        if name in self.nodes:
+            self.time.kill(self.nodes[name].process)
+        node = Node(self, name, f"boot-{next(self._numbers)}")
+        self.nodes[name] = node
+        self._peers[(name, 1)] = node.process, node.service
+
+    def start_upstream(self, name: str, upstream_id: str | None = None) -> None:
+        """Start an upstream's process, after the end of the one before at its address.
+
+        :param upstream_id: its id; None for that of the one before.
+        """
+        before = self.upstreams.get(name)
+        if before is not None:
+            self.kill_upstream(name)
+        upstream_id = upstream_id or (before.upstream_id if before else name)
+        address = ("127.0.0.1", 8001 + UPSTREAMS.index(name))
+        run = UpstreamRun(name, upstream_id, address, next(self._numbers))
+        self.upstreams[name] = self.network.runs[address] = run
+        self._runs.append(run)
+        with self.time.starting(run.process):
+            self.time.spawn(self._send_heartbeats, (run,))
+
+    def kill_upstream(self, name: str) -> None:
+        """Kill an upstream's process, and with it all its grants."""
+        run = self.upstreams[name]
+        self.time.kill(run.process)
+        run.grants.end_all()
+
+    def replace_upstream(self, name: str) -> None:
+        """Start another upstream at the address of one that ends."""
+        self.start_upstream(name, f"{name}-{next(self._numbers)}")
+
+    def evacuate(self, is_evacuated: bool) -> None:
+        """Evacuate the zone of half of the upstreams, or end that."""
+        self._evacuations += 1
+        zones = frozenset({"zone-b"} if is_evacuated else ())
+        for node in self.nodes.values():
+            node.view.update_evacuations(self._evacuations, zones)
+
+    def add_demand(self, key: int) -> None:
+        """Let the leader know of much demand around a key."""
+        node = self.nodes[self.resolve("leader")]
+        for number in range(8):
+            node.demands.observe(_SERVICE, (key + number * 512) % 65_536, 4.0, node.now())
+
+    def _send_heartbeats(self, run: UpstreamRun) -> None:
+        store, lease = NetworkStoreClient(self.network), 0
+        host, port = run.address
+        while True:
+            entry = {
+                "service": _SERVICE,
+                "address": f"{host}:{port}",
+                "zone": "zone-b" if run.place in UPSTREAMS[::2] else "zone-a",
+                "slots": 2,
+                "state": "draining" if run.is_leaving else "ready",
+                "born": run.born_ms,
+            }
+            key = UPSTREAM_PREFIX + run.upstream_id
+            try:
+                if not lease:
+                    lease, _ = store.open_lease(_ENTRY_TTL_S, 0.8)
+                store.renew_lease(lease, 0.8)
+                store.commit({}, [(key, json.dumps(entry).encode(), lease)], 0.8)
+            except StoreError:
+                lease = 0
+            self.time.sleep(_HEARTBEAT_S)
+
+    # Checks.
+
+    def all_keys_held(self) -> bool:
+        """Return whether upstreams hold all keys now."""
+        return sum(run.grants.held_count() for run in self.upstreams.values()) == 65_536
+
+    def violations(self) -> list[str]:
+        """Return keys with two owners, tokens issued twice, and errors of threads."""
+        errors = [repr(exc) for exc in self.time.errors]
+        errors += [line for line in self.log if "thread.error" in line]
+        return find_overlaps(self._runs) + self.network.reissued + errors
+
+    def pairs(self, group: frozenset[str], others: frozenset[str]) -> set[tuple[str, str]]:
+        """Return the directions from each place of a group to each one of another group."""
+        first = {self.resolve(name) for name in group}
+        second = {self.resolve(name) for name in others} - first
+        return set(itertools.product(first, second))
+
+
+PLACES = frozenset({STORE, *NODES, *UPSTREAMS})
--- /dev/null
+++ b/features/grant_support/_machine.py
@@ -0,0 +1,191 @@
+"""Random sequences of faults, after each of which no key may have two owners."""
+
+from collections import Counter
+
+from hypothesis import HealthCheck, Phase, Verbosity, note, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from features.grant_support._fleet import NODES, PLACES, UPSTREAMS, GrantFleet
+from features.grant_support._network import STORE
+
+#: Time until the first keys are assigned, in seconds.
+_START_S = 4.0
+#: Lines of the log shown for a sequence that fails.
+_LOG_LINES = 150
+
+_node = st.sampled_from(("leader", *NODES))
+_upstream = st.sampled_from(UPSTREAMS)
+#: Times between two events, in seconds: some within a call, some around the expiry of grants.
+_pause = st.sampled_from((0.002, 0.05, 0.2, 0.45, 0.9, 1.5, 2.5, 4.0, 7.0, 13.0))
+_some_nodes = st.frozensets(_node, min_size=1, max_size=2)
+_some_upstreams = st.frozensets(_upstream, min_size=1, max_size=2)
+
+
+class GrantMachine(RuleBasedStateMachine):
+    """One sequence of events in a fleet."""
+
+    #: Numbers of events over all sequences.
+    counts: Counter[str] = Counter()
+
+    @initialize(number=st.integers(0, 2**16))
+    def start(self, number: int) -> None:
+        self.fleet = GrantFleet(number)
+        self.fleet.time.advance(_START_S)
+        assert self.fleet.all_keys_held(), "no keys were granted"
+
+    def teardown(self) -> None:
+        if hasattr(self, "fleet"):
+            self.fleet.close()
+            self.counts.update(self.fleet.counts)
+            self.counts["sequences"] += 1
+
+    @invariant()
+    def has_no_violation(self) -> None:
+        found = self.fleet.violations() if hasattr(self, "fleet") else []
+        if found:
+            note("\n".join(self.fleet.log[-_LOG_LINES:]))
+        assert not found, "\n".join(found[:5])
+
+    def _continue(self, pause_s: float) -> None:
+        self.fleet.time.advance(pause_s)
+
+    def _block(self, blocked: set[tuple[str, str]]) -> None:
+        self.fleet.network.blocked = frozenset(blocked)
+
+    @rule(pause_s=_pause)
+    def wait(self, pause_s: float) -> None:
+        self._continue(pause_s)
+
+    # Network.
+
+    @rule(nodes=_some_nodes, upstreams=st.frozensets(_upstream, max_size=2), pause_s=_pause)
+    def cut_off_zone(self, nodes: frozenset, upstreams: frozenset, pause_s: float) -> None:
+        inside = nodes | upstreams
+        names = frozenset(map(self.fleet.resolve, inside))
+        pairs = self.fleet.pairs(inside, PLACES - names)
+        self._block(pairs | {(target, source) for source, target in pairs})
+        self._continue(pause_s)
+
+    @rule(upstreams=_some_upstreams, pause_s=_pause)
+    def cut_off_upstreams_from_nodes(self, upstreams: frozenset, pause_s: float) -> None:
+        pairs = self.fleet.pairs(upstreams, frozenset(NODES))
+        self._block(pairs | {(target, source) for source, target in pairs})
+        self._continue(pause_s)
+
+    @rule(
+        places=_some_nodes | _some_upstreams | st.just(PLACES - {STORE}),
+        loses_responses=st.booleans(),
+        pause_s=_pause,
+    )
+    def cut_off_from_store(self, places: frozenset, loses_responses: bool, pause_s: float) -> None:
+        pairs = self.fleet.pairs(frozenset({STORE}), places)
+        calls = set() if loses_responses else {(target, source) for source, target in pairs}
+        self._block(self.fleet.network.blocked | pairs | calls)
+        self._continue(pause_s)
+
+    @rule(nodes=_some_nodes, upstreams=_some_upstreams, pause_s=_pause)
+    def lose_responses(self, nodes: frozenset, upstreams: frozenset, pause_s: float) -> None:
+        self._block(self.fleet.network.blocked | self.fleet.pairs(upstreams, nodes))
+        self._continue(pause_s)
+
+    @rule(pause_s=_pause)
+    def heal(self, pause_s: float) -> None:
+        self._block(set())
+        self._continue(pause_s)
+
+    # Processes.
+
+    @rule(name=_node, pause_s=_pause)
+    def restart_node(self, name: str, pause_s: float) -> None:
+        self.fleet.start_node(self.fleet.resolve(name))
+        self._continue(pause_s)
+
+    @rule(name=_node, pause_s=_pause)
+    def kill_node(self, name: str, pause_s: float) -> None:
+        self.fleet.time.kill(self.fleet.nodes[self.fleet.resolve(name)].process)
+        self._continue(pause_s)
+
+    @rule(name=_node, pause_s=_pause)
+    def stop_node(self, name: str, pause_s: float) -> None:
+        self.fleet.nodes[self.fleet.resolve(name)].stop()
+        self._continue(pause_s)
+
+    @rule(name=_node, pause_s=_pause)
+    def suspend_node(self, name: str, pause_s: float) -> None:
+        process = self.fleet.nodes[self.fleet.resolve(name)].process
+        process.is_suspended = True
+        self._continue(pause_s)
+        self.fleet.time.continue_process(process)
+
+    @rule(upstreams_too=st.booleans(), pause_s=_pause)
+    def lose_all_memory(self, upstreams_too: bool, pause_s: float) -> None:
+        for name in NODES:
+            self.fleet.start_node(name)
+        for name in UPSTREAMS if upstreams_too else ():
+            self.fleet.start_upstream(name)
+        self._continue(pause_s)
+
+    @rule(name=_upstream, pause_s=_pause)
+    def restart_upstream(self, name: str, pause_s: float) -> None:
+        self.fleet.start_upstream(name)
+        self._continue(pause_s)
+
+    @rule(name=_upstream, pause_s=_pause)
+    def kill_upstream(self, name: str, pause_s: float) -> None:
+        self.fleet.kill_upstream(name)
+        self._continue(pause_s)
+
+    @rule(name=_upstream, pause_s=_pause)
+    def replace_upstream(self, name: str, pause_s: float) -> None:
+        self.fleet.replace_upstream(name)
+        self._continue(pause_s)
+
+    # Moves.
+
+    @rule(name=_upstream, pause_s=_pause)
+    def toggle_leaving(self, name: str, pause_s: float) -> None:
+        run = self.fleet.upstreams[name]
+        run.is_leaving = not run.is_leaving
+        self._continue(pause_s)
+
+    @rule(is_evacuated=st.booleans(), pause_s=_pause)
+    def evacuate(self, is_evacuated: bool, pause_s: float) -> None:
+        self.fleet.evacuate(is_evacuated)
+        self._continue(pause_s)
+
+    @rule(key=st.sampled_from(range(0, 65_536, 4096)), pause_s=_pause)
+    def add_demand(self, key: int, pause_s: float) -> None:
+        self.fleet.add_demand(key)
+        self._continue(pause_s)
+
+
+def check_grants(examples: int, steps: int, number: int | None = None) -> Counter[str]:
+    """Run random sequences and return the numbers of events.
+
+    :param examples: number of sequences.
+    :param steps: maximum number of steps of a sequence.
+    :param number: seed; None for the same sequences in each run.
+    :raises AssertionError: a sequence broke an invariant; it is printed in its shortest form found.
+    """
+    GrantMachine.counts = Counter()
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=number is None,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        verbosity=Verbosity.normal,
+        phases=(Phase.generate, Phase.shrink),
+        suppress_health_check=list(HealthCheck),
+    )
+    machine = GrantMachine if number is None else seed(number)(GrantMachine)
+    run_state_machine_as_test(machine, settings=chosen)
+    return GrantMachine.counts
--- /dev/null
+++ b/features/grant_support/_network.py
@@ -0,0 +1,255 @@
+"""The store, the upstreams and the nodes as they reach each other in virtual time."""
+
+import random
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, TypeVar
+
+from features.grant_support._virtual_time import Process, VirtualTime
+from foxtailshunt.errors import PeerUnreachableError
+from foxtailshunt.fleet import Address, KeyRange
+from foxtailshunt.platform import (
+    ConflictError,
+    GrantOutcome,
+    HistoryLostError,
+    KeyGrantError,
+    LeaseEndedError,
+    StoreChange,
+    StoreError,
+    StoreItem,
+    UpstreamReplacedError,
+)
+from standins.keyowner import KeyGrants
+from standins.metadata import CompactedError, ConditionFailedError, MetadataStore, UnknownLeaseError
+
+STORE = "store"
+#: Share of slow messages and the longest transit of one, in seconds; most timeouts are 0.4 s.
+_SLOW_SHARE, _SLOW_S = 0.05, 0.35
+_CONNECT_TIMEOUT_S = 0.15
+#: Time by which watches and polls may last longer than their own wait, in seconds.
+_WATCH_MARGIN_S, _POLL_MARGIN_S = 1.5, 0.4
+#: Factor by which an upstream holds keys for longer since its clock runs slow, as far as allowed.
+_SLOW_CLOCK = 1.02
+
+T = TypeVar("T")
+
+
+class NoResponseError(Exception):
+    """A call got no response in time."""
+
+
+class UpstreamRun:
+    """One process of an upstream.
+
+    :param place: its place in the network, which is that of its address.
+    """
+
+    service = "desk"
+
+    def __init__(self, place: str, upstream_id: str, address: Address, born_ms: int) -> None:
+        self.place, self.upstream_id, self.address = place, upstream_id, address
+        self.born_ms = born_ms
+        self.grants = KeyGrants()
+        self.process = Process(place)
+        self.is_leaving = False
+
+
+class Network:
+    """Delivers calls between places unless their direction is blocked."""
+
+    def __init__(self, time: VirtualTime, rng: random.Random) -> None:
+        self.time, self.rng = time, rng
+        #: Pairs of source and target between which messages are lost.
+        self.blocked: frozenset[tuple[str, str]] = frozenset()
+        self.store = MetadataStore()
+        #: The process at each address.
+        self.runs: dict[Address, UpstreamRun] = {}
+        #: Ranges and the process that they were sent to, by fencing token.
+        self.sent: dict[int, set[tuple[int, int, UpstreamRun]]] = {}
+        self.reissued: list[str] = []
+
+    def reaches(self, source: str, target: str) -> bool:
+        """Return whether messages of a place reach another one."""
+        return (source, target) not in self.blocked
+
+    def exchange(self, target: str, timeout_s: float, serve: Callable[[], T]) -> T:
+        """Make a call from the current process.
+
+        :raises NoResponseError: the call was not served, or its response was lost.
+        """
+        source, end = self.time.process.name, self.time.now + timeout_s
+        with self.time.remote():
+            self._transfer(source, target, end)
+            result = serve()
+            self._transfer(target, source, end)
+        return result
+
+    def _transfer(self, source: str, target: str, end: float) -> None:
+        is_slow = self.rng.random() < _SLOW_SHARE
+        transit_s = self.rng.uniform(0.001, _SLOW_S if is_slow else 0.003)
+        self.time.sleep(min(transit_s, max(0.0, end - self.time.now)))
+        if not self.reaches(source, target) or self.time.now >= end:
+            self.time.sleep(max(0.0, end - self.time.now))
+            raise NoResponseError
+
+    def record_sent(self, keys: KeyRange, run: UpstreamRun) -> None:
+        """Record a grant, and whether its token was issued to another process before."""
+        known = self.sent.setdefault(keys.fence, set())
+        for first, last, other in known:
+            if other is not run and first <= keys.last and keys.first <= last:
+                self.reissued.append(
+                    f"token {keys.fence} issued for {keys.first}..{keys.last} to "
+                    f"{run.upstream_id} (born {run.born_ms}), before to {other.upstream_id} "
+                    f"(born {other.born_ms})"
+                )
+        known.add((keys.first, keys.last, run))
+
+    def poll_peers(self, services: dict[Address, Any]) -> Callable[..., SimpleNamespace]:
+        """Return a replacement of ``ClientPool`` that calls the services of other nodes."""
+
+        def call(address: Address, method: str, req: Any, timeout_s: float) -> Any:
+            try:
+                return self.exchange(address[0], timeout_s, lambda: serve(address, method, req))
+            except NoResponseError:
+                raise PeerUnreachableError("no response", True) from None
+
+        def serve(address: Address, method: str, req: Any) -> Any:
+            process, service = services[address]
+            if process.is_killed or process.is_suspended:
+                raise PeerUnreachableError("refused", False)
+            reply = getattr(service, method)(req)
+            if process.is_killed or process.is_suspended:
+                raise PeerUnreachableError("closed", True)
+            return reply
+
+        return lambda *_args: SimpleNamespace(call=call, close_idle=lambda _age_s: None)
+
+
+class NetworkStoreClient:
+    """Calls the stand-in for the store; the interface of ``StoreClient``."""
+
+    def __init__(self, network: Network) -> None:
+        self._network, self._store = network, network.store
+
+    def _call(self, timeout_s: float, changes: bool, serve: Callable[[], T]) -> T:
+        try:
+            return self._network.exchange(STORE, timeout_s, serve)
+        except NoResponseError:
+            raise StoreError("no response", changes) from None
+        except ConditionFailedError:
+            raise ConflictError("commit") from None
+        except UnknownLeaseError:
+            raise LeaseEndedError("lease") from None
+        except CompactedError:
+            raise HistoryLostError("watch") from None
+
+    def read(self, key: str, timeout_s: float) -> StoreItem | None:
+        return _item(self._call(timeout_s, False, lambda: self._store.read(key)))
+
+    def read_to_watch(self, key: str, timeout_s: float) -> tuple[StoreItem | None, int]:
+        def serve() -> tuple[StoreItem | None, int]:
+            found = _item(self._store.read(key))
+            return found, self._store.revision if found is not None else 0
+
+        return self._call(timeout_s, False, serve)
+
+    def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list, int]:
+        return self._call(
+            timeout_s,
+            False,
+            lambda: ([_item(found) for found in self._store.under(prefix)], self._store.revision),
+        )
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
+        found, revision = self._call(
+            wait_s + _WATCH_MARGIN_S, False, lambda: self._store.watch(prefix, after, wait_s)
+        )
+        return [StoreChange(change.key, _item(change.item)) for change in found], revision
+
+    def commit(self, conditions: dict, puts: list, timeout_s: float, removes: tuple = ()) -> int:
+        return self._call(
+            timeout_s, True, lambda: self._store.commit(conditions, list(puts), list(removes))
+        )
+
+    def open_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
+        return self._call(timeout_s, True, lambda: self._store.open_lease(ttl_s)), ttl_s
+
+    def renew_lease(self, lease: int, timeout_s: float) -> None:
+        self._call(timeout_s, True, lambda: self._store.renew_lease(lease))
+
+    def end_lease(self, lease: int, timeout_s: float) -> None:
+        self._call(timeout_s, True, lambda: self._store.end_lease(lease))
+
+
+def _item(found: Any) -> StoreItem | None:
+    return found and StoreItem(found.key, found.value, found.revision, found.lease)
+
+
+class NetworkGrantClient:
+    """Calls the process at an address; the interface of ``KeyGrantClient``."""
+
+    def __init__(self, network: Network, address: Address, upstream_id: str) -> None:
+        self._network, self._address, self._id = network, address, upstream_id
+        self._connected: UpstreamRun | None = None
+
+    def grant(
+        self, keys: KeyRange, hold_s: float, handover: str | None, timeout_s: float
+    ) -> GrantOutcome:
+        def serve(run: UpstreamRun) -> GrantOutcome:
+            self._network.record_sent(keys, run)
+            now = self._network.time.now
+            held_s = hold_s * _SLOW_CLOCK
+            accepted = run.grants.grant(keys.first, keys.last, keys.fence, held_s, now)
+            return GrantOutcome.ACCEPTED if accepted else GrantOutcome.FENCED_OFF
+
+        return self._call(timeout_s, serve)
+
+    def release(self, keys: KeyRange, timeout_s: float) -> str | None:
+        return self._call(
+            timeout_s, lambda run: run.grants.release(keys.first, keys.last, keys.fence)
+        )
+
+    def close(self) -> None:
+        self._connected = None
+
+    def _call(self, timeout_s: float, serve: Callable[[UpstreamRun], T]) -> T:
+        run = self._connect(timeout_s)
+
+        def serve_checked() -> T:
+            if run.process.is_killed:
+                raise KeyGrantError("reset", True, True)
+            if run.upstream_id != self._id:
+                raise UpstreamReplacedError("another upstream responds")
+            return serve(run)
+
+        try:
+            result = self._network.exchange(run.place, timeout_s, serve_checked)
+        except NoResponseError:
+            self.close()
+            raise KeyGrantError("timed out", True) from None
+        except (KeyGrantError, UpstreamReplacedError):
+            self.close()
+            raise
+        if run.process.is_killed:
+            self.close()
+            raise KeyGrantError("reset", True, True)
+        return result
+
+    def _connect(self, timeout_s: float) -> UpstreamRun:
+        run, here = self._connected, self._network.time.process.name
+        at_address = self._network.runs[self._address]
+        is_linked = self._network.reaches(here, at_address.place) and self._network.reaches(
+            at_address.place, here
+        )
+        if run is not None and (not run.process.is_killed or not is_linked):
+            return run
+        self.close()
+        if run is not None:
+            raise KeyGrantError("closed by the upstream", False, True)
+        if not is_linked:
+            self._network.time.sleep(min(timeout_s, _CONNECT_TIMEOUT_S))
+            raise KeyGrantError("cannot connect", False)
+        if at_address.process.is_killed:
+            raise KeyGrantError("refused", False, True)
+        self._connected = at_address
+        return at_address
--- a/standins/metadata/__init__.py
+++ b/standins/metadata/__init__.py
@@ -1,6 +1,18 @@
 """Stand-in for the metadata store of the platform."""
 
 from standins.metadata._server import MetadataServer, StoreFault
-from standins.metadata._store import MetadataStore
+from standins.metadata._store import (
+    CompactedError,
+    ConditionFailedError,
+    MetadataStore,
+    UnknownLeaseError,
+)
 
-__all__ = ["MetadataServer", "MetadataStore", "StoreFault"]
+__all__ = [
+    "CompactedError",
+    "ConditionFailedError",
+    "MetadataServer",
+    "MetadataStore",
+    "StoreFault",
+    "UnknownLeaseError",
+]
