--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -49,6 +49,8 @@
 )
 #: Interval of an upstream's heartbeats and time to live of its entry, in seconds.
 _HEARTBEAT_S, _ENTRY_TTL_S = 0.87, 3.0
+#: Timeout of an upstream's calls to the store and delay after a failed one, in seconds.
+_CALL_TIMEOUT_S, _RETRY_S = 0.4, 0.1
 #: How long a stopping node goes on after it has resigned, in seconds.
 _GRACE_S = 1.0
 _SEEDS = tuple((name, 1) for name in NODES)
@@ -146,9 +148,11 @@
     """A store, nodes and upstreams, into which a test injects faults.
 
     :param seed: determines delays, elections and clocks.
+    :param affected: the upstream that ``affected`` stands for.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, affected: str) -> None:
+        self._affected = affected
         self.rng = random.Random(seed)
         self.time = VirtualTime()
         self.log: list[str] = []
@@ -210,13 +214,14 @@
     # Faults.
 
     def resolve(self, name: str) -> str:
-        """Return a node by its name or by its role, ``leader``."""
-        leaders = (node for node in self.nodes.values() if node.leads)
+        """Return a place by its name or by its role, ``leader`` or ``affected``."""
+        if name == "affected":
+            return self._affected
         if name != "leader":
             return name
-        return max(
-            leaders, key=lambda node: node.leadership.term, default=self.nodes["n0"]
-        ).process.name
+        leading = [node for node in self.nodes.values() if node.leads]
+        newest = max(leading, key=lambda node: node.leadership.term, default=self.nodes["n0"])
+        return newest.process.name
 
     def start_node(self, name: str) -> None:
         """Start a node's process, after the end of the one before."""
@@ -280,12 +285,13 @@
             key = UPSTREAM_PREFIX + run.upstream_id
             try:
                 if not lease:
-                    lease, _ = store.open_lease(_ENTRY_TTL_S, 0.8)
-                store.renew_lease(lease, 0.8)
-                store.commit({}, [(key, json.dumps(entry).encode(), lease)], 0.8)
+                    lease, _ = store.open_lease(_ENTRY_TTL_S, _CALL_TIMEOUT_S)
+                store.renew_lease(lease, _CALL_TIMEOUT_S)
+                store.commit({}, [(key, json.dumps(entry).encode(), lease)], _CALL_TIMEOUT_S)
+                self.time.sleep(_HEARTBEAT_S)
             except StoreError:
                 lease = 0
-            self.time.sleep(_HEARTBEAT_S)
+                self.time.sleep(_RETRY_S)
 
     # Checks.
 
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -21,7 +21,8 @@
 _LOG_LINES = 150
 
 _node = st.sampled_from(("leader", *NODES))
-_upstream = st.sampled_from(UPSTREAMS)
+#: Most events of a sequence affect the same upstream, since faults take several events.
+_upstream = st.sampled_from((*["affected"] * 5, *UPSTREAMS))
 #: Times between two events, in seconds: some within a call, some around the expiry of grants.
 _pause = st.sampled_from((0.002, 0.05, 0.2, 0.45, 0.9, 1.5, 2.5, 4.0, 7.0))
 _some_nodes = st.frozensets(_node, min_size=1, max_size=2)
@@ -34,9 +35,9 @@
     #: Numbers of events over all sequences.
     counts: Counter[str] = Counter()
 
-    @initialize(number=st.integers(0, 2**16))
-    def start(self, number: int) -> None:
-        self.fleet = GrantFleet(number)
+    @initialize(number=st.integers(0, 2**16), affected=st.sampled_from(UPSTREAMS))
+    def start(self, number: int, affected: str) -> None:
+        self.fleet = GrantFleet(number, affected)
         self.fleet.time.advance(_START_S)
         assert self.fleet.all_keys_held(), "no keys were granted"
 
@@ -102,27 +103,41 @@
 
     # Processes.
 
-    @rule(name=_node, pause_s=_pause)
-    def restart_node(self, name: str, pause_s: float) -> None:
-        self.fleet.start_node(self.fleet.resolve(name))
-        self._continue(pause_s)
-
-    @rule(name=_node, pause_s=_pause)
-    def kill_node(self, name: str, pause_s: float) -> None:
-        self.fleet.time.kill(self.fleet.nodes[self.fleet.resolve(name)].process)
-        self._continue(pause_s)
-
-    @rule(name=_node, pause_s=_pause)
-    def stop_node(self, name: str, pause_s: float) -> None:
-        self.fleet.nodes[self.fleet.resolve(name)].stop()
+    @rule(event=st.sampled_from(("start", "kill", "stop", "suspend")), name=_node, pause_s=_pause)
+    def change_node(self, event: str, name: str, pause_s: float) -> None:
+        name = self.fleet.resolve(name)
+        node = self.fleet.nodes[name]
+        if event == "start":
+            self.fleet.start_node(name)
+        elif event == "kill":
+            self.fleet.time.kill(node.process)
+        elif event == "stop":
+            node.stop()
+        node.process.is_suspended = event == "suspend"
         self._continue(pause_s)
+        self.fleet.time.continue_process(node.process)
 
-    @rule(name=_node, pause_s=_pause)
-    def suspend_node(self, name: str, pause_s: float) -> None:
-        process = self.fleet.nodes[self.fleet.resolve(name)].process
-        process.is_suspended = True
+    @rule(
+        event=st.sampled_from(("start", "start", "kill", "replace", "leave")),
+        name=_upstream,
+        is_cut_off=st.booleans(),
+        pause_s=_pause,
+    )
+    def change_upstream(self, event: str, name: str, is_cut_off: bool, pause_s: float) -> None:
+        """Change an upstream, which may be cut off from the store since then."""
+        name = self.fleet.resolve(name)
+        if is_cut_off:
+            blocked = self.fleet.network.blocked
+            self._block(blocked | {(name, STORE), (STORE, name)})
+        if event == "start":
+            self.fleet.start_upstream(name)
+        elif event == "kill":
+            self.fleet.kill_upstream(name)
+        elif event == "replace":
+            self.fleet.replace_upstream(name)
+        else:
+            self.fleet.upstreams[name].is_leaving ^= True
         self._continue(pause_s)
-        self.fleet.time.continue_process(process)
 
     @rule(upstreams_too=st.booleans(), pause_s=_pause)
     def lose_all_memory(self, upstreams_too: bool, pause_s: float) -> None:
@@ -132,29 +147,8 @@
             self.fleet.start_upstream(name)
         self._continue(pause_s)
 
-    @rule(name=_upstream, pause_s=_pause)
-    def restart_upstream(self, name: str, pause_s: float) -> None:
-        self.fleet.start_upstream(name)
-        self._continue(pause_s)
-
-    @rule(name=_upstream, pause_s=_pause)
-    def kill_upstream(self, name: str, pause_s: float) -> None:
-        self.fleet.kill_upstream(name)
-        self._continue(pause_s)
-
-    @rule(name=_upstream, pause_s=_pause)
-    def replace_upstream(self, name: str, pause_s: float) -> None:
-        self.fleet.replace_upstream(name)
-        self._continue(pause_s)
-
     # Moves.
 
-    @rule(name=_upstream, pause_s=_pause)
-    def toggle_leaving(self, name: str, pause_s: float) -> None:
-        run = self.fleet.upstreams[name]
-        run.is_leaving = not run.is_leaving
-        self._continue(pause_s)
-
     @rule(is_evacuated=st.booleans(), pause_s=_pause)
     def evacuate(self, is_evacuated: bool, pause_s: float) -> None:
         self.fleet.evacuate(is_evacuated)
