--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -257,6 +257,13 @@
         """Start another upstream at the address of one that ends."""
         self.start_upstream(name, f"{name}-{next(self._numbers)}")
 
+    def swap_upstreams(self, name: str, other: str) -> None:
+        """Restart two upstreams, each at the address of the other one."""
+        ids = self.upstreams[name].upstream_id, self.upstreams[other].upstream_id
+        self.kill_upstream(name)
+        self.start_upstream(other, ids[0])
+        self.start_upstream(name, ids[1])
+
     def evacuate(self, is_evacuated: bool) -> None:
         """Evacuate the zone of half of the upstreams, or end that."""
         self._evacuations += 1
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -118,7 +118,7 @@
         self.fleet.time.continue_process(node.process)
 
     @rule(
-        event=st.sampled_from(("start", "start", "kill", "replace", "leave")),
+        event=st.sampled_from(("start", "start", "kill", "replace", "swap", "leave")),
         name=_upstream,
         is_cut_off=st.booleans(),
         pause_s=_pause,
@@ -135,6 +135,8 @@
             self.fleet.kill_upstream(name)
         elif event == "replace":
             self.fleet.replace_upstream(name)
+        elif event == "swap":
+            self.fleet.swap_upstreams(name, UPSTREAMS[UPSTREAMS.index(name) - 1])
         else:
             self.fleet.upstreams[name].is_leaving ^= True
         self._continue(pause_s)
