--- a/features/grant_check.feature
+++ b/features/grant_check.feature
@@ -6,6 +6,20 @@
     Then no key had two owners and no fencing token was issued twice
     And there were at least 20 elections and 50 moves
 
+  Scenario Outline: An upstream that restarts behind a cut keeps its keys until its grants expire
+    # Random sequences have not found this one: grants to a process that the leader did not know yet
+    # were forgotten once it read the entry of that process.
+    Given a fleet in virtual time with seed <seed>
+    When an upstream restarts, cut off from the store, and 1.5 s later only from nodes
+    Then no key had two owners and no fencing token was issued twice
+
+    Examples:
+      | seed |
+      | 0    |
+      | 1    |
+      | 2    |
+      | 3    |
+
   @known_red
   Scenario Outline: An upstream that restarts while a grant times out gets another token
     # The leader sends the same token again after one grant has timed out, and takes the upstream
--- a/features/steps/grant_check_steps.py
+++ b/features/steps/grant_check_steps.py
@@ -5,8 +5,9 @@
 
 from features.grant_support import NODES, STORE, GrantFleet, check_grants
 
-#: Time until all keys are granted, and until a restarted upstream has been granted keys again.
-_START_S, _RENEWAL_S = 5.0, 1.5
+#: Time until all keys are granted, until a restarted upstream has been granted keys again, and until
+#: the keys of an upstream that is cut off have moved, in seconds.
+_START_S, _RENEWAL_S, _MOVE_S = 5.0, 1.5, 4.0
 
 
 @when("{sequences:d} random sequences of up to {steps:d} events run in virtual time")
@@ -39,18 +40,34 @@
     assert context.grant_fleet.all_keys_held()
 
 
+def _cut(fleet: GrantFleet, *places: str) -> frozenset[tuple[str, str]]:
+    """Return the paths between the affected upstream and other places."""
+    pairs = fleet.pairs(frozenset({"affected"}), frozenset(places))
+    return frozenset(pairs | {(target, source) for source, target in pairs})
+
+
+def _check(context: Context, fleet: GrantFleet) -> None:
+    found = fleet.violations()
+    context.grant_failure = AssertionError("; ".join(found)) if found else None
+
+
 @when("an upstream that is cut off from the store and for {cut_s:g} s from all nodes restarts")
 def _(context: Context, cut_s: float) -> None:
     fleet = context.grant_fleet
-    upstream = frozenset({"affected"})
-    from_store = fleet.pairs(upstream, frozenset({STORE}))
-    from_nodes = fleet.pairs(upstream, frozenset(NODES))
-    from_nodes |= {(target, source) for source, target in from_nodes}
-    fleet.network.blocked = frozenset(from_store | from_nodes)
+    fleet.network.blocked = _cut(fleet, STORE, *NODES)
     fleet.time.advance(cut_s)
     fleet.start_upstream("u2")
-    fleet.network.blocked = frozenset(from_store)
+    fleet.network.blocked = _cut(fleet, STORE)
     fleet.time.advance(_RENEWAL_S)
-    context.grant_failure = (
-        AssertionError("; ".join(found)) if (found := fleet.violations()) else None
-    )
+    _check(context, fleet)
+
+
+@when("an upstream restarts, cut off from the store, and {later_s:g} s later only from nodes")
+def _(context: Context, later_s: float) -> None:
+    fleet = context.grant_fleet
+    fleet.network.blocked = _cut(fleet, STORE)
+    fleet.start_upstream("u2")
+    fleet.time.advance(later_s)
+    fleet.network.blocked = _cut(fleet, *NODES)
+    fleet.time.advance(_MOVE_S)
+    _check(context, fleet)
