--- a/features/steps/grant_check_steps.py
+++ b/features/steps/grant_check_steps.py
@@ -5,8 +5,8 @@
 
 from features.grant_support import NODES, STORE, GrantFleet, check_grants
 
-#: Time until all keys are granted, until a restarted upstream has been granted keys again, and until
-#: the keys of an upstream that is cut off have moved, in seconds.
+#: Time until all keys are granted, until a restarted upstream has been granted keys again, and
+#: until the keys of an upstream that is cut off have moved, in seconds.
 _START_S, _RENEWAL_S, _MOVE_S = 5.0, 1.5, 4.0
 
 
