Accept more connections than the reserved ones while there is memory for them

An instance with 160 MB accepted 314 connections, although a burst of ordinary callers may need more and the memory of bodies is mostly free then. Further connections are now counted in the memory account.

--- a/features/memory_account.feature
+++ b/features/memory_account.feature
@@ -52,11 +52,11 @@
       | 400000 | 100  | 1       |
 
   Scenario Outline: The limits follow from the settings of the platform
-    Then an instance with <memory> MB and <fds> descriptors holds <bytes> bytes of bodies, a single one of <single>, and <connections> connections
+    Then an instance with <memory> MB and <fds> descriptors holds <bytes> bytes of bodies, a single one of <single>, and <connections> connections, <uncounted> of them uncounted
 
     Examples:
-      | memory | fds   | bytes    | single    | connections |
-      | -      | -     | 56623104 | -         | 1500        |
-      | 160    | 1638  | 40265318 | 77433304   | 314         |
-      | 552    | 10250 | 204682035 | 393619298 | 1500       |
-      | 552    | 400   | 204682035 | 393619298 | 125        |
+      | memory | fds   | bytes    | single    | connections | uncounted |
+      | -      | -     | 56623104 | -         | 1500        | 1500      |
+      | 160    | 1638  | 40265318 | 77433304   | 744         | 314       |
+      | 552    | 10250 | 204682035 | 393619298 | 1500       | 1500      |
+      | 552    | 400   | 204682035 | 393619298 | 125        | 125       |
--- a/features/steps/memory_account_steps.py
+++ b/features/steps/memory_account_steps.py
@@ -10,11 +10,11 @@
 from features.front_support import WAIT_TIMEOUT_S, wait_until
 from features.protocol_support import make_relay_request
 from foxtailshunt.memory import (
+    ConnectionLimits,
     MemoryAccount,
     MemoryLimits,
     NoMemoryError,
     Reservation,
-    connection_limit,
 )
 from foxtailshunt.node._peer_service import refuse_relay
 from foxtailshunt.protocol import ClientPool, ProtocolServer, RelayReply, RelayRequest
@@ -185,14 +185,20 @@
 
 @then(
     "an instance with {memory} MB and {fds} descriptors holds {size:d} bytes of bodies,"
-    " a single one of {single}, and {connections:d} connections"
+    " a single one of {single}, and {connections:d} connections, {uncounted:d} of them uncounted"
 )
 def check_limits(
-    context: Context, memory: str, fds: str, size: int, single: str, connections: int
+    context: Context,
+    memory: str,
+    fds: str,
+    size: int,
+    single: str,
+    connections: int,
+    uncounted: int,
 ) -> None:
     memory_mb = None if memory == "-" else float(memory)
     limits = MemoryLimits.for_memory(memory_mb)
     expected = (size, None if single == "-" else int(single))
     assert (limits.total, limits.single) == expected, limits
-    count = connection_limit(None if fds == "-" else int(fds), memory_mb)
-    assert count == connections, count
+    counts = ConnectionLimits.for_instance(None if fds == "-" else int(fds), memory_mb)
+    assert (counts.total, counts.uncounted) == (connections, uncounted), counts
--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -1,5 +1,6 @@
 """Steps for large bodies."""
 
+import select
 import socket
 import threading
 import tracemalloc
@@ -13,7 +14,7 @@
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, KeyRange, Member, OwnershipTable, Upstream
 from foxtailshunt.http import SocketReader
-from foxtailshunt.memory import MemoryAccount, MemoryLimits
+from foxtailshunt.memory import ConnectionLimits, MemoryAccount, MemoryLimits
 from foxtailshunt.protocol import ProtocolServer, RelayReply, RelayRequest
 from foxtailshunt.protocol.gen import Peer
 from foxtailshunt.relay import Forwarder, Outcome, UpstreamGroups
@@ -221,3 +222,37 @@
 def check_sent(context: Context) -> None:
     assert context.forwarding.sender.body_sizes == [context.body_size]
     assert context.forwarding.bad_frames == 0
+
+
+@given("the server counts each connection after the first one")
+def count_connections(context: Context) -> None:
+    context.front.server.connection_limits = ConnectionLimits(total=10, uncounted=1)
+
+
+@when("{count:d} callers connect one after the other")
+def connect_callers(context: Context, count: int) -> None:
+    context.sockets = []
+    for _ in range(count):
+        sock = socket.create_connection(context.front.address, WAIT_TIMEOUT_S)
+        context.add_cleanup(sock.close)
+        context.sockets.append(sock)
+
+
+@then("{count:d} of them stay connected")
+def check_connected(context: Context, count: int) -> None:
+    for sock in context.sockets[count:]:
+        assert sock.recv(1) == b""
+    closed, _, _ = select.select(context.sockets[:count], [], [], 0.1)
+    assert not closed, closed
+
+
+@when("these callers close their connections")
+def close_connections(context: Context) -> None:
+    for sock in context.sockets:
+        sock.close()
+
+
+@then("no bytes are counted")
+def check_nothing_counted(context: Context) -> None:
+    memory = context.front.server.memory
+    wait_until(lambda: memory.reserved == 0, "release of the connections")
--- a/features/uploads.feature
+++ b/features/uploads.feature
@@ -44,3 +44,11 @@
     Then the other node was called
     When it serves a request with a body of 5000000 bytes
     Then the node has sent it to the upstream itself
+
+  Scenario: Connections beyond the uncounted ones need room: guards against idle connections that take the memory of bodies
+    Given a front server with memory for bodies of 200000 bytes, whose upstreams hold requests
+    And the server counts each connection after the first one
+    When 5 callers connect one after the other
+    Then 3 of them stay connected
+    When these callers close their connections
+    Then no bytes are counted
--- a/foxtailshunt/front/_front_server.py
+++ b/foxtailshunt/front/_front_server.py
@@ -14,7 +14,13 @@
 from foxtailshunt.front._lingering_close import discard_until_closed
 from foxtailshunt.front._read_ahead import ReadAheadWatcher
 from foxtailshunt.front._request_handler import RequestHandler
-from foxtailshunt.memory import MemoryAccount, connection_limit
+from foxtailshunt.memory import (
+    CONNECTION_BYTES,
+    ConnectionLimits,
+    MemoryAccount,
+    NoMemoryError,
+    Reservation,
+)
 from foxtailshunt.routing import FrontLimits
 from foxtailshunt.telemetry import EarlyBindingServer, Metrics, log_state_change
 
@@ -38,8 +44,8 @@
     :param limits: returns the current limits.
     :param metrics: counters.
     :param memory: counts the bytes of bodies; None for an own account.
-    :param max_connections: maximum number of connections, and of the threads from which requests of
-        one connection no longer overlap; None for the default.
+    :param connection_limits: limits of connections; requests of one connection no longer overlap
+        from as many threads. None for the default.
     :raises FoxtailshuntError: with ``ADDRESS_IN_USE`` if the address cannot be bound.
     """
 
@@ -50,17 +56,18 @@
         limits: Callable[[], FrontLimits],
         metrics: Metrics,
         memory: MemoryAccount | None = None,
-        max_connections: int | None = None,
+        connection_limits: ConnectionLimits | None = None,
     ) -> None:
         super().__init__(address, FrontGateway, minthreads=1)
         self.handler = handler
         self.memory = memory or MemoryAccount()
-        self._max_connections = max_connections or connection_limit()
+        self.connection_limits = connection_limits or ConnectionLimits()
         self.is_draining = False
         self._limits = limits
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._connections: set[FrontConnection] = set()
+        #: The open connections, with the bytes that are counted for each.
+        self._connections: dict[FrontConnection, Reservation] = {}
         self._thread_count = 0
         self._watcher = ReadAheadWatcher()
         self._stopping = threading.Event()
@@ -159,21 +166,37 @@
             sock.close()
             return
         conn = FrontConnection(self, sock, self._watcher, self._start_further_thread)
-        with self._lock:
-            is_at_limit = len(self._connections) >= self._max_connections
-            if not is_at_limit:
-                self._connections.add(conn)
-                self._thread_count += 1
-        if is_at_limit:
+        memory = self.memory.open()
+        try:
+            # Only this thread adds connections, so the number does not rise meanwhile.
+            has_place = self._reserve_connection(memory)
+        except NoMemoryError:
+            has_place = False
+        if not has_place:
             self.count_rejected("connections")
             sock.close()
             return
+        with self._lock:
+            self._connections[conn] = memory
+            self._thread_count += 1
         self._start_thread(conn)
 
+    def _reserve_connection(self, memory: Reservation) -> bool:
+        """Reserve the memory of another connection; return False if there are too many.
+
+        :raises NoMemoryError: the memory account has no room for it.
+        """
+        count, limits = len(self._connections), self.connection_limits
+        if count >= limits.total:
+            return False
+        if count >= limits.uncounted:
+            memory.grow(CONNECTION_BYTES)
+        return True
+
     def _start_further_thread(self, conn: FrontConnection) -> bool:
         """Start another thread for a connection, unless there are too many threads."""
         with self._lock:
-            if self._thread_count >= self._max_connections:
+            if self._thread_count >= self.connection_limits.total:
                 return False
             self._thread_count += 1
         try:
@@ -213,7 +236,9 @@
             self._discard_rest(conn)
         _close_and_log_errors(conn)
         with self._lock:
-            self._connections.discard(conn)
+            memory = self._connections.pop(conn, None)
+        if memory is not None:
+            memory.release()
 
     def _discard_rest(self, conn: FrontConnection) -> None:
         """Let a caller finish sending, so that no reset overtakes the last response."""
--- a/foxtailshunt/memory/_limits.py
+++ b/foxtailshunt/memory/_limits.py
@@ -18,8 +18,10 @@
 #: Maximum number of callers' connections.
 _MAX_CONNECTIONS = 1500
 #: Memory of a connection: its thread takes about 60 KB, its buffer 16 KB.
-_CONNECTION_BYTES = 80_000
-#: Share of the memory above that of a node without requests that connections may take.
+CONNECTION_BYTES = 80_000
+#: Share of the memory above that of a node without requests that is kept for connections. Those
+#: beyond it are counted like bodies: a burst of ordinary callers may need them, and they must not
+#: take the memory of bodies that are in progress.
 _CONNECTION_SHARE = 0.25
 _MIN_CONNECTIONS = 16
 #: Descriptors for the store, other nodes, upstreams and the process itself.
@@ -50,16 +52,27 @@
         return cls(total, max(total, int(free_bytes / _SINGLE_BODY_FACTOR)))
 
 
-def connection_limit(max_fds: int | None = None, memory_mb: float | None = None) -> int:
-    """Return the maximum number of callers' connections.
+@dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits of callers' connections."""
+
+    #: Maximum number of connections.
+    total: int = _MAX_CONNECTIONS
+    #: Number of connections that are not counted in the memory account.
+    uncounted: int = _MAX_CONNECTIONS
 
-    :param max_fds: descriptors that the process may open; None if it is not stated.
-    :param memory_mb: memory of the instance in MB; None if it is not stated.
-    """
-    count = _MAX_CONNECTIONS
-    if max_fds is not None:
-        count = min(count, (max_fds - _RESERVED_FDS) // _FDS_PER_CONNECTION)
-    if memory_mb is not None:
-        free_bytes = (memory_mb - _BASE_MB) * _MB
-        count = min(count, int(free_bytes * _CONNECTION_SHARE / _CONNECTION_BYTES))
-    return max(_MIN_CONNECTIONS, count)
+    @classmethod
+    def for_instance(cls, max_fds: int | None, memory_mb: float | None) -> "ConnectionLimits":
+        """Return the limits for an instance.
+
+        :param max_fds: descriptors that the process may open; None if it is not stated.
+        :param memory_mb: memory of the instance in MB; None if it is not stated.
+        """
+        total = uncounted = _MAX_CONNECTIONS
+        if max_fds is not None:
+            total = min(total, (max_fds - _RESERVED_FDS) // _FDS_PER_CONNECTION)
+        if memory_mb is not None:
+            free_bytes = (memory_mb - _BASE_MB) * _MB
+            uncounted = int(free_bytes * _CONNECTION_SHARE / CONNECTION_BYTES)
+        total = max(_MIN_CONNECTIONS, total)
+        return cls(total, min(total, max(_MIN_CONNECTIONS, uncounted)))
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -21,7 +21,7 @@
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import FleetSize, FleetView, Member, StoreCallSpacing
 from foxtailshunt.front import FrontServer, ReadinessServer, RequestHandler
-from foxtailshunt.memory import MemoryAccount, MemoryLimits, connection_limit
+from foxtailshunt.memory import ConnectionLimits, MemoryAccount, MemoryLimits
 from foxtailshunt.node._configuration_watch import (
     ConfigurationApplier,
     ConfigurationFormat,
@@ -245,7 +245,7 @@
             self._limits,
             self._metrics,
             memory,
-            connection_limit(settings.max_fds, settings.memory_mb),
+            ConnectionLimits.for_instance(settings.max_fds, settings.memory_mb),
         )
         self._readiness = ReadinessServer(settings.readiness, self._is_ready)
         self._operator = OperatorServer(
