--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -4,6 +4,7 @@
 import json
 import random
 import sys
+from collections import deque
 from contextlib import ExitStack
 from functools import partial
 from types import SimpleNamespace
@@ -30,11 +31,13 @@
 )
 from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
 from foxtailshunt.node import DemandCollector, Follower, PeerService
+from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.platform import UPSTREAM_PREFIX, StoreError
 from foxtailshunt.routing import FrontLimits, HostRoutes, RouteTable, ServiceInfo
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.upstreams import LatencyEstimator
 from standins.keyowner import find_overlaps
+from standins.metadata import StoreCopy
 
 NODES = ("n0", "n1", "n2")
 UPSTREAMS = ("u0", "u1", "u2", "u3")
@@ -45,6 +48,7 @@
     "foxtailshunt.fleet.",
     "foxtailshunt.node._follower",
     "foxtailshunt.node._peer_service",
+    "foxtailshunt.node._table_copies",
     "standins.metadata._store",
     "standins.keyowner._key_grants",
 )
@@ -55,6 +59,8 @@
 #: How long a stopping node goes on after it has resigned, in seconds.
 _GRACE_S = 1.0
 _SEEDS = tuple((name, 1) for name in NODES)
+#: Number of copies of the store that are kept, and how old one may be, in seconds.
+_COPIES, _COPY_AGE_S = 4, 10.0
 
 
 class Node:
@@ -80,6 +86,7 @@
         spacing = StoreCallSpacing(self.view, rng)
         self.demands = DemandTracker()
         capacities, mean_work, members = CapacityEstimator(), MeanWork(), MemberRegistry()
+        statements = CopyStatements()
         with time.starting(self.process):
             self.leadership = Leadership(member, store, now, 1.0, spacing)
             self.assigner = Assigner(
@@ -91,8 +98,8 @@
                 capacities,
                 mean_work,
                 members,
-                CopyStatements(),
-                lambda address: None,
+                statements,
+                CopyFetcher(member, self.view).fetch,
                 now,
                 Metrics(),
             )
@@ -124,6 +131,7 @@
             capacities,
             now,
             mean_work,
+            statements,
         )
 
     @property
@@ -170,11 +178,14 @@
             target = f"foxtailshunt.assigning.{module}.KeyGrantClient"
             self._patches.enter_context(patch(target, partial(NetworkGrantClient, self.network)))
         pool = self.network.poll_peers(self._peers)
-        self._patches.enter_context(patch("foxtailshunt.node._follower.ClientPool", pool))
+        for module in ("_follower", "_table_copies"):
+            self._patches.enter_context(patch(f"foxtailshunt.node.{module}.ClientPool", pool))
         eliot.add_destinations(self._record)
         self._patches.callback(eliot.remove_destination, self._record)
         self._numbers = itertools.count(1)
         self._evacuations = 0
+        #: The last copies of the store, from which it may return, with their times.
+        self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=_COPIES)
         self.nodes: dict[str, Node] = {}
         self.upstreams: dict[str, UpstreamRun] = {}
         #: All processes of upstreams so far.
@@ -274,6 +285,21 @@
         for node in self.nodes.values():
             node.view.update_evacuations(self._evacuations, zones)
 
+    def copy_store(self) -> None:
+        """Take a copy from which the store may return."""
+        self._copies.append((self.time.now, self.network.store.take_copy()))
+
+    def return_store(self, number: int) -> None:
+        """Let the store lose what was written since one of the last copies.
+
+        :param number: number of the copy, counted backwards; older ones are not used if they were
+            taken more than some seconds ago.
+        """
+        recent = [copy for at, copy in self._copies if self.time.now - at <= _COPY_AGE_S]
+        if recent:
+            self.network.store.return_from(recent[-1 - number % len(recent)])
+            self._copies.clear()
+
     def add_demand(self, key: int) -> None:
         """Let the leader know of much demand around a key."""
         node = self.nodes[self.resolve("leader")]
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -56,6 +56,7 @@
 
     def _continue(self, pause_s: float) -> None:
         self.fleet.time.advance(pause_s)
+        self.fleet.copy_store()
 
     def _block(self, blocked: set[tuple[str, str]]) -> None:
         self.fleet.network.blocked = frozenset(blocked)
@@ -101,6 +102,17 @@
         self._block(set())
         self._continue(pause_s)
 
+    @rule(number=st.integers(0, 3), outage_s=st.sampled_from((0.0, 0.3, 1.5)), pause_s=_pause)
+    def return_store(self, number: int, outage_s: float, pause_s: float) -> None:
+        """Let the store return from an older copy after a short outage."""
+        blocked = self.fleet.network.blocked
+        pairs = self.fleet.pairs(frozenset({STORE}), PLACES - {STORE})
+        self._block(blocked | pairs | {(target, source) for source, target in pairs})
+        self.fleet.time.advance(outage_s)
+        self.fleet.return_store(number)
+        self._block(set(blocked))
+        self._continue(pause_s)
+
     # Processes.
 
     @rule(event=st.sampled_from(("start", "kill", "stop", "suspend")), name=_node, pause_s=_pause)
--- a/features/grant_support/_network.py
+++ b/features/grant_support/_network.py
@@ -7,7 +7,7 @@
 
 from features.grant_support._virtual_time import Process, VirtualTime
 from foxtailshunt.errors import PeerUnreachableError
-from foxtailshunt.fleet import Address, KeyRange
+from foxtailshunt.fleet import Address, KeyRange, at_era, era_of, plain_revision
 from foxtailshunt.platform import (
     ConflictError,
     GrantOutcome,
@@ -15,6 +15,7 @@
     KeyGrantError,
     LeaseEndedError,
     StoreChange,
+    StoreEraChangedError,
     StoreError,
     StoreItem,
     UpstreamReplacedError,
@@ -30,6 +31,14 @@
 _WATCH_MARGIN_S, _POLL_MARGIN_S = 1.5, 0.4
 #: Factor by which an upstream holds keys for longer since its clock runs slow, as far as allowed.
 _SLOW_CLOCK = 1.02
+#: Bits of a lease below the era of the store, as in ``StoreClient``.
+LEASE_BITS = 64
+#: Errors of the store and of its client.
+_ERRORS = {
+    ConditionFailedError: ConflictError,
+    UnknownLeaseError: LeaseEndedError,
+    CompactedError: HistoryLostError,
+}
 
 T = TypeVar("T")
 
@@ -126,70 +135,105 @@
 
 
 class NetworkStoreClient:
-    """Calls the stand-in for the store; the interface of ``StoreClient``."""
-
-    #: The store does not return from an older copy here.
-    era = 0
+    """Calls the stand-in for the store; the interface and the eras of ``StoreClient``."""
 
     def __init__(self, network: Network) -> None:
         self._network, self._store = network, network.store
+        self.era = 0
 
     def observe_era(self, era: int) -> None:
-        """Check that no node states another era."""
-        assert era == self.era, era
-
-    def _call(self, timeout_s: float, changes: bool, serve: Callable[[], T]) -> T:
+        self.era = max(self.era, era)
+
+    def _call(
+        self,
+        timeout_s: float,
+        changes: bool,
+        serve: Callable[[int], T],
+        depends_on: int | None = None,
+    ) -> T:
+        def serve_in_era() -> tuple[int, T | Exception]:
+            try:
+                result: T | Exception = serve(self._store.era)
+            except tuple(_ERRORS) as exc:
+                result = _ERRORS[type(exc)]("call")
+            # The store may have returned from a copy during the wait of a watch.
+            return self._store.era, result
+
+        if depends_on not in (None, self.era):
+            raise StoreEraChangedError("not sent", False)
         try:
-            return self._network.exchange(STORE, timeout_s, serve)
+            era, result = self._network.exchange(STORE, timeout_s, serve_in_era)
         except NoResponseError:
             raise StoreError("no response", changes) from None
-        except ConditionFailedError:
-            raise ConflictError("commit") from None
-        except UnknownLeaseError:
-            raise LeaseEndedError("lease") from None
-        except CompactedError:
-            raise HistoryLostError("watch") from None
+        self.observe_era(era)
+        if era != self.era or depends_on not in (None, era):
+            raise StoreEraChangedError("response of another era", changes)
+        if isinstance(result, Exception):
+            raise result
+        return result
 
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
-        return _item(self._call(timeout_s, False, lambda: self._store.read(key)))
+        return self._call(timeout_s, False, lambda era: _item(self._store.read(key), era))
 
     def read_to_watch(self, key: str, timeout_s: float) -> tuple[StoreItem | None, int]:
-        def serve() -> tuple[StoreItem | None, int]:
-            found = _item(self._store.read(key))
-            return found, self._store.revision if found is not None else 0
+        def serve(era: int) -> tuple[StoreItem | None, int]:
+            found = _item(self._store.read(key), era)
+            return found, at_era(era, self._store.revision) if found is not None else 0
 
         return self._call(timeout_s, False, serve)
 
     def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list, int]:
-        return self._call(
-            timeout_s,
-            False,
-            lambda: ([_item(found) for found in self._store.under(prefix)], self._store.revision),
-        )
+        def serve(era: int) -> tuple[list, int]:
+            items = [_item(found, era) for found in self._store.under(prefix)]
+            return items, at_era(era, self._store.revision)
+
+        return self._call(timeout_s, False, serve)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
-        found, revision = self._call(
-            wait_s + _WATCH_MARGIN_S, False, lambda: self._store.watch(prefix, after, wait_s)
-        )
-        return [StoreChange(change.key, _item(change.item)) for change in found], revision
+        def serve(era: int) -> tuple[list[StoreChange], int]:
+            found, revision = self._store.watch(prefix, plain_revision(after), wait_s)
+            changes = [StoreChange(change.key, _item(change.item, era)) for change in found]
+            return changes, at_era(era, revision)
+
+        return self._call(wait_s + _WATCH_MARGIN_S, False, serve, era_of(after))
 
     def commit(self, conditions: dict, puts: list, timeout_s: float, removes: tuple = ()) -> int:
+        eras = {era_of(revision) for revision in conditions.values() if revision}
+        eras |= {lease >> LEASE_BITS for _, _, lease in puts if lease}
+        if len(eras) > 1:
+            raise StoreEraChangedError("several eras", False)
+        plain = {key: plain_revision(revision) for key, revision in conditions.items()}
+        written = [(key, value, _plain_lease(lease)) for key, value, lease in puts]
         return self._call(
-            timeout_s, True, lambda: self._store.commit(conditions, list(puts), list(removes))
+            timeout_s,
+            True,
+            lambda era: at_era(era, self._store.commit(plain, written, list(removes))),
+            next(iter(eras), None),
         )
 
     def open_lease(self, ttl_s: float, timeout_s: float) -> tuple[int, float]:
-        return self._call(timeout_s, True, lambda: self._store.open_lease(ttl_s)), ttl_s
+        def serve(era: int) -> int:
+            return era << LEASE_BITS | self._store.open_lease(ttl_s)
+
+        return self._call(timeout_s, True, serve), ttl_s
 
     def renew_lease(self, lease: int, timeout_s: float) -> None:
-        self._call(timeout_s, True, lambda: self._store.renew_lease(lease))
+        plain = _plain_lease(lease)
+        era = lease >> LEASE_BITS
+        self._call(timeout_s, True, lambda _era: self._store.renew_lease(plain), era)
 
     def end_lease(self, lease: int, timeout_s: float) -> None:
-        self._call(timeout_s, True, lambda: self._store.end_lease(lease))
+        plain = _plain_lease(lease)
+        era = lease >> LEASE_BITS
+        self._call(timeout_s, True, lambda _era: self._store.end_lease(plain), era)
+
+
+def _item(found: Any, era: int) -> StoreItem | None:
+    return found and StoreItem(found.key, found.value, at_era(era, found.revision), found.lease)
 
 
-def _item(found: Any) -> StoreItem | None:
-    return found and StoreItem(found.key, found.value, found.revision, found.lease)
+def _plain_lease(lease: int) -> int:
+    return lease & ((1 << LEASE_BITS) - 1)
 
 
 class NetworkGrantClient:
