--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -7,7 +7,6 @@
 from collections import deque
 from contextlib import ExitStack
 from functools import partial
-from types import SimpleNamespace
 from unittest.mock import patch
 
 import eliot
@@ -197,7 +196,7 @@
 
     def _virtualize(self) -> None:
         threads = self.time.threading_module()
-        clock = SimpleNamespace(monotonic=lambda: self.time.now, sleep=self.time.sleep)
+        clock = self.time.time_module()
         for name, module in list(sys.modules.items()):
             if name.startswith(_VIRTUAL):
                 for attribute, value in (("threading", threads), ("time", clock)):
@@ -208,6 +207,8 @@
         )
 
     def _record(self, message: dict) -> None:
+        if not self.time.is_virtual():
+            return
         event = message.get("message_type", "")
         if event in self.counts:
             self.counts[event] += 1
--- a/features/grant_support/_virtual_time.py
+++ b/features/grant_support/_virtual_time.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import threading
+import time
 from collections.abc import Callable
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -56,6 +57,9 @@
         self._main = _held_lock()
         self._current: _Task | None = None
         self._starting = Process("main")
+        #: Threads in virtual time. Others, such as those that an earlier feature has left running,
+        #: use the real clock and the real module ``threading``.
+        self._threads = {threading.get_ident()}
 
     @property
     def process(self) -> Process:
@@ -74,6 +78,7 @@
         task = _Task(self.process)
 
         def run() -> None:
+            self._threads.add(threading.get_ident())
             task.gate.acquire()
             try:
                 if not task.process.is_killed:
@@ -84,6 +89,7 @@
                 self.errors.append(exc)
             task.is_done = True
             task.process.tasks.remove(task)
+            self._threads.discard(threading.get_ident())
             self._main.release()
 
         task.process.tasks.append(task)
@@ -142,6 +148,19 @@
                 self._schedule(0.0, task)
         process.deferred.clear()
 
+    def time_module(self) -> SimpleNamespace:
+        """Return a replacement of the module ``time``."""
+        return SimpleNamespace(
+            monotonic=lambda: self.now if self.is_virtual() else time.monotonic(),
+            sleep=lambda seconds: (
+                self.sleep(seconds) if self.is_virtual() else time.sleep(seconds)
+            ),
+        )
+
+    def is_virtual(self) -> bool:
+        """Return whether the current thread runs in virtual time."""
+        return threading.get_ident() in self._threads
+
     def threading_module(self) -> SimpleNamespace:
         """Return a replacement of the module ``threading``."""
         scheduler = self
@@ -192,10 +211,13 @@
             def start(self) -> None:
                 scheduler.spawn(self._target, self._args)
 
+        def choose(virtual: Callable[..., Any], real: Callable[..., Any]) -> Callable[..., Any]:
+            return lambda *args, **kwargs: (virtual if self.is_virtual() else real)(*args, **kwargs)
+
         return SimpleNamespace(
-            Thread=Thread,
-            Event=Waiters,
-            Condition=Waiters,
+            Thread=choose(Thread, threading.Thread),
+            Event=choose(Waiters, threading.Event),
+            Condition=choose(Waiters, threading.Condition),
             Lock=threading.Lock,
             RLock=threading.RLock,
         )
