Name the rest of a warm-up in the project's own words

The platform's name of the field was also that of a method outside of the package that translates its names.

--- a/features/steps/cold_placement_steps.py
+++ b/features/steps/cold_placement_steps.py
@@ -111,12 +111,12 @@
     assert is_published == (result == "published")
     if is_published:
         follower = _subject(context).follow()
-        assert follower.warmup_left_s(follower.upstreams["u1"]) > 0
+        assert follower.warmup_remaining_s(follower.upstreams["u1"]) > 0
 
 
 @then("it learns that the upstream is cold for {seconds:g} s")
 def _(context: Context, seconds: float) -> None:
-    left_s = context.follower.warmup_left_s(context.follower.upstreams["u1"])
+    left_s = context.follower.warmup_remaining_s(context.follower.upstreams["u1"])
     assert abs(left_s - seconds) < 0.002, left_s
 
 
--- a/foxtailshunt/assigning/_move_planner.py
+++ b/foxtailshunt/assigning/_move_planner.py
@@ -71,7 +71,7 @@
         service = self._deps.view.find_service(upstream.service)
         if service is None or service.warmup_rate <= 0:
             return None
-        if self._deps.view.warmup_left_s(upstream) <= 0:
+        if self._deps.view.warmup_remaining_s(upstream) <= 0:
             return None
         return service.warmup_rate * self._deps.mean_work.mean_s(upstream.service)
 
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -164,7 +164,7 @@
                 self._delete(key)
             self._deleted.clear()
         return {
-            item.upstream_id: self._apply_serving_rules(self._with_warmup_left(key, item))
+            item.upstream_id: self._apply_serving_rules(self._with_remaining_warmup(key, item))
             for key, item in self._entries.items()
         }
 
@@ -172,7 +172,7 @@
         self._entries.pop(key, None)
         self._warmups_read.pop(key, None)
 
-    def _with_warmup_left(self, key: str, upstream: Upstream) -> Upstream:
+    def _with_remaining_warmup(self, key: str, upstream: Upstream) -> Upstream:
         """Return an upstream with the rest of its warm-up now, not when its entry was read."""
         read = self._warmups_read.get(key)
         if read is None:
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -341,14 +341,14 @@
         """Return the time since the last poll that the leader answered; infinite without one."""
         return self._now() - self._leader_polled_at
 
-    def warmup_left_s(self, upstream: Upstream) -> float:
+    def warmup_remaining_s(self, upstream: Upstream) -> float:
         """Return how long an upstream stays cold, in seconds.
 
         :param upstream: the upstream.
         """
         if self.upstream_observer is None:
             return upstream.warmup_s
-        return self.upstream_observer.warmup_left_s(upstream)
+        return self.upstream_observer.warmup_remaining_s(upstream)
 
     def _observe(self, upstreams: dict[str, Upstream], age_s: float) -> None:
         if self.upstream_observer is not None:
--- a/foxtailshunt/fleet/_view_types.py
+++ b/foxtailshunt/fleet/_view_types.py
@@ -62,7 +62,7 @@
         """
         ...
 
-    def warmup_left_s(self, upstream: Upstream) -> float:
+    def warmup_remaining_s(self, upstream: Upstream) -> float:
         """Return how long an upstream stays cold, in seconds; 0 if it is warm.
 
         :param upstream: the upstream.
--- a/foxtailshunt/node/_dump.py
+++ b/foxtailshunt/node/_dump.py
@@ -29,7 +29,7 @@
         "services": [{"name": item.name, "keyed": item.keyed} for item in services],
         "upstreams_age_s": view.upstreams_age_s(),
         "upstreams": [
-            asdict(item) | {"warmup_s": view.warmup_left_s(item)}
+            asdict(item) | {"warmup_s": view.warmup_remaining_s(item)}
             for item in view.upstreams.values()
         ],
         "evacuated_zones": sorted(view.evacuated_zones),
--- a/foxtailshunt/node/_follow_reply.py
+++ b/foxtailshunt/node/_follow_reply.py
@@ -50,10 +50,10 @@
 ) -> None:
     changes = view.upstream_changes_since(known.upstreams) if may_send_changes else None
     if changes is not None and view.versions.upstreams == reply.versions.upstreams:
-        reply.upstream_changes = to_upstreams_message(changes.changed, view.warmup_left_s)
+        reply.upstream_changes = to_upstreams_message(changes.changed, view.warmup_remaining_s)
         reply.upstreams_removed = list(changes.removed)
     else:
-        reply.upstreams = to_upstreams_message(view.upstreams.values(), view.warmup_left_s)
+        reply.upstreams = to_upstreams_message(view.upstreams.values(), view.warmup_remaining_s)
 
 
 def _add_ownership(view: FleetView, reply: FollowReply, known: Versions, same_term: bool) -> None:
--- a/foxtailshunt/node/_gauges.py
+++ b/foxtailshunt/node/_gauges.py
@@ -61,7 +61,7 @@
             self._set_service(name, info.keyed)
             if info.warmup_rate > 0:
                 found = view.upstreams_by_service.get(name, ())
-                cold = sum(view.warmup_left_s(item) > 0 for item in found)
+                cold = sum(view.warmup_remaining_s(item) > 0 for item in found)
                 self._set("cold_upstreams", "Upstreams of a service that are cold.", cold, name)
 
         for name, health in self._sender.upstream_health().items():
--- a/foxtailshunt/node/_messages.py
+++ b/foxtailshunt/node/_messages.py
@@ -76,12 +76,12 @@
 
 
 def to_upstreams_message(
-    upstreams: Iterable[Upstream], warmup_left_s: Callable[[Upstream], float]
+    upstreams: Iterable[Upstream], warmup_remaining_s: Callable[[Upstream], float]
 ) -> list[UpstreamRecord]:
     """Convert upstreams to messages.
 
     :param upstreams: the upstreams.
-    :param warmup_left_s: returns how long an upstream stays cold, in seconds.
+    :param warmup_remaining_s: returns how long an upstream stays cold, in seconds.
     """
     return [
         UpstreamRecord(
@@ -91,7 +91,7 @@
             zone=item.zone,
             slots=item.slots,
             leaving=item.leaving,
-            warmup_ms=math.ceil(warmup_left_s(item) * _MS_PER_S),
+            warmup_ms=math.ceil(warmup_remaining_s(item) * _MS_PER_S),
             started_ms=item.started_ms,
             avoided_zones=list(item.avoided_zones) or None,
             capacity_ratio=None if item.capacity_ratio == 1.0 else item.capacity_ratio,
--- a/foxtailshunt/platform/_responses.py
+++ b/foxtailshunt/platform/_responses.py
@@ -113,7 +113,7 @@
         seconds = float(value)
         return seconds if math.isfinite(seconds) else None
 
-    def warmup_left_s(self) -> float | None:
+    def warmup_remaining_s(self) -> float | None:
         """Return the stated rest of the upstream's warm-up, in seconds; None if unstated.
 
         :raises ValueError: the header is malformed or out of bounds.
--- a/foxtailshunt/relay/_cold_upstreams.py
+++ b/foxtailshunt/relay/_cold_upstreams.py
@@ -62,7 +62,7 @@
             return
         left_s = 0.0
         try:
-            left_s = response.warmup_left_s() or 0.0
+            left_s = response.warmup_remaining_s() or 0.0
         except ValueError as exc:
             self._log_malformed(upstream, exc)
         self._states.record_response(upstream, left_s, now)
--- a/foxtailshunt/upstreams/_warmup_tracker.py
+++ b/foxtailshunt/upstreams/_warmup_tracker.py
@@ -41,7 +41,7 @@
         """
         self._states.record_evacuation_end(zone, self._now())
 
-    def warmup_left_s(self, upstream: Upstream) -> float:
+    def warmup_remaining_s(self, upstream: Upstream) -> float:
         """Return how long an upstream stays cold, in seconds; 0 if it is warm.
 
         :param upstream: the upstream.
