--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -267,6 +267,21 @@
         self.upstreams.append(upstream)
         return upstream
 
+    def register(self, name, service, address, zone, sequence) -> None:
+        """Write the entry of an upstream that is not a ``KeyOwner``."""
+        entry = {
+            "service": service,
+            "address": f"{address[0]}:{address[1]}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 2,
+            "state": "ready",
+            "warmup_left": "0ms",
+            "seq": sequence,
+            "born": 1_700_000_000_000,
+        }
+        self.store.put(f"servers/{name}", json.dumps(entry).encode())
+
     def write_config(self, version: int, routes: dict, services: dict, limits: dict | None = None):
         """Write a configuration as the operator; return when the store has confirmed it."""
         document = {
