--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -361,9 +361,17 @@
 
 
 def run(folder: Path, case) -> None:
-    """Run a case and exit with its result."""
+    """Run a case and exit with its result; end all processes also if this one gets SIGTERM."""
+
+    def stop(number: int, frame: object) -> None:
+        for each in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(each, signal.SIG_IGN)
+        raise NotRunError(f"ended by {signal.Signals(number).name}")
+
     fleet = Fleet(folder)
     try:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, stop)
         result = case(fleet)
     except NotRunError as exc:
         fleet.record.write(f"could not run: {exc}")
