Order configurations by the era and version that they state

Cause: configurations were ordered by the era in which a node read the write, then by version. A node knew that era only for writes after its own first list of the era; it took what that list showed for the copy's and, from era 1 on, kept it out for good. A leader, its followers and a node started afterwards thus put the same write at different places in the order. In era 0, a version of `apply` that was not higher than the one in force was lost too, and a lost version that the platform's operator wrote again while a later one was in force replaced it.

Change: a configuration states its place itself. A record of the own format contains the era of the store in which `apply` wrote it; documents of the platform have versions that only increase. Lists, watches, replies of other nodes and FleetView compare (era, version) of the document, and the rule of the first list is gone. A leader also waits for a change if a follower knows a later version, instead of responding at once.

Tests: configuration_at_return.feature plays all orders of the reads of a leader, a follower and a fresh node around the operator's writes.

--- /dev/null
+++ b/features/configuration_at_return.feature
@@ -0,0 +1,76 @@
+Feature: What the operator wrote last is in force at every node after the store has returned from a copy
+
+  # Guards against a configuration that the operator writes before a node lists the new era, and that
+  # the node takes for one from the copy, in era 1 and later; and against one that reverts.
+  Scenario Outline: <format>, in force in era <era>: the operator writes <version>
+    Given a store of era <era> and a leader, a follower and a fresh node without a network
+    And the operator's format is <format>, and the next version after the return is <version>
+    When the store returns, and the operator writes <moment>, in every order of the nodes' reads
+    Then each node has the last write in force, and none went back to an earlier one
+
+    Examples: the operator's command counts on from the copy
+      | format   | era | version    | moment                    |
+      | own      | 0   | higher     | before a node lists       |
+      | own      | 0   | higher     | after each node listed    |
+      | own      | 0   | higher     | in both                   |
+      | own      | 0   | higher     | between the reads         |
+      | own      | 0   | equal      | before a node lists       |
+      | own      | 0   | equal      | after each node listed    |
+      | own      | 0   | equal      | in both                   |
+      | own      | 0   | equal      | between the reads         |
+      | own      | 0   | lower      | before a node lists       |
+      | own      | 0   | lower      | after each node listed    |
+      | own      | 0   | lower      | in both                   |
+      | own      | 0   | lower      | between the reads         |
+      | own      | 1   | higher     | before a node lists       |
+      | own      | 1   | higher     | after each node listed    |
+      | own      | 1   | higher     | in both                   |
+      | own      | 1   | higher     | between the reads         |
+      | own      | 1   | equal      | before a node lists       |
+      | own      | 1   | equal      | after each node listed    |
+      | own      | 1   | equal      | in both                   |
+      | own      | 1   | equal      | between the reads         |
+      | own      | 1   | lower      | before a node lists       |
+      | own      | 1   | lower      | after each node listed    |
+      | own      | 1   | lower      | in both                   |
+      | own      | 1   | lower      | between the reads         |
+      | own      | 2   | higher     | between the reads         |
+      | own      | 2   | equal      | between the reads         |
+      | own      | 2   | lower      | before a node lists       |
+      | own      | 2   | lower      | after each node listed    |
+      | own      | 2   | lower      | in both                   |
+      | own      | 2   | lower      | between the reads         |
+
+    Examples: versions of the platform increase; those that the copy has lost are written again
+      | format   | era | version    | moment                    |
+      | platform | 0   | higher     | before a node lists       |
+      | platform | 0   | higher     | after each node listed    |
+      | platform | 0   | higher     | in both                   |
+      | platform | 0   | higher     | between the reads         |
+      | platform | 0   | lost ones  | in both                   |
+      | platform | 0   | lost ones  | twice after that          |
+      | platform | 1   | higher     | before a node lists       |
+      | platform | 1   | higher     | after each node listed    |
+      | platform | 1   | higher     | in both                   |
+      | platform | 1   | higher     | between the reads         |
+      | platform | 1   | lost ones  | in both                   |
+      | platform | 1   | lost ones  | twice after that          |
+      | platform | 2   | higher     | before a node lists       |
+      | platform | 2   | higher     | after each node listed    |
+      | platform | 2   | higher     | in both                   |
+      | platform | 2   | higher     | between the reads         |
+      | platform | 2   | lost ones  | in both                   |
+      | platform | 2   | lost ones  | twice after that          |
+
+  # Guards against a node that starts after the return and goes back to the leader's version.
+  Scenario: A fresh node keeps a newer version than that of a leader that cannot read the store
+    Given a store of era 1 and a leader, a follower and a fresh node without a network
+    And the operator's format is platform, and the next version after the return is higher
+    When the store returns, the operator writes, and the fresh node lists and polls the leader
+    Then the fresh node has the last write in force, and none went back to an earlier one
+
+  # Guards against a leader that responds at once to each poll of a node that is ahead of it.
+  Scenario: A leader waits for a change if the follower knows a later version
+    Given a leader that has version 7 and a follower that knows version 9
+    When the follower polls the leader for 0.2 s
+    Then the leader did not send its configuration, and had waited for a change
--- a/features/operator_support/__init__.py
+++ b/features/operator_support/__init__.py
@@ -59,6 +59,10 @@
         self._client = client
         self._is_down = False
 
+    @property
+    def era(self) -> int:
+        return self._client.era
+
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
         if self._is_down:
             raise StoreError("down", may_have_run=False)
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -1,5 +1,6 @@
 """Steps for the eras of the store, without a network except for stores on loopback addresses."""
 
+import random
 import re
 from collections.abc import Iterator
 from types import SimpleNamespace
@@ -21,6 +22,7 @@
     KeyRange,
     Member,
     OwnershipTable,
+    StoreCallSpacing,
     TableCopy,
     at_era,
     next_token,
@@ -28,6 +30,7 @@
 from foxtailshunt.node import (
     ConfigurationApplier,
     ConfigurationFormat,
+    ConfigurationWatch,
     EvacuationEntries,
     build_reply,
     reply_with_copy,
@@ -258,23 +261,37 @@
 # The configuration and evacuations.
 
 
+def _decode(document: bytes) -> RouteTable:
+    """Decode a version such as ``7``, or ``1/6`` if the document states the era of its write."""
+    era, _, version = document.decode().rpartition("/")
+    return RouteTable(int(version), None, {}, FrontLimits(), era=int(era or 0))
+
+
 def _apply_all(configurations: str) -> FleetView:
     """Return the view of a node that has applied configurations, as a list, write or reply."""
     view = FleetView(lambda: 0.0)
-    limits = FrontLimits()
-    fmt = ConfigurationFormat("op/", "op/c", lambda data: RouteTable(int(data), None, {}, limits))
-    applier = ConfigurationApplier(fmt, view)
+    applier = ConfigurationApplier(ConfigurationFormat("op/", "op/c", _decode), view)
+    spacing = StoreCallSpacing(view, random.Random(1))
     for text in configurations.split(", "):
-        kind, version, _, place = text.split(" ", 3)
-        era, _, plain = place.removeprefix("era ").partition(".")
-        revision = at_era(int(era), int(plain or 0))
+        kind, document, *place = text.split(" ")
         if kind == "other":
-            applier.apply(version.encode(), "peer", int(era))
-        elif kind == "write":
-            applier.apply(version.encode(), "store", int(era))
+            applier.apply(document.encode(), "peer")
+            continue
+        era, plain = place[1].split(".")
+        revision = at_era(int(era), int(plain))
+        found = [] if document == "nothing" else [StoreItem("op/c", document.encode(), revision, 0)]
+        store = SimpleNamespace(
+            list_items=lambda *_args, found=found, revision=revision: (found, revision),
+            watch=lambda *_args, found=found, revision=revision: (
+                [StoreChange(item.key, item) for item in found],
+                revision,
+            ),
+        )
+        watch = ConfigurationWatch(store, applier, spacing, lambda: False)
+        if kind == "list":
+            watch._read_current()
         else:
-            item = StoreItem("op/c", version.encode(), revision, 0)
-            applier.apply_listed(None if version == "nothing" else item, revision)
+            watch._watch_once(revision - 1)
     return view
 
 
--- a/features/store_era.feature
+++ b/features/store_era.feature
@@ -111,7 +111,9 @@
       | leads            | term 0, token 0  | nothing      |
 
   # Guards against a configuration that reverts, and against the operator's next write being ignored
-  # because its version is lower.
+  # because its version is lower. Records of the own format state the era of their write (1/6 is
+  # version 6 of era 1). Documents of the platform state none: their versions only increase, and one
+  # that is lower has been written again, or is from the copy.
   Scenario Outline: A configuration that the store shows after its return does not revert a later one
     When a node applies <configurations>
     Then version <version> of era <era> is in force
@@ -124,27 +126,44 @@
       | list 7 at 0.50, list 5 at 1.40, list 5 at 1.40                            | 7       | 0   |
       | list 7 at 0.50, list nothing at 1.40                                      | 7       | 0   |
       | list 7 at 0.50, list 8 at 1.40                                            | 8       | 0   |
-      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45                           | 6       | 1   |
-      | list 7 at 0.50, list 5 at 1.40, list 6 at 1.45                            | 6       | 1   |
-      | list 7 at 0.50, list 5 at 1.40, write 7 at 1.45                           | 7       | 1   |
-      | list 7 at 0.50, list nothing at 1.40, list 1 at 1.45                      | 1       | 1   |
-      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, list 7 at 2.42           | 6       | 1   |
-      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, list 7 at 2.42, write 4 at 2.43 | 4 | 2   |
+      | list 7 at 0.50, list 5 at 1.40, write 1/6 at 1.45                         | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, list 1/6 at 1.45                          | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 1/7 at 1.45                         | 7       | 1   |
+      | list 7 at 0.50, list nothing at 1.40, list 1/1 at 1.45                    | 1       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 1/6 at 1.45, list 7 at 2.42         | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 1/6 at 1.45, list 7 at 2.42, write 2/4 at 2.43 | 4 | 2   |
       | list 5 at 1.40                                                            | 5       | 0   |
-      | list 5 at 1.40, other 7 of era 0                                          | 7       | 0   |
-      | list 7 at 0.50, other 6 of era 1                                          | 6       | 1   |
-      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, other 9 of era 0         | 6       | 1   |
+      | list 5 at 1.40, other 7                                                   | 7       | 0   |
+      | list 7 at 0.50, other 1/6                                                 | 6       | 1   |
+      | list 7 at 0.50, list 5 at 1.40, write 1/6 at 1.45, other 9                | 6       | 1   |
+
+    Examples: the operator writes before the node lists the era
+      | configurations                                                            | version | era |
+      | list 7 at 0.50, list 1/6 at 1.40                                          | 6       | 1   |
+      | list 7 at 0.50, list 1/7 at 1.40                                          | 7       | 1   |
+      | list 7 at 0.50, list 1/6 at 1.40, write 1/7 at 1.45                       | 7       | 1   |
+      | list 1/6 at 1.45, list 2/6 at 2.42                                        | 6       | 2   |
+      | list 7 at 1.40, list 9 at 2.42                                            | 9       | 0   |
+      | list 7 at 1.40, write 8 at 1.45, list 9 at 2.42                           | 9       | 0   |
+
+    Examples: the platform's operator writes again what the copy has lost
+      | configurations                                                            | version | era |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45                           | 7       | 0   |
+      | list 7 at 0.50, list 5 at 1.40, list 6 at 1.45                            | 7       | 0   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, write 7 at 1.46          | 7       | 0   |
+      | list 7 at 0.50, list 5 at 1.40, write 6 at 1.45, write 9 at 1.46          | 9       | 0   |
 
   Scenario Outline: Nodes pass on the configuration that is later by era, then by version
     Given a follower that applies <follower> and a leader that applies <leader>
     Then the leader <sends> its configuration
 
     Examples:
-      | follower                        | leader                          | sends         |
-      | list 7 at 0.50                  | list 8 at 0.51                  | sends         |
-      | list 8 at 0.51                  | list 7 at 0.50                  | does not send |
-      | list 7 at 0.50                  | list 5 at 1.40, write 6 at 1.45 | sends         |
-      | list 5 at 1.40, write 6 at 1.45 | list 7 at 0.50                  | does not send |
+      | follower                          | leader                            | sends         |
+      | list 7 at 0.50                    | list 8 at 0.51                    | sends         |
+      | list 8 at 0.51                    | list 7 at 0.50                    | does not send |
+      | list 7 at 0.50                    | list 5 at 1.40, write 1/6 at 1.45 | sends         |
+      | list 5 at 1.40, write 1/6 at 1.45 | list 7 at 0.50                    | does not send |
+      | list 9 at 2.42                    | list 7 at 1.40, write 8 at 1.45   | does not send |
 
   # Guards against requests to an evacuated zone. Which of two states is later cannot be known, so a
   # zone is evacuated if either shows it, until the operator removes the entry.
--- a/foxtailshunt/config/_file.py
+++ b/foxtailshunt/config/_file.py
@@ -160,11 +160,12 @@
         raise DocumentError(describe_validation_error(exc), list_faults(exc))
 
 
-def to_route_table(model: FileModel, version: int) -> RouteTable:
+def to_route_table(model: FileModel, version: int, era: int = 0) -> RouteTable:
     """Return the route table that a configuration describes.
 
     :param model: the configuration.
     :param version: version of the configuration's record in the store.
+    :param era: era of the store that the record states.
     """
     operations = OperationRoutes(
         to_operation(service.name, item)
@@ -172,7 +173,8 @@
         for item in service.operations
     )
     services = {service.name: to_service_info(service) for service in model.services}
-    return RouteTable(version, operations, services, to_front_limits(model.callers))
+    limits = to_front_limits(model.callers)
+    return RouteTable(version, operations, services, limits, era=era)
 
 
 def to_operation(service: str, model: OperationModel) -> Operation:
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -51,22 +51,21 @@
         #: Upstreams by service, for load balancing.
         self.upstreams_by_service: dict[str, tuple[Upstream, ...]] = {}
 
-    def update_routes(self, routes: RouteTable, document: bytes, era: int = 0) -> bool:
+    def update_routes(self, routes: RouteTable, document: bytes) -> bool:
         """Apply a configuration unless the current one is as new or newer.
 
         :param routes: the configuration.
         :param document: the configuration as it was read.
-        :param era: era of the store in which it was written; 0 if not known.
         :returns: whether the configuration was applied.
         """
         with self._changed:
-            order = (era, routes.version)
+            order = (routes.era, routes.version)
             if self.routes is not None and order <= self.versions.configuration_order:
                 return False
             self.routes = routes
             self.document = document
             self.versions = replace(
-                self.versions, configuration=routes.version, configuration_era=era
+                self.versions, configuration=routes.version, configuration_era=routes.era
             )
             self._changed.notify_all()
             return True
--- a/foxtailshunt/fleet/_view_types.py
+++ b/foxtailshunt/fleet/_view_types.py
@@ -23,9 +23,8 @@
     members: int = 0
     #: Revision of the store at which the evacuations were read, in any term.
     evacuations: int = 0
-    #: Era of the store in which the configuration was written, if that is known to be later than
-    #: the store's return from a copy; else 0. It precedes the version in the order of
-    #: configurations.
+    #: Era of the store in which the configuration was written, as the configuration states it. It
+    #: precedes the version in the order of configurations.
     configuration_era: int = 0
 
     @property
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -6,14 +6,13 @@
 from dataclasses import dataclass
 
 from foxtailshunt.errors import DocumentError
-from foxtailshunt.fleet import FleetView, StoreCallSpacing, era_of
+from foxtailshunt.fleet import FleetView, StoreCallSpacing
 from foxtailshunt.node._evacuations import DecodeEvacuation, EvacuationEntries
 from foxtailshunt.platform import (
     HistoryLostError,
     StoreClient,
     StoreEraChangedError,
     StoreError,
-    StoreItem,
 )
 from foxtailshunt.routing import RouteTable
 from foxtailshunt.telemetry import log_state_change
@@ -47,10 +46,8 @@
 class ConfigurationApplier:
     """Applies configurations received from the store or from other nodes.
 
-    A later version replaces an earlier one. After the store has returned from an older copy, the
-    operator may write a version again that was in force before. What the first list of an era
-    shows may be in the copy, so it replaces only a lower version; what is written after that list
-    replaces every configuration of earlier eras.
+    A later version replaces an earlier one, whichever way it arrives: what the store shows after
+    its return from an older copy is not special, since its versions are ordered like all others.
 
     :param fmt: location and decoder of configurations.
     :param view: the view that is updated.
@@ -60,52 +57,31 @@
         self.format = fmt
         self.evacuations = EvacuationEntries(fmt.decode_evacuation, view)
         self._view = view
-        self._lock = threading.Lock()
-        #: Era of the last list, and the revision of the configuration in the first list of that
-        #: era; 0 if it had none.
-        self._listed_era, self._first_revision = 0, 0
 
-    def apply_listed(self, item: StoreItem | None, revision: int) -> None:
-        """Apply the configuration in a list of the store's items.
-
-        :param item: the configuration; None if there is none.
-        :param revision: revision of the list.
-        """
-        era = era_of(revision)
-        found = item.revision if item is not None else 0
-        with self._lock:
-            is_first = era > self._listed_era
-            if is_first:
-                self._listed_era, self._first_revision = era, found
-            may_be_copied = found == self._first_revision or era < self._listed_era
-        if item is None:
-            return
-        if not may_be_copied:
-            self.apply(item.value, "store", era)
-        elif self._view.versions.configuration_era == 0:
-            self.apply(item.value, "store")
-        if is_first and self._view.document != item.value:
-            in_force = self._view.versions.configuration
-            log_state_change("configuration.kept", version=in_force, era=era)
-
-    def apply(self, document: bytes, source: str, era: int = 0) -> None:
+    def apply(self, document: bytes, source: str) -> None:
         """Apply a configuration if it can be decoded and is newer than the active one.
 
         :param document: the encoded configuration.
         :param source: origin of the configuration, for the log.
-        :param era: era of the store in which it was written; 0 if not known.
         """
         try:
             routes = self.format.decode(document)
         except DocumentError as exc:
             log_state_change("configuration.unreadable", source=source, reason=exc.message)
             return
-        if self._view.update_routes(routes, document, era):
-            log_state_change("configuration.in_force", version=routes.version, source=source)
-            for message in routes.ignored_values:
+        if not self._view.update_routes(routes, document):
+            in_force = self._view.versions
+            if (routes.era, routes.version) < in_force.configuration_order:
                 log_state_change(
-                    "configuration.value_ignored", version=routes.version, reason=message
+                    "configuration.kept",
+                    version=in_force.configuration,
+                    shown=routes.version,
+                    source=source,
                 )
+            return
+        log_state_change("configuration.in_force", version=routes.version, source=source)
+        for message in routes.ignored_values:
+            log_state_change("configuration.value_ignored", version=routes.version, reason=message)
 
 
 class ConfigurationWatch:
@@ -168,8 +144,9 @@
         items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
         self._log_store_regained()
         self._configuration_applier.evacuations.replace(items, revision)
-        listed = next((item for item in items if item.key == self._format.key), None)
-        self._configuration_applier.apply_listed(listed, revision)
+        for item in items:
+            if item.key == self._format.key:
+                self._configuration_applier.apply(item.value, "store")
         return revision
 
     def _read_as_leader(self) -> None:
@@ -180,15 +157,19 @@
 
     def _watch(self, revision: int) -> None:
         while not self._stopping.is_set():
-            timeout_s = LEADER_WATCH_TIMEOUT_S
-            if not self._leads():
-                timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
-            changes, revision = self._store.watch(self._format.prefix, revision, timeout_s)
-            self._configuration_applier.evacuations.change(changes, revision)
-            for change in changes:
-                if change.key == self._format.key and change.item is not None:
-                    era = era_of(revision)
-                    self._configuration_applier.apply(change.item.value, "store", era)
+            revision = self._watch_once(revision)
+
+    def _watch_once(self, revision: int) -> int:
+        """Wait for changes, apply them, and return the revision to continue from."""
+        timeout_s = LEADER_WATCH_TIMEOUT_S
+        if not self._leads():
+            timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
+        changes, revision = self._store.watch(self._format.prefix, revision, timeout_s)
+        self._configuration_applier.evacuations.change(changes, revision)
+        for change in changes:
+            if change.key == self._format.key and change.item is not None:
+                self._configuration_applier.apply(change.item.value, "store")
+        return revision
 
     def _log_store_lost(self, exc: StoreError) -> None:
         if not self._store_is_lost:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -273,8 +273,7 @@
     def _apply_reply(self, reply: FollowReply, known: Versions) -> None:
         self._store.observe_era(era_of(reply.versions.term))
         if reply.configuration is not None:
-            era = reply.versions.configuration_era or 0
-            self._configuration_applier.apply(reply.configuration, "peer", era)
+            self._configuration_applier.apply(reply.configuration, "peer")
         apply_reply(self._view, reply, known)
 
     def _read_stored_table(self) -> None:
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -141,16 +141,14 @@
     def _known_configuration(self, req: FollowRequest) -> tuple[int, int]:
         """Return the era and the version of the configuration that a follower knows.
 
-        A follower that knows one of a later era, or whose build knows no eras, has nothing to wait
-        for.
+        At most those of this node: a follower that knows a later one has nothing to wait for. One
+        whose build knows no eras is compared by the version.
         """
         current = self._view.versions
         era = req.known.configuration_era
         if era is None:
             era = current.configuration_era
-        if era > current.configuration_era:
-            return current.configuration_order
-        return era, req.known.configuration
+        return min((era, req.known.configuration), current.configuration_order)
 
     def _known_evacuations(self, req: FollowRequest) -> int:
         """Return the evacuations that a follower knows; at most those of this node.
--- a/foxtailshunt/operator/_apply.py
+++ b/foxtailshunt/operator/_apply.py
@@ -17,6 +17,7 @@
     ResultCode,
     StoreConflictError,
 )
+from foxtailshunt.fleet import era_of
 from foxtailshunt.operator._conditional_write import ConditionalWrite, ConditionalWriter, Store
 from foxtailshunt.timing import Clock
 
@@ -70,11 +71,14 @@
             )
         if newest is not None and json.loads(newest.document) == json.loads(document):
             return ApplyResult(version, changed=False)
-        record = ConfigRecord(version + 1, uuid.uuid4().hex, document)
-        self._write(record, stored.revision if stored else 0)
+        record = ConfigRecord(version + 1, uuid.uuid4().hex, document, self._store.era)
+        written_at = self._write(record, stored.revision if stored else 0)
+        if era_of(written_at) > record.era:
+            # A write that requires that there is no record yet does not depend on the era.
+            return self.apply(document, None)
         return ApplyResult(record.version, changed=True)
 
-    def _write(self, record: ConfigRecord, revision: int) -> None:
+    def _write(self, record: ConfigRecord, revision: int) -> int:
         value = config_record_to_json(record).encode()
         if len(value) > MAX_RECORD_BYTES:
             raise FoxtailshuntError(
@@ -84,7 +88,7 @@
             )
         write = ConditionalWrite(CONFIG_KEY, value, revision, record.token, _token_of)
         try:
-            self._writer.write(write)
+            return self._writer.write(write)
         except StoreConflictError:
             raise StoreConflictError(
                 "another operator changed the configuration first; nothing was changed, "
--- a/foxtailshunt/operator/_conditional_write.py
+++ b/foxtailshunt/operator/_conditional_write.py
@@ -18,7 +18,12 @@
 
 
 class Store(Protocol):
-    """The store client methods that a conditional write needs."""
+    """The part of the store client that a conditional write needs."""
+
+    @property
+    def era(self) -> int:
+        """Return the highest era of the store that is known."""
+        ...
 
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
         """Return the item of a key, or None if the key does not exist."""
--- a/foxtailshunt/routing/_route_table.py
+++ b/foxtailshunt/routing/_route_table.py
@@ -21,11 +21,13 @@
 class RouteTable:
     """The routes, services and limits of one configuration version; immutable.
 
-    :param version: number of the version; newer versions have higher numbers.
+    :param version: number of the version; newer versions of an era have higher numbers.
     :param finder: matches requests to the routes of this version.
     :param services: services by name.
     :param limits: limits on callers' requests.
     :param ignored_values: messages about malformed optional values that are not used.
+    :param era: era of the store in which it was written, as the configuration states it; 0 in
+        formats whose versions never decrease.
     """
 
     def __init__(
@@ -35,8 +37,10 @@
         services: dict[str, ServiceInfo],
         limits: FrontLimits,
         ignored_values: tuple[str, ...] = (),
+        era: int = 0,
     ) -> None:
         self.version = version
+        self.era = era
         self.services = services
         self.limits = limits
         self.ignored_values = ignored_values
