Let apply write a file again that only a copy of the store holds

What the operator saw: after the store's return from a copy, applying the file of the copy's version exited with 0 and changed nothing, while a later version stayed in force at all nodes.

Cause: apply compared the file with the newest record only, which may be from the copy.

Change: a record of an earlier era of the store does not count as current, so the file is written once more, with the present era.

--- a/features/configuration_at_return.feature
+++ b/features/configuration_at_return.feature
@@ -74,3 +74,12 @@
     Given a leader that has version 7 and a follower that knows version 9
     When the follower polls the leader for 0.2 s
     Then the leader did not send its configuration, and had waited for a change
+
+  # Guards against a command that reports success while its file is in force nowhere.
+  Scenario: The operator applies the content that the copy holds, while a later one is in force
+    Given a store of era 0 and a leader, a follower and a fresh node without a network
+    And the operator's format is own, and the next version after the return is lower
+    When the store returns, and the operator applies the content of the copy
+    Then each node has the content of the copy in force
+    When the operator applies the same content again
+    Then the store has no new version
--- a/features/steps/configuration_at_return_steps.py
+++ b/features/steps/configuration_at_return_steps.py
@@ -260,6 +260,31 @@
     context.faults = subject.faults(("fresh",))
 
 
+@when("the store returns, and the operator applies the content of the copy")
+def _(context: Context) -> None:
+    context.subject = context.start()
+    context.subject.return_store()
+    context.subject.operator.write(_COPIED[context.version])
+    context.subject.settle()
+
+
+@then("each node has the content of the copy in force")
+def _(context: Context) -> None:
+    found = {name: node.numbers[-1] for name, node in context.subject.nodes.items()}
+    assert set(found.values()) == {_COPIED[context.version]}, found
+
+
+@when("the operator applies the same content again")
+def _(context: Context) -> None:
+    context.revision = context.subject.store.revision
+    context.subject.operator.write(_COPIED[context.version])
+
+
+@then("the store has no new version")
+def _(context: Context) -> None:
+    assert context.subject.store.revision == context.revision
+
+
 # Polls.
 
 
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -114,7 +114,7 @@
 
     The version is accepted once it is stored. The nodes apply it within seconds; `status` shows
     the version in force on each node. A file with the same content as the newest version changes
-    nothing.
+    nothing, unless the store has returned from an older copy since.
     """
     check_file(file, OWN_FORMAT)
     store_address = resolve_addresses(settings, store, ()).store
--- a/foxtailshunt/operator/_apply.py
+++ b/foxtailshunt/operator/_apply.py
@@ -35,7 +35,7 @@
 
     #: Version of the configuration.
     version: int
-    #: False if the store already held the same content.
+    #: False if the store already held the same content, written in its present era.
     changed: bool
 
 
@@ -69,9 +69,12 @@
             raise StoreConflictError(
                 f"version {version} is the newest, not {expected_version}; nothing was changed"
             )
-        if newest is not None and json.loads(newest.document) == json.loads(document):
+        era = self._store.era
+        # A record of an earlier era may be from a copy, while the nodes have a later one in force.
+        is_current = newest is not None and newest.era == era
+        if is_current and json.loads(newest.document) == json.loads(document):
             return ApplyResult(version, changed=False)
-        record = ConfigRecord(version + 1, uuid.uuid4().hex, document, self._store.era)
+        record = ConfigRecord(version + 1, uuid.uuid4().hex, document, era)
         written_at = self._write(record, stored.revision if stored else 0)
         if era_of(written_at) > record.era:
             # A write that requires that there is no record yet does not depend on the era.
