Compare a file with the later version of store and node after a return

What the operator saw: after the store's return from a copy, check listed the differences from the copy's version, not from the one in force.

Cause: check read a node only if the store did not respond.

Change: if the store's era is above 0, check reads a node too and takes the later version by era and number.

--- a/features/configuration_check.feature
+++ b/features/configuration_check.feature
@@ -165,3 +165,22 @@
       | --store STORE        | 1    | the version in force at store: record foxtailshunt/config  |
       | --node NODE          | 1    | record foxtailshunt/config                                 |
       | --interface platform | 2    | services: Input should be                                  |
+
+  # Guards against differences from a version that is no longer in force: the store may show an older
+  # one after its return from a copy.
+  Scenario Outline: check compares with the later one of the store and a node after a return
+    Given a store of era <era> that holds <stored>, and a node at NODE that has <in force>
+    And a configuration file of the format of <stored>
+    When the operator runs "check FILE --store STORE --node NODE --json"
+    Then the comparison is with version <version>, read from <source>
+
+    Examples: era/version of records of the own format, versions of the platform
+      | era | stored       | in force     | version | source |
+      | 1   | own 0/2      | own 0/4      | 4       | NODE   |
+      | 1   | own 1/3      | own 0/4      | 3       | store  |
+      | 2   | own 1/3      | own 1/4      | 4       | NODE   |
+      | 1   | own 0/2      | unreachable  | 2       | store  |
+      | 1   | own nothing  | own 0/4      | 4       | NODE   |
+      | 1   | platform r7  | platform r9  | 9       | NODE   |
+      | 1   | platform r9  | platform r7  | 9       | store  |
+      | 0   | own 0/2      | own 0/2      | 2       | store  |
--- a/features/steps/configuration_check_steps.py
+++ b/features/steps/configuration_check_steps.py
@@ -6,9 +6,9 @@
 from behave import given, then
 from behave.runner import Context
 
-from features.front_support import random_address
+from features.front_support import make_document, random_address
 from features.operator_support import set_field
-from foxtailshunt.config import CONFIG_KEY
+from foxtailshunt.config import CONFIG_KEY, ConfigRecord, config_record_to_json
 from foxtailshunt.network import format_address
 from foxtailshunt.platform import CONFIGURATION_KEY, decode_configuration
 from foxtailshunt.routing import RequestLine
@@ -71,15 +71,55 @@
 
 @given("a node at NODE that has the platform configuration, and one at EMPTY without")
 def start_nodes(context: Context) -> None:
-    document = json.dumps(_document()).encode()
-    for name, value in (("NODE", document), ("EMPTY", b"")):
-        address = random_address()
-        server = OperatorServer(
-            address, Metrics(), lambda: {}, lambda: True, lambda value=value: value
-        )
-        server.start()
-        context.add_cleanup(server.stop)
-        context.operator.placeholders[name] = format_address(address)
+    _start_node(context, "NODE", json.dumps(_document()).encode())
+    _start_node(context, "EMPTY", b"")
+
+
+def _start_node(context: Context, name: str, configuration: bytes) -> None:
+    address = random_address()
+    server = OperatorServer(address, Metrics(), lambda: {}, lambda: True, lambda: configuration)
+    server.start()
+    context.add_cleanup(server.stop)
+    context.operator.placeholders[name] = format_address(address)
+
+
+def _stored_value(text: str) -> tuple[str, bytes]:
+    """Return the key and the value of a version such as ``own 1/3`` or ``platform r7``."""
+    fmt, _, version = text.partition(" ")
+    if fmt == "platform":
+        return CONFIGURATION_KEY, json.dumps(_document() | {"version": version}).encode()
+    if version == "nothing":
+        return CONFIG_KEY, b""
+    era, number = map(int, version.split("/"))
+    record = ConfigRecord(number, "token", json.dumps(make_document()), era)
+    return CONFIG_KEY, config_record_to_json(record).encode()
+
+
+@given("a store of era {era:d} that holds {stored}, and a node at NODE that has {in_force}")
+def start_store_and_node(context: Context, era: int, stored: str, in_force: str) -> None:
+    context.execute_steps("Given a store and a valid configuration file")
+    store = context.store_subject.store
+    store.era = era
+    key, value = _stored_value(stored)
+    if value:
+        store.put(key, value)
+    if in_force == "unreachable":
+        context.operator.placeholders["NODE"] = format_address(random_address())
+    else:
+        _start_node(context, "NODE", _stored_value(in_force)[1])
+
+
+@given("a configuration file of the format of {stored}")
+def write_file_of_format(context: Context, stored: str) -> None:
+    document = _document() if stored.startswith("platform") else make_document()
+    _write(context, json.dumps(document))
+
+
+@then("the comparison is with version {version:d}, read from {source}")
+def check_comparison(context: Context, version: int, source: str) -> None:
+    comparison = json.loads(context.operator.result.stdout)["comparison"]
+    source = context.operator.placeholders.get(source, source)
+    assert (comparison["version"], comparison["source"]) == (version, source), comparison
 
 
 @given('settings of a node in the region "{region}" with the zone "{zone}" in "{other}"')
--- a/foxtailshunt/cli/operator.py
+++ b/foxtailshunt/cli/operator.py
@@ -84,8 +84,8 @@
 
     Reports errors, entries that can never take effect and limits that contradict each other. With
     the address of the store or of a node it also lists the differences from the version in force,
-    which it reads from the store, or from the first node that responds. Otherwise it contacts
-    nothing. It never changes anything.
+    which it reads from the store, or from the first node that responds; from both if the store has
+    returned from an older copy. Otherwise it contacts nothing. It never changes anything.
     """
     addresses = resolve_addresses(settings, store, nodes)
     reader = None
--- a/foxtailshunt/config/_description.py
+++ b/foxtailshunt/config/_description.py
@@ -24,14 +24,14 @@
 )
 
 
-def describe_record(value: bytes) -> tuple[int, Description]:
-    """Return the version of a record in the store and its configuration.
+def describe_record(value: bytes) -> tuple[tuple[int, int], Description]:
+    """Return the place of a record in the order of configurations, and its configuration.
 
     :param value: the stored bytes.
     :raises DocumentError: the record is malformed.
     """
     record = config_record_from_json(value)
-    return record.version, describe_file(record.document)
+    return record.order, describe_file(record.document)
 
 
 def describe_file(text: str) -> Description:
--- a/foxtailshunt/operator/_document_formats.py
+++ b/foxtailshunt/operator/_document_formats.py
@@ -19,17 +19,18 @@
     store_key: str
     #: Describes a document that an operator wrote.
     describe: Callable[[str], Description]
-    #: Returns the version and the description of a value in the store.
-    describe_stored: Callable[[bytes], tuple[int, Description]]
+    #: Returns the place of a value in the order of configurations, which is the era that it states
+    #: and its version, and its description.
+    describe_stored: Callable[[bytes], tuple[tuple[int, int], Description]]
 
 
 def _describe_platform_text(text: str) -> Description:
     return describe_configuration(text.encode())
 
 
-def _describe_platform_value(value: bytes) -> tuple[int, Description]:
+def _describe_platform_value(value: bytes) -> tuple[tuple[int, int], Description]:
     description = describe_configuration(value)
-    return description.version or 0, description
+    return (0, description.version or 0), description
 
 
 #: Format of the files that are applied with the operator command.
