End an evacuation that is taken back before a node lists the new era

Cause: an entry that is missing from the first list after a return may only be lost, so its absence ended nothing, and the node read nothing else.

Change: if a zone is evacuated at a return, the node also reads the changes since one of its last four reads that found the same zones, as revisions of the new era. A removal among them ends the evacuation. It cannot be one of a lost entry: if the copy has that revision, the entry existed then; if not, all changes above it came after the return.

Left: without that history the evacuation stays in force, as before.

--- a/features/configuration_at_return.feature
+++ b/features/configuration_at_return.feature
@@ -83,3 +83,39 @@
     Then each node has the content of the copy in force
     When the operator applies the same content again
     Then the store has no new version
+
+  # Guards against an evacuation that stays in force although the operator took it back before a node
+  # listed the entries again, and against the end of one whose entry is only lost.
+  Scenario Outline: An evacuation ends with its removal, also before a node lists the new era
+    Given a store of era <era> and a leader, a follower and a fresh node without a network
+    And the operator's format is platform, and the next version after the return is higher
+    When these events happen: <events>
+    Then the leader and the follower evacuate <zones>
+
+    Examples: the nodes read, the operator evacuates zone-b and takes that back, n other writes
+      | era | events                                                                   | zones  |
+      | 0   | evacuate, read, copy, return, take back, read                            | none   |
+      | 1   | evacuate, read, copy, return, take back, read                            | none   |
+      | 0   | evacuate, read, copy, return, take back, leader reads, follower polls    | none   |
+      | 0   | evacuate, read, copy, 30 writes, read, return, take back, read           | none   |
+      | 0   | evacuate, read, 9 writes, read, compact, copy, return, take back, read   | none   |
+      | 0   | copy, evacuate, read, return, evacuate, take back, read                  | none   |
+      | 0   | copy, evacuate, read, return, read, evacuate, read, take back, read      | none   |
+      | 0   | evacuate, read, copy, return, read, copy, return, take back, read        | none   |
+      | 0   | copy, evacuate, read, return, return, evacuate, take back, read          | none   |
+      | 0   | evacuate c, copy, take back c, evacuate, read, return, 9 writes, evacuate, take back, read | zone-c |
+
+    Examples: an entry that is lost, or written again
+      | era | events                                                                   | zones  |
+      | 0   | evacuate, read, copy, return, read                                       | zone-b |
+      | 0   | copy, evacuate, read, return, read                                       | zone-b |
+      | 0   | copy, evacuate, read, return, 9 writes, read                             | zone-b |
+      | 0   | evacuate, read, copy, return, take back, evacuate, read                  | zone-b |
+      | 0   | evacuate, take back, read, copy, evacuate, read, return, read            | zone-b |
+      | 0   | evacuate, take back, copy, evacuate, read, return, 9 writes, read        | zone-b |
+      | 0   | read, evacuate, take back, copy, evacuate, leader reads, follower polls, return, read | zone-b |
+
+    Examples: which of both it is cannot be known without the store's history
+      | era | events                                                                   | zones  |
+      | 0   | evacuate, read, copy, return, take back, compact, read                   | zone-b |
+      | 0   | copy, 30 writes, evacuate, read, return, evacuate, take back, read       | zone-b |
--- a/features/steps/configuration_at_return_steps.py
+++ b/features/steps/configuration_at_return_steps.py
@@ -26,11 +26,12 @@
     ConfigurationFormat,
     ConfigurationWatch,
     PeerService,
+    apply_reply,
     build_reply,
 )
 from foxtailshunt.node._messages import to_member_message, to_versions_message
 from foxtailshunt.operator import ConfigApplier
-from foxtailshunt.platform import HistoryLostError, StoreEraChangedError
+from foxtailshunt.platform import HistoryLostError, StoreEraChangedError, decode_evacuation
 from foxtailshunt.protocol import FollowRequest
 from foxtailshunt.routing import FrontLimits, RouteTable
 from foxtailshunt.timing import MonotonicClock
@@ -78,7 +79,10 @@
     """Writes versions that increase."""
 
     fmt = ConfigurationFormat(
-        "op/", "op/config", lambda value: RouteTable(int(value), None, {}, FrontLimits())
+        "op/",
+        "op/config",
+        lambda value: RouteTable(int(value), None, {}, FrontLimits()),
+        decode_evacuation,
     )
 
     def __init__(self, store: MetadataStore) -> None:
@@ -122,6 +126,7 @@
         reply = build_reply(leader.view, self.view.versions, True, True)
         if reply.configuration is not None:
             self._applier.apply(reply.configuration, "peer")
+        apply_reply(self.view, reply, self.view.versions)
         self._record()
 
     def _record(self) -> None:
@@ -145,15 +150,15 @@
         for version in range(1, _IN_FORCE + 1):
             self.write()
             if version == copied:
-                self._copy = self.store.take_copy()
-            self._read_all()
+                self.copy = self.store.take_copy()
+            self.read_all()
 
     def write(self) -> None:
         self.written += 1
         self.operator.write(self.written)
 
     def return_store(self) -> None:
-        self.store.return_from(self._copy)
+        self.store.return_from(self.copy)
         self.nodes.pop("fresh", None)
 
     def do(self, event: str) -> None:
@@ -169,7 +174,7 @@
         for event in _READS:
             self.do(event)
 
-    def _read_all(self) -> None:
+    def read_all(self) -> None:
         for node in self.nodes.values():
             node.read()
 
@@ -285,6 +290,43 @@
     assert context.subject.store.revision == context.revision
 
 
+# Evacuations.
+
+_EVACUATION_KEY, _OTHER_KEY = "op/evacuate/zone-b", "op/evacuate/zone-c"
+
+
+@when("these events happen: {events}")
+def _(context: Context, events: str) -> None:
+    subject = context.subject = context.start()
+    store, leader = subject.store, subject.nodes["leader"]
+    actions = {
+        "evacuate": lambda: store.put(_EVACUATION_KEY, b"{}"),
+        "take back": lambda: store.remove(_EVACUATION_KEY),
+        "evacuate c": lambda: store.put(_OTHER_KEY, b"{}"),
+        "take back c": lambda: store.remove(_OTHER_KEY),
+        "read": subject.read_all,
+        "leader reads": leader.read,
+        "follower polls": lambda: subject.nodes["follower"].poll(leader),
+        "copy": lambda: setattr(subject, "copy", store.take_copy()),
+        "return": subject.return_store,
+        "compact": store.compact,
+    }
+    for event in events.split(", "):
+        count, _, writes = event.partition(" ")
+        if writes == "writes":
+            for _ in range(int(count)):
+                store.put("servers/u1", b"{}")
+        else:
+            actions[event]()
+
+
+@then("the leader and the follower evacuate {zones}")
+def _(context: Context, zones: str) -> None:
+    expected = frozenset() if zones == "none" else frozenset({zones})
+    found = {name: node.view.evacuated_zones for name, node in context.subject.nodes.items()}
+    assert all(item == expected for item in found.values()), found
+
+
 # Polls.
 
 
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -10,6 +10,7 @@
 from foxtailshunt.node._evacuations import DecodeEvacuation, EvacuationEntries
 from foxtailshunt.platform import (
     HistoryLostError,
+    StoreChange,
     StoreClient,
     StoreEraChangedError,
     StoreError,
@@ -143,12 +144,26 @@
     def _read_current(self) -> int:
         items, revision = self._store.list_items(self._format.prefix, False, READ_TIMEOUT_S)
         self._log_store_regained()
-        self._configuration_applier.evacuations.replace(items, revision)
         for item in items:
             if item.key == self._format.key:
                 self._configuration_applier.apply(item.value, "store")
+        removals = self._read_removals(revision)
+        self._configuration_applier.evacuations.replace(items, revision, removals)
         return revision
 
+    def _read_removals(self, revision: int) -> list[StoreChange]:
+        """Read the changes between the store's return and the first list of its era.
+
+        :param revision: revision of the list.
+        """
+        for read in self._configuration_applier.evacuations.reads_before_return(revision):
+            try:
+                return self._store.watch(self._format.prefix, read, 0.0)[0]
+            except HistoryLostError:
+                # The store has discarded the changes since then, or does not have the revision.
+                continue
+        return []
+
     def _read_as_leader(self) -> None:
         try:
             self._read_current()
--- a/foxtailshunt/node/_evacuations.py
+++ b/foxtailshunt/node/_evacuations.py
@@ -1,9 +1,10 @@
 """Follows the entries in the store that ask for the evacuation of zones."""
 
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable
 
-from foxtailshunt.fleet import FleetView, era_of
+from foxtailshunt.fleet import FleetView, at_era, era_of, plain_revision
 from foxtailshunt.platform import StoreChange, StoreItem
 from foxtailshunt.telemetry import log_state_change
 
@@ -14,6 +15,8 @@
 #: Stated by a node that starts after the store's return from a copy, so that it adopts the
 #: evacuations that others know.
 FIRST_REVISION = 1
+#: Number of reads whose revisions are kept; the store may have discarded the history of older ones.
+MAX_READS = 4
 _ANY_VALUE = b"{}"
 
 
@@ -25,6 +28,10 @@
     what is in force stays in force until an entry is removed that the store has shown since its
     return, or whose removal this node reads. Entries that the store shows are put in force.
 
+    An entry that the first list after a return does not have may be lost, or the operator may have
+    removed it since. A removal is in the history of the returned store, after any revision at which
+    the evacuation was known to be in force, whether the copy has that revision or not.
+
     :param decode: decodes an entry; None if the configuration format has none.
     :param view: the view that is updated.
     """
@@ -37,20 +44,44 @@
         self._zones: dict[str, str] = {}
         #: Messages about malformed entries by store key.
         self._malformed: dict[str, str] = {}
+        #: Zones in force after the last read, and the revisions of the last reads since they were.
+        self._zones_read: frozenset[str] = frozenset()
+        self._reads: deque[int] = deque(maxlen=MAX_READS)
+
+    def reads_before_return(self, revision: int) -> tuple[int, ...]:
+        """Return revisions after which a list of another era needs the removals of entries.
+
+        They are revisions of the list's era, in the order in which they should be tried. There are
+        none if no evacuation is in force, or the era is the one of the last read.
 
-    def replace(self, items: Iterable[StoreItem], revision: int) -> None:
+        :param revision: revision of the store at which the list was read.
+        """
+        with self._lock:
+            era, zones = era_of(revision), self._view.evacuated_zones
+            # Another node may have changed the zones in force since the last read.
+            if era <= era_of(self._revision) or not zones or zones != self._zones_read:
+                return ()
+            return tuple(at_era(era, plain_revision(read)) for read in self._reads)
+
+    def replace(
+        self, items: Iterable[StoreItem], revision: int, removals: Iterable[StoreChange] = ()
+    ) -> None:
         """Apply a complete list of entries.
 
         :param items: the entries, and other ones.
         :param revision: revision of the store at which they were read.
+        :param removals: changes since one of the reads before the store's return, with the entries
+            that were removed; empty if the store no longer keeps them.
         """
         with self._lock:
             if self._decode is None or revision < self._revision:
                 return
             earlier = frozenset(self._zones.values())
             if era_of(revision) > era_of(self._revision):
-                # The entries were read in an earlier era, so none of them was removed.
-                earlier = frozenset()
+                # The entries were read in an earlier era, so their absence is no removal.
+                removed = [change.key for change in removals if change.item is None]
+                earlier = frozenset().union(*map(self._zones_of_removed, removed))
+                self._reads.clear()
             self._zones = {}
             found = {item.key for item in items}
             self._malformed = {key: text for key, text in self._malformed.items() if key in found}
@@ -109,4 +140,8 @@
             if is_first:
                 # Nodes that have run for longer know what the store has lost.
                 revision = FIRST_REVISION
+        if zones != self._zones_read:
+            self._zones_read = zones
+            self._reads.clear()
+        self._reads.append(self._revision)
         self._view.update_evacuations_from_store(revision, zones)
