Keep what is known of upstreams until they write again after a return

What callers would see: after the store's return from a copy, upstreams that were leaving when it was away, or had left, get new requests again until their next heartbeat or until their entry expires; the new leader treats one that registered after the copy was taken as gone.

Cause: a new term begins after a return, and its reader of entries knew nothing but the copy. The delay for missing upstreams held only for readers that had run before the return.

Change: the first list of an era records what the node's view knew. The reader takes the view in place of one of its methods.

--- a/features/steps/cold_placement_steps.py
+++ b/features/steps/cold_placement_steps.py
@@ -49,7 +49,7 @@
         self.store = EntryStore(warmup_s)
         self.view = self._new_view()
         self.view.begin_term(1)
-        self.reader = UpstreamReader(self.store, lambda: self.now, lambda upstream: upstream)
+        self.reader = UpstreamReader(self.store, lambda: self.now, self._new_view())
         self.publisher = UpstreamPublisher(
             self.store, self.view, CapacityEstimator(), lambda: self.now, 1
         )
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -76,9 +76,7 @@
         entries = {"servers/u1": valid, self.odd_key: odd_entry, "servers/u2": valid}
         self._leader = FleetView(lambda: 100.0)
         self._leader.begin_term(1)
-        self._reader = UpstreamReader(
-            ListedStore(entries), lambda: 100.0, self._leader.apply_serving_rules
-        )
+        self._reader = UpstreamReader(ListedStore(entries), lambda: 100.0, self._leader)
         self.follower = FleetView(lambda: 100.0)
         self.logged: list[dict[str, Any]] = []
 
--- a/features/steps/upstream_reading_steps.py
+++ b/features/steps/upstream_reading_steps.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from foxtailshunt.assigning import UpstreamReader
+from foxtailshunt.fleet import FleetView
 from foxtailshunt.platform import StoreChange, StoreItem
 
 _LEAVING = 17
@@ -85,7 +86,7 @@
 @given("a node that has read the list of upstreams")
 def read_first(context: Context) -> None:
     store = context.heartbeats
-    context.reader = UpstreamReader(store, lambda: store.now, lambda upstream: upstream)
+    context.reader = UpstreamReader(store, lambda: store.now, FleetView(lambda: store.now))
     context.lists = [context.reader.poll()]
     assert not context.lists[0][f"u{_LEAVING}"].leaving
 
--- a/foxtailshunt/assigning/_upstream_publisher.py
+++ b/foxtailshunt/assigning/_upstream_publisher.py
@@ -33,7 +33,7 @@
         now: Callable[[], float],
         term: int,
     ) -> None:
-        self._reader = UpstreamReader(store, now, view.apply_serving_rules)
+        self._reader = UpstreamReader(store, now, view)
         self._view = view
         self._capacities = capacities
         self._now = now
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from foxtailshunt.fleet import Upstream
+from foxtailshunt.fleet import FleetView, Upstream
 from foxtailshunt.platform import (
     UPSTREAM_PREFIX,
     HistoryLostError,
@@ -40,18 +40,19 @@
 
     :param store: the store.
     :param now: returns seconds of a clock that also advances during suspension.
-    :param apply_serving_rules: marks an upstream as leaving unless the configuration lets it serve.
+    :param view: the node's view: its configuration says whether an upstream may serve, and it knows
+        the upstreams if the store returns from a copy.
     """
 
     def __init__(
         self,
         store: StoreClient,
         now: Callable[[], float],
-        apply_serving_rules: Callable[[Upstream], Upstream],
+        view: FleetView,
     ) -> None:
+        self._view = view
         self._store = store
         self._now = now
-        self._apply_serving_rules = apply_serving_rules
         self._revision: int | None = None
         #: When the last successful poll began, in seconds of the clock.
         self._polled_at = float("-inf")
@@ -114,20 +115,37 @@
     def _list(self) -> None:
         items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
         self._revision = revision
+        self._view.upstreams_at_return.observe_list(revision, self._view.upstreams, self._now())
         is_first_list = not self._entries
         found = {item.key for item in items}
         for key in [key for key in self._entries if key not in found]:
             self._remove(key)
         for item in items:
             self._add(item, is_first_list)
+        self._keep_lost(found)
         if is_first_list and self._entries:
             log_state_change("upstream.first_list", upstreams=len(self._entries))
 
+    def _keep_lost(self, found: set[str]) -> None:
+        """Keep upstreams that the store has lost by its return, since they register again.
+
+        :param found: the listed keys.
+        """
+        at_return = self._view.upstreams_at_return
+        if self._now() - at_return.listed_at >= REMOVAL_DELAY_S:
+            return
+        self._failed_at = max(self._failed_at, at_return.listed_at)
+        for upstream in at_return.known.values():
+            key = UPSTREAM_PREFIX + upstream.upstream_id
+            if key not in found and key not in self._entries:
+                self._entries[key] = upstream
+                self._deleted[key] = self._now()
+
     def _add(self, item: StoreItem, is_first_list: bool = False) -> None:
         key = item.key
         self._deleted.pop(key, None)
         try:
-            upstream = decode_upstream(key, item.value)
+            entry = decode_upstream(key, item.value)
         except ValueError as exc:
             if self._unreadable.get(key) != str(exc):
                 self._unreadable[key] = str(exc)
@@ -136,6 +154,11 @@
             self._entries.pop(key, None)
             self._warmups_read.pop(key, None)
             return
+        upstream = self._view.upstreams_at_return.judge(entry, item.revision)
+        if upstream is None:
+            log_state_change("upstream.unconfirmed", upstream=entry.upstream_id)
+            self._delete(key)
+            return
         if upstream.warmup_s <= 0:
             self._warmups_read.pop(key, None)
         elif self._warmups_read.get(key, (0.0, None))[1] != item.revision:
@@ -164,7 +187,7 @@
                 self._delete(key)
             self._deleted.clear()
         return {
-            item.upstream_id: self._apply_serving_rules(self._with_remaining_warmup(key, item))
+            item.upstream_id: self._view.apply_serving_rules(self._with_remaining_warmup(key, item))
             for key, item in self._entries.items()
         }
 
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -7,6 +7,7 @@
 from foxtailshunt.fleet._store_call_spacing import StoreCallSpacing
 from foxtailshunt.fleet._table_copy import TableCopy, TablePosition
 from foxtailshunt.fleet._types import Address, KeyRange, Member, Upstream
+from foxtailshunt.fleet._upstreams_at_return import UpstreamsAtReturn
 from foxtailshunt.fleet._view import FleetView
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 
@@ -28,6 +29,7 @@
     "Upstream",
     "UpstreamChanges",
     "UpstreamObserver",
+    "UpstreamsAtReturn",
     "Versions",
     "rank_by_rendezvous",
 ]
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -7,6 +7,7 @@
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._table_copy import TableCopy
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
+from foxtailshunt.fleet._upstreams_at_return import UpstreamsAtReturn
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 from foxtailshunt.routing import RouteTable, ServiceInfo
 from foxtailshunt.telemetry import log_state_change
@@ -36,6 +37,8 @@
         #: The configuration as it was read, to forward it to other nodes.
         self.document = b""
         self.upstreams: dict[str, Upstream] = {}
+        #: Shared by all readers of the entries of upstreams.
+        self.upstreams_at_return = UpstreamsAtReturn()
         self.ownership = OwnershipTable(())
         #: The newest ownership table that a leader has published, also after its term has ended.
         self.table_copy: TableCopy | None = None
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -137,7 +137,7 @@
         self._capacity_estimator = capacity_estimator
         self._now = now
         self._store = store
-        self._reader = UpstreamReader(store, now, view.apply_serving_rules)
+        self._reader = UpstreamReader(store, now, view)
         self._clients = ClientPool(Peer, 1)
         self._stopping = threading.Event()
         self._failed_polls = 0
