--- a/review/support-3/platform_store.py
+++ b/review/support-3/platform_store.py
@@ -103,6 +103,7 @@
     async def _handle(self, req):
         await asyncio.sleep(0.004)
         if self.is_down:
+            await asyncio.sleep(0.005)
             self.calls.append((time.monotonic(), req.host, req.path, "busy"))
             return Response(503, b"{}", [("Store-Era", "0")])
         status, reply, has_events = await self._call(req)
