--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,7 @@
-"""Releases of services, one after the other, until a node has no descriptor left."""
+"""A target with many ranges of keys leaves while it leaves some orders unanswered."""
 
 import asyncio
-import os
+import json
 import sys
 import time
 from pathlib import Path
@@ -9,185 +9,185 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "support-3"))
 
-from http_io import ClientConnection  # noqa: E402
 from deployment import Deployment, route, run_case, service  # noqa: E402
-
-ZONES = {"kochi": 1, "thrissur": 1}
-#: Descriptors of the smallest machines of pvrs-gate-grown.
-MAX_FDS = 1638
-#: Targets of a service, their slots, and how many a release replaces: 0.45 of them.
-TARGETS, SLOTS, REPLACED = 9, 4, 4
-RELEASE_GAP_S = 1.0
-DRAIN_S = 2.5
-SERVICES = ["svc-a", "svc-b", "svc-c", "svc-d"]
-TIMEOUT_S = 1.2
-WORK_S = 0.12
-#: Clients of a node that keep their connection, their pause between two requests, and the time
-#: between two requests on new connections for each service and node.
-KEPT_CLIENTS, THINK_S, FRESH_GAP_S = 100, 0.55, 0.5
-CONTACT_S = 3.0
-#: How long releases go on after the descriptors ran out for the first time.
-RELEASES_AFTER_S = 12.0
-LAST_RELEASE_S = 72.0
-
-
-def descriptors(process):
-    return len(os.listdir(f"/proc/{process.pid}/fd"))
+from http_io import Response  # noqa: E402
+
+ZONES = {"wanaka": 1, "twizel": 1, "fox-glacier": 1}
+ROUTES = {
+    "r-lookup": route("/lookup/", "desk"),
+    "r-issue": route("/issue/", "counter", "unsafe", "1200ms", "250ms", 0),
+}
+SERVICES = {"desk": service(True), "counter": service(False)}
+#: Targets of the service divided by key, and how many leave at a time: a share of 0.1.
+TARGETS, LEAVING, LEAVES = 29, 3, 7
+DRAIN_S = 2.0
+#: Orders are carried out so long after their arrival if they get no answer.
+LATE_S = 6.0
+#: The impairment begins so long before the first order goes unanswered.
+BEFORE_S = 1.0
+#: How long orders to one target may go unanswered, and how long it serves after it has drained.
+IMPAIRED_S, SERVES_ON_S = 5.5, 8.0
+#: Ranges whose releases go unanswered.
+HELD_BACK = 2
+OVERLAP_S = 0.5
+
+
+class Impairment:
+    """Leaves a share of the orders to a target unanswered, and carries them out late.
+
+    From half a second before the target drains, every second renewal goes unanswered, up to the last
+    few of a round, and so do the releases of these last ranges.
+    """
+
+    def __init__(self, target, record):
+        self.target, self.record = target, record
+        self.until = 0.0
+        self.round = []
+        self.last = None
+        self.answered = self.unanswered = 0
+        self.is_odd = self.is_losing = False
+
+    def see(self, req):
+        """Return no answer for some orders, and None for all others."""
+        if req.path not in ("/api/grant", "/api/release"):
+            return None
+        order = json.loads(req.body)
+        first, is_grant = order["from"], req.path == "/api/grant"
+        now = time.monotonic()
+        if now > self.until:
+            if is_grant:
+                # The order of the ranges in a round of renewals.
+                if first in self.round:
+                    self.round = self.round[self.round.index(first) + 1 :]
+                self.round.append(first)
+            return None
+        held_back = self.round[-HELD_BACK:]
+        if not self.is_losing:
+            is_lost = False
+        elif is_grant:
+            self.is_odd = not self.is_odd
+            is_lost = self.is_odd and first not in held_back
+        else:
+            is_lost = first in held_back
+        kind = "grant" if is_grant else "release"
+        if not is_lost:
+            self.answered += 1
+            self.record("order", kind=kind, first=first, fence=order["fence"], answered=True)
+            return None
+        self.unanswered += 1
+        self.record("order", kind=kind, first=first, fence=order["fence"], answered=False)
+        asyncio.create_task(self._carry_out(req, order, now))
+        return Response(0, b"", [], "lose")
+
+    async def _carry_out(self, req, order, arrived):
+        await asyncio.sleep(LATE_S)
+        if req.path == "/api/release":
+            await self.target._release(order["from"], order["to"], order["fence"])
+        # The time of a grant counts from its arrival, and is over by now.
 
 
 async def case(made, trouble):
-    deployment = Deployment(ZONES, max_fds=MAX_FDS)
+    deployment = Deployment(ZONES)
     made.append(deployment)
     record = deployment.record
     await deployment.start()
-    routes = {
-        f"r-{name}": route(f"/{name}/", name, "unsafe", f"{int(TIMEOUT_S * 1000)}ms", "600ms", 0)
-        for name in SERVICES
-    }
-    routes["r-desk"] = route("/desk/", "desk")
-    services = {name: service(False, 410) for name in SERVICES} | {"desk": service(True, 410)}
-    await deployment.configure(routes, services)
+    await deployment.configure(ROUTES, SERVICES)
     zones = list(ZONES)
-    for number in range(2):
-        await deployment.add_target(f"i-desk{number}", "desk", zones[number], True)
-    serial = 0
-    current = {name: [] for name in SERVICES}
-
-    async def add(name):
-        nonlocal serial
-        serial += 1
-        target = await deployment.add_target(
-            f"i-{name}-{serial}", name, zones[serial % 2], False, slots=SLOTS, work_s=WORK_S
-        )
-        # Only what clients get is recorded: there are thousands of requests.
+    desk = []
+    for number in range(TARGETS):
+        target = await deployment.add_target(f"i-{number:02d}", "desk", zones[number % 3], True)
         target.log = lambda *a, **k: None
-        current[name].append(target)
-
-    for name in SERVICES:
-        for _ in range(TARGETS):
-            await add(name)
+        desk.append(target)
+    for number, zone in enumerate(zones):
+        await deployment.add_target(f"i-counter{number}", "counter", zone, False)
     deployment.start_nodes()
     await deployment.wait_ready()
     await asyncio.sleep(2.0)
-    in_rotation = list(deployment.nodes)
-    is_on = True
-    answers, tasks = [], set()
-
-    async def kept(node, name):
-        """A client that keeps its connection for many requests."""
-        conn, number = None, 0
-        while is_on:
-            number += 1
-            try:
-                if conn is None:
-                    conn = ClientConnection()
-                    await conn.open(deployment.front(node))
-                answer = await deployment.ask(
-                    node, "POST", f"/{name}/{number}", 2500, body=b"x" * 100, conn=conn, quiet=True
-                )
-            except (OSError, TimeoutError):
-                answer = {"status": 0, "headers": {}}
-            answers.append(answer)
-            if answer["status"] == 0 or answer["headers"].get("connection") == "close":
-                conn.close()
-                conn = None
-            await asyncio.sleep(THINK_S)
-        if conn is not None:
-            conn.close()
-
-    async def fresh(node, name, number):
-        """A client that opens a connection for each request."""
-        answer = await deployment.ask(
-            node, "POST", f"/{name}/{number}", 2500, body=b"x" * 100, quiet=not is_recorded
-        )
-        answers.append(answer)
-        new.append(answer)
-
-    async def load():
-        number = 0
-        while is_on:
-            for node in deployment.nodes:
-                for name in SERVICES:
-                    number += 1
-                    task = asyncio.create_task(fresh(node, name, number))
-                    tasks.add(task)
-                    task.add_done_callback(tasks.discard)
-            await asyncio.sleep(FRESH_GAP_S)
-
-    async def retire(target):
+    watched = desk[0]
+    up = set(desk)
+    overlaps, longest = {}, {}
+
+    async def sample():
+        """Note how long two targets that are up hold the same keys."""
+        while True:
+            now = time.monotonic()
+            held = [
+                (first, last, fence, target)
+                for target in up
+                for first, last, fence, until in target.held
+                if until > now
+            ]
+            held.sort(key=lambda item: item[0])
+            current = {}
+            for index, left in enumerate(held):
+                for right in held[index + 1 :]:
+                    if right[0] > left[1]:
+                        break
+                    if right[3] is not left[3]:
+                        key = (right[0], min(left[1], right[1]), left[3].id, right[3].id)
+                        current[key] = overlaps.get(key, now)
+                        if key not in overlaps:
+                            record("overlap", first=key[0], last=key[1], targets=key[2:],
+                                   fences=(left[2], right[2]))
+                        longest[key] = max(longest.get(key, 0.0), now - current[key])
+            for key in overlaps.keys() - current.keys():
+                record("apart", first=key[0], last=key[1], targets=key[2:],
+                       lasted=f"{longest[key]:.3f}")
+            overlaps.clear()
+            overlaps.update(current)
+            await asyncio.sleep(0.01)
+
+    sampling = asyncio.create_task(sample())
+
+    async def leave(target):
         await target.drain()
-        await asyncio.sleep(DRAIN_S + 0.3)
+        record("draining", target=target.id)
+        await asyncio.sleep(DRAIN_S + 0.5)
+        up.discard(target)
         await target.leave()
         await target.end()
-        deployment.targets.pop(target.id)
-
-    async def release():
-        for name in SERVICES:
-            old = current[name][:REPLACED]
-            current[name] = current[name][REPLACED:]
-            for _ in old:
-                await add(name)
-            for target in old:
-                retiring.add(asyncio.create_task(retire(target)))
-
-    retiring = set()
-    is_recorded = False
-    new = []
-    loading = [asyncio.create_task(load())]
-    for node in deployment.nodes:
-        for number in range(KEPT_CLIENTS):
-            name = SERVICES[number % len(SERVICES)]
-            loading.append(asyncio.create_task(kept(node, name)))
-    began = time.monotonic()
-    released = 0
-    exhausted_at = None
-    while time.monotonic() - began < LAST_RELEASE_S:
-        if trouble:
-            await release()
-            released += REPLACED * len(SERVICES)
-        await asyncio.sleep(RELEASE_GAP_S)
-        counts = {name: descriptors(p) for name, p in deployment.nodes.items()}
-        record("descriptors", replaced=released, open_clients=len(tasks), **counts)
-        if exhausted_at is None and max(counts.values()) >= MAX_FDS - 1:
-            exhausted_at = time.monotonic()
-        if exhausted_at is not None and time.monotonic() - exhausted_at > RELEASES_AFTER_S:
-            break
-    # The releases end, the last old targets leave, and the load goes on in calm.
-    if retiring:
-        await asyncio.wait(retiring)
-    await asyncio.sleep(CONTACT_S + 0.5)
-    before = {"requests": len(answers), "served": sum(a["status"] == 200 for a in answers)}
-    counts = {name: descriptors(p) for name, p in deployment.nodes.items()}
-    record("descriptors", at="calm", **counts)
-    node = max(counts, key=counts.get)
-    is_recorded = True
-    calm_at = record.now()
-    await asyncio.sleep(6.0)
-    asked_until = record.now()
-    ready = await deployment.is_ready(node)
-    await asyncio.sleep(3.6)
-    is_on = False
-    await asyncio.gather(*loading, *tasks)
-    last = [a for a in new if a["node"] == node and calm_at < a["sent"] < asked_until]
-    unanswered = [a for a in last if a["status"] == 0 or a["done"] - a["sent"] > TIMEOUT_S]
-    later = [a for a in unanswered if a["status"] == 0 or a["done"] - a["sent"] > TIMEOUT_S + 0.5]
-    served = sum(a["status"] == 200 for a in last)
+
+    # Planned work: targets leave, three at a time. The last one to leave has got their keys.
+    leaving = []
+    others = desk[1:]
+    for turn in range(LEAVES):
+        for target in others[turn * LEAVING : (turn + 1) * LEAVING]:
+            leaving.append(asyncio.create_task(leave(target)))
+        await asyncio.sleep(1.6)
+    await asyncio.gather(*leaving)
+    await asyncio.sleep(2.5)
+    impairment = Impairment(watched, record)
+    watched.override = impairment.see
+    await asyncio.sleep(2.0)
+    ranges = len(impairment.round)
+    record("ranges", target=watched.id, count=ranges)
+    if trouble:
+        impairment.until = time.monotonic() + IMPAIRED_S
+        record("impaired", target=watched.id)
+    await asyncio.sleep(BEFORE_S)
+    impairment.is_losing = True
+    await asyncio.sleep(0.5)
+    await watched.drain()
+    record("draining", target=watched.id)
+    await asyncio.sleep(SERVES_ON_S)
+    sampling.cancel()
+    up.discard(watched)
+    await watched.leave()
+    await watched.end()
+    total = impairment.answered + impairment.unanswered
     summary = [
-        f"targets replaced: {released}; requests before the calm: {before}",
-        f"descriptors open in calm: {counts}, limit {MAX_FDS}",
-        f"node: {node}, running: {deployment.nodes[node].poll() is None}, ready: {ready}",
-        f"requests on new connections in calm: {len(last)}, answered with 200: {served}, unanswered "
-        f"at the timeout of their route: {len(unanswered)}, of these half a second later: "
-        f"{len(later)}",
+        f"{watched.id} had {ranges} ranges; orders to it in {IMPAIRED_S} s: {total}, unanswered: "
+        f"{impairment.unanswered}, a share of {impairment.unanswered / max(1, total):.2f}",
+        f"longest time in which two targets held the same keys: "
+        f"{max(longest.values(), default=0.0):.3f} s",
+    ]
+    breaches = [
+        f"OWNER: {key[2]} and {key[3]} both held keys {key[0]} to {key[1]} for {length:.3f} s"
+        for key, length in longest.items()
+        if length > OVERLAP_S
     ]
-    breaches = []
-    if len(unanswered) and len(later) > len(unanswered) / 2:
-        breaches.append(
-            f"CONFIG: of {len(unanswered)} requests that were unanswered at their route's timeout, "
-            f"{len(later)} had no answer half a second later, at {node}"
-        )
     return breaches, summary
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case, 116.0)
+    run_case(FOLDER, case)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""The store's answer to the leader's watch is lost when the operator moves a route."""
+"""A target leaves by the removal of its entry just after one call of the leader was reset."""
 
 import asyncio
 import sys
@@ -9,14 +9,16 @@
 
 from deployment import Deployment, route, run_case, service  # noqa: E402
 
-CONFIG_S = 2.0
-CONTACT_S = 3.0
+DRAIN_S = 2.0
+#: The target serves on for ``drain`` after the store has accepted its leaving, and a little longer.
+SERVES_ON_S = DRAIN_S + 0.35
+WORK_S = 0.2
 ZONES = {"wanaka": 1, "twizel": 1, "fox-glacier": 1}
 ROUTES = {
-    "r-lookup": route("/lookup/", "desk"),
+    "r-hold": route("/hold/", "desk", "unsafe", "1200ms", "1200ms", 2),
     "r-issue": route("/issue/", "counter", "unsafe", "1200ms", "250ms", 0),
 }
-SERVICES = {"desk": service(True), "counter": service(False), "counter-2": service(False)}
+SERVICES = {"desk": service(True), "counter": service(False)}
 
 
 async def case(made, trouble):
@@ -26,83 +28,90 @@
     await deployment.start()
     await deployment.configure(ROUTES, SERVICES)
     for number, zone in enumerate([*ZONES, *ZONES]):
-        await deployment.add_target(f"i-desk{number}", "desk", zone, True)
+        await deployment.add_target(f"i-desk{number}", "desk", zone, True, work_s=WORK_S)
+        await asyncio.sleep(0.14)
     for number, zone in enumerate(ZONES):
         await deployment.add_target(f"i-counter{number}", "counter", zone, False)
-        await deployment.add_target(f"i-second{number}", "counter-2", zone, False)
+        await asyncio.sleep(0.14)
     deployment.start_nodes()
     await deployment.wait_ready()
-    await asyncio.sleep(8.0)
+    await asyncio.sleep(6.0)
     leader = deployment.leader()
-    host = deployment.hosts[leader][0]
+    leader_host, leader_zone = deployment.hosts[leader]
     record("leader", node=leader)
-
-    # Answers to one of the three machines are lost while the operator makes its second change.
-    lost = []
-
-    def lose(req, has_events):
-        if req.path == "/api/kv-watch" and has_events and req.host == host:
-            if req.query["prefix"].startswith("op/"):
-                lost.append(record.now())
-                record("lost", node=leader, path=req.path, prefix=req.query["prefix"])
-                return "lose"
+    leaving = next(
+        t for t in deployment.targets.values() if t.keyed and t.zone != leader_zone
+    )
+    node = next(name for name, (_, zone) in deployment.hosts.items() if zone == leaving.zone)
+    keys = [key for first, last, _, _ in leaving.held for key in range(first, last + 1, 97)]
+    record("leaving", target=leaving.id, zone=leaving.zone, node=node, keys=len(keys))
+
+    is_load_on = True
+    answers = []
+
+    async def load():
+        tasks = set()
+        number = 0
+        while is_load_on:
+            key = keys[number % len(keys)]
+            task = asyncio.create_task(deployment.ask(node, "POST", f"/hold/{number}", key=key, body=b"hold"))
+            tasks.add(task)
+            number += 1
+            await asyncio.sleep(0.15)
+        answers.extend(await asyncio.gather(*tasks))
+
+    loading = asyncio.create_task(load())
+    await asyncio.sleep(1.5)
+    resets = []
+
+    def reset(req, has_events):
+        is_list = req.path in ("/api/kv-watch", "/api/kv-range")
+        if is_list and req.host == leader_host and req.query["prefix"] == "servers/":
+            if not resets:
+                resets.append(record.now())
+                record("reset", node=leader, path=req.path)
+                return "reset"
         return ""
 
-    first = ROUTES | {"r-first": route("/first/", "counter")}
-    await deployment.configure(first, SERVICES)
-    await asyncio.sleep(0.5)
     if trouble:
-        deployment.store.hook = lose
-    # The second version moves the route of the unsafe requests, and adds one.
-    second = first | {
-        "r-issue": ROUTES["r-issue"] | {"service": "counter-2"},
-        "r-second": route("/second/", "counter"),
-    }
-    confirmed = await deployment.configure(second, SERVICES)
-    await asyncio.sleep(0.5)
-    deployment.store.hook = lambda req, events: ""
-    ended = record.now()
-    record("calm")
-
-    asked, issued = [], []
-
-    async def probe(name):
-        asked.append(await deployment.ask(name, "GET", "/second/1"))
-
-    async def issue(name):
-        issued.append(await deployment.ask(name, "POST", "/issue/1", 1200, body=b"beacon"))
-
-    tasks = []
-    while record.now() < confirmed + 12.0:
-        for name in deployment.nodes:
-            tasks.append(asyncio.create_task(probe(name)))
-            tasks.append(asyncio.create_task(issue(name)))
-        await asyncio.sleep(0.1)
-    await asyncio.gather(*tasks)
-
-    bound = max(confirmed + CONFIG_S, ended + CONTACT_S)
-    refused = [a for a in asked if a["sent"] > bound and a["status"] == 404]
-    ran = {f["id"]: f["target"] for _, f in record.of("run")}
-    old = [a for a in issued if a["sent"] > bound and ran.get(a["id"], "").startswith("i-counter")]
-    last = max((a["sent"] for a in [*refused, *old]), default=confirmed)
+        deployment.store.hook = reset
+        while not resets:
+            await asyncio.sleep(0.01)
+    else:
+        await asyncio.sleep(0.3)
+    await leaving.leave()
+    left = record.now()
+    record("left", target=leaving.id)
+    await asyncio.sleep(SERVES_ON_S)
+    record("ended", target=leaving.id)
+    await leaving.end()
+    await asyncio.sleep(2.0)
+    is_load_on = False
+    await loading
+
+    reached = [(at, f) for at, f in record.of("reach") if f["target"] == leaving.id]
+    refused = {a["id"] for a in answers if a["status"] == 421}
+    late = [
+        (at, f)
+        for at, f in reached
+        if at > left + DRAIN_S and f["host"] != leader_host and f["id"] not in refused
+    ]
+    lost = [
+        a for a in answers if a["id"] in {f["id"] for _, f in late} and a["status"] != 200
+    ]
     summary = [
-        f"answers lost: {len(lost)}; leader: {leader}",
-        f"version confirmed at {confirmed:.3f}, last answer lost before {ended:.3f}, bound {bound:.3f}",
-        f"requests sent after the bound: {sum(a['sent'] > bound for a in [*asked, *issued])}, of these "
-        f"refused with 404: {len(refused)}, run by the old service: {len(old)}, the last one sent "
-        f"{last - confirmed:.2f} s after the confirmation",
+        f"leader: {leader}; {leaving.id} left at {left:.3f}; resets at "
+        f"{', '.join(f'{at:.3f}' for at in resets) or 'none'}",
+        f"requests that reached {leaving.id}: {len(reached)}, of these more than {DRAIN_S:.1f} s "
+        f"after the removal of its entry: {len(late)}, the last one "
+        f"{max((at for at, _ in reached), default=left) - left:.2f} s after it",
+        f"of these late ones, unsafe requests that got no success since the target ended at work: "
+        f"{len(lost)} {[a['status'] for a in lost]}",
     ]
-    if trouble and not lost:
-        raise RuntimeError("no answer was lost")
     breaches = [
-        f"CONFIG: {a['node']}: {a['id']}, sent {a['sent'] - confirmed:.2f} s after the confirmation, "
-        f"was run by {ran[a['id']]} of the old service"
-        for a in old
-    ]
-    breaches += [
-        f"CONFIG: {a['node']} refused {a['id']} with 404, sent {a['sent'] - confirmed:.2f} s after "
-        "the confirmation"
-        for a in refused
+        f"DRAIN: {f['id']} reached {leaving.id} from {f['host']} {at - left:.2f} s after the store "
+        "had confirmed that its entry is gone"
+        for at, f in late
     ]
     return breaches, summary
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,9 +1,7 @@
-"""Outages of the store in a row, as long as a leader acts without a renewal of its lease."""
+"""The store's answer to the leader's watch is lost when the operator moves a route."""
 
 import asyncio
-import json
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -11,127 +9,100 @@
 
 from deployment import Deployment, route, run_case, service  # noqa: E402
 
-DRAIN_S, CONTACT_S = 2.0, 3.0
-WORK_S = 0.3
-#: Each outage is as long as the site allows, or shorter; the next one follows at once.
-OUTAGES_S = (4.5, 4.5, 1.0)
-SERVES_ON_S = DRAIN_S + 1.5
-#: Targets that leave afterwards; a ``scale_in`` has a share of 0.13, here of 35.
-LEAVING = 3
+CONFIG_S = 2.0
+CONTACT_S = 3.0
 ZONES = {"wanaka": 1, "twizel": 1, "fox-glacier": 1}
-UNKEYED = [f"svc-{number}" for number in range(8)]
-ROUTES = {"r-lookup": route("/lookup/", "desk")} | {
-    f"r-{name}": route(f"/{name}/", name, "unsafe", "1200ms", "600ms", 0) for name in UNKEYED
+ROUTES = {
+    "r-lookup": route("/lookup/", "desk"),
+    "r-issue": route("/issue/", "counter", "unsafe", "1200ms", "250ms", 0),
 }
-SERVICES = {"desk": service(True)} | {name: service(False) for name in UNKEYED}
+SERVICES = {"desk": service(True), "counter": service(False), "counter-2": service(False)}
 
 
 async def case(made, trouble):
     deployment = Deployment(ZONES)
     made.append(deployment)
-    record, store = deployment.record, deployment.store
+    record = deployment.record
     await deployment.start()
     await deployment.configure(ROUTES, SERVICES)
-    zones = list(ZONES)
-    for number, zone in enumerate(zones):
+    for number, zone in enumerate([*ZONES, *ZONES]):
         await deployment.add_target(f"i-desk{number}", "desk", zone, True)
-    for number, name in enumerate(UNKEYED):
-        await deployment.add_target(f"i-{name}-0", name, zones[number % 3], False, work_s=WORK_S)
-        await deployment.add_target(f"i-{name}-1", name, zones[(number + 1) % 3], False, work_s=WORK_S)
+    for number, zone in enumerate(ZONES):
+        await deployment.add_target(f"i-counter{number}", "counter", zone, False)
+        await deployment.add_target(f"i-second{number}", "counter-2", zone, False)
     deployment.start_nodes()
     await deployment.wait_ready()
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(8.0)
     leader = deployment.leader()
     host = deployment.hosts[leader][0]
     record("leader", node=leader)
-    is_load_on = True
-    answers = []
-
-    async def load():
-        tasks, number = [], 0
-        while is_load_on:
-            number += 1
-            for node in deployment.nodes:
-                for name in UNKEYED:
-                    ask = deployment.ask(node, "POST", f"/{name}/{number}", 2500, body=b"x")
-                    tasks.append(asyncio.create_task(ask))
-            await asyncio.sleep(0.25)
-        answers.extend(await asyncio.gather(*tasks))
-
-    # Targets are added under load, one after the other, as on any day.
-    loading = asyncio.create_task(load())
-    for number, name in enumerate(UNKEYED):
-        for copy in range(2, 4):
-            zone = zones[(number + copy) % 3]
-            await deployment.add_target(
-                f"i-{name}-{copy}", name, zone, False, work_s=WORK_S
-            )
-            await asyncio.sleep(0.6)
-    is_load_on = False
-    await loading
-    # The targets to which the leader's machine sends, as the targets have seen it.
-    seen = {f["target"] for _, f in record.of("reach") if f["host"] == host}
-    leaving = [name for name in sorted(seen) if name.endswith("-0")][:LEAVING]
-    record("chosen", targets=",".join(leaving))
 
+    # Answers to one of the three machines are lost while the operator makes its second change.
+    lost = []
+
+    def lose(req, has_events):
+        if req.path == "/api/kv-watch" and has_events and req.host == host:
+            if req.query["prefix"].startswith("op/"):
+                lost.append(record.now())
+                record("lost", node=leader, path=req.path, prefix=req.query["prefix"])
+                return "lose"
+        return ""
+
+    first = ROUTES | {"r-first": route("/first/", "counter")}
+    await deployment.configure(first, SERVICES)
+    await asyncio.sleep(0.5)
     if trouble:
-        renewed = asyncio.Event()
-
-        def see(req, has_events):
-            if req.host == host and req.path.startswith("/api/kv-keep/"):
-                renewed.set()
-            return ""
-
-        store.hook = see
-        await asyncio.wait_for(renewed.wait(), 3.0)
-        store.hook = lambda req, has_events: ""
-        for length_s in OUTAGES_S:
-            record("outage", length=length_s)
-            await store.outage(length_s)
-        record("returned")
-    else:
-        await asyncio.sleep(sum(OUTAGES_S))
-    await asyncio.sleep(CONTACT_S + 1.5)
-    is_load_on = True
-    loading = asyncio.create_task(load())
-
-    # Planned work in calm: targets leave.
-    left = {}
-
-    async def leave(target):
-        await target.drain()
-        left[target.id] = record.now()
-        record("draining", target=target.id)
-        await asyncio.sleep(SERVES_ON_S)
-        await target.leave()
-        await target.end()
-        record("ended", target=target.id)
-
-    await asyncio.gather(*(leave(deployment.targets[name]) for name in leaving))
-    await asyncio.sleep(1.5)
-    is_load_on = False
-    await loading
-
-    late = [
-        (at, f)
-        for at, f in record.of("reach")
-        if f["target"] in left and at > left[f["target"]] + DRAIN_S
-    ]
-    by_host = {}
-    for _, f in late:
-        by_host[f["host"]] = by_host.get(f["host"], 0) + 1
-    status = {a["id"]: a["status"] for a in answers}
-    lost = [f["id"] for _, f in late if status.get(f["id"]) != 200]
+        deployment.store.hook = lose
+    # The second version moves the route of the unsafe requests, and adds one.
+    second = first | {
+        "r-issue": ROUTES["r-issue"] | {"service": "counter-2"},
+        "r-second": route("/second/", "counter"),
+    }
+    confirmed = await deployment.configure(second, SERVICES)
+    await asyncio.sleep(0.5)
+    deployment.store.hook = lambda req, events: ""
+    ended = record.now()
+    record("calm")
+
+    asked, issued = [], []
+
+    async def probe(name):
+        asked.append(await deployment.ask(name, "GET", "/second/1"))
+
+    async def issue(name):
+        issued.append(await deployment.ask(name, "POST", "/issue/1", 1200, body=b"beacon"))
+
+    tasks = []
+    while record.now() < confirmed + 12.0:
+        for name in deployment.nodes:
+            tasks.append(asyncio.create_task(probe(name)))
+            tasks.append(asyncio.create_task(issue(name)))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+
+    bound = max(confirmed + CONFIG_S, ended + CONTACT_S)
+    refused = [a for a in asked if a["sent"] > bound and a["status"] == 404]
+    ran = {f["id"]: f["target"] for _, f in record.of("run")}
+    old = [a for a in issued if a["sent"] > bound and ran.get(a["id"], "").startswith("i-counter")]
+    last = max((a["sent"] for a in [*refused, *old]), default=confirmed)
     summary = [
-        f"leader: {leader} at {host}",
-        f"requests that reached one of {len(left)} targets more than {DRAIN_S:.1f} s after the "
-        f"confirmation that it is draining: {len(late)}, by sending machine: {json.dumps(by_host)}",
-        f"of these without a success: {len(lost)}",
+        f"answers lost: {len(lost)}; leader: {leader}",
+        f"version confirmed at {confirmed:.3f}, last answer lost before {ended:.3f}, bound {bound:.3f}",
+        f"requests sent after the bound: {sum(a['sent'] > bound for a in [*asked, *issued])}, of these "
+        f"refused with 404: {len(refused)}, run by the old service: {len(old)}, the last one sent "
+        f"{last - confirmed:.2f} s after the confirmation",
     ]
+    if trouble and not lost:
+        raise RuntimeError("no answer was lost")
     breaches = [
-        f"DRAIN: {f['id']} reached {f['target']} from {f['host']} "
-        f"{at - left[f['target']]:.2f} s after the confirmation that it is draining"
-        for at, f in late
+        f"CONFIG: {a['node']}: {a['id']}, sent {a['sent'] - confirmed:.2f} s after the confirmation, "
+        f"was run by {ran[a['id']]} of the old service"
+        for a in old
+    ]
+    breaches += [
+        f"CONFIG: {a['node']} refused {a['id']} with 404, sent {a['sent'] - confirmed:.2f} s after "
+        "the confirmation"
+        for a in refused
     ]
     return breaches, summary
 
