--- a/review/11/case.py
+++ b/review/11/case.py
@@ -35,8 +35,8 @@
 class Impairment:
     """Leaves a share of the orders to a target unanswered, and carries them out late.
 
-    From half a second before the target drains, every second renewal goes unanswered, up to the last
-    few of a round, and so do the releases of these last ranges.
+    From half a second before the target drains, every second renewal goes unanswered, up to the
+    last few of a round, and so do the releases of these last ranges.
     """
 
     def __init__(self, target, record):
@@ -127,12 +127,22 @@
                         key = (right[0], min(left[1], right[1]), left[3].id, right[3].id)
                         current[key] = overlaps.get(key, now)
                         if key not in overlaps:
-                            record("overlap", first=key[0], last=key[1], targets=key[2:],
-                                   fences=(left[2], right[2]))
+                            record(
+                                "overlap",
+                                first=key[0],
+                                last=key[1],
+                                targets=key[2:],
+                                fences=(left[2], right[2]),
+                            )
                         longest[key] = max(longest.get(key, 0.0), now - current[key])
             for key in overlaps.keys() - current.keys():
-                record("apart", first=key[0], last=key[1], targets=key[2:],
-                       lasted=f"{longest[key]:.3f}")
+                record(
+                    "apart",
+                    first=key[0],
+                    last=key[1],
+                    targets=key[2:],
+                    lasted=f"{longest[key]:.3f}",
+                )
             overlaps.clear()
             overlaps.update(current)
             await asyncio.sleep(0.01)
