--- a/review/13/case.py
+++ b/review/13/case.py
@@ -39,9 +39,7 @@
     leader = deployment.leader()
     leader_host, leader_zone = deployment.hosts[leader]
     record("leader", node=leader)
-    leaving = next(
-        t for t in deployment.targets.values() if t.keyed and t.zone != leader_zone
-    )
+    leaving = next(t for t in deployment.targets.values() if t.keyed and t.zone != leader_zone)
     node = next(name for name, (_, zone) in deployment.hosts.items() if zone == leaving.zone)
     keys = [key for first, last, _, _ in leaving.held for key in range(first, last + 1, 97)]
     record("leaving", target=leaving.id, zone=leaving.zone, node=node, keys=len(keys))
@@ -54,7 +52,9 @@
         number = 0
         while is_load_on:
             key = keys[number % len(keys)]
-            task = asyncio.create_task(deployment.ask(node, "POST", f"/hold/{number}", key=key, body=b"hold"))
+            task = asyncio.create_task(
+                deployment.ask(node, "POST", f"/hold/{number}", key=key, body=b"hold")
+            )
             tasks.add(task)
             number += 1
             await asyncio.sleep(0.15)
@@ -96,9 +96,7 @@
         for at, f in reached
         if at > left + DRAIN_S and f["host"] != leader_host and f["id"] not in refused
     ]
-    lost = [
-        a for a in answers if a["id"] in {f["id"] for _, f in late} and a["status"] != 200
-    ]
+    lost = [a for a in answers if a["id"] in {f["id"] for _, f in late} and a["status"] != 200]
     summary = [
         f"leader: {leader}; {leaving.id} left at {left:.3f}; resets at "
         f"{', '.join(f'{at:.3f}' for at in resets) or 'none'}",
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -87,16 +87,18 @@
     last = max((a["sent"] for a in [*refused, *old]), default=confirmed)
     summary = [
         f"answers lost: {len(lost)}; leader: {leader}",
-        f"version confirmed at {confirmed:.3f}, last answer lost before {ended:.3f}, bound {bound:.3f}",
-        f"requests sent after the bound: {sum(a['sent'] > bound for a in [*asked, *issued])}, of these "
-        f"refused with 404: {len(refused)}, run by the old service: {len(old)}, the last one sent "
+        f"version confirmed at {confirmed:.3f}, last answer lost before {ended:.3f}, "
+        f"bound {bound:.3f}",
+        f"requests sent after the bound: {sum(a['sent'] > bound for a in [*asked, *issued])}, "
+        f"of these refused with 404: {len(refused)}, run by the old service: {len(old)}, "
+        f"the last one sent "
         f"{last - confirmed:.2f} s after the confirmation",
     ]
     if trouble and not lost:
         raise RuntimeError("no answer was lost")
     breaches = [
-        f"CONFIG: {a['node']}: {a['id']}, sent {a['sent'] - confirmed:.2f} s after the confirmation, "
-        f"was run by {ran[a['id']]} of the old service"
+        f"CONFIG: {a['node']}: {a['id']}, sent {a['sent'] - confirmed:.2f} s after the "
+        f"confirmation, was run by {ran[a['id']]} of the old service"
         for a in old
     ]
     breaches += [
--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -16,6 +16,7 @@
 
 from http_io import ClientConnection
 from platform_store import Store
+
 from target import Target
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -121,7 +122,9 @@
             self.store, target_id, service_name, zone, keyed, log=self.record, **options
         )
         self._next_host += 1
-        await target.start(f"127.{self.net}.{100 + self._next_host // 200}.{1 + self._next_host % 200}")
+        await target.start(
+            f"127.{self.net}.{100 + self._next_host // 200}.{1 + self._next_host % 200}"
+        )
         self.targets[target_id] = target
         return target
 
@@ -223,7 +226,9 @@
             for t in self.targets.values():
                 if t.service == name:
                     now = time.monotonic()
-                    count += sum(l - f + 1 for f, l, _, until in t.held if until > now)
+                    count += sum(
+                        last - first + 1 for first, last, _, until in t.held if until > now
+                    )
             if count < 65536:
                 return False
         return True
@@ -261,11 +266,25 @@
             if own:
                 conn.close()
         if not quiet:
-            self.record("answer", id=attempt, status=status, **{
-                k: v for k, v in answer.items() if k in ("error", "retry-after", "x-result-code")
-            })
-        return {"id": attempt, "status": status, "sent": sent, "done": self.record.now(),
-                "headers": answer, "body": data, "node": name}
+            self.record(
+                "answer",
+                id=attempt,
+                status=status,
+                **{
+                    k: v
+                    for k, v in answer.items()
+                    if k in ("error", "retry-after", "x-result-code")
+                },
+            )
+        return {
+            "id": attempt,
+            "status": status,
+            "sent": sent,
+            "done": self.record.now(),
+            "headers": answer,
+            "body": data,
+            "node": name,
+        }
 
     async def close(self):
         for process in self.nodes.values():
--- a/review/support-3/platform_store.py
+++ b/review/support-3/platform_store.py
@@ -122,7 +122,9 @@
             return 200, item | {"as_of": self.revision}, False
         if path == "/api/kv-range":
             keys = sorted(
-                k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", "")
+                k
+                for k in self.items
+                if k.startswith(query["prefix"]) and k > query.get("after", "")
             )
             found = [self.items[k] for k in keys[:PAGE]]
             reply = {"items": found, "has_more": len(keys) > PAGE, "as_of": self.revision}
