Check configurations in the model check of grants

The random sequences had no configurations, so that a revert or a node that stays behind could not be found. An operator now applies files with the product's command, also just after the store has returned from a copy; no node may go back to an earlier file, and after all faults have ended the last file has to be in force at each running node.

--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -18,6 +18,7 @@
     NetworkStoreClient,
     UpstreamRun,
 )
+from features.grant_support._operator import Operator, RecordingApplier
 from features.grant_support._virtual_time import Process, VirtualTime
 from foxtailshunt.assigning import (
     Assigner,
@@ -29,10 +30,9 @@
     MemberRegistry,
 )
 from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
-from foxtailshunt.node import DemandCollector, Follower, PeerService
+from foxtailshunt.node import ConfigurationWatch, DemandCollector, Follower, PeerService
 from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.platform import UPSTREAM_PREFIX, StoreError
-from foxtailshunt.routing import FrontLimits, HostRoutes, RouteTable, ServiceInfo
 from foxtailshunt.telemetry import Metrics
 from foxtailshunt.upstreams import LatencyEstimator
 from standins.keyowner import find_overlaps
@@ -45,9 +45,12 @@
 _VIRTUAL = (
     "foxtailshunt.assigning.",
     "foxtailshunt.fleet.",
+    "foxtailshunt.node._configuration_watch",
+    "foxtailshunt.node._evacuations",
     "foxtailshunt.node._follower",
     "foxtailshunt.node._peer_service",
     "foxtailshunt.node._table_copies",
+    "foxtailshunt.operator._conditional_write",
     "standins.metadata._store",
     "standins.keyowner._key_grants",
 )
@@ -79,8 +82,7 @@
         now = lambda: time.now + offset  # noqa: E731
         member = Member(name, boot_id, "zone-a", (name, 1))
         self.view = FleetView(now)
-        services = {_SERVICE: ServiceInfo(_SERVICE, True, 64)}
-        self.view.update_routes(RouteTable(1, HostRoutes(()), services, FrontLimits()), b"")
+        self.configurations = RecordingApplier(self.view)
         store = NetworkStoreClient(fleet.network)
         spacing = StoreCallSpacing(self.view, rng)
         self.demands = DemandTracker()
@@ -106,7 +108,7 @@
                 member,
                 self.view,
                 self.leadership,
-                None,
+                self.configurations,
                 store,
                 DemandCollector(),
                 LatencyEstimator(now),
@@ -117,7 +119,10 @@
                 tuple(seed for seed in _SEEDS if seed[0] != name),
                 mean_work,
             )
-            for part in (self.leadership, self.assigner, self._follower):
+            watch = ConfigurationWatch(
+                store, self.configurations, spacing, lambda: self.leadership.term is not None
+            )
+            for part in (self.leadership, self.assigner, self._follower, watch):
                 part.start()
         self.now = now
         self.service = PeerService(
@@ -172,6 +177,7 @@
         self._store_process = Process(STORE)
         with self.time.starting(self._store_process):
             self.network = Network(self.time, self.rng)
+        self.operator = Operator(self.time, self.network)
         self._peers: dict = {}
         for module in ("_grant_renewer", "_key_mover"):
             target = f"foxtailshunt.assigning.{module}.KeyGrantClient"
@@ -222,7 +228,8 @@
     def close(self) -> None:
         """End all threads."""
         nodes = (node.process for node in self.nodes.values())
-        for process in [self._store_process, *nodes, *(run.process for run in self._runs)]:
+        others = [self._store_process, self.operator.process]
+        for process in [*others, *nodes, *(run.process for run in self._runs)]:
             self.time.kill(process)
         self._patches.close()
 
@@ -340,7 +347,24 @@
         """Return keys with two owners, tokens issued twice, and errors of threads."""
         errors = [repr(exc) for exc in self.time.errors]
         errors += [line for line in self.log if "thread.error" in line]
-        return find_overlaps(self._runs) + self.network.reissued + errors
+        reverts = [
+            f"configurations of {name} in the order in which they were in force: {numbers}"
+            for name, node in self.nodes.items()
+            if (numbers := node.configurations.numbers) != sorted(numbers)
+        ]
+        return find_overlaps(self._runs) + self.network.reissued + reverts + errors
+
+    def outdated_nodes(self) -> list[str]:
+        """Return the running nodes at which the last configuration of this era is not in force."""
+        number, era = self.operator.accepted
+        if number < self.operator.number or era != self.network.store.era:
+            # The store may have lost it before any node has read it.
+            return []
+        return [
+            f"file {node.configurations.numbers[-1]} is in force at {name}, not file {number}"
+            for name, node in self.nodes.items()
+            if not node.process.is_killed and node.configurations.numbers[-1] != number
+        ]
 
     def pairs(self, group: frozenset[str], others: frozenset[str]) -> set[tuple[str, str]]:
         """Return the directions from each place of a group to each one of another group."""
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -17,6 +17,9 @@
 
 #: Time until the first keys are assigned, in seconds.
 _START_S = 4.0
+#: Time after all faults have ended until the last configuration is in force, in seconds: the
+#: response to a watch, which waits for up to 12 s, may have been lost.
+_SETTLED_S = 20.0
 #: Lines of the log shown for a sequence that fails.
 _LOG_LINES = 150
 
@@ -42,14 +45,24 @@
         assert self.fleet.all_keys_held(), "no keys were granted"
 
     def teardown(self) -> None:
-        if hasattr(self, "fleet"):
+        if not hasattr(self, "fleet"):
+            return
+        try:
+            self._block(set())
+            self.fleet.time.advance(_SETTLED_S)
+            self._check(self.fleet.violations() + self.fleet.outdated_nodes())
+        finally:
             self.fleet.close()
             self.counts.update(self.fleet.counts)
             self.counts["sequences"] += 1
+            self.counts["store.returned"] += self.fleet.network.store.era
+            self.counts["configuration.applied"] += self.fleet.operator.accepted[0]
 
     @invariant()
     def has_no_violation(self) -> None:
-        found = self.fleet.violations() if hasattr(self, "fleet") else []
+        self._check(self.fleet.violations() if hasattr(self, "fleet") else [])
+
+    def _check(self, found: list[str]) -> None:
         if found:
             note("\n".join(self.fleet.log[-_LOG_LINES:]))
         assert not found, "\n".join(found[:5])
@@ -102,15 +115,33 @@
         self._block(set())
         self._continue(pause_s)
 
-    @rule(number=st.integers(0, 3), outage_s=st.sampled_from((0.0, 0.3, 1.5)), pause_s=_pause)
-    def return_store(self, number: int, outage_s: float, pause_s: float) -> None:
-        """Let the store return from an older copy after a short outage."""
+    @rule(
+        number=st.integers(0, 3),
+        outage_s=st.sampled_from((0.0, 0.3, 1.5)),
+        applied_after_s=st.sampled_from((None, 0.0, 0.02, 0.2, 0.9)),
+        pause_s=_pause,
+    )
+    def return_store(
+        self, number: int, outage_s: float, applied_after_s: float | None, pause_s: float
+    ) -> None:
+        """Let the store return from an older copy after a short outage.
+
+        :param applied_after_s: time until the operator applies a configuration, in seconds.
+        """
         blocked = self.fleet.network.blocked
         pairs = self.fleet.pairs(frozenset({STORE}), PLACES - {STORE})
         self._block(blocked | pairs | {(target, source) for source, target in pairs})
         self.fleet.time.advance(outage_s)
         self.fleet.return_store(number)
         self._block(set(blocked))
+        if applied_after_s is not None:
+            self.fleet.time.advance(applied_after_s)
+            self.fleet.operator.apply()
+        self._continue(pause_s)
+
+    @rule(pause_s=_pause)
+    def apply_configuration(self, pause_s: float) -> None:
+        self.fleet.operator.apply()
         self._continue(pause_s)
 
     # Processes.
