--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -21,6 +21,7 @@
 from features.grant_support._operator import Operator, RecordingApplier
 from features.grant_support._virtual_time import Process, VirtualTime
 from foxtailshunt.assigning import (
+    TABLE_KEY,
     Assigner,
     CapacityEstimator,
     CopyStatements,
@@ -28,8 +29,10 @@
     Leadership,
     MeanWork,
     MemberRegistry,
+    TableRecord,
+    encode_table,
 )
-from foxtailshunt.fleet import FleetView, Member, StoreCallSpacing
+from foxtailshunt.fleet import FleetView, KeyRange, Member, StoreCallSpacing
 from foxtailshunt.node import ConfigurationWatch, DemandCollector, Follower, PeerService
 from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.platform import UPSTREAM_PREFIX, StoreError
@@ -65,6 +68,16 @@
 _COPIES, _COPY_AGE_S = 4, 10.0
 
 
+def _divided_table(ranges: int) -> bytes:
+    """Return a table in which each upstream owns a number of ranges, none next to another."""
+    owners = UPSTREAMS * ranges
+    size = 65_536 // len(owners)
+    firsts = [index * size for index in range(len(owners))]
+    lasts = [first - 1 for first in firsts[1:]] + [65_535]
+    rows = [KeyRange(_SERVICE, *row, fence=1) for row in zip(firsts, lasts, owners, strict=True)]
+    return encode_table(TableRecord(1, tuple(rows), ()))
+
+
 class Node:
     """One process of a node.
 
@@ -164,9 +177,10 @@
 
     :param seed: determines delays, elections and clocks.
     :param affected: the upstream that ``affected`` stands for.
+    :param ranges: number of ranges that each upstream owns at the beginning.
     """
 
-    def __init__(self, seed: int, affected: str) -> None:
+    def __init__(self, seed: int, affected: str, ranges: int = 1) -> None:
         self._affected = affected
         self.rng = random.Random(seed)
         self.time = VirtualTime()
@@ -177,6 +191,8 @@
         self._store_process = Process(STORE)
         with self.time.starting(self._store_process):
             self.network = Network(self.time, self.rng)
+        if ranges > 1:
+            self.network.store.commit({}, [(TABLE_KEY, _divided_table(ranges), 0)], [])
         self.operator = Operator(self.time, self.network)
         self._peers: dict = {}
         for module in ("_grant_renewer", "_key_mover"):
@@ -337,6 +353,13 @@
                 lease = 0
                 self.time.sleep(_RETRY_S)
 
+    def wait_until_granted(self, timeout_s: float) -> None:
+        """Wait until upstreams hold all keys."""
+        end = self.time.now + timeout_s
+        while self.time.now < end and not self.all_keys_held():
+            self.time.advance(0.5)
+        assert self.all_keys_held(), "not all keys were granted"
+
     # Checks.
 
     def all_keys_held(self) -> bool:
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -15,8 +15,8 @@
 from features.grant_support._fleet import NODES, PLACES, UPSTREAMS, GrantFleet
 from features.grant_support._network import STORE
 
-#: Time until the first keys are assigned, in seconds.
-_START_S = 4.0
+#: Longest time until all keys are granted, in seconds.
+_START_S = 20.0
 #: Time after all faults have ended until the last configuration is in force, in seconds: the
 #: response to a watch, which waits for up to 12 s, may have been lost.
 _SETTLED_S = 20.0
@@ -28,6 +28,9 @@
 _upstream = st.sampled_from((*["affected"] * 5, *UPSTREAMS))
 #: Times between two events, in seconds: some within a call, some around the expiry of grants.
 _pause = st.sampled_from((0.002, 0.05, 0.2, 0.45, 0.9, 1.5, 2.5, 4.0, 7.0))
+#: Probabilities that a call gets no response, after one that got one, and shares of the calls
+#: without a response that are carried out.
+_loss = st.sampled_from(((0.9, 0.0), (0.5, 0.3), (0.5, 1.0)))
 _some_nodes = st.frozensets(_node, min_size=1, max_size=2)
 _some_upstreams = st.frozensets(_upstream, min_size=1, max_size=2)
 
@@ -38,17 +41,21 @@
     #: Numbers of events over all sequences.
     counts: Counter[str] = Counter()
 
-    @initialize(number=st.integers(0, 2**16), affected=st.sampled_from(UPSTREAMS))
-    def start(self, number: int, affected: str) -> None:
-        self.fleet = GrantFleet(number, affected)
-        self.fleet.time.advance(_START_S)
-        assert self.fleet.all_keys_held(), "no keys were granted"
+    @initialize(
+        number=st.integers(0, 2**16),
+        affected=st.sampled_from(UPSTREAMS),
+        ranges=st.sampled_from((1, 1, 12, 24)),
+    )
+    def start(self, number: int, affected: str, ranges: int) -> None:
+        self.fleet = GrantFleet(number, affected, ranges)
+        self.fleet.wait_until_granted(_START_S)
 
     def teardown(self) -> None:
         if not hasattr(self, "fleet"):
             return
         try:
             self._block(set())
+            self.fleet.network.lossy = {}
             self.fleet.time.advance(_SETTLED_S)
             self._check(self.fleet.violations() + self.fleet.outdated_nodes())
         finally:
@@ -110,9 +117,15 @@
         self._block(self.fleet.network.blocked | self.fleet.pairs(upstreams, nodes))
         self._continue(pause_s)
 
+    @rule(upstreams=_some_upstreams, loss=_loss, pause_s=_pause)
+    def lose_responses_one_by_one(self, upstreams: frozenset, loss: tuple, pause_s: float) -> None:
+        self.fleet.network.lossy = dict.fromkeys(map(self.fleet.resolve, upstreams), loss)
+        self._continue(pause_s)
+
     @rule(pause_s=_pause)
     def heal(self, pause_s: float) -> None:
         self._block(set())
+        self.fleet.network.lossy = {}
         self._continue(pause_s)
 
     @rule(
@@ -164,11 +177,18 @@
         event=st.sampled_from(("start", "start", "kill", "replace", "swap", "leave")),
         name=_upstream,
         is_cut_off=st.booleans(),
+        loss=st.none() | _loss,
         pause_s=_pause,
     )
-    def change_upstream(self, event: str, name: str, is_cut_off: bool, pause_s: float) -> None:
-        """Change an upstream, which may be cut off from the store since then."""
+    def change_upstream(
+        self, event: str, name: str, is_cut_off: bool, loss: tuple | None, pause_s: float
+    ) -> None:
+        """Change an upstream, which may be cut off from the store since then.
+
+        :param loss: loss of responses one by one since then; None for none.
+        """
         name = self.fleet.resolve(name)
+        self.fleet.network.lossy = {name: loss} if loss is not None else {}
         if is_cut_off:
             blocked = self.fleet.network.blocked
             self._block(blocked | {(name, STORE), (STORE, name)})
--- a/features/grant_support/_network.py
+++ b/features/grant_support/_network.py
@@ -70,6 +70,12 @@
         self.time, self.rng = time, rng
         #: Pairs of source and target between which messages are lost.
         self.blocked: frozenset[tuple[str, str]] = frozenset()
+        #: For each upstream's place whose responses are lost one by one: the probability that a
+        #: call gets none, after one of the same kind that got one, and the share of the calls
+        #: without a response that are carried out.
+        self.lossy: dict[str, tuple[float, float]] = {}
+        #: Places and kinds of calls of which the last one got no response.
+        self._lost: set[tuple[str, str]] = set()
         self.store = MetadataStore()
         #: The process at each address.
         self.runs: dict[Address, UpstreamRun] = {}
@@ -81,23 +87,35 @@
         """Return whether messages of a place reach another one."""
         return (source, target) not in self.blocked
 
-    def exchange(self, target: str, timeout_s: float, serve: Callable[[], T]) -> T:
+    def exchange(self, target: str, timeout_s: float, serve: Callable[[], T], kind: str = "") -> T:
         """Make a call from the current process.
 
+        :param kind: kind of the call.
         :raises NoResponseError: the call was not served, or its response was lost.
         """
         source, end = self.time.process.name, self.time.now + timeout_s
+        loss, served_share = self.lossy.get(target, (0.0, 0.0))
+        has_response = not self._loses(target, kind, loss)
+        is_served = has_response or self.rng.random() < served_share
         with self.time.remote():
-            self._transfer(source, target, end)
+            self._transfer(source, target, end, not is_served)
             result = serve()
-            self._transfer(target, source, end)
+            self._transfer(target, source, end, not has_response)
         return result
 
-    def _transfer(self, source: str, target: str, end: float) -> None:
+    def _loses(self, target: str, kind: str, loss: float) -> bool:
+        call = target, kind
+        is_lost = call not in self._lost and self.rng.random() < loss
+        self._lost.discard(call)
+        if is_lost:
+            self._lost.add(call)
+        return is_lost
+
+    def _transfer(self, source: str, target: str, end: float, is_lost: bool = False) -> None:
         is_slow = self.rng.random() < _SLOW_SHARE
         transit_s = self.rng.uniform(0.001, _SLOW_S if is_slow else 0.003)
         self.time.sleep(min(transit_s, max(0.0, end - self.time.now)))
-        if not self.reaches(source, target) or self.time.now >= end:
+        if is_lost or not self.reaches(source, target) or self.time.now >= end:
             self.time.sleep(max(0.0, end - self.time.now))
             raise NoResponseError
 
@@ -253,17 +271,17 @@
             accepted = run.grants.grant(keys.first, keys.last, keys.fence, held_s, now)
             return GrantOutcome.ACCEPTED if accepted else GrantOutcome.FENCED_OFF
 
-        return self._call(timeout_s, serve)
+        return self._call("grant", timeout_s, serve)
 
     def release(self, keys: KeyRange, timeout_s: float) -> str | None:
         return self._call(
-            timeout_s, lambda run: run.grants.release(keys.first, keys.last, keys.fence)
+            "release", timeout_s, lambda run: run.grants.release(keys.first, keys.last, keys.fence)
         )
 
     def close(self) -> None:
         self._connected = None
 
-    def _call(self, timeout_s: float, serve: Callable[[UpstreamRun], T]) -> T:
+    def _call(self, kind: str, timeout_s: float, serve: Callable[[UpstreamRun], T]) -> T:
         run = self._connect(timeout_s)
 
         def serve_checked() -> T:
@@ -274,7 +292,7 @@
             return serve(run)
 
         try:
-            result = self._network.exchange(run.place, timeout_s, serve_checked)
+            result = self._network.exchange(run.place, timeout_s, serve_checked, kind)
         except NoResponseError:
             self.close()
             raise KeyGrantError("timed out", True) from None
--- a/features/steps/grant_check_steps.py
+++ b/features/steps/grant_check_steps.py
@@ -8,6 +8,9 @@
 #: Time until all keys are granted, until a restarted upstream has been granted keys again, and
 #: until the keys of an upstream that is cut off have moved, in seconds.
 _START_S, _RENEWAL_S, _MOVE_S = 5.0, 1.5, 4.0
+#: Longest time until all keys are granted, and until the keys of a leaving upstream have moved, in
+#: seconds.
+_LONG_START_S, _LEAVING_S = 20.0, 12.0
 
 
 @when("{sequences:d} random sequences of up to {steps:d} events run in virtual time")
@@ -32,6 +35,36 @@
     assert events["leader.elected"] >= elections and events["keys.moved"] >= moves, events
 
 
+@given("a fleet in virtual time with seed {seed:d}, in which each upstream owns {count:d} ranges")
+def _(context: Context, seed: int, count: int) -> None:
+    context.grant_fleet = GrantFleet(seed, "u2", count)
+    context.add_cleanup(context.grant_fleet.close)
+    context.grant_fleet.wait_until_granted(_LONG_START_S)
+
+
+@when("an upstream leaves, and 9 of 10 calls to it after an answered one get no response")
+def _(context: Context) -> None:
+    fleet = context.grant_fleet
+    fleet.network.lossy = {"u2": (0.9, 0.0)}
+    fleet.time.advance(0.1)
+    fleet.upstreams["u2"].is_leaving = True
+    fleet.time.advance(_LEAVING_S)
+    _check(context, fleet)
+
+
+@when("half of the answers of an upstream that follow an answered call get lost")
+def _(context: Context) -> None:
+    context.grant_fleet.network.lossy = {"u2": (0.5, 1.0)}
+
+
+@then("all keys are held for {seconds:d} s")
+def _(context: Context, seconds: int) -> None:
+    fleet = context.grant_fleet
+    for _ in range(10 * seconds):
+        fleet.time.advance(0.1)
+        assert fleet.all_keys_held(), f"keys without an owner at {fleet.time.now:.1f}"
+
+
 @given("a fleet in virtual time with seed {seed:d}")
 def _(context: Context, seed: int) -> None:
     context.grant_fleet = GrantFleet(seed, "u2")
--- a/features/steps/node_takeover_steps.py
+++ b/features/steps/node_takeover_steps.py
@@ -138,6 +138,7 @@
             self.hold,
             PreviousGrants(_RANGES, lambda: self._previous_grants_expire_at),
             lambda _upstream_id: _RANGES,
+            lambda _keys: True,
             lambda _upstream_id: None,
             lambda: True,
             self.requested.append,
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -8,6 +8,7 @@
 from foxtailshunt.assigning._leadership import LEADER_KEY, LastTerm, Leadership, election_delay_s
 from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
+from foxtailshunt.assigning._owned_ranges import OwnedRanges
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
@@ -44,6 +45,7 @@
     "MeanWork",
     "MemberRegistry",
     "Move",
+    "OwnedRanges",
     "Candidate",
     "TableRecord",
     "TableRecovery",
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -9,10 +9,11 @@
 
 from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._previous_grants import PreviousGrants
+from foxtailshunt.assigning._renewal_round import RenewalRound
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import KeyRange, Upstream
 from foxtailshunt.platform import GrantOutcome, KeyGrantClient, KeyGrantError, UpstreamReplacedError
-from foxtailshunt.telemetry import Metrics, log_state_change
+from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 
 #: How long an upstream holds keys after a grant, in seconds. Keys of a lost upstream stay unserved
 #: for this time, so it is short, but longer than an election and the grants that follow it.
@@ -26,8 +27,13 @@
 CLOCK_RATE_BOUND = 0.02
 #: Allowance for message transit that is added to each computed expiry, in seconds.
 HOLD_MARGIN_S = 0.1
-#: Timeout of a grant, in seconds; the answer usually takes about 1 ms.
+#: Timeout of a grant with its connection, in seconds; the answer usually takes about 1 ms.
 GRANT_TIMEOUT_S = 0.4
+#: Time after which a round of renewals goes on over further connections, in seconds: while one
+#: thread waits for answers that are late or lost, the holds of the other ranges run out.
+MAX_SERIAL_ROUND_S = 0.25
+#: Ranges for each further connection, and the largest number of these connections.
+RANGES_PER_CONNECTION, MAX_HELPERS = 4, 8
 #: Consecutive failed grants after which an upstream is considered unreachable.
 UNREACHABLE_AFTER = 2
 #: Interval between probes of an unreachable upstream, in seconds.
@@ -52,6 +58,7 @@
     :param hold: grants of this leader to all runs of the upstream, also those of other renewers.
     :param previous_grants: grants of previous leaders that may be in force.
     :param owned: returns the ranges that the upstream with an id owns and that are to be renewed.
+    :param is_current: returns whether the table still contains a range with its owner and token.
     :param probe_key: returns a key that the upstream with an id doesn't own, for a probe; None
         if there is none.
     :param may_act: returns whether this node still leads.
@@ -67,6 +74,7 @@
         hold: GrantHold,
         previous_grants: PreviousGrants,
         owned: Callable[[str], list[KeyRange]],
+        is_current: Callable[[KeyRange], bool],
         probe_key: Callable[[str], KeyRange | None],
         may_act: Callable[[], bool],
         on_fenced_off: Callable[[KeyRange], None],
@@ -78,13 +86,17 @@
         self.hold = hold
         self._previous_grants = previous_grants
         self._owned = owned
+        self._is_current = is_current
         self._probe_key = probe_key
         self._may_act = may_act
         self._on_fenced_off = on_fenced_off
         self._hold_s = hold_s
         self._now = now
         self._metrics = metrics
+        self._lock = threading.Lock()
         self._failures = 0
+        #: When the last grant that was answered began, in seconds of the clock.
+        self._answered_sent_at = float("-inf")
         self._is_replaced = False
         self._stopping = threading.Event()
         self._wake = threading.Event()
@@ -122,34 +134,43 @@
         self._wake.set()
 
     def grant(self, client: KeyGrantClient, keys: KeyRange, handover: str | None) -> bool:
-        """Send one grant.
+        """Send one grant, unless the table has changed or the term has ended.
 
         :param client: a connection that no other thread uses.
         :param keys: the keys to grant.
         :param handover: state that the previous owner returned on release; None if there is none.
         :returns: whether the upstream accepted the grant.
         """
-        if not self._may_act() or self._is_refused(keys):
-            return False
+        started = self._now()
         hold_s = self._hold_s()
+        # Recorded before the check: a move that begins after the check waits for this grant, and
+        # one that began before it has changed the table.
         pending = self.hold.begin(
             self.upstream.address,
-            self._now(),
+            keys,
+            started,
             self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S,
         )
+        expires_at = float("-inf")
         try:
-            outcome = client.grant(keys, hold_s, handover, GRANT_TIMEOUT_S)
+            if not self._may_grant(keys):
+                return False
+            # Grants of an ended term arrive by then, however long the check or connecting took.
+            timeout_s = GRANT_TIMEOUT_S - (self._now() - started)
+            outcome = client.grant(keys, hold_s, handover, timeout_s)
+            expires_at = self._expiry_if_arrived(hold_s)
         except KeyGrantError as exc:
-            # The failed connection has been reset, so the grant can't arrive later than now.
-            end = self._expiry_if_arrived(hold_s) if exc.sent else float("-inf")
-            self.hold.end(pending, end)
-            self._handle_failure(keys, exc)
+            if exc.sent:
+                # The failed connection has been reset, so the grant can't arrive later than now.
+                expires_at = self._expiry_if_arrived(hold_s)
+            self._handle_failure(keys, started, exc)
             return False
         except UpstreamReplacedError:
             self._mark_replaced()
             return False
-        self.hold.end(pending, self._expiry_if_arrived(hold_s))
-        self._failures = 0
+        finally:
+            self.hold.end(pending, expires_at)
+        self._handle_answer(started)
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
             log_state_change("grant.fenced_off", upstream=self._id, fence=keys.fence)
@@ -158,6 +179,11 @@
         self._previous_grants.fence(self._id, keys)
         return True
 
+    def _may_grant(self, keys: KeyRange) -> bool:
+        if self._stopping.is_set() or not self._may_act() or self._is_refused(keys):
+            return False
+        return self._is_current(keys)
+
     @property
     def _id(self) -> str:
         return self.upstream.upstream_id
@@ -181,10 +207,37 @@
 
         :param client: a connection that no other thread uses.
         """
-        for keys in self._owned(self._id):
-            if self._stopping.is_set() or not self.is_reachable:
+        self._renew(client, RenewalRound(self._owned(self._id)), self._now() + MAX_SERIAL_ROUND_S)
+
+    def _renew(
+        self, client: KeyGrantClient, renewal_round: RenewalRound, helpers_start_at: float
+    ) -> None:
+        while not self._stopping.is_set() and self.is_reachable:
+            keys = renewal_round.take(self._answered_sent_at)
+            if keys is None:
                 return
-            self.grant(client, keys, None)
+            started = self._now()
+            if not self.grant(client, keys, None):
+                renewal_round.repeat_later(keys, started)
+            if self._now() > helpers_start_at:
+                helpers_start_at = float("inf")
+                for _ in range(min(MAX_HELPERS, renewal_round.left // RANGES_PER_CONNECTION)):
+                    self._start_helper(renewal_round)
+
+    def _start_helper(self, renewal_round: RenewalRound) -> None:
+        """Continue a round on a further connection."""
+        threading.Thread(
+            target=self._help, args=(renewal_round,), name=f"grants {self._id}", daemon=True
+        ).start()
+
+    def _help(self, renewal_round: RenewalRound) -> None:
+        client = KeyGrantClient(self.upstream.address, self._id)
+        try:
+            self._renew(client, renewal_round, float("inf"))
+        except Exception as exc:
+            log_thread_error("grants", exc)
+        finally:
+            client.close()
 
     def _probe(self, client: KeyGrantClient) -> None:
         """Probe whether an unreachable upstream responds again, without granting anything.
@@ -229,13 +282,23 @@
         """Return the latest time at which a grant that arrives by now expires, in seconds."""
         return self._now() + hold_s * (1 + CLOCK_RATE_BOUND) + HOLD_MARGIN_S
 
-    def _handle_failure(self, keys: KeyRange, exc: KeyGrantError) -> None:
-        self._failures += 1
+    def _handle_answer(self, started: float) -> None:
+        with self._lock:
+            self._answered_sent_at = max(self._answered_sent_at, started)
+            self._failures = 0
+
+    def _handle_failure(self, keys: KeyRange, started: float, exc: KeyGrantError) -> None:
+        with self._lock:
+            # The answer to a grant that was sent later shows that the upstream is reachable.
+            self._failures += started >= self._answered_sent_at
+            has_become_unreachable = (
+                started >= self._answered_sent_at and self._failures == UNREACHABLE_AFTER
+            )
         if exc.may_have_restarted:
             self._request_new_fence(keys)
             self._request_new_fences()
         self._count("no answer" if exc.sent else "no connection")
-        if self._failures == UNREACHABLE_AFTER:
+        if has_become_unreachable:
             log_state_change(
                 "upstream.unreachable",
                 upstream=self._id,
--- a/foxtailshunt/assigning/_key_mover.py
+++ b/foxtailshunt/assigning/_key_mover.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from foxtailshunt.assigning._grant_renewer import GRANT_TIMEOUT_S, GrantRenewer
+from foxtailshunt.assigning._grant_renewer import GrantRenewer
 from foxtailshunt.assigning._previous_grants import PreviousGrants
-from foxtailshunt.fleet import KeyRange
+from foxtailshunt.fleet import Address, KeyRange
 from foxtailshunt.platform import KeyGrantClient, KeyGrantError, UpstreamReplacedError
 from foxtailshunt.telemetry import Metrics, log_state_change, log_thread_error
 
@@ -54,6 +54,7 @@
     :param stopping: set when the process shuts down.
     :param now: returns seconds of a clock that also advances during suspension.
     :param metrics: counters.
+    :param connect: returns a client for an address and the id of the upstream there.
     """
 
     def __init__(
@@ -65,7 +66,9 @@
         stopping: threading.Event,
         now: Callable[[], float],
         metrics: Metrics,
+        connect: Callable[[Address, str], KeyGrantClient] | None = None,
     ) -> None:
+        self._connect = connect or KeyGrantClient
         self._renewers = renewers
         self._may_act = may_act
         self._previous_grants = previous_grants
@@ -105,7 +108,7 @@
         release = self._release(keys)
         if release is None:
             return
-        self._grant(keys, release.handover)
+        self.grant(keys, release.handover)
         if not self._complete(keys):
             return
         log_state_change(
@@ -137,9 +140,10 @@
             while self._may_act() and self._now() < self._previous_grants.expire_at(keys.giver):
                 self._stopping.wait(WAIT_POLL_S)
             return _Release(ReleaseBasis.EXPIRED) if self._may_act() else None
-        # No further renewals of these keys are sent, but one may still be in transit.
-        expired_at = max(renewer.granted_until, self._now() + GRANT_TIMEOUT_S)
-        client = KeyGrantClient(renewer.upstream.address, renewer.upstream.upstream_id)
+        # The table no longer gives these keys to the previous owner, so no grant of them begins,
+        # but one that began before may still be sent.
+        hold = renewer.hold
+        client = self._connect(renewer.upstream.address, renewer.upstream.upstream_id)
         try:
             while self._may_act():
                 try:
@@ -150,7 +154,8 @@
                     return _Release(ReleaseBasis.REPLACED)
                 except KeyGrantError as exc:
                     log_state_change("release.failed", upstream=keys.giver, error=str(exc))
-                if self._now() > max(expired_at, self._previous_grants.expire_at(keys.giver)):
+                expire_at = max(hold.until_of(keys), self._previous_grants.expire_at(keys.giver))
+                if self._now() > expire_at:
                     return _Release(ReleaseBasis.EXPIRED)
                 self._stopping.wait(RELEASE_RETRY_S)
         finally:
@@ -161,11 +166,16 @@
         """Return how long grants of previous leaders may still be in force, in seconds."""
         return max(0.0, round(self._previous_grants.expire_at_latest() - self._now(), 3))
 
-    def _grant(self, keys: KeyRange, handover: str | None) -> None:
+    def grant(self, keys: KeyRange, handover: str | None) -> None:
+        """Grant moved keys to their new owner; after some failures that is left to its renewals.
+
+        :param keys: the keys.
+        :param handover: state that the previous owner returned on release; None if there is none.
+        """
         renewer = self._renewers.get(keys.owner)
         if renewer is None:
             return
-        client = KeyGrantClient(renewer.upstream.address, renewer.upstream.upstream_id)
+        client = self._connect(renewer.upstream.address, renewer.upstream.upstream_id)
         try:
             for _ in range(GRANT_ATTEMPTS):
                 if renewer.grant(client, keys, handover) or not renewer.is_reachable:
--- a/foxtailshunt/assigning/_term.py
+++ b/foxtailshunt/assigning/_term.py
@@ -12,6 +12,7 @@
 from foxtailshunt.assigning._key_mover import KeyMover
 from foxtailshunt.assigning._leader_dependencies import LeaderDependencies
 from foxtailshunt.assigning._move_planner import MovePlanner
+from foxtailshunt.assigning._owned_ranges import OwnedRanges
 from foxtailshunt.assigning._placement import Move, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import UNNAMED_LEADER, PreviousLeaders
@@ -50,8 +51,8 @@
         self._era = era_of(term)
         self._view = deps.view
         self._now = deps.now
-        self._lock = threading.RLock()
-        self._ranges: list[KeyRange] = []
+        self._publish_lock = threading.Lock()
+        self._ranges = OwnedRanges()
         self._fence = 0
         self._ownership_version = 0
         self._members_version = 0
@@ -135,13 +136,14 @@
                     self._mover = self._create_mover()
                     self._planner = self._create_planner()
                     self._fence = fence
-                    self._ranges = ranges
+                    self._ranges.replace_all(ranges)
                     break
             self._deps.stopping.wait(STORE_RETRY_S)
-        log_state_change("term.begun", term=self._term, fence=self._fence, ranges=len(self._ranges))
+        ranges = self._ranges.all()
+        log_state_change("term.begun", term=self._term, fence=self._fence, ranges=len(ranges))
         self._publish_ownership()
         self._update_renewers()
-        for item in list(self._ranges):
+        for item in ranges:
             if item.giver is not None:
                 self._mover.start_move(item)
 
@@ -194,10 +196,8 @@
 
     def _complete_move(self, keys: KeyRange) -> bool:
         """Mark a move as completed; return False if the table no longer contains it."""
-        with self._lock:
-            if not self._leads() or keys not in self._ranges:
-                return False
-            self._ranges[self._ranges.index(keys)] = replace(keys, giver=None, moving=False)
+        if not self._leads() or not self._ranges.complete_move(keys):
+            return False
         self._publish_ownership()
         return True
 
@@ -208,9 +208,9 @@
         )
 
     def _publish_ownership(self) -> None:
-        with self._lock:
+        with self._publish_lock:
             self._ownership_version += 1
-            table = OwnershipTable(self._ranges)
+            table = OwnershipTable(self._ranges.all())
             self._view.update_ownership(self._term, self._ownership_version, table)
 
     # Grants.
@@ -235,19 +235,16 @@
                 self._previous_grants.restore(upstream_id)
                 self._request_new_fences(upstream_id)
             self._renewers[upstream_id] = self._start_renewer(upstream, hold)
-        involved = {item.owner for item in self._ranges} | {
-            item.giver for item in self._ranges if item.giver is not None
-        }
+        ranges = self._ranges.all()
+        involved = {item.owner for item in ranges} | {item.giver for item in ranges}
         for upstream_id in [name for name in self._renewers if name not in keyed_upstreams]:
             if upstream_id not in involved:
                 self._renewers.pop(upstream_id).stop()
 
     def _request_new_fences(self, upstream_id: str) -> None:
         """Schedule new fencing tokens for all keys of an upstream that has restarted."""
-        with self._lock:
-            for keys in self._ranges:
-                if keys.owner == upstream_id:
-                    self._token_requests.add(keys)
+        for keys in self._ranges.owned_by(upstream_id):
+            self._token_requests.add(keys)
 
     def _start_renewer(self, upstream: Upstream, hold: GrantHold) -> GrantRenewer:
         renewer = GrantRenewer(
@@ -255,6 +252,7 @@
             hold,
             self._previous_grants,
             self._ranges_to_renew,
+            self._may_be_granted,
             self._probe_key,
             self._leads,
             self._token_requests.add,
@@ -266,26 +264,21 @@
         return renewer
 
     def _ranges_to_renew(self, upstream_id: str) -> list[KeyRange]:
-        with self._lock:
-            return [
-                item
-                for item in self._ranges
-                if item.owner == upstream_id
-                and item.giver is None
-                and not self._token_requests.includes(item)
-            ]
+        return [
+            item
+            for item in self._ranges.owned_by(upstream_id)
+            if item.giver is None and not self._token_requests.includes(item)
+        ]
+
+    def _may_be_granted(self, keys: KeyRange) -> bool:
+        return self._ranges.contains(keys) and not self._token_requests.includes(keys)
 
     def _probe_key(self, upstream_id: str) -> KeyRange | None:
-        with self._lock:
-            for item in self._ranges:
-                if upstream_id not in (item.owner, item.giver):
-                    return replace(item, last=item.first, fence=PROBE_FENCE)
+        for item in self._ranges.all():
+            if upstream_id not in (item.owner, item.giver):
+                return replace(item, last=item.first, fence=PROBE_FENCE)
         return None
 
-    def _ranges_of(self, service: str) -> list[KeyRange]:
-        with self._lock:
-            return [item for item in self._ranges if item.service == service]
-
     # Moves.
 
     def _assign(self, rebalance: bool) -> None:
@@ -296,22 +289,16 @@
         fence = self._fence
         for name, info in routes.services.items():
             if info.keyed:
-                for move in self._planner.plan(name, self._ranges_of(name), rebalance):
+                for move in self._planner.plan(name, self._ranges.of_service(name), rebalance):
                     fence += 1
                     changed.append((move.keys, _split(move, fence)))
         fence = self._assign_new_fences(changed, fence)
         initial = self._initial_ranges(routes.services, fence + 1)
         if not changed and not initial:
             return
-        with self._lock:
-            ranges = list(self._ranges)
-            changed = [(before, after) for before, after in changed if before in ranges]
-            for before, after in changed:
-                ranges.remove(before)
-                ranges.extend(after)
-            ranges.extend(initial)
+        changed = [item for item in changed if self._ranges.contains(item[0])]
         fence += bool(initial)
-        if not self._write(fence, ranges):
+        if not self._write(fence, self._ranges.with_changes(changed, initial)):
             return
         self._fence = fence
         self._apply_changes(changed, initial)
@@ -319,13 +306,7 @@
     def _apply_changes(
         self, changed: list[tuple[KeyRange, list[KeyRange]]], initial: list[KeyRange]
     ) -> None:
-        with self._lock:
-            for before, after in changed:
-                if before not in self._ranges:
-                    continue
-                self._ranges.remove(before)
-                self._ranges.extend(after)
-            self._ranges.extend(initial)
+        self._ranges.change(changed, initial)
         self._publish_ownership()
         for _, after in changed:
             for item in after:
@@ -336,19 +317,19 @@
 
     def _assign_new_fences(self, changed: list[tuple[KeyRange, list[KeyRange]]], fence: int) -> int:
         """Raise the fencing token of ranges whose owner must not get the current one again."""
-        with self._lock:
-            self._token_requests.retain(self._ranges)
-            replaced_ids = {id(before) for before, _ in changed}
-            for item in self._ranges:
-                is_requested = self._token_requests.includes(item)
-                if is_requested and item.giver is None and id(item) not in replaced_ids:
-                    fence += 1
-                    changed.append((item, [replace(item, fence=fence)]))
+        ranges = self._ranges.all()
+        self._token_requests.retain(ranges)
+        replaced = {before for before, _ in changed}
+        for item in ranges:
+            is_requested = self._token_requests.includes(item)
+            if is_requested and item.giver is None and item not in replaced:
+                fence += 1
+                changed.append((item, [replace(item, fence=fence)]))
         return fence
 
     def _initial_ranges(self, services: dict, fence: int) -> list[KeyRange]:
         """Return initial ranges for keyed services that have none."""
-        assigned = {item.service for item in self._ranges}
+        assigned = {item.service for item in self._ranges.all()}
         initial: list[KeyRange] = []
         for name, info in services.items():
             if not info.keyed or name in assigned:
--- a/foxtailshunt/platform/_grants.py
+++ b/foxtailshunt/platform/_grants.py
@@ -29,7 +29,7 @@
     """A grant or release without a usable response; unless unsent, it may take effect, even later.
 
     :param message: the call and the failure.
-    :param sent: False if there was no connection to the upstream, so that nothing can arrive.
+    :param sent: False if nothing was sent to the upstream, so that nothing can arrive.
     :param may_have_restarted: True if the upstream closed or refused the connection.
     """
 
@@ -82,7 +82,8 @@
         :param keys: the key range with its fencing token.
         :param hold_s: how long the upstream holds the keys after the grant arrives, in seconds.
         :param handover: handover data that the previous owner returned on release; None for none.
-        :param timeout_s: maximum wait in seconds.
+        :param timeout_s: maximum wait in seconds, with that for the connection; nothing is sent
+            later.
         :raises KeyGrantError: it is unknown whether the grant takes effect, unless unsent.
         :raises UpstreamReplacedError: the intended upstream has terminated.
         """
@@ -120,8 +121,10 @@
         return {"from": keys.first, "to": keys.last, "fence": keys.fence}
 
     def _post(self, path: str, payload: dict[str, object], timeout_s: float) -> HttpResponse:
-        channel = self._connect(path, timeout_s)
         deadline = time.monotonic() + timeout_s
+        channel = self._connect(path, timeout_s)
+        if time.monotonic() >= deadline:
+            raise KeyGrantError(f"{path}: connecting took the whole timeout", False)
         try:
             body = json.dumps(payload).encode()
             channel.send(format_request("POST", path, self._headers, body), deadline)
@@ -148,7 +151,9 @@
             raise KeyGrantError(f"{path}: the upstream closed the connection", False, True)
         try:
             channel = HttpChannel(
-                self._address, min(timeout_s, CONNECT_TIMEOUT_S), RESET_ON_CLOSE_SOCKET_OPTIONS
+                self._address,
+                max(0.001, min(timeout_s, CONNECT_TIMEOUT_S)),
+                RESET_ON_CLOSE_SOCKET_OPTIONS,
             )
         except OSError as exc:
             was_refused = isinstance(exc, ConnectionRefusedError)
