--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -5,6 +5,7 @@
 import random
 import sys
 from collections import deque
+from collections.abc import Iterable
 from contextlib import ExitStack
 from functools import partial
 from unittest.mock import patch
@@ -34,6 +35,7 @@
 )
 from foxtailshunt.fleet import FleetView, KeyRange, Member, StoreCallSpacing
 from foxtailshunt.node import ConfigurationWatch, DemandCollector, Follower, PeerService
+from foxtailshunt.node._program import LEADERSHIP_CHECK_INTERVAL_S
 from foxtailshunt.node._table_copies import CopyFetcher
 from foxtailshunt.platform import UPSTREAM_PREFIX, StoreError
 from foxtailshunt.telemetry import Metrics
@@ -137,6 +139,7 @@
             )
             for part in (self.leadership, self.assigner, self._follower, watch):
                 part.start()
+            time.spawn(self._check_leadership, (watch,))
         self.now = now
         self.service = PeerService(
             self.view,
@@ -149,6 +152,7 @@
             now,
             mean_work,
             statements,
+            self._follower.catch_up,
         )
 
     @property
@@ -156,6 +160,11 @@
         """Return whether the process runs and acts as leader."""
         return not self.process.is_killed and self.leadership.term is not None
 
+    def _check_leadership(self, watch: ConfigurationWatch) -> None:
+        while True:
+            watch.check_leadership()
+            self._fleet.time.sleep(LEADERSHIP_CHECK_INTERVAL_S)
+
     def stop(self) -> None:
         """Shut down as the program does, on a thread of the process."""
         with self._fleet.time.starting(self.process):
@@ -178,9 +187,12 @@
     :param seed: determines delays, elections and clocks.
     :param affected: the upstream that ``affected`` stands for.
     :param ranges: number of ranges that each upstream owns at the beginning.
+    :param nodes: names of the nodes.
     """
 
-    def __init__(self, seed: int, affected: str, ranges: int = 1) -> None:
+    def __init__(
+        self, seed: int, affected: str, ranges: int = 1, nodes: Iterable[str] = NODES
+    ) -> None:
         self._affected = affected
         self.rng = random.Random(seed)
         self.time = VirtualTime()
@@ -213,7 +225,7 @@
         self._runs: list[UpstreamRun] = []
         for name in UPSTREAMS:
             self.start_upstream(name)
-        for name in NODES:
+        for name in nodes:
             self.start_node(name)
 
     def _virtualize(self) -> None:
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -17,9 +17,9 @@
 
 #: Longest time until all keys are granted, in seconds.
 _START_S = 20.0
-#: Time after all faults have ended until the last configuration is in force, in seconds: the
-#: response to a watch, which waits for up to 12 s, may have been lost.
-_SETTLED_S = 20.0
+#: Time after all faults have ended until the last configuration is in force, in seconds: nodes
+#: count as in touch with the store from then on.
+_SETTLED_S = 3.0
 #: Lines of the log shown for a sequence that fails.
 _LOG_LINES = 150
 
@@ -177,18 +177,16 @@
         event=st.sampled_from(("start", "start", "kill", "replace", "swap", "leave")),
         name=_upstream,
         is_cut_off=st.booleans(),
-        loss=st.none() | _loss,
         pause_s=_pause,
     )
-    def change_upstream(
-        self, event: str, name: str, is_cut_off: bool, loss: tuple | None, pause_s: float
-    ) -> None:
+    def change_upstream(self, event: str, name: str, is_cut_off: bool, pause_s: float) -> None:
         """Change an upstream, which may be cut off from the store since then.
 
-        :param loss: loss of responses one by one since then; None for none.
+        None restarts while responses get lost one by one: it would get its token again, which is
+        known red and would hide all else.
         """
         name = self.fleet.resolve(name)
-        self.fleet.network.lossy = {name: loss} if loss is not None else {}
+        event = "leave" if self.fleet.network.lossy else event
         if is_cut_off:
             blocked = self.fleet.network.blocked
             self._block(blocked | {(name, STORE), (STORE, name)})
@@ -204,11 +202,18 @@
             self.fleet.upstreams[name].is_leaving ^= True
         self._continue(pause_s)
 
+    @rule(name=_upstream, loss=_loss, pause_s=_pause)
+    def leave_losing_responses(self, name: str, loss: tuple, pause_s: float) -> None:
+        name = self.fleet.resolve(name)
+        self.fleet.network.lossy = {name: loss}
+        self.fleet.upstreams[name].is_leaving = True
+        self._continue(pause_s)
+
     @rule(upstreams_too=st.booleans(), pause_s=_pause)
     def lose_all_memory(self, upstreams_too: bool, pause_s: float) -> None:
         for name in NODES:
             self.fleet.start_node(name)
-        for name in UPSTREAMS if upstreams_too else ():
+        for name in UPSTREAMS if upstreams_too and not self.fleet.network.lossy else ():
             self.fleet.start_upstream(name)
         self._continue(pause_s)
 
--- a/features/grant_support/_network.py
+++ b/features/grant_support/_network.py
@@ -14,12 +14,13 @@
     HistoryLostError,
     KeyGrantError,
     LeaseEndedError,
+    NoResponseError,
     StoreChange,
     StoreEraChangedError,
-    StoreError,
     StoreItem,
     UpstreamReplacedError,
 )
+from foxtailshunt.platform._store import WATCH_MARGIN_S
 from standins.keyowner import KeyGrants
 from standins.metadata import CompactedError, ConditionFailedError, MetadataStore, UnknownLeaseError
 
@@ -27,8 +28,10 @@
 #: Share of slow messages and the longest transit of one, in seconds; most timeouts are 0.4 s.
 _SLOW_SHARE, _SLOW_S = 0.05, 0.35
 _CONNECT_TIMEOUT_S = 0.15
-#: Time by which watches and polls may last longer than their own wait, in seconds.
-_WATCH_MARGIN_S, _POLL_MARGIN_S = 1.5, 0.4
+#: Time by which a poll may last longer than its own wait, in seconds.
+_POLL_MARGIN_S = 0.4
+#: Interval at which a waiting watch notices that it has to be renewed, in seconds.
+_RENEWAL_CHECK_S = 0.2
 #: Factor by which an upstream holds keys for longer since its clock runs slow, as far as allowed.
 _SLOW_CLOCK = 1.02
 #: Bits of a lease below the era of the store, as in ``StoreClient``.
@@ -43,7 +46,7 @@
 T = TypeVar("T")
 
 
-class NoResponseError(Exception):
+class LostResponseError(Exception):
     """A call got no response in time."""
 
 
@@ -76,6 +79,9 @@
         self.lossy: dict[str, tuple[float, float]] = {}
         #: Places and kinds of calls of which the last one got no response.
         self._lost: set[tuple[str, str]] = set()
+        #: What happens to the next response that carries changes, by the place and the prefix of
+        #: a watch: ``answer lost``, ``connection reset`` or ``connection silent``.
+        self.watch_faults: dict[tuple[str, str], str] = {}
         self.store = MetadataStore()
         #: The process at each address.
         self.runs: dict[Address, UpstreamRun] = {}
@@ -91,7 +97,7 @@
         """Make a call from the current process.
 
         :param kind: kind of the call.
-        :raises NoResponseError: the call was not served, or its response was lost.
+        :raises LostResponseError: the call was not served, or its response was lost.
         """
         source, end = self.time.process.name, self.time.now + timeout_s
         loss, served_share = self.lossy.get(target, (0.0, 0.0))
@@ -117,7 +123,7 @@
         self.time.sleep(min(transit_s, max(0.0, end - self.time.now)))
         if is_lost or not self.reaches(source, target) or self.time.now >= end:
             self.time.sleep(max(0.0, end - self.time.now))
-            raise NoResponseError
+            raise LostResponseError
 
     def record_sent(self, keys: KeyRange, run: UpstreamRun) -> None:
         """Record a grant, and whether its token was issued to another process before."""
@@ -137,7 +143,7 @@
         def call(address: Address, method: str, req: Any, timeout_s: float) -> Any:
             try:
                 return self.exchange(address[0], timeout_s, lambda: serve(address, method, req))
-            except NoResponseError:
+            except LostResponseError:
                 raise PeerUnreachableError("no response", True) from None
 
         def serve(address: Address, method: str, req: Any) -> Any:
@@ -158,6 +164,10 @@
     def __init__(self, network: Network) -> None:
         self._network, self._store = network, network.store
         self.era = 0
+        self._renewals = 0
+
+    def renew_watches(self) -> None:
+        self._renewals += 1
 
     def observe_era(self, era: int) -> None:
         self.era = max(self.era, era)
@@ -168,6 +178,7 @@
         changes: bool,
         serve: Callable[[int], T],
         depends_on: int | None = None,
+        is_watch: bool = False,
     ) -> T:
         def serve_in_era() -> tuple[int, T | Exception]:
             try:
@@ -181,8 +192,10 @@
             raise StoreEraChangedError("not sent", False)
         try:
             era, result = self._network.exchange(STORE, timeout_s, serve_in_era)
-        except NoResponseError:
-            raise StoreError("no response", changes) from None
+        except LostResponseError:
+            if not is_watch:
+                self.renew_watches()
+            raise NoResponseError("no response", changes) from None
         self.observe_era(era)
         if era != self.era or depends_on not in (None, era):
             raise StoreEraChangedError("response of another era", changes)
@@ -208,12 +221,35 @@
         return self._call(timeout_s, False, serve)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
+        time = self._network.time
+        call = time.process.name, prefix
+
         def serve(era: int) -> tuple[list[StoreChange], int]:
-            found, revision = self._store.watch(prefix, plain_revision(after), wait_s)
+            end, renewals = time.now + wait_s, self._renewals
+            left_s = wait_s
+            while True:
+                slice_s = min(left_s, _RENEWAL_CHECK_S)
+                found, revision = self._store.watch(prefix, plain_revision(after), slice_s)
+                left_s, faults = end - time.now, self._network.watch_faults
+                is_silent = left_s <= 0 and faults.get(call) == "connection silent"
+                if (found or is_silent) and (fault := faults.pop(call, None)):
+                    self._lose(end if fault != "connection reset" else time.now, renewals)
+                if found or left_s <= 0 or self._store.era != era:
+                    break
+                if self._renewals != renewals:
+                    raise LostResponseError
             changes = [StoreChange(change.key, _item(change.item, era)) for change in found]
             return changes, at_era(era, revision)
 
-        return self._call(wait_s + _WATCH_MARGIN_S, False, serve, era_of(after))
+        return self._call(wait_s + WATCH_MARGIN_S, False, serve, era_of(after), True)
+
+    def _lose(self, end: float, renewals: int) -> None:
+        """Let a watch fail: at once, or after its wait and unless it is renewed before."""
+        if end > self._network.time.now:
+            end += WATCH_MARGIN_S
+        while self._network.time.now < end and self._renewals == renewals:
+            self._network.time.sleep(_RENEWAL_CHECK_S)
+        raise LostResponseError
 
     def commit(self, conditions: dict, puts: list, timeout_s: float, removes: tuple = ()) -> int:
         eras = {era_of(revision) for revision in conditions.values() if revision}
@@ -293,7 +329,7 @@
 
         try:
             result = self._network.exchange(run.place, timeout_s, serve_checked, kind)
-        except NoResponseError:
+        except LostResponseError:
             self.close()
             raise KeyGrantError("timed out", True) from None
         except (KeyGrantError, UpstreamReplacedError):
--- a/features/grant_support/_operator.py
+++ b/features/grant_support/_operator.py
@@ -16,6 +16,7 @@
 #: Delay before the operator repeats a command that failed, in seconds.
 _RETRY_S = 0.02
 _SERVICE = UpstreamRun.service
+_EVACUATION_PREFIX = f"{CONFIG_KEY}/evacuate/"
 
 
 def make_routes(version: int = 0, era: int = 0) -> RouteTable:
@@ -29,6 +30,10 @@
     return make_routes(record.version, record.era)
 
 
+def _decode_evacuation(key: str, value: bytes) -> str | None:
+    return key.removeprefix(_EVACUATION_PREFIX) if key.startswith(_EVACUATION_PREFIX) else None
+
+
 class Operator:
     """Applies one file after the other with the operator's command; never cut off from the store.
 
@@ -37,7 +42,7 @@
     """
 
     def __init__(self, time: VirtualTime, network: Network) -> None:
-        self._time = time
+        self._time, self._network = time, network
         self._store = NetworkStoreClient(network)
         self._applier = ConfigApplier(self._store, SimpleNamespace(now=lambda: time.now))
         self._is_applying = False
@@ -52,6 +57,11 @@
         with self._time.starting(self.process):
             self._time.spawn(self._apply)
 
+    def evacuate(self, zone: str, is_evacuated: bool) -> None:
+        """Ask for the evacuation of a zone, or take that back."""
+        key, store = _EVACUATION_PREFIX + zone, self._network.store
+        store.commit({}, [(key, b"{}", 0)] if is_evacuated else [], [] if is_evacuated else [key])
+
     def _apply(self) -> None:
         while self._is_applying:
             self._time.sleep(_RETRY_S)
@@ -76,7 +86,9 @@
     """
 
     def __init__(self, view: FleetView) -> None:
-        super().__init__(ConfigurationFormat(CONFIG_KEY, CONFIG_KEY, _decode), view)
+        super().__init__(
+            ConfigurationFormat(CONFIG_KEY, CONFIG_KEY, _decode, _decode_evacuation), view
+        )
         view.update_routes(make_routes(), b"")
         self._recorded = view
         self.numbers = [0]
--- a/features/steps/configuration_at_return_steps.py
+++ b/features/steps/configuration_at_return_steps.py
@@ -51,7 +51,10 @@
 
     def __init__(self, store: MetadataStore) -> None:
         exchange = lambda _target, _timeout_s, serve: serve()  # noqa: E731
-        super().__init__(SimpleNamespace(store=store, exchange=exchange))
+        clock = SimpleNamespace(now=0.0, process=SimpleNamespace(name="node"))
+        super().__init__(
+            SimpleNamespace(store=store, exchange=exchange, time=clock, watch_faults={})
+        )
 
     def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list, int]:
         return super().watch(prefix, after, 0.0)
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -14,12 +14,15 @@
     endless,
     trickle,
 )
+from foxtailshunt.assigning import StoreWatch
 from foxtailshunt.errors import FoxtailshuntError
 from foxtailshunt.operator import ConditionalWrite, ConditionalWriter
 from foxtailshunt.platform import (
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    NoResponseError,
+    StoreChange,
     StoreClient,
     StoreError,
     StoreItem,
@@ -277,6 +280,73 @@
     context.watched = values
 
 
+@given("the client watches the key for {seconds:d} s")
+def _(context: Context, seconds: int) -> None:
+    subject = _subject(context)
+    subject.store.put(_KEY, b"before")
+    revision = subject.store.revision
+    context.watch_error = None
+
+    def watch() -> None:
+        context.watch_error = _error_of(lambda: subject.client.watch(_KEY, revision, seconds))
+
+    context.watched_from = revision
+    context.watch_thread = threading.Thread(target=watch, daemon=True)
+    context.watch_thread.start()
+    _wait_until_watched(subject)
+
+
+def _wait_until_watched(subject: StoreSubject) -> None:
+    deadline = time.monotonic() + _WAIT_TIMEOUT_S
+    while not subject.client.waiting_watches and time.monotonic() < deadline:
+        time.sleep(0.01)
+
+
+@when("another call of the client gets no response")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    subject.server.fault = StoreFault.SILENT
+    assert isinstance(_error_of(lambda: subject.client.read(_KEY, 0.1)), NoResponseError)
+    subject.server.fault = StoreFault.NONE
+
+
+@when("its watches are renewed")
+def _(context: Context) -> None:
+    _subject(context).client.renew_watches()
+
+
+@then("the watch has ended without a response, and a repeated one returns what was written")
+def _(context: Context) -> None:
+    subject = _subject(context)
+    context.watch_thread.join(_WAIT_TIMEOUT_S)
+    assert isinstance(context.watch_error, NoResponseError), context.watch_error
+    subject.store.put(_KEY, b"written")
+    changes, _ = subject.client.watch(_KEY, context.watched_from, 0.0)
+    assert [change.item.value for change in changes] == [b"written"], changes
+
+
+@when("a watch of {seconds:d} s that is repeated is renewed, and the key is written")
+def _(context: Context, seconds: int) -> None:
+    subject = _subject(context)
+    watch = StoreWatch(subject.client, _KEY)
+    revision = subject.store.revision
+    context.watched = []
+
+    def wait() -> None:
+        found: list[StoreChange] = []
+        after = revision
+        while not found:
+            found, after = watch.wait(after, float(seconds))
+        context.watched = [change.item.value for change in found if change.item is not None]
+
+    thread = threading.Thread(target=wait, daemon=True)
+    thread.start()
+    _wait_until_watched(subject)
+    subject.client.renew_watches()
+    subject.store.put(_KEY, b"other")
+    thread.join(_WAIT_TIMEOUT_S)
+
+
 @then("the watch returns the written value")
 def _(context: Context) -> None:
     assert context.watched == [b"other"], context.watched
--- a/features/steps/store_watches_steps.py
+++ b/features/steps/store_watches_steps.py
@@ -34,6 +34,8 @@
     def list_items(self, prefix: str, stale: bool, timeout_s: float) -> tuple[list[StoreItem], int]:
         return [StoreItem(_KEY, str(self.version).encode(), self.version, 0)], self.version
 
+    def renew_watches(self) -> None: ...
+
     def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[StoreChange], int]:
         self.timeouts.put(wait_s)
         self.may_return.wait(WAIT_TIMEOUT_S)
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -57,6 +57,23 @@
     When the store discards its history and the client watches from the beginning
     Then the watch ends with HistoryLostError
 
+  Scenario Outline: A watch whose answer may have been lost ends before its timeout: <sign>
+    # Guards against a node that runs an old configuration while it waits on a watch whose answer
+    # was lost.
+    Given the client watches the key for 15 s
+    When <sign>
+    Then the watch has ended without a response, and a repeated one returns what was written
+
+    Examples:
+      | sign                                          |
+      | another call of the client gets no response   |
+      | its watches are renewed                       |
+
+  Scenario: A watch whose answer may have been lost is repeated without its caller
+    Given the key holds old
+    When a watch of 15 s that is repeated is renewed, and the key is written
+    Then the watch returns the written value
+
   Scenario: A key is removed when its lease expires
     Given the client holds the key under a lease of 0.3 s that it does not renew
     Then the key is eventually removed
--- a/foxtailshunt/assigning/__init__.py
+++ b/foxtailshunt/assigning/__init__.py
@@ -5,6 +5,7 @@
 from foxtailshunt.assigning._demand_tracker import DemandTracker
 from foxtailshunt.assigning._grant_hold import GrantHold
 from foxtailshunt.assigning._grant_renewer import GrantRenewer
+from foxtailshunt.assigning._leader_record import Leader
 from foxtailshunt.assigning._leadership import LEADER_KEY, LastTerm, Leadership, election_delay_s
 from foxtailshunt.assigning._mean_work import MeanWork
 from foxtailshunt.assigning._member_registry import MemberRegistry
@@ -12,6 +13,7 @@
 from foxtailshunt.assigning._placement import Candidate, Move, plan_moves, split_evenly
 from foxtailshunt.assigning._previous_grants import PreviousGrants
 from foxtailshunt.assigning._previous_leaders import PreviousLeaders
+from foxtailshunt.assigning._store_watch import StoreWatch
 from foxtailshunt.assigning._table_record import (
     TABLE_KEY,
     LeaderProcess,
@@ -39,6 +41,7 @@
     "PreviousLeaders",
     "GrantHold",
     "GrantRenewer",
+    "Leader",
     "LeaderProcess",
     "LastTerm",
     "Leadership",
@@ -47,6 +50,7 @@
     "Move",
     "OwnedRanges",
     "Candidate",
+    "StoreWatch",
     "TableRecord",
     "TableRecovery",
     "CopyStatements",
--- a/foxtailshunt/assigning/_leadership.py
+++ b/foxtailshunt/assigning/_leadership.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from foxtailshunt.assigning._leader_record import Leader, decode_leader, encode_leader
+from foxtailshunt.assigning._store_watch import StoreWatch
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import Member, StoreCallSpacing, era_of
 from foxtailshunt.platform import (
@@ -90,6 +91,7 @@
         self._call_spacing = call_spacing
         self._local_member = local_member
         self._store = store
+        self._watch = StoreWatch(store, LEADER_KEY)
         self._now = now
         self._stopping = threading.Event()
         self._lease: int | None = None
@@ -228,7 +230,7 @@
             return
         while not self._stopping.is_set():
             timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
-            changes, revision = self._store.watch(LEADER_KEY, revision, timeout_s)
+            changes, revision = self._watch.wait(revision, timeout_s)
             ended = False
             for change in changes:
                 if change.key == LEADER_KEY:
@@ -240,7 +242,7 @@
 
     def _lead_unless_taken(self, revision: int) -> None:
         wait_s = self._election_delay_s()
-        changes, _ = self._store.watch(LEADER_KEY, revision, wait_s)
+        changes, _ = self._watch.wait(revision, wait_s)
         created = [change.item for change in changes if change.item is not None]
         if created:
             self._update_leader(created[-1])
--- a/foxtailshunt/node/_configuration_watch.py
+++ b/foxtailshunt/node/_configuration_watch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from foxtailshunt.assigning import StoreWatch
 from foxtailshunt.errors import DocumentError
 from foxtailshunt.fleet import FleetView, StoreCallSpacing
 from foxtailshunt.node._evacuations import DecodeEvacuation, EvacuationEntries
@@ -22,8 +23,9 @@
 READ_TIMEOUT_S = 1.0
 #: Time that one watch call waits for a change in a small fleet, in seconds; each call is billed.
 WATCH_TIMEOUT_S = 12.0
-#: The same for the leader, in seconds: if the response is lost, the followers wait for it too.
-LEADER_WATCH_TIMEOUT_S = 5.0
+#: The same for the leader, in seconds. If its response is lost, and those of all followers are, all
+#: nodes wait for its next call.
+LEADER_WATCH_TIMEOUT_S = 1.0
 #: Longest delay before the configuration is read in a new era of the store, in seconds.
 ERA_RETRY_DELAY_S = 0.1
 #: Delay after a failed call to the store in a small fleet, in seconds.
@@ -107,6 +109,7 @@
         self._call_spacing = call_spacing
         self._configuration_applier = configuration_applier
         self._format = configuration_applier.format
+        self._store_watch = StoreWatch(store, self._format.prefix)
         self._stopping = threading.Event()
         self._store_is_lost = False
         self._thread = threading.Thread(target=self._run, name="configuration", daemon=True)
@@ -118,10 +121,11 @@
     def check_leadership(self) -> None:
         """Read the configuration when this node becomes leader, without blocking the caller.
 
-        The response to its watch, which may wait for long, may have been lost.
+        The response to its watch, which may wait for long, may have been lost or get lost later.
         """
         has_led, self._has_led = self._has_led, self._leads()
         if self._has_led and not has_led:
+            self._store.renew_watches()
             threading.Thread(target=self._read_as_leader, name="configuration", daemon=True).start()
 
     def stop(self) -> None:
@@ -179,7 +183,7 @@
         timeout_s = LEADER_WATCH_TIMEOUT_S
         if not self._leads():
             timeout_s = self._call_spacing.watch_timeout_s(WATCH_TIMEOUT_S)
-        changes, revision = self._store.watch(self._format.prefix, revision, timeout_s)
+        changes, revision = self._store_watch.wait(revision, timeout_s)
         self._configuration_applier.evacuations.change(changes, revision)
         for change in changes:
             if change.key == self._format.key and change.item is not None:
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -13,6 +13,7 @@
     TABLE_KEY,
     CapacityEstimator,
     DemandTracker,
+    Leader,
     Leadership,
     MeanWork,
     UpstreamReader,
@@ -62,6 +63,10 @@
 STORE_RETRY_DELAY_S = 0.9
 #: Idle time after which a connection to a node that is no longer polled is closed, in seconds.
 MAX_IDLE_S = 2.0
+#: Time without an answer of the leader after which the response to the watch of its key may have
+#: been lost, in seconds: its lease has expired by then if it is gone. Also the least interval
+#: between two renewals of the watches.
+LEADER_SILENCE_S = 1.5
 #: Interval between checks of the age of the list of upstreams, in seconds.
 AGE_CHECK_INTERVAL_S = 0.5
 
@@ -140,6 +145,12 @@
         self._reader = UpstreamReader(store, now, view)
         self._clients = ClientPool(Peer, 1)
         self._stopping = threading.Event()
+        #: Address of a node that knows later versions than this one; None if there is none.
+        self._ahead: Address | None = None
+        self._is_behind = threading.Event()
+        #: When the polls of the leader began to fail, in seconds of the clock; None if they don't.
+        self._leader_silent_since: float | None = None
+        self._watches_renewed_at = float("-inf")
         self._failed_polls = 0
         self._newer_term_checks = 0
         self._store_is_lost = False
@@ -164,6 +175,14 @@
         except PeerUnreachableError as exc:
             log_state_change("leaving.not_announced", error=exc.message)
 
+    def catch_up(self, address: Address) -> None:
+        """Ask another node for later versions of what is in the store, without blocking.
+
+        :param address: address of the node.
+        """
+        self._ahead = address
+        self._is_behind.set()
+
     def close_idle_connections(self) -> None:
         """Close the connections to nodes that are no longer polled."""
         self._clients.close_idle(MAX_IDLE_S)
@@ -183,23 +202,60 @@
     def _follow_once(self) -> None:
         if self._leadership.term is not None:
             self._record_own_report()
-            self._stopping.wait(POLL_WAIT_S)
+            if self._is_behind.wait(POLL_WAIT_S):
+                self._ask_node_ahead()
             if self._leadership.is_unconfirmed:
                 self._check_for_newer_term()
             return
-        address = self._next_address()
+        leader, address = self._leadership.leader, self._next_address()
         if address is None:
             self._stopping.wait(RETRY_DELAY_S)
             return
         try:
             self._poll(self._clients, address, POLL_WAIT_S)
             self._failed_polls = 0
+            self._check_leaders_key(leader, address, True)
         except PeerUnreachableError as exc:
             if self._failed_polls == 0:
                 log_state_change("leader.silent", address=address, error=exc.message)
             self._failed_polls += 1
+            self._check_leaders_key(leader, address, False)
             self._stopping.wait(RETRY_DELAY_S)
 
+    def _ask_node_ahead(self) -> None:
+        self._is_behind.clear()
+        if self._ahead is None:
+            return
+        log_state_change("store.behind", address=self._ahead)
+        try:
+            self._poll(self._clients, self._ahead, 0.0)
+        except PeerUnreachableError as exc:
+            # A follower states its versions with each poll, so one of them is asked again.
+            log_state_change("store.behind", address=self._ahead, error=exc.message)
+        self._stopping.wait(RETRY_DELAY_S)
+
+    def _check_leaders_key(
+        self, leader: Leader | None, address: Address, has_answered: bool
+    ) -> None:
+        """Renew the watches of the store if the watch of the leader's key should have ended.
+
+        :param leader: the leader as this node knew it before a poll.
+        :param address: address of the node that was polled.
+        :param has_answered: whether it has answered.
+        """
+        now = self._now()
+        if leader is None or (has_answered and address == leader.address):
+            self._leader_silent_since = None
+        elif not has_answered and self._leader_silent_since is None:
+            self._leader_silent_since = now
+        since = self._leader_silent_since
+        is_silent = since is not None and now - since >= LEADER_SILENCE_S
+        is_replaced = leader is not None and self._view.versions.term > leader.term
+        if (is_silent or is_replaced) and now - self._watches_renewed_at >= LEADER_SILENCE_S:
+            self._watches_renewed_at = now
+            log_state_change("store.watches_renewed", silent=is_silent, replaced=is_replaced)
+            self._store.renew_watches()
+
     def _check_for_newer_term(self) -> None:
         """Ask another node for a newer term, since the store does not confirm the lease.
 
--- a/foxtailshunt/node/_peer_service.py
+++ b/foxtailshunt/node/_peer_service.py
@@ -14,6 +14,7 @@
 )
 from foxtailshunt.errors import ResultCode
 from foxtailshunt.fleet import FleetView, Versions
+from foxtailshunt.network import Address
 from foxtailshunt.node._follow_reply import build_reply
 from foxtailshunt.node._messages import from_member_message, from_pace_message
 from foxtailshunt.node._reply_pacer import ReplyPacer
@@ -60,6 +61,8 @@
     :param now: returns seconds of a clock that includes time spent suspended.
     :param mean_work: records the work of requests that followers report.
     :param statements: records what the followers state about their copies of the table.
+    :param on_later_versions: called on the leader with the address of a follower that knows a later
+        configuration or later evacuations.
     """
 
     def __init__(
@@ -74,7 +77,9 @@
         now: Callable[[], float],
         mean_work: MeanWork,
         statements: CopyStatements | None = None,
+        on_later_versions: Callable[[Address], None] | None = None,
     ) -> None:
+        self._on_later_versions = on_later_versions
         self._statements = statements or CopyStatements()
         self._view = view
         self._sender = sender
@@ -121,6 +126,7 @@
         leads = self._leadership.term is not None
         if leads:
             self._record_report(req)
+            self._check_for_later_versions(req)
         configuration_era, configuration = self._known_configuration(req)
         known = Versions(
             configuration=configuration,
@@ -138,6 +144,19 @@
         reply.table_copy = reply_with_copy(req, self._view, self._leadership)
         return reply
 
+    def _check_for_later_versions(self, req: FollowRequest) -> None:
+        """Report a follower whose knowledge of the store is later than that of this node.
+
+        The response to this node's own watch may have been lost.
+        """
+        current, known = self._view.versions, req.known
+        is_later = (known.evacuations or 0) > current.evacuations
+        if known.configuration_era is not None:
+            order = known.configuration_era, known.configuration
+            is_later = is_later or order > current.configuration_order
+        if is_later and self._on_later_versions is not None:
+            self._on_later_versions(from_member_message(req.member).address)
+
     def _known_configuration(self, req: FollowRequest) -> tuple[int, int]:
         """Return the era and the version of the configuration that a follower knows.
 
--- a/foxtailshunt/node/_program.py
+++ b/foxtailshunt/node/_program.py
@@ -206,6 +206,7 @@
             now,
             mean_work,
             statements,
+            lambda address: self._follower.catch_up(address),
         )
         memory_events = MemoryEvents(self._metrics)
         memory = MemoryAccount(MemoryLimits.for_memory(settings.memory_mb), memory_events.record)
--- a/foxtailshunt/platform/__init__.py
+++ b/foxtailshunt/platform/__init__.py
@@ -27,6 +27,7 @@
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    NoResponseError,
     StoreEraChangedError,
     StoreError,
 )
@@ -50,6 +51,7 @@
     "KeyGrantClient",
     "KeyGrantError",
     "LeaseEndedError",
+    "NoResponseError",
     "PlatformCallerInterface",
     "Seconds",
     "StoreChange",
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -2,9 +2,11 @@
 
 import base64
 import json
+import socket
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from http.client import HTTPException
 from typing import Any, TypeVar
 from urllib.parse import urlencode
@@ -22,6 +24,7 @@
     ConflictError,
     HistoryLostError,
     LeaseEndedError,
+    NoResponseError,
     StoreEraChangedError,
     StoreError,
 )
@@ -40,8 +43,11 @@
 
 #: Timeout of connecting to the store, in seconds; connecting takes about 1 ms on a working link.
 CONNECT_TIMEOUT_S = 0.5
-#: Timeout of a watch beyond its own wait, in seconds; a slow store takes 0.4 s to respond.
-WATCH_MARGIN_S = 1.5
+#: Timeout of a watch beyond its own wait, in seconds; a slow store takes 0.4 s to respond. Until
+#: then the loss of the response is not noticed.
+WATCH_MARGIN_S = 0.8
+#: Wait of a watch from which it can be ended by ``renew_watches``, in seconds.
+MIN_RENEWED_WAIT_S = 0.5
 #: Time in which a response that has begun in time has to be complete, in seconds; a page of 1 MB
 #: takes 1.6 s on a link of 5 Mbit/s.
 MAX_TRANSFER_S = 4.0
@@ -86,6 +92,10 @@
         self._local = threading.local()
         self._era_lock = threading.Lock()
         self._era = 0
+        self._waiting_lock = threading.Lock()
+        #: Connections of watches that wait for their response, and of those whose wait was ended.
+        self._waiting: set[HttpChannel] = set()
+        self._renewed: set[HttpChannel] = set()
 
     @property
     def era(self) -> int:
@@ -105,6 +115,28 @@
             known, self._era = self._era, era
         log_state_change("store.era_changed", era=era, known=known)
 
+    @property
+    def waiting_watches(self) -> int:
+        """Return the number of watches that wait for changes."""
+        with self._waiting_lock:
+            return len(self._waiting)
+
+    def renew_watches(self) -> None:
+        """End the wait of all watches in progress, whose responses may have been lost.
+
+        They fail with ``NoResponseError``. A call without a response ends them, too: the failure of
+        one connection is a sign for the others.
+        """
+        with self._waiting_lock:
+            renewed, self._waiting = self._waiting, set()
+            self._renewed |= renewed
+            for channel in renewed:
+                try:
+                    channel.sock.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    # The connection has failed by itself, which its thread notices.
+                    continue
+
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
         """Return the item of a key, or None if the key does not exist.
 
@@ -174,7 +206,7 @@
             "wait_ms": round(wait_s * 1000),
         }
         status, reply, era = self._call(
-            "GET", "/api/kv-watch", query, None, wait_s + WATCH_MARGIN_S, era_of(after)
+            "GET", "/api/kv-watch", query, None, wait_s + WATCH_MARGIN_S, era_of(after), wait_s
         )
         if status == 410:
             raise HistoryLostError(f"watch {prefix} after {after}")
@@ -274,10 +306,12 @@
         body: Any,
         timeout_s: float,
         depends_on: int | None = None,
+        wait_s: float = 0.0,
     ) -> tuple[int, dict[str, Any], int]:
         """Return the status, the fields and the era of the response to a call.
 
         :param depends_on: era of the revisions and leases in the call; None if there are none.
+        :param wait_s: how long the store may wait before it responds, in seconds.
         """
         if depends_on is not None and depends_on != self._era:
             raise StoreEraChangedError(f"{path}: era {depends_on}, now {self._era}", False)
@@ -287,7 +321,7 @@
         try:
             channel = self._connect(timeout_s)
             may_have_run = method != "GET"
-            response = self._exchange(channel, method, target, payload, timeout_s)
+            response = self._exchange(channel, method, target, payload, timeout_s, wait_s)
             has_reply = response.status == _OK_STATUS and response.body
             era = _era_of_response(response)
             reply = json.loads(response.body) if has_reply else {}
@@ -295,8 +329,11 @@
                 raise ValueError("the response is not an object")
         except (HTTPException, OSError, ValueError) as exc:
             self._on_call(_call_name(path), "none")
-            self._disconnect()
-            raise StoreError(f"{path}: {type(exc).__name__}: {exc}", may_have_run) from exc
+            was_renewed = self._disconnect()
+            if not was_renewed:
+                self.renew_watches()
+            message = f"{path}: {type(exc).__name__}: {exc}"
+            raise NoResponseError(message, may_have_run) from exc
         self._on_call(_call_name(path), str(response.status))
         if response.status != _OK_STATUS or response.closes_connection:
             # A refusal names no call, so a copy of it could pass for the next response.
@@ -312,15 +349,37 @@
         return response.status, reply, found
 
     def _exchange(
-        self, channel: HttpChannel, method: str, target: str, payload: bytes, timeout_s: float
+        self,
+        channel: HttpChannel,
+        method: str,
+        target: str,
+        payload: bytes,
+        timeout_s: float,
+        wait_s: float,
     ) -> HttpResponse:
         deadline = time.monotonic() + timeout_s
         channel.send(format_request(method, target, self._headers, payload), deadline)
         remaining_s = max(0.0, deadline - time.monotonic())
-        if wait_readable(channel.sock, remaining_s, None) is WaitOutcome.TIMED_OUT:
+        with self._renewable(channel, wait_s):
+            outcome = wait_readable(channel.sock, remaining_s, None)
+        if outcome is WaitOutcome.TIMED_OUT:
             raise TimeoutError("timed out waiting for the response")
         return channel.receive(method, time.monotonic() + MAX_TRANSFER_S, MAX_BODY_BYTES)
 
+    @contextmanager
+    def _renewable(self, channel: HttpChannel, wait_s: float) -> Iterator[None]:
+        """Let ``renew_watches`` end the wait for a response, unless the wait is short."""
+        if wait_s < MIN_RENEWED_WAIT_S:
+            yield
+            return
+        with self._waiting_lock:
+            self._waiting.add(channel)
+        try:
+            yield
+        finally:
+            with self._waiting_lock:
+                self._waiting.discard(channel)
+
     def _expect(self, status: int, call: str) -> None:
         if status != _OK_STATUS:
             raise StoreError(f"{call}: status {status}", may_have_run=True)
@@ -335,12 +394,20 @@
         )
         return self._local.channel
 
-    def _disconnect(self) -> None:
-        """Reset the connection: if a response was lost on it, it may deliver no further ones."""
+    def _disconnect(self) -> bool:
+        """Reset the connection: if a response was lost on it, it may deliver no further ones.
+
+        :returns: whether ``renew_watches`` has ended its last wait.
+        """
         channel: HttpChannel | None = getattr(self._local, "channel", None)
         self._local.channel = None
-        if channel is not None:
-            channel.reset()
+        if channel is None:
+            return False
+        with self._waiting_lock:
+            was_renewed = channel in self._renewed
+            self._renewed.discard(channel)
+        channel.reset()
+        return was_renewed
 
 
 def _call_name(path: str) -> str:
--- a/foxtailshunt/platform/_store_errors.py
+++ b/foxtailshunt/platform/_store_errors.py
@@ -16,6 +16,14 @@
         self.may_have_run = may_have_run
 
 
+class NoResponseError(StoreError):
+    """A call without a response: the connection failed, or the timeout has elapsed.
+
+    :param message: the call and the failure.
+    :param may_have_run: False if the call has definitely had no effect.
+    """
+
+
 class ConflictError(StoreError):
     """A precondition of a commit did not hold; nothing was changed.
 
