--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from foxtailshunt.fleet import FleetView, Upstream
+from foxtailshunt.fleet import REGISTRATION_S, FleetView, Upstream, era_of
 from foxtailshunt.platform import (
     UPSTREAM_PREFIX,
     HistoryLostError,
@@ -27,9 +27,6 @@
 FULL_RESPONSE_CHANGES = 200
 #: Maximum number of responses that one poll reads.
 MAX_RESPONSES = 8
-#: How long after a failed call a deleted entry is kept, in seconds, since the upstream may register
-#: again.
-REMOVAL_DELAY_S = 2.3
 
 
 class UpstreamReader:
@@ -41,7 +38,7 @@
     :param store: the store.
     :param now: returns seconds of a clock that also advances during suspension.
     :param view: the node's view: its configuration says whether an upstream may serve, and it knows
-        the upstreams if the store returns from a copy.
+        the upstreams that the store has lost.
     """
 
     def __init__(
@@ -60,11 +57,14 @@
         #: When each entry that states a warm-up was first read with its revision, in seconds of the
         #: clock, and that revision, by store key.
         self._warmups_read: dict[str, tuple[float, int]] = {}
-        self._failed_at = float("-inf")
+        #: Times after which each entry was written for the last time, in seconds of the clock, and
+        #: the revision of that write, by store key.
+        self._writes: dict[str, tuple[float, int]] = {}
+        self._era = 0
         #: Error messages of entries that cannot be decoded, by store key.
         self._unreadable: dict[str, str] = {}
-        #: When entries were deleted that are kept for now, in seconds of the clock, by store key.
-        self._deleted: dict[str, float] = {}
+        #: Store keys of entries that the store no longer has and that are kept for now.
+        self._deleted: set[str] = set()
 
     def poll(self) -> dict[str, Upstream]:
         """Read changes and return the current upstreams by id.
@@ -83,10 +83,9 @@
         except StoreEraChangedError:
             # Upstreams that registered after the store's copy was taken register again.
             self._revision = None
-            self._failed_at = self._now()
             raise
         except StoreError:
-            self._failed_at = self._now()
+            self._view.entry_lapses.record_failure()
             raise
         self._polled_at = started_at
         return self._current()
@@ -95,6 +94,7 @@
         for number in range(MAX_RESPONSES):
             assert self._revision is not None
             changes, revision = self._store.watch(UPSTREAM_PREFIX, self._revision, POLL_TIMEOUT_S)
+            self._view.entry_lapses.record_answer()
             if not changes and self._entries and number == 0:
                 # Upstreams write heartbeats all the time, so a lack of changes means that the
                 # watch misses some.
@@ -114,36 +114,49 @@
 
     def _list(self) -> None:
         items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
+        self._view.entry_lapses.record_answer()
         self._revision = revision
+        if era_of(revision) > self._era:
+            # The entries of a copy show when they were copied, not when they were written.
+            self._era, self._polled_at = era_of(revision), float("-inf")
+            self._writes.clear()
         self._view.upstreams_at_return.observe_list(revision, self._view.upstreams, self._now())
         is_first_list = not self._entries
         found = {item.key for item in items}
+        known = found | self._entries.keys()
         for key in [key for key in self._entries if key not in found]:
             self._remove(key)
         for item in items:
             self._add(item, is_first_list)
-        self._keep_lost(found)
+        self._keep_lost(known)
         if is_first_list and self._entries:
             log_state_change("upstream.first_list", upstreams=len(self._entries))
 
-    def _keep_lost(self, found: set[str]) -> None:
-        """Keep upstreams that the store has lost by its return, since they register again.
+    def _keep_lost(self, known: set[str]) -> None:
+        """Keep upstreams that the store has lost and this reader has not read, as a new leader's.
 
-        :param found: the listed keys.
+        :param known: the keys that were listed now or read before.
         """
-        at_return = self._view.upstreams_at_return
-        if self._now() - at_return.listed_at >= REMOVAL_DELAY_S:
-            return
-        self._failed_at = max(self._failed_at, at_return.listed_at)
-        for upstream in at_return.known.values():
+        view, now = self._view, self._now()
+        lost = dict(view.upstreams) if now < view.entry_lapses.keep_until(float("-inf")) else {}
+        if now < self._registered_again_at():
+            lost |= view.upstreams_at_return.known
+        for upstream in lost.values():
             key = UPSTREAM_PREFIX + upstream.upstream_id
-            if key not in found and key not in self._entries:
+            if key not in known:
                 self._entries[key] = upstream
-                self._deleted[key] = self._now()
+                self._deleted.add(key)
+
+    def _registered_again_at(self) -> float:
+        """Return until when upstreams register again after the store's return, in seconds."""
+        return self._view.upstreams_at_return.listed_at + REGISTRATION_S
 
     def _add(self, item: StoreItem, is_first_list: bool = False) -> None:
         key = item.key
-        self._deleted.pop(key, None)
+        self._deleted.discard(key)
+        if self._writes.get(key, (0.0, None))[1] != item.revision:
+            # The last poll showed no such write.
+            self._writes[key] = self._polled_at, item.revision
         try:
             entry = decode_upstream(key, item.value)
         except ValueError as exc:
@@ -174,18 +187,29 @@
         self._unreadable.pop(key, None)
         if key not in self._entries:
             return
-        if self._now() - self._failed_at < REMOVAL_DELAY_S:
-            self._deleted.setdefault(key, self._now())
+        if self._is_kept(key):
+            log_state_change("upstream.lapsed", key=key)
+            self._deleted.add(key)
             return
         log_state_change("upstream.gone", key=key)
         self._delete(key)
 
+    def _is_kept(self, key: str) -> bool:
+        """Return whether an upstream may still register again whose entry the store has lost."""
+        now = self._now()
+        written_after = self._writes.get(key, (float("-inf"), 0))[0]
+        if now < self._view.entry_lapses.keep_until(written_after):
+            # A reader that has not polled for long may know upstreams that are long gone.
+            return self._entries[key].upstream_id in self._view.upstreams
+        if now >= self._registered_again_at() or written_after > float("-inf"):
+            return False
+        return self._entries[key].upstream_id in self._view.upstreams_at_return.known
+
     def _current(self) -> dict[str, Upstream]:
-        if self._deleted and self._now() - self._failed_at >= REMOVAL_DELAY_S:
-            for key in self._deleted:
-                log_state_change("upstream.gone", key=key, after="outage of the store")
-                self._delete(key)
-            self._deleted.clear()
+        for key in [key for key in self._deleted if not self._is_kept(key)]:
+            log_state_change("upstream.gone", key=key, after="outage of the store")
+            self._delete(key)
+            self._deleted.discard(key)
         return {
             item.upstream_id: self._view.apply_serving_rules(self._with_remaining_warmup(key, item))
             for key, item in self._entries.items()
@@ -194,6 +218,7 @@
     def _delete(self, key: str) -> None:
         self._entries.pop(key, None)
         self._warmups_read.pop(key, None)
+        self._writes.pop(key, None)
 
     def _with_remaining_warmup(self, key: str, upstream: Upstream) -> Upstream:
         """Return an upstream with the rest of its warm-up now, not when its entry was read."""
--- a/foxtailshunt/fleet/__init__.py
+++ b/foxtailshunt/fleet/__init__.py
@@ -1,5 +1,10 @@
 """A node's view of the fleet: upstreams, owners of keys, members and configuration."""
 
+from foxtailshunt.fleet._entry_lapses import (
+    DEFAULT_HEARTBEAT_S,
+    REGISTRATION_S,
+    EntryLapses,
+)
 from foxtailshunt.fleet._era import MAX_ERA, at_era, era_of, next_token, plain_revision
 from foxtailshunt.fleet._fleet_size import FleetSize
 from foxtailshunt.fleet._ownership import OwnershipTable
@@ -12,12 +17,15 @@
 from foxtailshunt.fleet._view_types import UpstreamChanges, UpstreamObserver, Versions
 
 __all__ = [
+    "DEFAULT_HEARTBEAT_S",
     "MAX_ERA",
+    "REGISTRATION_S",
     "at_era",
     "era_of",
     "next_token",
     "plain_revision",
     "Address",
+    "EntryLapses",
     "FleetSize",
     "FleetView",
     "KeyRange",
--- a/foxtailshunt/fleet/_view.py
+++ b/foxtailshunt/fleet/_view.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from foxtailshunt.fleet._entry_lapses import DEFAULT_HEARTBEAT_S, EntryLapses
 from foxtailshunt.fleet._ownership import OwnershipTable
 from foxtailshunt.fleet._table_copy import TableCopy
 from foxtailshunt.fleet._types import KeyRange, Member, Upstream
@@ -23,10 +24,13 @@
     Parts are immutable values that are replaced as a whole, so readers need no lock.
 
     :param now: returns seconds of a clock that also advances during suspension.
+    :param heartbeat_s: interval of the heartbeats of upstreams, in seconds.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], heartbeat_s: float = DEFAULT_HEARTBEAT_S) -> None:
         self._now = now
+        #: Shared by all that call the store, and by all readers of the entries of upstreams.
+        self.entry_lapses = EntryLapses(now, heartbeat_s)
         #: Follows the lists of upstreams; set before the first one.
         self.upstream_observer: UpstreamObserver | None = None
         #: When the last poll that the leader answered was sent, in seconds of the clock.
--- a/foxtailshunt/node/_settings.py
+++ b/foxtailshunt/node/_settings.py
@@ -8,6 +8,7 @@
 
 from foxtailshunt.admission import OverloadPolicy
 from foxtailshunt.errors import DocumentError
+from foxtailshunt.fleet import DEFAULT_HEARTBEAT_S
 from foxtailshunt.network import Address, parse_address
 from foxtailshunt.platform import Feature, Seconds, features_of
 
@@ -58,6 +59,8 @@
     store: HostPort
     #: Time between SIGTERM and SIGKILL, in seconds.
     grace: Seconds
+    #: Interval of the heartbeats with which upstreams keep their entries in the store, in seconds.
+    heartbeat: Seconds = DEFAULT_HEARTBEAT_S
     #: Other nodes to follow at startup while the store is unavailable; may be outdated.
     peers: tuple[HostPort, ...] = ()
     #: Interface for callers and operators.
--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -11,7 +11,7 @@
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
-from foxtailshunt.fleet import MAX_ERA, Address, era_of, plain_revision
+from foxtailshunt.fleet import MAX_ERA, Address, EntryLapses, era_of, plain_revision
 from foxtailshunt.http import HttpChannel, HttpResponse, format_request
 from foxtailshunt.network import (
     KEEPALIVE_SOCKET_OPTIONS,
@@ -55,6 +55,8 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024
 
 _OK_STATUS = 200
+#: The store has not executed the call: too many calls, or unavailable.
+_REFUSALS = (429, 503)
 _ERA_HEADER = "store-era"
 _MAX_ERA_DIGITS = 6
 _DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
@@ -78,11 +80,16 @@
 
     :param address: host and port of the store.
     :param on_call: called after each call with its name and the status ("none" without a response).
+    :param lapses: is told of each call whether the store responded; None if nobody asks.
     """
 
     def __init__(
-        self, address: Address, on_call: Callable[[str, str], None] = _ignore_call
+        self,
+        address: Address,
+        on_call: Callable[[str, str], None] = _ignore_call,
+        lapses: EntryLapses | None = None,
     ) -> None:
+        self._lapses = lapses
         self._address = address
         self._headers = (
             ("Host", format_address(address)),
@@ -331,16 +338,18 @@
             self._on_call(_call_name(path), "none")
             was_renewed = self._disconnect()
             if not was_renewed:
+                self._record(False)
                 self.renew_watches()
             message = f"{path}: {type(exc).__name__}: {exc}"
             raise NoResponseError(message, may_have_run) from exc
         self._on_call(_call_name(path), str(response.status))
+        self._record(response.status not in _REFUSALS)
         if response.status != _OK_STATUS or response.closes_connection:
             # A refusal names no call, so a copy of it could pass for the next response.
             self._disconnect()
         if era is not None:
             self.observe_era(era)
-        if response.status in (429, 503):
+        if response.status in _REFUSALS:
             raise StoreError(f"{path}: status {response.status}", may_have_run=False)
         found = era or 0
         if found != self._era or depends_on not in (None, found):
@@ -366,6 +375,14 @@
             raise TimeoutError("timed out waiting for the response")
         return channel.receive(method, time.monotonic() + MAX_TRANSFER_S, MAX_BODY_BYTES)
 
+    def _record(self, has_answered: bool) -> None:
+        if self._lapses is None:
+            return
+        if has_answered:
+            self._lapses.record_answer()
+        else:
+            self._lapses.record_failure()
+
     @contextmanager
     def _renewable(self, channel: HttpChannel, wait_s: float) -> Iterator[None]:
         """Let ``renew_watches`` end the wait for a response, unless the wait is short."""
