Repeat a first failed read of the upstreams at once

The model check now lets upstreams remove their entries in calm, beside one failed call of the leader, and requires them to be gone everywhere after 2 s (drain). With a lost answer it found one listed at the leader after 2 s: the call takes 0.85 s to fail, and the next one came 0.7 s and up to one interval later. A first failure is now repeated at once by the leader, and after 0.15 s by a follower; further ones wait as before.

--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -197,7 +197,9 @@
         self.rng = random.Random(seed)
         self.time = VirtualTime()
         self.log: list[str] = []
-        self.counts = dict.fromkeys(("leader.elected", "keys.moved", "upstream.replaced"), 0)
+        self.counts = dict.fromkeys(
+            ("leader.elected", "keys.moved", "upstream.replaced", "upstream.deregistered"), 0
+        )
         self._patches = ExitStack()
         self._virtualize()
         self._store_process = Process(STORE)
@@ -303,6 +305,10 @@
         self.time.kill(run.process)
         run.grants.end_all()
 
+    def deregister(self, name: str) -> None:
+        """Let an upstream remove its entry with its next heartbeat."""
+        self.upstreams[name].has_deregistered = True
+
     def replace_upstream(self, name: str) -> None:
         """Start another upstream at the address of one that ends."""
         self.start_upstream(name, f"{name}-{next(self._numbers)}")
@@ -356,6 +362,9 @@
             }
             key = UPSTREAM_PREFIX + run.upstream_id
             try:
+                if run.has_deregistered:
+                    store.end_lease(lease, _CALL_TIMEOUT_S)
+                    return
                 if not lease:
                     lease, _ = store.open_lease(_ENTRY_TTL_S, _CALL_TIMEOUT_S)
                 store.renew_lease(lease, _CALL_TIMEOUT_S)
@@ -401,6 +410,20 @@
             if not node.process.is_killed and node.configurations.numbers[-1] != number
         ]
 
+    def is_registered(self, name: str) -> bool:
+        """Return whether the store has the entry of an upstream."""
+        key = UPSTREAM_PREFIX + self.upstreams[name].upstream_id
+        return self.network.store.read(key) is not None
+
+    def nodes_that_list(self, name: str) -> list[str]:
+        """Return the running nodes that may send new requests to an upstream."""
+        upstream_id = self.upstreams[name].upstream_id
+        return [
+            f"{node_name} lists {upstream_id}"
+            for node_name, node in self.nodes.items()
+            if not node.process.is_killed and upstream_id in node.view.upstreams
+        ]
+
     def pairs(self, group: frozenset[str], others: frozenset[str]) -> set[tuple[str, str]]:
         """Return the directions from each place of a group to each one of another group."""
         first = {self.resolve(name) for name in group}
--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -14,12 +14,16 @@
 
 from features.grant_support._fleet import NODES, PLACES, UPSTREAMS, GrantFleet
 from features.grant_support._network import STORE
+from foxtailshunt.platform import UPSTREAM_PREFIX
 
 #: Longest time until all keys are granted, in seconds.
 _START_S = 20.0
 #: Time after all faults have ended until the last configuration is in force, in seconds: nodes
 #: count as in touch with the store from then on.
 _SETTLED_S = 3.0
+#: Step in which an upstream is waited for, and time for which one serves after it has left, in
+#: seconds.
+_STEP_S, _DRAIN_S = 0.05, 2.0
 #: Lines of the log shown for a sequence that fails.
 _LOG_LINES = 150
 
@@ -209,6 +213,26 @@
         self.fleet.upstreams[name].is_leaving = True
         self._continue(pause_s)
 
+    @rule(name=_upstream, fault=st.sampled_from((None, "connection reset", "answer lost")))
+    def deregister(self, name: str, fault: str | None) -> None:
+        """Let an upstream remove its entry in calm, beside one failed call of the leader."""
+        name = self.fleet.resolve(name)
+        self._block(set())
+        self.fleet.network.lossy = {}
+        self.fleet.time.advance(_SETTLED_S)
+        if not self.fleet.is_registered(name):
+            return
+        self.fleet.deregister(name)
+        while self.fleet.is_registered(name):
+            self.fleet.time.advance(_STEP_S)
+        if fault is not None:
+            call = self.fleet.resolve("leader"), UPSTREAM_PREFIX
+            self.fleet.network.watch_faults[call] = fault
+        self.fleet.time.advance(_DRAIN_S)
+        self._check(self.fleet.nodes_that_list(name))
+        self.fleet.counts["upstream.deregistered"] += 1
+        self.fleet.start_upstream(name)
+
     @rule(upstreams_too=st.booleans(), pause_s=_pause)
     def lose_all_memory(self, upstreams_too: bool, pause_s: float) -> None:
         for name in NODES:
--- a/features/grant_support/_network.py
+++ b/features/grant_support/_network.py
@@ -64,6 +64,8 @@
         self.grants = KeyGrants()
         self.process = Process(place)
         self.is_leaving = False
+        #: Whether it removes its entry, and goes on without one.
+        self.has_deregistered = False
 
 
 class Network:
--- a/features/steps/removed_entries_steps.py
+++ b/features/steps/removed_entries_steps.py
@@ -20,8 +20,9 @@
 #: Step of the simulated clock, interval of heartbeats and silence after which an entry lapses, in
 #: seconds.
 _STEP_S, _HEARTBEAT_S, _LAPSE_S = 0.05, 1.0, 3.0
-#: Interval of a reader's polls and delay after a failed one, in seconds.
-_INTERVALS = {"a leader": (0.45, 0.3), "a new leader": (0.45, 0.3), "a follower": (0.5, 0.9)}
+#: Interval of a reader's polls, delay after a first failed one, and after further ones, in seconds.
+_LEADER, _FOLLOWER = (0.45, 0.0, 0.7), (0.5, 0.15, 0.9)
+_INTERVALS = {"a leader": _LEADER, "a new leader": _LEADER, "a follower": _FOLLOWER}
 #: Time until a lost answer is noticed, in seconds.
 _LOST_S = 0.8
 #: Duration of a row of failed calls, of which every third one succeeds, in seconds.
@@ -115,7 +116,8 @@
         self.store = EntryStore()
         self.view = FleetView(lambda: self.store.now)
         self._role = role
-        self._interval_s, self._retry_s = _INTERVALS[role]
+        self._interval_s, *self._retries_s = _INTERVALS[role]
+        self._has_failed = False
         self._reader = self._new_reader()
         self._read_at = self.store.now
         #: Times of successful reads, and whether u1 was found.
@@ -141,8 +143,10 @@
         try:
             upstreams = self._reader.poll()
         except StoreError:
-            self._read_at = self.store.now + self._retry_s
+            self._read_at = self.store.now + self._retries_s[self._has_failed]
+            self._has_failed = True
             return
+        self._has_failed = False
         self.view.update_upstreams_from_store(upstreams, started)
         self.reads.append((self.store.now, "u1" in upstreams))
         self._read_at = started + self._interval_s
--- a/foxtailshunt/assigning/_upstream_publisher.py
+++ b/foxtailshunt/assigning/_upstream_publisher.py
@@ -56,8 +56,10 @@
         try:
             upstreams = self._reader.poll()
         except StoreError as exc:
-            self._next_read_at = self._now() + STORE_RETRY_S
-            if not self._is_store_unavailable:
+            # A single failure is repeated at once: an upstream may have left meanwhile.
+            if self._is_store_unavailable:
+                self._next_read_at = self._now() + STORE_RETRY_S
+            else:
                 log_state_change("store.lost", part="upstreams", error=str(exc))
             self._is_store_unavailable = True
             return
--- a/foxtailshunt/node/_follower.py
+++ b/foxtailshunt/node/_follower.py
@@ -53,13 +53,13 @@
 POLL_WAIT_S = 0.5
 #: Time beyond the wait of a poll after which the leader is considered unreachable, in seconds.
 POLL_TIMEOUT_MARGIN_S = 0.4
-#: Delay after a failed poll, in seconds.
+#: Delay after a failed poll, or a first failed call to the store, in seconds.
 RETRY_DELAY_S = 0.15
 #: Age from which the list of upstreams is stale and read from the store, in seconds.
 STALE_UPSTREAMS_AGE_S = 1.25
 #: Timeout of the read of the stored ownership table at startup, in seconds.
 TABLE_READ_TIMEOUT_S = 0.8
-#: Delay after a failed call to the store in a small fleet, in seconds; each call is billed.
+#: Delay after further failed calls to the store in a small fleet, in seconds; each call is billed.
 STORE_RETRY_DELAY_S = 0.9
 #: Idle time after which a connection to a node that is no longer polled is closed, in seconds.
 MAX_IDLE_S = 2.0
@@ -356,8 +356,11 @@
             try:
                 upstreams = self._reader.poll()
             except StoreError as exc:
-                wait_s = self._call_spacing.delay_s(STORE_RETRY_DELAY_S)
-                if not self._store_is_lost:
+                # A single failure is repeated soon: an upstream may have left meanwhile.
+                wait_s = RETRY_DELAY_S
+                if self._store_is_lost:
+                    wait_s = self._call_spacing.delay_s(STORE_RETRY_DELAY_S)
+                else:
                     log_state_change("store.lost", part="reader", error=str(exc))
                 self._store_is_lost = True
                 continue
