Count each failed call to the store once, and grants by what was sent

The reader of the upstreams recorded its failed calls beside the client, so that one failure counted as the two that make an outage. A grant that ends with an unexpected error now counts as one that may have arrived.

--- a/features/grant_support/_fleet.py
+++ b/features/grant_support/_fleet.py
@@ -98,7 +98,7 @@
         member = Member(name, boot_id, "zone-a", (name, 1))
         self.view = FleetView(now)
         self.configurations = RecordingApplier(self.view)
-        store = NetworkStoreClient(fleet.network)
+        store = NetworkStoreClient(fleet.network, self.view.entry_lapses)
         spacing = StoreCallSpacing(self.view, rng)
         self.demands = DemandTracker()
         capacities, mean_work, members = CapacityEstimator(), MeanWork(), MemberRegistry()
--- a/features/grant_support/_network.py
+++ b/features/grant_support/_network.py
@@ -7,7 +7,7 @@
 
 from features.grant_support._virtual_time import Process, VirtualTime
 from foxtailshunt.errors import PeerUnreachableError
-from foxtailshunt.fleet import Address, KeyRange, at_era, era_of, plain_revision
+from foxtailshunt.fleet import Address, EntryLapses, KeyRange, at_era, era_of, plain_revision
 from foxtailshunt.platform import (
     ConflictError,
     GrantOutcome,
@@ -163,8 +163,9 @@
 class NetworkStoreClient:
     """Calls the stand-in for the store; the interface and the eras of ``StoreClient``."""
 
-    def __init__(self, network: Network) -> None:
+    def __init__(self, network: Network, lapses: EntryLapses | None = None) -> None:
         self._network, self._store = network, network.store
+        self._lapses = lapses
         self.era = 0
         self._renewals = 0
 
@@ -197,7 +198,11 @@
         except LostResponseError:
             if not is_watch:
                 self.renew_watches()
+            if self._lapses is not None:
+                self._lapses.record_failure()
             raise NoResponseError("no response", changes) from None
+        if self._lapses is not None:
+            self._lapses.record_answer()
         self.observe_era(era)
         if era != self.era or depends_on not in (None, era):
             raise StoreEraChangedError("response of another era", changes)
--- a/features/steps/removed_entries_steps.py
+++ b/features/steps/removed_entries_steps.py
@@ -8,7 +8,7 @@
 from behave.runner import Context
 
 from foxtailshunt.assigning import UpstreamReader
-from foxtailshunt.fleet import FleetView, at_era, era_of, plain_revision
+from foxtailshunt.fleet import EntryLapses, FleetView, at_era, era_of, plain_revision
 from foxtailshunt.platform import (
     UPSTREAM_PREFIX,
     StoreChange,
@@ -34,6 +34,8 @@
 
     def __init__(self) -> None:
         self.now = 100.0
+        #: Is told of each call as by ``StoreClient``; set by the reader.
+        self.lapses: EntryLapses | None = None
         self.is_down = False
         self.loses_entries = False
         #: Returns how the next call fails; None if it does not.
@@ -102,10 +104,12 @@
     def _call(self) -> None:
         fault = "a reset call" if self.is_down else self.fault()
         if fault is None:
+            self.lapses.record_answer()
             return
         end = self.now + (_LOST_S if fault == "a lost answer" else 0.0)
         while self.now < end:
             self.advance()
+        self.lapses.record_failure()
         raise StoreError(fault, False)
 
 
@@ -115,6 +119,7 @@
     def __init__(self, role: str) -> None:
         self.store = EntryStore()
         self.view = FleetView(lambda: self.store.now)
+        self.store.lapses = self.view.entry_lapses
         self._role = role
         self._interval_s, *self._retries_s = _INTERVALS[role]
         self._has_failed = False
--- a/foxtailshunt/assigning/_grant_renewer.py
+++ b/foxtailshunt/assigning/_grant_renewer.py
@@ -151,25 +151,25 @@
             started,
             self._expiry_if_arrived(hold_s) + 2 * GRANT_TIMEOUT_S,
         )
-        expires_at = float("-inf")
+        may_have_arrived = False
         try:
             if not self._may_grant(keys):
                 return False
+            may_have_arrived = True
             # Grants of an ended term arrive by then, however long the check or connecting took.
             timeout_s = GRANT_TIMEOUT_S - (self._now() - started)
             outcome = client.grant(keys, hold_s, handover, timeout_s)
-            expires_at = self._expiry_if_arrived(hold_s)
         except KeyGrantError as exc:
-            if exc.sent:
-                # The failed connection has been reset, so the grant can't arrive later than now.
-                expires_at = self._expiry_if_arrived(hold_s)
+            # The failed connection has been reset, so the grant can't arrive later than now.
+            may_have_arrived = exc.sent
             self._handle_failure(keys, started, exc)
             return False
         except UpstreamReplacedError:
             self._mark_replaced()
             return False
         finally:
-            self.hold.end(pending, expires_at)
+            end = self._expiry_if_arrived(hold_s) if may_have_arrived else float("-inf")
+            self.hold.end(pending, end)
         self._handle_answer(started)
         self._count(outcome.value)
         if outcome is GrantOutcome.FENCED_OFF:
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -10,7 +10,6 @@
     StoreChange,
     StoreClient,
     StoreEraChangedError,
-    StoreError,
     StoreItem,
     decode_upstream,
 )
@@ -84,9 +83,6 @@
             # Upstreams that registered after the store's copy was taken register again.
             self._revision = None
             raise
-        except StoreError:
-            self._view.entry_lapses.record_failure()
-            raise
         self._polled_at = started_at
         return self._current()
 
@@ -94,7 +90,6 @@
         for number in range(MAX_RESPONSES):
             assert self._revision is not None
             changes, revision = self._store.watch(UPSTREAM_PREFIX, self._revision, POLL_TIMEOUT_S)
-            self._view.entry_lapses.record_answer()
             if not changes and self._entries and number == 0:
                 # Upstreams write heartbeats all the time, so a lack of changes means that the
                 # watch misses some.
@@ -114,7 +109,6 @@
 
     def _list(self) -> None:
         items, revision = self._store.list_items(UPSTREAM_PREFIX, False, READ_TIMEOUT_S)
-        self._view.entry_lapses.record_answer()
         self._revision = revision
         if era_of(revision) > self._era:
             # The entries of a copy show when they were copied, not when they were written.
