Draw lost watches of a configuration in the model check

An event in calm now lets the watch of a configuration fail at some nodes or at all of them and requires the file everywhere after 2 s.

--- a/features/grant_support/_machine.py
+++ b/features/grant_support/_machine.py
@@ -14,6 +14,7 @@
 
 from features.grant_support._fleet import NODES, PLACES, UPSTREAMS, GrantFleet
 from features.grant_support._network import STORE
+from foxtailshunt.config import CONFIG_KEY
 from foxtailshunt.platform import UPSTREAM_PREFIX
 
 #: Longest time until all keys are granted, in seconds.
@@ -24,6 +25,9 @@
 #: Step in which an upstream is waited for, and time for which one serves after it has left, in
 #: seconds.
 _STEP_S, _DRAIN_S = 0.05, 2.0
+#: Time after which a configuration is in force everywhere, in seconds.
+_IN_FORCE_S = 2.0
+_WATCH_FAULTS = ("answer lost", "connection reset", "connection silent")
 #: Lines of the log shown for a sequence that fails.
 _LOG_LINES = 150
 
@@ -58,9 +62,7 @@
         if not hasattr(self, "fleet"):
             return
         try:
-            self._block(set())
-            self.fleet.network.lossy = {}
-            self.fleet.time.advance(_SETTLED_S)
+            self._calm_down()
             self._check(self.fleet.violations() + self.fleet.outdated_nodes())
         finally:
             self.fleet.close()
@@ -213,13 +215,31 @@
         self.fleet.upstreams[name].is_leaving = True
         self._continue(pause_s)
 
+    @rule(names=_some_nodes | st.just(frozenset(NODES)), fault=st.sampled_from(_WATCH_FAULTS))
+    def apply_losing_answers(self, names: frozenset, fault: str) -> None:
+        """Apply a configuration in calm, whose watch fails at some nodes or at all of them."""
+        self._calm_down()
+        places = {self.fleet.resolve(name) for name in names}
+        self.fleet.network.watch_faults = {(place, CONFIG_KEY): fault for place in places}
+        operator = self.fleet.operator
+        operator.apply()
+        while operator.accepted[0] < operator.number or not operator.number:
+            self.fleet.time.advance(_STEP_S)
+        self.fleet.time.advance(_IN_FORCE_S)
+        self.fleet.network.watch_faults = {}
+        self._check(self.fleet.outdated_nodes())
+
+    def _calm_down(self) -> None:
+        """End all faults until the nodes count as in touch with the store."""
+        self._block(set())
+        self.fleet.network.lossy = {}
+        self.fleet.time.advance(_SETTLED_S)
+
     @rule(name=_upstream, fault=st.sampled_from((None, "connection reset", "answer lost")))
     def deregister(self, name: str, fault: str | None) -> None:
         """Let an upstream remove its entry in calm, beside one failed call of the leader."""
         name = self.fleet.resolve(name)
-        self._block(set())
-        self.fleet.network.lossy = {}
-        self.fleet.time.advance(_SETTLED_S)
+        self._calm_down()
         if not self.fleet.is_registered(name):
             return
         self.fleet.deregister(name)
