--- a/foxtailshunt/platform/_store.py
+++ b/foxtailshunt/platform/_store.py
@@ -2,24 +2,19 @@
 
 import base64
 import json
-import socket
 import threading
-import time
-from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from http.client import HTTPException
 from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 from foxtailshunt.fleet import MAX_ERA, Address, EntryLapses, era_of, plain_revision
-from foxtailshunt.http import HttpChannel, HttpResponse, format_request
+from foxtailshunt.http import HttpResponse, format_request
 from foxtailshunt.network import (
-    KEEPALIVE_SOCKET_OPTIONS,
-    WaitOutcome,
     format_address,
-    wait_readable,
 )
 from foxtailshunt.platform._durations import format_duration
+from foxtailshunt.platform._store_connections import StoreConnections
 from foxtailshunt.platform._store_errors import (
     ConflictError,
     HistoryLostError,
@@ -41,18 +36,9 @@
 )
 from foxtailshunt.telemetry import log_state_change
 
-#: Timeout of connecting to the store, in seconds; connecting takes about 1 ms on a working link.
-CONNECT_TIMEOUT_S = 0.5
 #: Timeout of a watch beyond its own wait, in seconds; a slow store takes 0.4 s to respond. Until
 #: then the loss of the response is not noticed.
 WATCH_MARGIN_S = 0.8
-#: Wait of a watch from which it can be ended by ``renew_watches``, in seconds.
-MIN_RENEWED_WAIT_S = 0.5
-#: Time in which a response that has begun in time has to be complete, in seconds; a page of 1 MB
-#: takes 1.6 s on a link of 5 Mbit/s.
-MAX_TRANSFER_S = 4.0
-#: Maximum size of a response body, in bytes; a watch returns the changes of 20 s at most.
-MAX_BODY_BYTES = 32 * 1024 * 1024
 
 _OK_STATUS = 200
 #: The store has not executed the call: too many calls, or unavailable.
@@ -79,7 +65,8 @@
     that of the revision or lease that the call depends on, fails the call.
 
     :param address: host and port of the store.
-    :param on_call: called after each call with its name and the status ("none" without a response).
+    :param on_call: called after each call with its name and the status; "none" without a response,
+        "renewed" if the wait of a watch was ended.
     :param lapses: is told of each call whether the store responded; None if nobody asks.
     """
 
@@ -90,19 +77,14 @@
         lapses: EntryLapses | None = None,
     ) -> None:
         self._lapses = lapses
-        self._address = address
         self._headers = (
             ("Host", format_address(address)),
             ("Content-Type", "application/json"),
         )
         self._on_call = on_call
-        self._local = threading.local()
+        self._connections = StoreConnections(address)
         self._era_lock = threading.Lock()
         self._era = 0
-        self._waiting_lock = threading.Lock()
-        #: Connections of watches that wait for their response, and of those whose wait was ended.
-        self._waiting: set[HttpChannel] = set()
-        self._renewed: set[HttpChannel] = set()
 
     @property
     def era(self) -> int:
@@ -125,8 +107,7 @@
     @property
     def waiting_watches(self) -> int:
         """Return the number of watches that wait for changes."""
-        with self._waiting_lock:
-            return len(self._waiting)
+        return self._connections.waiting
 
     def renew_watches(self) -> None:
         """End the wait of all watches in progress, whose responses may have been lost.
@@ -134,15 +115,7 @@
         They fail with ``NoResponseError``. A call without a response ends them, too: the failure of
         one connection is a sign for the others.
         """
-        with self._waiting_lock:
-            renewed, self._waiting = self._waiting, set()
-            self._renewed |= renewed
-            for channel in renewed:
-                try:
-                    channel.sock.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    # The connection has failed by itself, which its thread notices.
-                    continue
+        self._connections.renew()
 
     def read(self, key: str, timeout_s: float) -> StoreItem | None:
         """Return the item of a key, or None if the key does not exist.
@@ -326,27 +299,28 @@
         payload = b"" if body is None else json.dumps(body).encode()
         may_have_run = False
         try:
-            channel = self._connect(timeout_s)
+            channel = self._connections.connect(timeout_s)
             may_have_run = method != "GET"
-            response = self._exchange(channel, method, target, payload, timeout_s, wait_s)
+            message = format_request(method, target, self._headers, payload)
+            response = self._connections.exchange(channel, method, message, timeout_s, wait_s)
             has_reply = response.status == _OK_STATUS and response.body
             era = _era_of_response(response)
             reply = json.loads(response.body) if has_reply else {}
             if not isinstance(reply, dict):
                 raise ValueError("the response is not an object")
         except (HTTPException, OSError, ValueError) as exc:
-            self._on_call(_call_name(path), "none")
-            was_renewed = self._disconnect()
+            was_renewed = self._connections.disconnect()
+            self._on_call(_call_name(path), "renewed" if was_renewed else "none")
             if not was_renewed:
                 self._record(False)
                 self.renew_watches()
-            message = f"{path}: {type(exc).__name__}: {exc}"
-            raise NoResponseError(message, may_have_run) from exc
+            text = f"{path}: {type(exc).__name__}: {exc}"
+            raise NoResponseError(text, may_have_run) from exc
         self._on_call(_call_name(path), str(response.status))
         self._record(response.status not in _REFUSALS)
         if response.status != _OK_STATUS or response.closes_connection:
             # A refusal names no call, so a copy of it could pass for the next response.
-            self._disconnect()
+            self._connections.disconnect()
         if era is not None:
             self.observe_era(era)
         if response.status in _REFUSALS:
@@ -357,24 +331,6 @@
             raise StoreEraChangedError(message, may_have_run)
         return response.status, reply, found
 
-    def _exchange(
-        self,
-        channel: HttpChannel,
-        method: str,
-        target: str,
-        payload: bytes,
-        timeout_s: float,
-        wait_s: float,
-    ) -> HttpResponse:
-        deadline = time.monotonic() + timeout_s
-        channel.send(format_request(method, target, self._headers, payload), deadline)
-        remaining_s = max(0.0, deadline - time.monotonic())
-        with self._renewable(channel, wait_s):
-            outcome = wait_readable(channel.sock, remaining_s, None)
-        if outcome is WaitOutcome.TIMED_OUT:
-            raise TimeoutError("timed out waiting for the response")
-        return channel.receive(method, time.monotonic() + MAX_TRANSFER_S, MAX_BODY_BYTES)
-
     def _record(self, has_answered: bool) -> None:
         if self._lapses is None:
             return
@@ -383,49 +339,10 @@
         else:
             self._lapses.record_failure()
 
-    @contextmanager
-    def _renewable(self, channel: HttpChannel, wait_s: float) -> Iterator[None]:
-        """Let ``renew_watches`` end the wait for a response, unless the wait is short."""
-        if wait_s < MIN_RENEWED_WAIT_S:
-            yield
-            return
-        with self._waiting_lock:
-            self._waiting.add(channel)
-        try:
-            yield
-        finally:
-            with self._waiting_lock:
-                self._waiting.discard(channel)
-
     def _expect(self, status: int, call: str) -> None:
         if status != _OK_STATUS:
             raise StoreError(f"{call}: status {status}", may_have_run=True)
 
-    def _connect(self, timeout_s: float) -> HttpChannel:
-        channel: HttpChannel | None = getattr(self._local, "channel", None)
-        if channel is not None and channel.is_idle():
-            return channel
-        self._disconnect()
-        self._local.channel = HttpChannel(
-            self._address, min(CONNECT_TIMEOUT_S, timeout_s), KEEPALIVE_SOCKET_OPTIONS
-        )
-        return self._local.channel
-
-    def _disconnect(self) -> bool:
-        """Reset the connection: if a response was lost on it, it may deliver no further ones.
-
-        :returns: whether ``renew_watches`` has ended its last wait.
-        """
-        channel: HttpChannel | None = getattr(self._local, "channel", None)
-        self._local.channel = None
-        if channel is None:
-            return False
-        with self._waiting_lock:
-            was_renewed = channel in self._renewed
-            self._renewed.discard(channel)
-        channel.reset()
-        return was_renewed
-
 
 def _call_name(path: str) -> str:
     """Return the name of a call from its path, without the lease id."""
