Forget with an entry that it is kept

What would have been seen: a node's reads of the upstreams fail one after the other with a KeyError. An entry was kept after an outage, the leader dropped its upstream, and the next list lacked it again: the reader dropped the entry but went on to judge it as kept.

--- a/features/removed_entries.feature
+++ b/features/removed_entries.feature
@@ -64,6 +64,12 @@
       | a new leader | an outage of 3.2 s      | 0.5  |
       | a new leader | an outage of 5 s        | 1.9  |
 
+  Scenario: A kept entry is gone once the leader no longer lists its upstream
+    # Guards against a reader that fails at each read: an entry was dropped, but not that it is kept.
+    Given a follower that reads the entries of u1 and u2
+    When an outage of 5 s happens, in which entries lapse, and the leader drops u1 0.8 s after it
+    Then u1 is gone 1.5 s after the outage
+
   Scenario Outline: u1 falls silent <moment> <fault>, read by <reader>
     Given <reader> that reads the entries of u1 and u2
     When <fault> happens, and u1 falls silent <moment>
--- a/features/steps/removed_entries_steps.py
+++ b/features/steps/removed_entries_steps.py
@@ -231,6 +231,21 @@
     subject.run(14.0)
 
 
+@when("{fault} happens, in which entries lapse, and the leader drops u1 {late:g} s after it")
+def _(context: Context, fault: str, late: float) -> None:
+    subject = context.entries
+    subject.store.loses_entries = True
+    context.ended_at = _begin(subject, fault, subject.store.now + 1.0)
+    del subject.store.next_write_at["u1"]
+
+    def drop() -> None:
+        others = {name: item for name, item in subject.view.upstreams.items() if name != "u1"}
+        subject.view.update_upstreams_from_store(others, subject.store.now)
+
+    subject.store.events.append((context.ended_at + late, drop))
+    subject.run(14.0)
+
+
 @then("u1 is gone {seconds:g} s after it left and could be read")
 def _(context: Context, seconds: float) -> None:
     _check_gone(context, max(context.event_at, context.unread_until) + seconds)
--- a/foxtailshunt/assigning/_upstream_reader.py
+++ b/foxtailshunt/assigning/_upstream_reader.py
@@ -203,13 +203,13 @@
         for key in [key for key in self._deleted if not self._is_kept(key)]:
             log_state_change("upstream.gone", key=key, after="outage of the store")
             self._delete(key)
-            self._deleted.discard(key)
         return {
             item.upstream_id: self._view.apply_serving_rules(self._with_remaining_warmup(key, item))
             for key, item in self._entries.items()
         }
 
     def _delete(self, key: str) -> None:
+        self._deleted.discard(key)
         self._entries.pop(key, None)
         self._warmups_read.pop(key, None)
         self._writes.pop(key, None)
